--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The operators command.
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon beside each target: proxy, distributor and member.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! The daemon beside each target.
+fn main() {}
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fleet-wide plan limits, load shedding and retry budgets.
--- /dev/null
+++ b/crates/members/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership: announcements, join records, failure detection.
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! At most once: idempotency keys, leases, permits and poison requests.
--- /dev/null
+++ b/crates/plans/src/lib.rs
@@ -0,0 +1,1 @@
+//! The two lists: parsing, validation, fold, snapshot and delta.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a target and admission beside it.
--- /dev/null
+++ b/crates/trace/src/lib.rs
@@ -0,0 +1,1 @@
+//! The time line of events over all processes.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Streams between daemons: h2 with bincode messages.
