Carry exchanges between daemons over h2 with bincode heads

Cause: calls, updates and probes all need one bounded way between daemons. Change: one h2 stream for each exchange: head as bincode behind its length, then raw bytes; a reset marks a broken body; a pool with one connection for each peer, pings, idle close, and errors that tell "nothing sent" from "unknown". Conclusion: a short body cannot look whole; bounds close one stream.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,63 @@
 //! Streams between daemons: h2 with bincode messages.
+//!
+//! One exchange is one h2 stream: the opener sends a head (a bincode message
+//! behind its length) and then raw body bytes; the other side answers in the
+//! same shape. The end of the h2 stream marks a whole body, a reset marks a
+//! broken one, so a short body never looks whole. Both directions are flow
+//! controlled by h2 windows, and memory for one stream stays within them.
+//!
+//! [`PeerPool`] opens exchanges over one connection for each peer;
+//! [`serve_peers`] accepts them. An error before anything was sent is
+//! `PeerUnavailable`; once a head may have reached the peer it is
+//! `OutcomeUnknown`, unless h2 proves that the peer did not process it.
+
+pub mod body;
+pub mod codec;
+pub mod pool;
+pub mod server;
+
+pub use body::{BodyReceiver, BodySender};
+pub use codec::{decode_message, encode_message};
+pub use pool::{PeerAnswer, PeerExchange, PeerPool};
+pub use server::{PeerStream, serve_peers};
+
+use std::time::Duration;
+
+/// Results of exchanges with peers.
+pub type Result<T> = model::Result<T>;
+
+/// Bounds on connections and frames.
+#[derive(Clone, Copy, Debug)]
+pub struct WireLimits {
+    /// Largest head of one exchange, in bytes.
+    pub max_head_bytes: usize,
+    /// Streams at once on one connection.
+    pub max_streams: u32,
+    /// Connections accepted at once.
+    pub max_connections: usize,
+    /// Bytes in flight on one stream.
+    pub stream_window_bytes: u32,
+    /// Bytes in flight on one connection.
+    pub connection_window_bytes: u32,
+    /// Time for connecting and for the h2 handshake.
+    pub connect_timeout: Duration,
+    /// A connection without streams is closed after this time.
+    pub idle_timeout: Duration,
+    /// A connection is pinged this often; a missing pong closes it.
+    pub ping_interval: Duration,
+}
+
+impl Default for WireLimits {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 4 << 20,
+            max_streams: 1024,
+            max_connections: 2048,
+            stream_window_bytes: 64 << 10,
+            connection_window_bytes: 1 << 20,
+            connect_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(60),
+            ping_interval: Duration::from_secs(5),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/server.rs
@@ -0,0 +1,193 @@
+//! Accepts exchanges from peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::server::{Connection, SendResponse};
+use h2::{Reason, RecvStream};
+use http::{Request, Response};
+use model::{ErrorKind, KindError};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::body::{BodyReceiver, BodySender, stream_error};
+use crate::{Result, WireLimits};
+
+/// Time for the head of an exchange to arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// One exchange that a peer opened.
+#[derive(Debug)]
+pub struct PeerStream<H> {
+    /// The peer's socket address; its port is not the peer's listener.
+    pub peer: SocketAddr,
+    /// The head.
+    pub head: H,
+    /// Body bytes after the head.
+    pub receiver: BodyReceiver,
+    responder: SendResponse<Bytes>,
+    max_head_bytes: usize,
+}
+
+impl<H> PeerStream<H> {
+    /// Answers with `head`; the body follows through the sender.
+    ///
+    /// Kinds: `OutcomeUnknown`, `FrameTooLarge`.
+    pub async fn answer(mut self, head: &impl Serialize) -> Result<(BodySender, BodyReceiver)> {
+        let stream = self
+            .responder
+            .send_response(Response::new(()), false)
+            .map_err(stream_error)?;
+        let mut sender = BodySender::new(stream, None);
+        sender.send_head(head, self.max_head_bytes).await?;
+        Ok((sender, self.receiver))
+    }
+
+    /// Answers with `head` and no body.
+    ///
+    /// Kinds: as [`PeerStream::answer`].
+    pub async fn answer_whole(self, head: &impl Serialize) -> Result<()> {
+        let (sender, _) = self.answer(head).await?;
+        sender.finish()
+    }
+
+    /// Waits until the peer has given up the exchange.
+    pub async fn abandoned(&mut self) {
+        let reset = std::future::poll_fn(|context| self.responder.poll_reset(context)).await;
+        drop(reset);
+    }
+}
+
+/// Serves peers until `token` is cancelled, then lets open exchanges end.
+///
+/// `handle` runs in a task of its own for each exchange; `refused` hears of
+/// each stream or connection that was closed for breaking a bound.
+pub async fn serve_peers<H, F, R>(
+    listener: TcpListener,
+    limits: WireLimits,
+    token: CancellationToken,
+    handle: F,
+    refused: impl Fn(KindError) + Clone + Send + Sync + 'static,
+) where
+    H: DeserializeOwned + Send + 'static,
+    F: Fn(PeerStream<H>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = ()> + Send + 'static,
+{
+    let tracker = TaskTracker::new();
+    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = token.cancelled() => break,
+        };
+        let Ok((socket, peer)) = accepted else {
+            continue;
+        };
+        // Without a free permit the socket is dropped, which the peer sees at once.
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            continue;
+        };
+        let (handle, refused) = (handle.clone(), refused.clone());
+        let (token, streams) = (token.clone(), tracker.clone());
+        tracker.spawn(async move {
+            let served = serve_connection(socket, peer, limits, token, streams, handle, &refused);
+            if let Err(error) = served.await {
+                refused(error);
+            }
+            drop(permit);
+        });
+    }
+    tracker.close();
+    tracker.wait().await;
+}
+
+async fn serve_connection<H, F, R>(
+    socket: TcpStream,
+    peer: SocketAddr,
+    limits: WireLimits,
+    token: CancellationToken,
+    streams: TaskTracker,
+    handle: F,
+    refused: &(impl Fn(KindError) + Clone + Send + Sync + 'static),
+) -> Result<()>
+where
+    H: DeserializeOwned + Send + 'static,
+    F: Fn(PeerStream<H>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = ()> + Send + 'static,
+{
+    let Ok(connection) = timeout(limits.connect_timeout, accept(socket, limits)).await else {
+        return Ok(());
+    };
+    let mut connection = connection?;
+    let mut stopping = false;
+    loop {
+        let request = tokio::select! {
+            request = connection.accept() => request,
+            () = token.cancelled(), if !stopping => {
+                stopping = true;
+                connection.graceful_shutdown();
+                continue;
+            }
+        };
+        let Some(request) = request else {
+            return Ok(());
+        };
+        // A connection that breaks off is no fault of its own; its streams report it.
+        let Ok((request, responder)) = request else {
+            return Ok(());
+        };
+        let (handle, refused) = (handle.clone(), refused.clone());
+        streams.spawn(async move {
+            match open_stream(request, responder, peer, limits).await {
+                Ok(stream) => handle(stream).await,
+                Err(error) => refused(error),
+            }
+        });
+    }
+}
+
+async fn accept(socket: TcpStream, limits: WireLimits) -> Result<Connection<TcpStream, Bytes>> {
+    // An error here leaves the socket slower, not wrong.
+    drop(socket.set_nodelay(true));
+    h2::server::Builder::new()
+        .initial_window_size(limits.stream_window_bytes)
+        .initial_connection_window_size(limits.connection_window_bytes)
+        .max_concurrent_streams(limits.max_streams)
+        .max_header_list_size(1 << 10)
+        .handshake(socket)
+        .await
+        .map_err(stream_error)
+}
+
+async fn open_stream<H: DeserializeOwned>(
+    request: Request<RecvStream>,
+    mut responder: SendResponse<Bytes>,
+    peer: SocketAddr,
+    limits: WireLimits,
+) -> Result<PeerStream<H>> {
+    let mut receiver = BodyReceiver::new(request.into_body(), None);
+    let reading = timeout(HEAD_TIMEOUT, receiver.read_head(limits.max_head_bytes));
+    let read = reading
+        .await
+        .unwrap_or_else(|elapsed| Err(KindError::new(ErrorKind::IdleTimeout, elapsed.to_string())));
+    match read {
+        Ok(head) => Ok(PeerStream {
+            peer,
+            head,
+            receiver,
+            responder,
+            max_head_bytes: limits.max_head_bytes,
+        }),
+        Err(error) => {
+            responder.send_reset(Reason::PROTOCOL_ERROR);
+            Err(error)
+        }
+    }
+}
