Share call classes, daemon and region names, and key error kinds

Cause: several areas need the same names at once. Change: CallClass, DaemonName, RegionName and the kinds of keyed calls in model; the wire's receiver can be polled. Conclusion: the areas name the same things alike.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,15 +6,18 @@
 //! can go wrong; its table says what a caller, an operator and a retrying
 //! daemon make of each kind.
 
+pub mod class;
 pub mod clock;
 pub mod error;
 pub mod ids;
 pub mod units;
 
+pub use class::CallClass;
 pub use clock::{ClockPort, FakeClock, SharedClock, SystemClock};
 pub use error::{ErrorKind, KindAnswer, KindError, Result, ensure};
 pub use ids::{
-    AuthorName, ChangeId, ConfigVersion, CustomerName, DaemonId, DomainName, IncarnationNumber,
-    LogOffset, MethodName, PlanName, ServiceName, StreamName, TargetName,
+    AuthorName, ChangeId, ConfigVersion, CustomerName, DaemonId, DaemonName, DomainName,
+    IncarnationNumber, LogOffset, MethodName, PlanName, RegionName, ServiceName, StreamName,
+    TargetName,
 };
 pub use units::{ByteCount, CallCount, CallRate, RecordCount};
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -2,7 +2,7 @@
 
 use std::future::poll_fn;
 use std::sync::Arc;
-use std::task::Poll;
+use std::task::{Context, Poll, ready};
 
 use bytes::{Bytes, BytesMut};
 use h2::{Reason, RecvStream, SendStream};
@@ -140,26 +140,36 @@
     ///
     /// Kinds: `OutcomeUnknown` where the body broke off.
     pub async fn next(&mut self) -> Option<Result<Bytes>> {
+        poll_fn(|context| self.poll_next(context)).await
+    }
+
+    /// As [`BodyReceiver::next`], for use inside other streams.
+    pub fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes>>> {
         if !self.early.is_empty() {
-            return Some(Ok(self.early.split().freeze()));
+            return Poll::Ready(Some(Ok(self.early.split().freeze())));
         }
-        self.receive().await
+        self.poll_receive(context)
     }
 
     async fn receive(&mut self) -> Option<Result<Bytes>> {
+        poll_fn(|context| self.poll_receive(context)).await
+    }
+
+    fn poll_receive(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes>>> {
         // Capacity of the chunk before is given back only now that it was taken.
         let released = self
             .stream
             .flow_control()
             .release_capacity(std::mem::take(&mut self.unreleased));
         drop(released);
-        match self.stream.data().await? {
+        let received = ready!(self.stream.poll_data(context));
+        Poll::Ready(received.map(|received| match received {
             Ok(chunk) => {
                 self.unreleased = chunk.len();
-                Some(Ok(chunk))
+                Ok(chunk)
             }
-            Err(error) => Some(Err(stream_error(error))),
-        }
+            Err(error) => Err(stream_error(error)),
+        }))
     }
 }
 
