--- /dev/null
+++ b/crates/daemon/src/beside.rs
@@ -0,0 +1,252 @@
+//! The targets beside this daemon: announcement, admission and calls to them.
+//!
+//! Whatever proxy a call comes from, it passes the gate of its target here, so
+//! the target's slots hold over the whole fleet. Every refusal given before
+//! the target was reached is proven not to have run; once bytes may have
+//! reached the target a lost call's outcome is unknown.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use http::Response;
+use hyper::body::Incoming;
+use members::announce::{TargetAnnouncement, TargetChange, TargetRegistry, TargetState};
+use members::digest::TargetDigest;
+use model::{CallCount, ErrorKind, KindError, SharedClock, TargetName};
+use route::{GateConfig, TargetLoad};
+use tokio::time::timeout;
+
+use crate::body::{BodyEnd, CallBody};
+use crate::gate::{GatePass, TargetGate};
+use crate::peer::{CallHead, CallRefusal, ResponseHead, pack_headers};
+use crate::target_client::TargetClient;
+
+/// An answer, or why there is none.
+pub type Result<T> = std::result::Result<T, CallRefusal>;
+
+/// The targets beside this daemon.
+#[derive(Debug)]
+pub struct BesideDesk {
+    clock: SharedClock,
+    queue: CallCount,
+    client: TargetClient,
+    state: Mutex<BesideState>,
+}
+
+#[derive(Debug)]
+struct BesideState {
+    registry: TargetRegistry,
+    gates: HashMap<TargetName, Arc<TargetGate>>,
+}
+
+/// A target's answer with its body.
+#[derive(Debug)]
+pub struct TargetAnswer {
+    /// Status, headers and load.
+    pub head: ResponseHead,
+    /// The body; the call keeps its slot until it ends.
+    pub body: CallBody,
+}
+
+impl BesideDesk {
+    /// A desk without targets; `queue` calls may wait for each.
+    pub fn new(queue: CallCount, clock: SharedClock) -> Self {
+        Self {
+            queue,
+            client: TargetClient::new(),
+            state: Mutex::new(BesideState {
+                registry: TargetRegistry::new(Arc::clone(&clock)),
+                gates: HashMap::new(),
+            }),
+            clock,
+        }
+    }
+
+    /// Takes a target's announcement; tells what changed.
+    pub fn announce(
+        &self,
+        announcement: TargetAnnouncement,
+    ) -> model::Result<Option<TargetChange>> {
+        let config = GateConfig {
+            slots: announcement.slots,
+            connections: announcement.connections,
+            queue: self.queue,
+        };
+        let (target, state) = (announcement.target.clone(), announcement.state);
+        let mut desk = self.lock();
+        let change = desk.registry.announce(announcement)?;
+        let gate = desk.open_gate(&target, config, &self.clock);
+        drop(desk);
+        gate.resize(config);
+        match state {
+            TargetState::Draining | TargetState::Gone => gate.drain(),
+            TargetState::Starting | TargetState::Ready => {}
+        }
+        Ok(change)
+    }
+
+    /// Drops targets whose heartbeat stopped; tells what changed.
+    pub fn on_tick(&self) -> Vec<TargetChange> {
+        let mut desk = self.lock();
+        let changes = desk.registry.on_tick();
+        for change in &changes {
+            if let Some(gate) = desk.gates.remove(&change.target) {
+                gate.drain();
+            }
+        }
+        changes
+    }
+
+    /// What the other daemons are told about the targets.
+    pub fn digests(&self) -> Vec<TargetDigest> {
+        self.lock().registry.digests()
+    }
+
+    /// Refuses new work for every target from now on.
+    pub fn drain(&self) -> Vec<TargetChange> {
+        let mut desk = self.lock();
+        for gate in desk.gates.values() {
+            gate.drain();
+        }
+        desk.registry.drain_all()
+    }
+
+    /// Whether no call runs or waits beside any target.
+    pub fn is_idle(&self) -> bool {
+        self.lock().gates.values().all(|gate| gate.is_idle())
+    }
+
+    /// Load of each target.
+    pub fn loads(&self) -> Vec<(TargetName, TargetLoad)> {
+        let desk = self.lock();
+        let loads = desk.gates.iter().map(|(name, gate)| (name.clone(), gate.load()));
+        loads.collect()
+    }
+
+    /// Runs a call on its target.
+    pub async fn run(&self, head: &CallHead, body: CallBody) -> Result<TargetAnswer> {
+        let deadline = self.clock.now() + head.remaining;
+        let (gate, address) = self.find(head)?;
+        let pass = gate
+            .enter(&head.customer, head.class, deadline)
+            .await
+            .map_err(|error| refuse(&gate, error))?;
+        self.run_admitted(head, body, &gate, pass, address, deadline)
+            .await
+    }
+
+    async fn run_admitted(
+        &self,
+        head: &CallHead,
+        body: CallBody,
+        gate: &Arc<TargetGate>,
+        mut pass: GatePass,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<TargetAnswer> {
+        let mut forward = head.clone();
+        forward.remaining = deadline.saturating_duration_since(self.clock.now());
+        let sending = self.client.send(address, &forward, body);
+        let response = match timeout(forward.remaining, sending).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => {
+                pass.mark_failed();
+                return Err(refuse(gate, error));
+            }
+            Err(_) => return Err(refuse(gate, out_of_time())),
+        };
+        Ok(answer_with(response, gate, pass))
+    }
+
+    fn find(&self, head: &CallHead) -> Result<(Arc<TargetGate>, SocketAddr)> {
+        let desk = self.lock();
+        let target = head.target.as_ref().ok_or_else(|| absent("no target named"))?;
+        let announcement = desk
+            .registry
+            .target(target)
+            .filter(|found| found.service == head.service)
+            .ok_or_else(|| absent("the target is not beside this daemon"))?;
+        match announcement.state {
+            TargetState::Ready => {}
+            TargetState::Draining => return Err(draining()),
+            TargetState::Starting | TargetState::Gone => return Err(absent("not ready")),
+        }
+        let gate = desk.gates.get(target).ok_or_else(|| absent("no gate"))?;
+        Ok((Arc::clone(gate), announcement.address))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BesideState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl BesideState {
+    /// The gate of `target`; a target that drained and came back gets a new one.
+    fn open_gate(
+        &mut self,
+        target: &TargetName,
+        config: GateConfig,
+        clock: &SharedClock,
+    ) -> Arc<TargetGate> {
+        let fresh = || Arc::new(TargetGate::new(config, Arc::clone(clock)));
+        let gate = self.gates.entry(target.clone()).or_insert_with(fresh);
+        if gate.is_draining() && self.registry.target(target).is_some_and(is_willing) {
+            *gate = fresh();
+        }
+        Arc::clone(gate)
+    }
+}
+
+fn is_willing(announcement: &TargetAnnouncement) -> bool {
+    announcement.state < TargetState::Draining
+}
+
+fn answer_with(
+    response: Response<Incoming>,
+    gate: &Arc<TargetGate>,
+    mut pass: GatePass,
+) -> TargetAnswer {
+    let (parts, incoming) = response.into_parts();
+    if parts.status.is_server_error() {
+        pass.mark_failed();
+    }
+    let head = ResponseHead {
+        status: parts.status.as_u16(),
+        headers: pack_headers(&parts.headers),
+        load: gate.load(),
+        waited: pass.waited,
+    };
+    let body = CallBody::from_target(incoming).watched(move |end| {
+        if end == BodyEnd::Broken {
+            pass.mark_failed();
+        }
+        drop(pass);
+    });
+    TargetAnswer { head, body }
+}
+
+fn refuse(gate: &TargetGate, error: KindError) -> CallRefusal {
+    let come_again = error.kind.answer().not_run && error.kind.answer().retryable;
+    CallRefusal {
+        error,
+        retry_after: come_again.then(|| gate.retry_after().max(Duration::from_millis(10))),
+        load: Some(gate.load()),
+    }
+}
+
+fn out_of_time() -> KindError {
+    KindError::new(
+        ErrorKind::OutcomeUnknown,
+        "the deadline passed while the target ran the call",
+    )
+}
+
+fn absent(detail: &str) -> CallRefusal {
+    KindError::new(ErrorKind::TargetAbsent, detail).into()
+}
+
+fn draining() -> CallRefusal {
+    KindError::new(ErrorKind::Draining, "the target is draining").into()
+}
--- /dev/null
+++ b/crates/daemon/src/peer.rs
@@ -0,0 +1,184 @@
+//! What daemons say to one another over one exchange.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue};
+use model::{
+    CallClass, CustomerName, DaemonId, ErrorKind, KindError, MethodName, ServiceName, TargetName,
+};
+use route::{RetryMark, TargetLoad};
+use serde::{Deserialize, Serialize};
+
+/// Results of reading a peer's head; the kind is `FrameInvalid`.
+pub type Result<T> = model::Result<T>;
+
+/// Deepest chain of calls.
+pub const MAX_CALL_DEPTH: u8 = 16;
+/// Most headers carried with one call.
+const MAX_HEADERS: usize = 100;
+
+/// The head of an exchange.
+#[derive(Debug, Deserialize, Serialize)]
+pub enum PeerRequest {
+    /// Messages of the control areas; answered with [`ControlAck`].
+    Control(ControlBatch),
+    /// A call for a target beside the receiver; answered with [`CallAnswer`].
+    Call(Box<CallHead>),
+    /// A non-idempotent call for the receiver as its key's home; answered with [`CallAnswer`].
+    Keyed(Box<CallHead>),
+}
+
+/// Messages of the control areas from one daemon, each encoded by its area.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct ControlBatch {
+    /// Who sends.
+    pub from: DaemonId,
+    /// Where the sender listens for peers.
+    pub address: SocketAddr,
+    /// The messages.
+    pub messages: Vec<ControlMessage>,
+}
+
+/// One message of a control area.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum ControlMessage {
+    /// Distribution of the configuration.
+    Spread(Vec<u8>),
+    /// Membership.
+    Member(Vec<u8>),
+    /// Shares of the plans' limits.
+    Limit(Vec<u8>),
+    /// At most once: permits, handover, reports of crashes.
+    Once(Vec<u8>),
+}
+
+/// The receiver has taken a batch.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct ControlAck;
+
+/// A header, in bytes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeaderPair {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its value.
+    pub value: Box<[u8]>,
+}
+
+/// A call on its way to a target.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct CallHead {
+    /// The service called.
+    pub service: ServiceName,
+    /// The target chosen; none on the way to a key's home.
+    pub target: Option<TargetName>,
+    /// The customer that calls.
+    pub customer: CustomerName,
+    /// Its class.
+    pub class: CallClass,
+    /// HTTP method.
+    pub method: MethodName,
+    /// Path and query.
+    pub path: Box<str>,
+    /// End-to-end headers.
+    pub headers: Vec<HeaderPair>,
+    /// Time that remains until the deadline.
+    pub remaining: Duration,
+    /// Number of daemons that the call has entered from callers.
+    pub depth: u8,
+    /// Whether an attempt above was repeated.
+    pub mark: RetryMark,
+    /// Whether the method is idempotent.
+    pub idempotent: bool,
+    /// Fingerprint of route and body, against requests that crash targets.
+    pub print: u128,
+    /// Proof for the daemon beside the target that a key's home dispatches in time.
+    pub permit: Option<Box<[u8]>>,
+}
+
+/// Answer to a call.
+#[derive(Debug, Deserialize, Serialize)]
+pub enum CallAnswer {
+    /// The target answered; the body follows.
+    Response(ResponseHead),
+    /// The call was refused or lost.
+    Refused(CallRefusal),
+}
+
+/// Head of a target's answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ResponseHead {
+    /// HTTP status.
+    pub status: u16,
+    /// End-to-end headers.
+    pub headers: Vec<HeaderPair>,
+    /// Load of the target.
+    pub load: TargetLoad,
+    /// Time that the call waited for a slot.
+    pub waited: Duration,
+}
+
+/// Why a call has no answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CallRefusal {
+    /// What happened.
+    pub error: KindError,
+    /// When to come again.
+    pub retry_after: Option<Duration>,
+    /// Load of the target.
+    pub load: Option<TargetLoad>,
+}
+
+impl From<KindError> for CallRefusal {
+    fn from(error: KindError) -> Self {
+        Self {
+            error,
+            retry_after: None,
+            load: None,
+        }
+    }
+}
+
+/// Headers of one connection, which are not passed on.
+const CONNECTION_HEADERS: &[HeaderName] = &[
+    http::header::CONNECTION,
+    http::header::TRANSFER_ENCODING,
+    http::header::UPGRADE,
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::PROXY_AUTHORIZATION,
+    http::header::PROXY_AUTHENTICATE,
+    http::header::HOST,
+    http::header::EXPECT,
+];
+
+/// The headers of `map` that travel end to end.
+pub fn pack_headers(map: &HeaderMap) -> Vec<HeaderPair> {
+    map.iter()
+        .filter(|(name, _)| !CONNECTION_HEADERS.contains(name) && *name != "keep-alive")
+        .map(|(name, value)| HeaderPair {
+            name: name.as_str().into(),
+            value: value.as_bytes().into(),
+        })
+        .collect()
+}
+
+/// Headers as HTTP takes them.
+pub fn unpack_headers(pairs: &[HeaderPair]) -> Result<HeaderMap> {
+    let invalid = |detail: String| KindError::new(ErrorKind::FrameInvalid, detail);
+    model::ensure(
+        pairs.len() <= MAX_HEADERS,
+        ErrorKind::FrameInvalid,
+        "too many headers",
+    )?;
+    let mut map = HeaderMap::with_capacity(pairs.len());
+    for pair in pairs {
+        let name = HeaderName::from_bytes(pair.name.as_bytes())
+            .map_err(|error| invalid(error.to_string()))?;
+        let value =
+            HeaderValue::from_bytes(&pair.value).map_err(|error| invalid(error.to_string()))?;
+        map.append(name, value);
+    }
+    Ok(map)
+}
