Choose targets, admit beside them, budget retries

The proxy needs decisions to wire in: which target takes a call, what the daemon beside it admits, and whether a failed attempt is sent again.

Adds TargetPicker (capacity-weighted samples, own failure domain first, ejection of failing targets), AdmissionGate (slots, short queue fair among customers), RetryPolicy with two budgets, CallDeadline, and CallClass in model.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,11 +6,13 @@
 //! can go wrong; its table says what a caller, an operator and a retrying
 //! daemon make of each kind.
 
+pub mod class;
 pub mod clock;
 pub mod error;
 pub mod ids;
 pub mod units;
 
+pub use class::CallClass;
 pub use clock::{ClockPort, FakeClock, SharedClock, SystemClock};
 pub use error::{ErrorKind, KindAnswer, KindError, Result, ensure};
 pub use ids::{
--- /dev/null
+++ b/crates/route/examples/pick.rs
@@ -0,0 +1,75 @@
+//! One proxy, two targets: pick, admit, answer, learn.
+
+use std::time::Duration;
+
+use model::{CallClass, CallCount, DaemonId, FakeClock};
+use quetzal_route::{
+    AdmissionGate, Admit, CallId, CallOutcome, CallResult, CallTicket, GateConfig, LeftCall,
+    PickerConfig, TargetPicker, TargetState, TargetView,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use smallvec::SmallVec;
+
+fn main() -> model::Result<()> {
+    let clock = FakeClock::new();
+    let config = PickerConfig {
+        domain: "cairo-1".parse()?,
+        region: SmallVec::new(),
+    };
+    let mut picker = TargetPicker::new(config, clock.shared(), SmallRng::seed_from_u64(1));
+    let service = "catalog".parse()?;
+    let mut views = Vec::new();
+    for number in 1..=2 {
+        views.push(TargetView {
+            target: format!("catalog-{number}").parse()?,
+            daemon: DaemonId(number),
+            domain: format!("cairo-{number}").parse()?,
+            slots: CallCount(10),
+            connections: CallCount(130),
+            state: TargetState::Ready,
+            load: None,
+            since: model::ClockPort::now(&clock),
+        });
+    }
+    picker.set_targets(&service, &views);
+
+    let gate_config = GateConfig {
+        slots: CallCount(10),
+        connections: CallCount(130),
+        queue: CallCount(10),
+    };
+    let mut gate = AdmissionGate::new(gate_config, clock.shared());
+    for number in 0..3 {
+        let Some(ticket) = picker.pick(&service, &[]) else {
+            println!("no willing target");
+            continue;
+        };
+        let call = CallTicket {
+            call: CallId(number),
+            customer: "nile-brands".parse()?,
+            class: CallClass::Read,
+            deadline: ticket.picked + Duration::from_secs(1),
+        };
+        let answer = gate.enter(&call);
+        println!(
+            "call {number} to {}: {:?}",
+            ticket.view.target, answer.admit
+        );
+        if answer.admit == Admit::Start {
+            clock.advance(Duration::from_millis(12));
+            gate.leave(LeftCall {
+                call: call.call,
+                failed: false,
+            });
+        }
+        let outcome = CallOutcome {
+            latency: Duration::from_millis(12),
+            waited: Duration::ZERO,
+            result: CallResult::Done,
+            load: Some(gate.load()),
+        };
+        picker.finish(&ticket, &outcome);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/route/src/health.rs
@@ -0,0 +1,93 @@
+//! Ejection of targets that fail far more often than their peers.
+//!
+//! A target that fails at once looks idle and would attract every call, so
+//! failures are judged apart from load. The share of failures is an average
+//! over recent calls, or what the daemon beside the target counted for all
+//! proxies if that is worse. An ejected target comes back on probation, where
+//! one failure ejects it again for twice as long.
+
+use std::time::{Duration, Instant};
+
+/// Weight of the latest call in the average share of failures.
+const FAILURE_WEIGHT: f32 = 0.25;
+
+/// Share of failures above which a target may be ejected.
+const EJECT_SHARE: f32 = 0.5;
+
+/// How far a target must be above its peers' mean share to be ejected.
+const EJECT_MARGIN: f32 = 0.3;
+
+/// Share of failures assumed when an ejected target comes back.
+const PROBATION_SHARE: f32 = 0.4;
+
+/// First time of ejection; doubles with each further one.
+const EJECT_BASE: Duration = Duration::from_secs(1);
+
+/// Doublings after which the time of ejection stays the same.
+const EJECT_DOUBLINGS: u8 = 5;
+
+/// Failures of one target as one proxy sees them.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TargetHealth {
+    share: f32,
+    ejections: u8,
+    ejected_until: Option<Instant>,
+}
+
+impl TargetHealth {
+    /// Share of recent calls that failed.
+    pub(crate) fn share(&self) -> f32 {
+        self.share
+    }
+
+    /// Counts an answered call.
+    pub(crate) fn on_done(&mut self) {
+        self.share -= self.share * FAILURE_WEIGHT;
+        if self.share < FAILURE_WEIGHT / 4.0 {
+            self.ejections = 0;
+        }
+    }
+
+    /// Counts a failed call; `told` is the share that the daemon beside the target counts.
+    pub(crate) fn on_failed(&mut self, told: f32) {
+        self.share += (1.0 - self.share) * FAILURE_WEIGHT;
+        self.share = self.share.max(told);
+    }
+
+    /// Whether most recent calls failed.
+    pub(crate) fn is_bad(&self) -> bool {
+        self.share > EJECT_SHARE
+    }
+
+    /// Ends an ejection at once.
+    pub(crate) fn readmit(&mut self) {
+        self.ejected_until = None;
+    }
+
+    /// Whether the share of failures sets this target apart from peers with the mean `peers`.
+    pub(crate) fn is_outlier(&self, peers: f32) -> bool {
+        self.is_bad() && self.share > peers + EJECT_MARGIN
+    }
+
+    /// Ejects the target for a time that grows with each ejection.
+    pub(crate) fn eject(&mut self, now: Instant) {
+        let time = EJECT_BASE * (1 << self.ejections.min(EJECT_DOUBLINGS));
+        self.ejections = self.ejections.saturating_add(1);
+        self.ejected_until = Some(now + time);
+    }
+
+    /// Whether the target is ejected at `now`.
+    pub(crate) fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Ends an ejection whose time is over; true if it did.
+    pub(crate) fn begin_probation(&mut self, now: Instant) -> bool {
+        let over = self.ejected_until.is_some_and(|until| now >= until);
+        if over {
+            self.ejected_until = None;
+            self.share = PROBATION_SHARE;
+        }
+        over
+    }
+}
--- /dev/null
+++ b/crates/route/src/retry.rs
@@ -0,0 +1,159 @@
+//! Whether a failed attempt is sent again.
+//!
+//! Three rules keep retries from multiplying over the depth of calls:
+//!
+//! 1. Only failures of the last hop are retried: a refusal that is proven not
+//!    to have run, or a target that was lost. A target that answered has
+//!    answered, so an error that comes from deeper down passes through
+//!    without another attempt at each layer.
+//! 2. A call that descends from a retried attempt carries a [`RetryMark`] and
+//!    is not sent again after a loss, so one lineage holds one repetition.
+//! 3. Two budgets for each proxy: one for refusals, which cost the target no
+//!    work, and a smaller one for losses, whose work below is repeated;
+//!    the latter is the whole allowance divided by the depth of calls.
+//!
+//! A lost call that is not idempotent ends as `OutcomeUnknown`, never as not
+//! run.
+
+use std::time::Duration;
+
+use model::ErrorKind;
+use serde::{Deserialize, Serialize};
+
+use crate::budget::{BudgetConfig, RetryBudget};
+
+/// Attempts of one call at one proxy, the first included.
+pub const MAX_ATTEMPTS: u8 = 3;
+
+/// Deepest chain of calls that the budget for losses allows for.
+const MAX_DEPTH: f64 = 12.0;
+
+/// Budget for refusals.
+const REFUSED_BUDGET: BudgetConfig = BudgetConfig {
+    ratio: 0.1,
+    reserve: 10.0,
+};
+
+/// Budget for losses.
+const LOST_BUDGET: BudgetConfig = BudgetConfig {
+    ratio: 0.08 / MAX_DEPTH,
+    reserve: 10.0,
+};
+
+/// Least time that must remain for another attempt.
+const MIN_REMAINING: Duration = Duration::from_millis(5);
+
+/// Whether a call descends from an attempt that was sent again; travels with the call.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RetryMark {
+    /// Every attempt above was a first one.
+    #[default]
+    First,
+    /// Some attempt above repeated a lost one.
+    Repeated,
+}
+
+/// Why an attempt failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FailureCause {
+    /// Refused; the kind's table says whether it ran.
+    Refused(ErrorKind),
+    /// The target or the daemon beside it was lost while the call may have run.
+    Lost,
+    /// The target answered with an error of its own.
+    Answered,
+}
+
+/// An attempt that failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AttemptFailure {
+    /// Why.
+    pub cause: FailureCause,
+    /// Whether the call is idempotent.
+    pub idempotent: bool,
+    /// Whether its body can be sent again from the start.
+    pub replayable: bool,
+    /// Attempts so far, this one included.
+    pub attempts: u8,
+    /// The mark that the call came with.
+    pub mark: RetryMark,
+    /// Time that remains until its deadline.
+    pub remaining: Duration,
+}
+
+/// What to do about it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryVerdict {
+    /// Send it again on another target, with this mark.
+    Again(RetryMark),
+    /// Answer with this kind.
+    Stop(ErrorKind),
+    /// Pass the target's own answer on.
+    PassOn,
+}
+
+/// Retries of one proxy.
+#[derive(Clone, Debug)]
+pub struct RetryPolicy {
+    refused: RetryBudget,
+    lost: RetryBudget,
+}
+
+impl RetryPolicy {
+    /// A policy with full budgets.
+    pub fn new() -> Self {
+        Self {
+            refused: RetryBudget::new(REFUSED_BUDGET),
+            lost: RetryBudget::new(LOST_BUDGET),
+        }
+    }
+
+    /// Counts a first attempt.
+    pub fn on_first(&mut self, mark: RetryMark) {
+        self.refused.earn();
+        if mark == RetryMark::First {
+            self.lost.earn();
+        }
+    }
+
+    /// Decides about a failed attempt.
+    pub fn decide(&mut self, failure: &AttemptFailure) -> RetryVerdict {
+        match failure.cause {
+            FailureCause::Answered => RetryVerdict::PassOn,
+            FailureCause::Refused(kind) => self.decide_refused(failure, kind),
+            FailureCause::Lost => self.decide_lost(failure),
+        }
+    }
+
+    fn decide_refused(&mut self, failure: &AttemptFailure, kind: ErrorKind) -> RetryVerdict {
+        let answer = kind.answer();
+        let proven = answer.not_run && answer.retryable;
+        if proven && failure.can_repeat() && self.refused.spend() {
+            return RetryVerdict::Again(failure.mark);
+        }
+        RetryVerdict::Stop(kind)
+    }
+
+    fn decide_lost(&mut self, failure: &AttemptFailure) -> RetryVerdict {
+        if !failure.idempotent {
+            return RetryVerdict::Stop(ErrorKind::OutcomeUnknown);
+        }
+        let first = failure.mark == RetryMark::First && failure.attempts == 1;
+        if first && failure.can_repeat() && self.lost.spend() {
+            return RetryVerdict::Again(RetryMark::Repeated);
+        }
+        RetryVerdict::Stop(ErrorKind::TargetFailed)
+    }
+}
+
+impl Default for RetryPolicy {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl AttemptFailure {
+    fn can_repeat(&self) -> bool {
+        self.replayable && self.attempts < MAX_ATTEMPTS && self.remaining >= MIN_REMAINING
+    }
+}
