--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -64,6 +64,8 @@
     MethodName,
     /// A plan that customers hold.
     PlanName,
+    /// A region, which holds failure domains.
+    RegionName,
     /// A service, offered by targets.
     ServiceName,
     /// A stream of the log service.
--- /dev/null
+++ b/crates/spread/src/fake.rs
@@ -0,0 +1,187 @@
+//! A small replica for tests, benches and embedders' own tests.
+//!
+//! A record is text, `key=value`; one without `=` is refused. The state keeps
+//! the last value of each key.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use feed::port::LogRecord;
+use model::{ConfigVersion, ErrorKind, KindError, LogOffset};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::replica::{FoldReport, ReplicaHead, ReplicaPort, Result, UpdateBody};
+
+/// Entries that a delta may reach back over.
+const MAX_HISTORY: usize = 256;
+
+/// The whole state, as it travels.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct FakeState {
+    next: LogOffset,
+    version: ConfigVersion,
+    values: BTreeMap<Box<str>, Box<str>>,
+}
+
+/// One record of the past; `change` is none if it was refused.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct FakeEntry {
+    offset: LogOffset,
+    change: Option<(Box<str>, Box<str>)>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+enum FakeUpdate {
+    Delta {
+        base: LogOffset,
+        base_hash: u64,
+        entries: Vec<FakeEntry>,
+    },
+    Whole(FakeState),
+}
+
+/// A replica that keeps the last value of each key.
+#[derive(Clone, Debug, Default)]
+pub struct FakeReplica {
+    state: FakeState,
+    history: VecDeque<FakeEntry>,
+    hashes: BTreeMap<LogOffset, u64>,
+}
+
+impl FakeReplica {
+    /// An empty replica.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The value of a key.
+    pub fn value(&self, key: &str) -> Option<&str> {
+        self.state.values.get(key).map(AsRef::as_ref)
+    }
+
+    fn take(&mut self, entry: FakeEntry) {
+        self.hashes.insert(self.state.next, self.hash());
+        self.state.next = entry.offset.next();
+        if let Some((key, value)) = &entry.change {
+            self.state.version = ConfigVersion::at(entry.offset);
+            self.state.values.insert(key.clone(), value.clone());
+        }
+        self.history.push_back(entry);
+        if self.history.len() > MAX_HISTORY {
+            self.history.pop_front();
+            self.hashes.pop_first();
+        }
+    }
+
+    fn delta_since(&self, base: &ReplicaHead) -> Option<FakeUpdate> {
+        let known = *self.hashes.get(&base.next)?;
+        if known != base.state_hash {
+            return None;
+        }
+        let entries = self.history.iter();
+        Some(FakeUpdate::Delta {
+            base: base.next,
+            base_hash: known,
+            entries: entries
+                .filter(|entry| entry.offset >= base.next)
+                .cloned()
+                .collect(),
+        })
+    }
+}
+
+impl ReplicaPort for FakeReplica {
+    fn next_offset(&self) -> LogOffset {
+        self.state.next
+    }
+
+    fn version(&self) -> ConfigVersion {
+        self.state.version
+    }
+
+    fn hash(&self) -> u64 {
+        xxh3_64(&encode(&self.state))
+    }
+
+    fn fold(&mut self, records: &[LogRecord]) -> FoldReport {
+        let mut report = FoldReport::default();
+        for record in records {
+            let text = String::from_utf8_lossy(&record.body);
+            let change = text
+                .split_once('=')
+                .map(|(key, value)| (key.into(), value.into()));
+            match change {
+                Some(_) => report.accepted += 1,
+                None => report.refused += 1,
+            }
+            self.take(FakeEntry {
+                offset: record.offset,
+                change,
+            });
+        }
+        report
+    }
+
+    fn update_since(&self, base: &ReplicaHead) -> Option<UpdateBody> {
+        if base.next >= self.state.next {
+            return None;
+        }
+        let whole = encode(&FakeUpdate::Whole(self.state.clone()));
+        let delta = self.delta_since(base).map(|delta| encode(&delta));
+        let small = delta.filter(|delta| delta.len() < whole.len());
+        Some(UpdateBody(small.unwrap_or(whole)))
+    }
+
+    fn apply_update(&mut self, body: &UpdateBody) -> Result<bool> {
+        match decode(&body.0)? {
+            FakeUpdate::Whole(state) if state.next > self.state.next => {
+                *self = Self {
+                    state,
+                    ..Self::default()
+                };
+                Ok(true)
+            }
+            FakeUpdate::Whole(_) => Ok(false),
+            FakeUpdate::Delta {
+                base,
+                base_hash,
+                entries,
+            } => {
+                let fits = base == self.state.next && base_hash == self.hash();
+                model::ensure(fits, ErrorKind::SnapshotInvalid, "another base")?;
+                for entry in entries {
+                    self.take(entry);
+                }
+                Ok(true)
+            }
+        }
+    }
+
+    fn snapshot(&self) -> Box<[u8]> {
+        encode(&self.state)
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<bool> {
+        let state = decode::<FakeState>(snapshot)?;
+        if state.next <= self.state.next {
+            return Ok(false);
+        }
+        *self = Self {
+            state,
+            ..Self::default()
+        };
+        Ok(true)
+    }
+}
+
+fn encode(value: &impl Serialize) -> Box<[u8]> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard())
+        .expect("plain data encodes")
+        .into_boxed_slice()
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    bincode::serde::decode_from_slice(bytes, bincode::config::standard())
+        .map(|(value, _)| value)
+        .map_err(|error| KindError::new(ErrorKind::SnapshotInvalid, error.to_string()))
+}
--- /dev/null
+++ b/crates/spread/src/freshness.rs
@@ -0,0 +1,185 @@
+//! Proof that the configuration held is still the log's.
+//!
+//! A reader that asks the log and learns that nothing follows its head has a
+//! proof, as old as the question. Proofs travel with answers between daemons;
+//! each hop counts the age from its own question, so a proof never looks
+//! younger than it is, whatever the network or a paused process does to it.
+//!
+//! Without a recent proof two cases differ. If readers of every known failure
+//! domain tell that the log is down for them, no daemon can have moved on and
+//! calls go on. Otherwise others may have moved, and this daemon counts as cut
+//! off: it must refuse non-idempotent calls.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use model::{DomainName, LogOffset};
+
+use crate::message::{AgeMillis, LogView};
+use crate::settings::{OutageQuorum, SpreadSettings};
+
+/// How far this daemon can answer for its configuration.
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+pub enum FreshnessCase {
+    /// It holds none: refuse all calls as not run.
+    #[display("absent")]
+    Absent,
+    /// It was the log's a moment ago.
+    #[display("current")]
+    Current,
+    /// The log is down for readers of all domains: go on.
+    #[display("source down")]
+    SourceDown,
+    /// Others may have moved on: refuse non-idempotent calls, mark reads as stale.
+    #[display("cut off")]
+    CutOff,
+}
+
+/// What is known about the freshness of this daemon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FreshnessReport {
+    /// What to do.
+    pub case: FreshnessCase,
+    /// Age of the last proof.
+    pub proof_age: Option<Duration>,
+    /// Age of the last witness of an outage in all domains.
+    pub outage_age: Option<Duration>,
+}
+
+/// Collects proofs and witnesses of outages.
+#[derive(Debug, Default)]
+pub struct FreshnessTracker {
+    proven_at: Option<Instant>,
+    outage_at: Option<Instant>,
+    pending: Option<PendingProof>,
+    domains: BTreeMap<DomainName, DomainWitness>,
+}
+
+/// A proof for a head that this daemon has not reached yet.
+#[derive(Clone, Copy, Debug)]
+struct PendingProof {
+    next: LogOffset,
+    proven_at: Instant,
+}
+
+/// What is known of one domain's readers.
+#[derive(Clone, Copy, Debug)]
+struct DomainWitness {
+    seen_at: Instant,
+    down_at: Option<Instant>,
+}
+
+impl FreshnessTracker {
+    /// The log was proven at `proven_at` to end at `next`; this daemon is at `own`.
+    pub fn prove(&mut self, next: LogOffset, proven_at: Instant, own: LogOffset) {
+        if own >= next {
+            self.proven_at = self.proven_at.max(Some(proven_at));
+            return;
+        }
+        let newer = |pending: &PendingProof| pending.proven_at >= proven_at;
+        if !self.pending.as_ref().is_some_and(newer) {
+            self.pending = Some(PendingProof { next, proven_at });
+        }
+    }
+
+    /// This daemon reached `own`; a pending proof may hold now.
+    pub fn reach(&mut self, own: LogOffset) {
+        if let Some(pending) = self.pending
+            && own >= pending.next
+        {
+            self.pending = None;
+            self.prove(pending.next, pending.proven_at, own);
+        }
+    }
+
+    /// Takes the view of a peer at `next`, asked at `asked_at`.
+    pub fn learn(&mut self, view: LogView, next: LogOffset, asked_at: Instant, own: LogOffset) {
+        if let Some(proven_at) = moment(asked_at, view.proof_age) {
+            self.prove(next, proven_at, own);
+        }
+        if let Some(outage_at) = moment(asked_at, view.outage_age) {
+            self.outage_at = self.outage_at.max(Some(outage_at));
+        }
+    }
+
+    /// A domain has live members.
+    pub fn expect_domain(&mut self, domain: &DomainName, now: Instant) {
+        if let Some(witness) = self.domains.get_mut(domain) {
+            witness.seen_at = now;
+            return;
+        }
+        let witness = DomainWitness {
+            seen_at: now,
+            down_at: None,
+        };
+        self.domains.insert(domain.clone(), witness);
+    }
+
+    /// A reader of `domain` found the log down at `down_at`, or up if `None`.
+    pub fn witness(&mut self, domain: &DomainName, down_at: Option<Instant>, now: Instant) {
+        self.expect_domain(domain, now);
+        if let Some(witness) = self.domains.get_mut(domain) {
+            witness.down_at = down_at;
+        }
+    }
+
+    /// Derives the outage from what the domains' readers told; for readers.
+    pub fn judge_outage(&mut self, settings: &SpreadSettings, now: Instant) {
+        let memory = settings.domain_memory;
+        self.domains
+            .retain(|_, witness| now.saturating_duration_since(witness.seen_at) < memory);
+        let mut moments = self
+            .domains
+            .values()
+            .map(|witness| witness.down_at)
+            .collect::<Vec<_>>();
+        moments.sort_unstable_by(|left, right| right.cmp(left));
+        let needed = match settings.outage_quorum {
+            OutageQuorum::Every => moments.len(),
+            OutageQuorum::Majority => moments.len() / 2 + 1,
+        };
+        let witnessed = needed.checked_sub(1).and_then(|place| moments.get(place));
+        if let Some(Some(outage_at)) = witnessed {
+            self.outage_at = self.outage_at.max(Some(*outage_at));
+        }
+    }
+
+    /// What this daemon can prove to others.
+    pub fn view(&self, now: Instant) -> LogView {
+        LogView {
+            proof_age: age(self.proven_at, now).map(AgeMillis::from),
+            outage_age: age(self.outage_at, now).map(AgeMillis::from),
+        }
+    }
+
+    /// What a daemon that is `loaded` should do.
+    pub fn report(&self, loaded: bool, settings: &SpreadSettings, now: Instant) -> FreshnessReport {
+        let proof_age = age(self.proven_at, now);
+        let outage_age = age(self.outage_at, now);
+        let within = |age: Option<Duration>, limit| age.is_some_and(|age| age <= limit);
+        let case = if !loaded {
+            FreshnessCase::Absent
+        } else if within(proof_age, settings.cut_off_after) {
+            FreshnessCase::Current
+        } else if within(outage_age, settings.outage_limit) {
+            FreshnessCase::SourceDown
+        } else {
+            FreshnessCase::CutOff
+        };
+        FreshnessReport {
+            case,
+            proof_age,
+            outage_age,
+        }
+    }
+}
+
+fn age(moment: Option<Instant>, now: Instant) -> Option<Duration> {
+    moment.map(|moment| now.saturating_duration_since(moment))
+}
+
+/// The moment that lay `age` before `asked_at`.
+fn moment(asked_at: Instant, age: Option<AgeMillis>) -> Option<Instant> {
+    asked_at.checked_sub(Duration::from(age?))
+}
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -1,1 +1,51 @@
 //! Distribution of the accepted configuration from log readers to every daemon.
+//!
+//! A [`SpreadNode`] is the distributor of one daemon: a state machine without
+//! sockets, threads or a clock of its own. A few daemons of each failure
+//! domain read the log; the rest get deltas through trees over the domain's
+//! members, and random comparisons repair what was lost. Acknowledgements are
+//! summed up on the way back, proofs of freshness travel with the answers.
+//!
+//! To embed it, implement [`ReplicaPort`] over your replicated state, then:
+//!
+//! 1. make a [`SpreadNode`] and call [`SpreadNode::set_members`] when the live
+//!    members are known, and whenever they change;
+//! 2. call [`SpreadNode::on_tick`] about every 100 ms;
+//! 3. carry out each [`SpreadOutput`] in order: send, read, append; on
+//!    `Applied` build and swap your table, then call
+//!    [`SpreadNode::on_in_force`];
+//! 4. hand back what peers send and the log answers;
+//! 5. ask [`SpreadNode::freshness`] before serving calls that must not run on
+//!    an old configuration.
+//!
+//! `examples/fleet.rs` runs a small fleet over in-memory queues.
+
+pub mod acks;
+mod beats;
+pub mod fake;
+pub mod freshness;
+pub mod message;
+mod node;
+mod peers;
+mod questions;
+pub mod reader;
+pub mod replica;
+pub mod roster;
+pub mod settings;
+pub mod snapshots;
+mod source;
+mod transfer;
+mod tree;
+
+pub use acks::{AckSum, FleetLaggard, FleetSummary, LagReason, VersionCount};
+pub use fake::FakeReplica;
+pub use freshness::{FreshnessCase, FreshnessReport};
+pub use message::{
+    LogAppend, LogRead, LogTag, OutputList, SpreadAlarm, SpreadMessage, SpreadOutput,
+};
+pub use node::SpreadNode;
+pub use reader::LogState;
+pub use replica::{FoldReport, HeadUpdate, ReplicaHead, ReplicaPort, UpdateBody, record_hash};
+pub use roster::{MemberRoster, SpreadMember};
+pub use settings::{OutageQuorum, SpreadSettings};
+pub use snapshots::SnapshotRecord;
--- /dev/null
+++ b/crates/spread/src/source.rs
@@ -0,0 +1,202 @@
+//! The log side of the distributor: reads, snapshots, start.
+
+use std::time::Instant;
+
+use feed::port::{LogRecord, ReadAnswer, Result as LogResult};
+use model::{ErrorKind, LogOffset};
+
+use crate::message::{AppendResult, LogTag, OutputList, SpreadAlarm, SpreadOutput};
+use crate::node::SpreadNode;
+use crate::reader::{LogState, ReadVerdict};
+use crate::replica::{ReplicaHead, ReplicaPort, record_hash};
+use crate::snapshots::{KeeperVerdict, SnapshotRecord};
+
+impl<R: ReplicaPort> SpreadNode<R> {
+    /// Takes the answer to a read of the log.
+    pub fn on_log_answer(&mut self, tag: LogTag, answer: LogResult<ReadAnswer>) -> OutputList {
+        let now = self.clock.now();
+        let mut outputs = OutputList::new();
+        if self.reader.awaits(tag) {
+            let settings = &self.settings;
+            let verdict = self
+                .reader
+                .answer(settings, &mut self.rng, &self.head, tag, answer, now);
+            self.take_verdict(verdict, &mut outputs, now);
+        } else {
+            let needed = self.needed_snapshot();
+            let clock = self.clock.as_ref();
+            let verdict = self.snapshots.answer_read(tag, answer, needed, clock);
+            if let KeeperVerdict::Found(record) = verdict {
+                self.take_snapshot(&record, &mut outputs, now);
+            }
+        }
+        if self.is_reading() {
+            self.tick_log(&mut outputs, now);
+        }
+        self.note_changes(&mut outputs, now);
+        outputs
+    }
+
+    /// Takes the answer to an append.
+    pub fn on_append_answer(&mut self, tag: LogTag, answer: &AppendResult) -> OutputList {
+        let now = self.clock.now();
+        self.snapshots.answer_append(tag, answer, now);
+        OutputList::new()
+    }
+
+    /// Reads and appends that are due.
+    pub(crate) fn tick_log(&mut self, outputs: &mut OutputList, now: Instant) {
+        let own_domain = self.roster.own().domain.clone();
+        self.freshness
+            .witness(&own_domain, self.reader.down_at(), now);
+        self.freshness.judge_outage(&self.settings, now);
+        let starting = !self.loaded;
+        if starting && !self.is_start_over(now) {
+            return;
+        }
+        let gap = matches!(self.reader.state(), LogState::Gap(_));
+        let first_search = starting && !self.snapshots.has_searched();
+        if first_search || gap || self.snapshots.is_searching() {
+            self.search_snapshot(outputs, now);
+        }
+        if first_search || starting && self.snapshots.is_searching() {
+            return;
+        }
+        self.read_config(outputs, now);
+        if self.loaded && self.reader.state() == LogState::Up {
+            self.write_snapshot(outputs, now);
+        }
+    }
+
+    fn read_config(&mut self, outputs: &mut OutputList, now: Instant) {
+        let tag = self.next_tag();
+        let read = self.reader.poll(&self.settings, &self.head, tag, now);
+        outputs.extend(read.map(SpreadOutput::ReadLog));
+    }
+
+    fn search_snapshot(&mut self, outputs: &mut OutputList, now: Instant) {
+        let tag = self.next_tag();
+        let read = self.snapshots.poll_search(&self.settings, tag, now);
+        outputs.extend(read.map(SpreadOutput::ReadLog));
+    }
+
+    /// Writes a snapshot when one is due and the log has none as new.
+    fn write_snapshot(&mut self, outputs: &mut OutputList, now: Instant) {
+        let place = self.writer_place();
+        let due = self
+            .snapshots
+            .is_due(&self.settings, &mut self.rng, &self.head, place, now);
+        if !due || self.head.next == LogOffset::default() {
+            return;
+        }
+        if !self.snapshots.is_checked() {
+            self.search_snapshot(outputs, now);
+            return;
+        }
+        let tag = self.next_tag();
+        let (head, replica) = (self.head, &self.replica);
+        let snapshot = || SnapshotRecord::new(head, replica.snapshot());
+        let append = self
+            .snapshots
+            .poll_append(&self.settings, tag, snapshot, now);
+        outputs.extend(append.map(SpreadOutput::Append));
+    }
+
+    /// Place among the readers of all domains, the first in rank of each domain first.
+    fn writer_place(&self) -> usize {
+        let own = self.roster.own();
+        let rank = self.roster.rank_of(own.id).unwrap_or(0);
+        let domains = self.roster.domains().collect::<Vec<_>>();
+        let place = domains.iter().position(|domain| **domain == own.domain);
+        rank * domains.len() + place.unwrap_or(0)
+    }
+
+    /// The lowest head that a snapshot must have to be of use.
+    fn needed_snapshot(&self) -> LogOffset {
+        match self.reader.state() {
+            LogState::Gap(first) => first,
+            _ => LogOffset::default(),
+        }
+    }
+
+    fn take_verdict(&mut self, verdict: ReadVerdict, outputs: &mut OutputList, now: Instant) {
+        match verdict {
+            ReadVerdict::Ignored | ReadVerdict::Failed => {}
+            ReadVerdict::Confirmed(proven_at) => {
+                self.load(outputs);
+                let next = self.head.next;
+                self.freshness.prove(next, proven_at, next);
+            }
+            ReadVerdict::Fold {
+                records,
+                complete_at,
+            } => {
+                self.fold(&records, outputs, now);
+                if let Some(proven_at) = complete_at {
+                    let next = self.head.next;
+                    self.freshness.prove(next, proven_at, next);
+                }
+            }
+        }
+    }
+
+    fn fold(&mut self, records: &[LogRecord], outputs: &mut OutputList, now: Instant) {
+        self.replica.fold(records);
+        let last_record = records.last().map_or(0, record_hash);
+        self.load(outputs);
+        self.adopt(last_record, outputs, now);
+    }
+
+    fn take_snapshot(&mut self, record: &SnapshotRecord, outputs: &mut OutputList, now: Instant) {
+        if self.loaded && !record.head.is_newer_than(&self.head) {
+            return;
+        }
+        match self.replica.restore(&record.state) {
+            Ok(true) => {
+                self.load(outputs);
+                self.adopt(record.head.last_record, outputs, now);
+                self.check_target(&record.head, outputs);
+                self.reader.restart(now);
+            }
+            Ok(false) => {}
+            Err(error) => outputs.push(refused(error.kind)),
+        }
+    }
+
+    /// From now on this daemon holds a configuration.
+    pub(crate) fn load(&mut self, outputs: &mut OutputList) {
+        if !self.loaded {
+            self.loaded = true;
+            self.acks.touch();
+            let alarm = SpreadAlarm::Loaded(self.replica.next_offset());
+            outputs.push(SpreadOutput::Alarm(alarm));
+        }
+    }
+
+    /// Takes over the replica's new state: tells the owner, passes it on.
+    pub(crate) fn adopt(&mut self, last_record: u64, outputs: &mut OutputList, now: Instant) {
+        let version = self.head.version;
+        self.head = ReplicaHead::of(&self.replica, last_record);
+        self.cached_update = None;
+        self.freshness.reach(self.head.next);
+        let reached = |newer: &mut crate::node::NewerHead| newer.head.next <= self.head.next;
+        self.newest_seen.take_if(reached);
+        if self.head.version != version {
+            self.applied_at = now;
+            outputs.push(SpreadOutput::Applied(self.head.version));
+        }
+        self.push_updates(outputs);
+    }
+
+    /// Checks that an update led where its maker said.
+    pub(crate) fn check_target(&self, target: &ReplicaHead, outputs: &mut OutputList) {
+        let same = self.head.next == target.next && self.head.state_hash == target.state_hash;
+        if !same {
+            outputs.push(refused(ErrorKind::SnapshotInvalid));
+        }
+    }
+}
+
+pub(crate) fn refused(kind: ErrorKind) -> SpreadOutput {
+    SpreadOutput::Alarm(SpreadAlarm::UpdateRefused(kind))
+}
--- /dev/null
+++ b/crates/spread/src/tree.rs
@@ -0,0 +1,272 @@
+//! The trees at work: beats downwards, sums upwards, reports between readers.
+
+use std::time::{Duration, Instant};
+
+use model::{DaemonId, DomainName, IncarnationNumber};
+use rand::Rng;
+
+use crate::acks::{AckSum, FleetLaggard, FleetSummary, LagReason};
+use crate::freshness::FreshnessCase;
+use crate::message::{AgeMillis, DomainReport, OutputList, PeerList, SpreadMessage, SpreadOutput};
+use crate::node::{HeardReport, SpreadNode};
+use crate::reader::LogState;
+use crate::replica::ReplicaPort;
+
+/// Beats after which the summary is sent again though it is unchanged.
+const SUMMARY_EVERY: u32 = 8;
+
+/// Roots that acknowledgements go to.
+const MAX_ACK_ROOTS: usize = 2;
+
+/// Shortest time between two beats.
+const BEAT_SPACING: Duration = Duration::from_millis(200);
+
+/// Age at which a domain's report no longer counts.
+const REPORT_LIFETIME: Duration = Duration::from_secs(5);
+
+/// Time for which a daemon may know a newer head before it counts as lagging.
+const BEHIND_GRACE: Duration = Duration::from_secs(1);
+
+impl<R: ReplicaPort> SpreadNode<R> {
+    /// Children in the trees of all live roots, each once.
+    pub(crate) fn all_children(&mut self) -> PeerList {
+        let own = self.roster.own().id;
+        let fan_out = self.settings.fan_out;
+        let mut children = PeerList::new();
+        if self.is_reading() {
+            children.extend(self.roster.children(own, fan_out));
+        }
+        for (root, _) in self.roots.live() {
+            children.extend(self.roster.children(root, fan_out));
+        }
+        children.sort_unstable();
+        children.dedup();
+        children
+    }
+
+    /// Sends a beat down the own tree when due, or soon when the summary changed.
+    pub(crate) fn tick_beat(&mut self, outputs: &mut OutputList, now: Instant) {
+        self.judge_summary(now);
+        let recent = |at: Instant| now.saturating_duration_since(at) < BEAT_SPACING;
+        let spaced = !self.timers.last_beat.is_some_and(recent);
+        let early = self.fleet.changed && spaced;
+        if now < self.timers.next_beat && !early {
+            return;
+        }
+        self.timers.next_beat = now + self.settings.beat_interval;
+        self.timers.last_beat = Some(now);
+        self.beat_number += 1;
+        let again = self.beat_number % SUMMARY_EVERY == 1;
+        let summary = (self.fleet.changed || again).then(|| self.fleet.summary.clone());
+        self.fleet.changed = false;
+        let own = self.roster.own();
+        let (root, run, number) = (own.id, own.run, self.beat_number);
+        self.forward_beat(root, run, number, summary, outputs);
+    }
+
+    pub(crate) fn forward_beat(
+        &mut self,
+        root: DaemonId,
+        run: IncarnationNumber,
+        number: u32,
+        summary: Option<FleetSummary>,
+        outputs: &mut OutputList,
+    ) {
+        let message = SpreadMessage::Beat {
+            root,
+            run,
+            number,
+            head: self.head,
+            summary,
+        };
+        for child in self.roster.children(root, self.settings.fan_out) {
+            outputs.push(SpreadOutput::Send {
+                to: child,
+                message: message.clone(),
+            });
+        }
+    }
+
+    pub(crate) fn take_summary(&mut self, summary: Option<&FleetSummary>, now: Instant) {
+        if let Some(summary) = summary.filter(|_| !self.is_reading()) {
+            self.fleet.summary = summary.clone();
+            self.fleet.heard_at = Some(now);
+        }
+    }
+
+    /// Acknowledges to the parents when due, or soon when something changed.
+    pub(crate) fn tick_acks(&mut self, outputs: &mut OutputList, now: Instant) {
+        let spacing = self.settings.ack_spacing;
+        let recent = |at: Instant| now.saturating_duration_since(at) < spacing;
+        let spaced = !self.timers.last_ack.is_some_and(recent);
+        let early = self.acks.is_changed() && spaced;
+        if now < self.timers.next_ack && !early {
+            return;
+        }
+        self.acks.settle();
+        self.timers.last_ack = Some(now);
+        self.timers.next_ack = now + self.jittered(self.settings.ack_interval);
+        for (root, since) in self.roots.live().into_iter().take(MAX_ACK_ROOTS) {
+            let Some(parent) = self.roster.parent(root, self.settings.fan_out) else {
+                continue;
+            };
+            let sum = self.subtree_sum(root, since, now);
+            let question = self.questions.ask(parent, now);
+            let message = SpreadMessage::Ack {
+                root,
+                question,
+                head: self.head,
+                sum,
+            };
+            outputs.push(SpreadOutput::Send {
+                to: parent,
+                message,
+            });
+        }
+    }
+
+    /// Sum over this daemon and all below it in the tree of `root`.
+    fn subtree_sum(&mut self, root: DaemonId, since: Instant, now: Instant) -> AckSum {
+        let mut sum = AckSum::of_one(self.in_force, self.own_lag(now));
+        let children = self.roster.children(root, self.settings.fan_out);
+        self.acks.add_up(&mut sum, root, &children, now, since);
+        sum
+    }
+
+    /// Why this daemon lags, if it does.
+    fn own_lag(&self, now: Instant) -> Option<FleetLaggard> {
+        let case = self.freshness.report(self.loaded, &self.settings, now).case;
+        let waited = |since: Instant| now.saturating_duration_since(since);
+        let diverged = matches!(self.log_state(), LogState::Diverged(_));
+        let (reason, age) = if case == FreshnessCase::Absent {
+            (LagReason::Absent, waited(self.applied_at))
+        } else if diverged {
+            (LagReason::Diverged, Duration::ZERO)
+        } else if case == FreshnessCase::CutOff {
+            (
+                LagReason::CutOff,
+                self.freshness().proof_age.unwrap_or_default(),
+            )
+        } else if let Some(newer) = self.newest_seen {
+            (LagReason::Behind, waited(newer.since))
+        } else if self.in_force < self.head.version {
+            (LagReason::NotInForce, waited(self.applied_at))
+        } else {
+            return None;
+        };
+        let graced = matches!(reason, LagReason::Behind | LagReason::NotInForce);
+        if graced && age < BEHIND_GRACE {
+            return None;
+        }
+        Some(FleetLaggard {
+            daemon: self.roster.own().id,
+            reason,
+            version: self.in_force,
+            age: age.into(),
+        })
+    }
+
+    /// Sums up the fleet from the own tree and the other domains' reports.
+    fn judge_summary(&mut self, now: Instant) {
+        self.reports
+            .retain(|_, heard| now.saturating_duration_since(heard.heard_at) < REPORT_LIFETIME);
+        let mut sum = self.own_sum(now);
+        for heard in self.reports.values() {
+            if let Some(other) = &heard.report.sum {
+                sum.add(other);
+            }
+        }
+        let members = u32::try_from(self.roster.count()).unwrap_or(u32::MAX);
+        let summary = FleetSummary { members, sum };
+        self.fleet.changed |= summary.differs(&self.fleet.summary);
+        self.fleet.summary = summary;
+        self.fleet.heard_at = Some(now);
+    }
+
+    fn own_sum(&mut self, now: Instant) -> AckSum {
+        let own = self.roster.own().id;
+        let since = self.timers.last_beat.unwrap_or(now);
+        self.subtree_sum(own, since, now)
+    }
+
+    pub(crate) fn own_report(&mut self, now: Instant) -> DomainReport {
+        let sum = self.is_reading().then(|| self.own_sum(now));
+        let down_at = self.reader.down_at().filter(|_| self.is_reading());
+        DomainReport {
+            domain: self.roster.own().domain.clone(),
+            head: self.head,
+            view: self.freshness.view(now),
+            down_age: down_at.map(|at| AgeMillis::from(now.saturating_duration_since(at))),
+            sum,
+            snapshot: self.snapshots.mark(now),
+        }
+    }
+
+    /// Reports to one reader of each other domain.
+    pub(crate) fn tick_reports(&mut self, outputs: &mut OutputList, now: Instant) {
+        if now < self.timers.next_report {
+            return;
+        }
+        self.timers.next_report = now + self.jittered(self.settings.report_interval);
+        let own = self.roster.own().domain.clone();
+        let domains = self.roster.domains().filter(|domain| **domain != own);
+        let domains = domains.cloned().collect::<Vec<_>>();
+        if domains.is_empty() {
+            return;
+        }
+        let report = self.own_report(now);
+        for domain in domains {
+            let Some(to) = self.reader_of(&domain) else {
+                continue;
+            };
+            let question = self.questions.ask(to, now);
+            let report = report.clone();
+            let message = SpreadMessage::Report { question, report };
+            outputs.push(SpreadOutput::Send { to, message });
+        }
+    }
+
+    /// A reader of `domain`: the last that reported, else one of the first in rank.
+    fn reader_of(&mut self, domain: &DomainName) -> Option<DaemonId> {
+        if let Some(heard) = self.reports.get(domain) {
+            return Some(heard.from);
+        }
+        let ranked = self.roster.ranked(domain);
+        let place = self.rng.random_range(0..self.settings.readers.max(1));
+        ranked.get(place.min(ranked.len().checked_sub(1)?)).copied()
+    }
+
+    pub(crate) fn take_report(
+        &mut self,
+        from: DaemonId,
+        report: DomainReport,
+        asked_at: Option<Instant>,
+        outputs: &mut OutputList,
+        now: Instant,
+    ) {
+        self.hear_head(from, &report.head, outputs, now);
+        if self.roster.domain_of(from) != Some(&report.domain) {
+            return;
+        }
+        if let Some(asked_at) = asked_at {
+            let own = self.head.next;
+            self.freshness
+                .learn(report.view, report.head.next, asked_at, own);
+            let age = report.down_age.map(Duration::from);
+            let down_at = age.and_then(|age| asked_at.checked_sub(age));
+            self.freshness.witness(&report.domain, down_at, now);
+        }
+        if let Some(mark) = report.snapshot {
+            self.snapshots.learn(mark, now);
+        }
+        if report.sum.is_some() {
+            let heard = HeardReport {
+                from,
+                heard_at: now,
+                report,
+            };
+            let domain = heard.report.domain.clone();
+            self.reports.insert(domain, heard);
+        }
+    }
+}
