members: announcements, join records, SWIM-like member state machine

Cause: proxies must learn within seconds which targets are present and willing, with no list of targets and no coordination service. Change: target registry, records of the stream members, and the member node with direct and indirect probes, suspicion, gossip with a byte rate, and exchange of summaries. RegionName and DaemonName join the model.

--- /dev/null
+++ b/crates/members/src/digest.rs
@@ -0,0 +1,157 @@
+//! What one daemon tells all others about itself.
+//!
+//! A daemon owns its [`MemberRecord`] alone and numbers each edition of it, so
+//! every reader can tell the newer of two records without a clock: first by
+//! incarnation, then by sequence.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use derive_more::Display;
+use model::{
+    CallCount, DaemonId, DaemonName, DomainName, IncarnationNumber, RegionName, ServiceName,
+    TargetName,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::announce::TargetState;
+
+/// Share of a target's capacity in use, in steps of an eighth.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[display("{_0}/8")]
+#[serde(transparent)]
+pub struct LoadLevel(pub u8);
+
+impl LoadLevel {
+    const STEPS: f32 = 8.0;
+    const HIGHEST: f32 = 32.0;
+
+    /// The level for a share of 0 (idle) to 1 (full); overload counts up to 4.
+    pub fn from_share(share: f32) -> Self {
+        Self((share * Self::STEPS).round().clamp(0.0, Self::HIGHEST) as u8)
+    }
+
+    /// The share that this level stands for.
+    pub fn share(self) -> f32 {
+        f32::from(self.0) / Self::STEPS
+    }
+}
+
+/// A target as every proxy knows it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetDigest {
+    /// The service that it offers.
+    pub service: ServiceName,
+    /// The target's name.
+    pub target: TargetName,
+    /// The target's run.
+    pub incarnation: IncarnationNumber,
+    /// Where it takes calls from the daemon beside it.
+    pub address: SocketAddr,
+    /// Calls that it runs at once.
+    pub slots: CallCount,
+    /// What it can do.
+    pub state: TargetState,
+    /// Announced load; a hint, seconds old.
+    pub load: LoadLevel,
+    /// Wall time at which this run first was ready, for slow start.
+    pub ready_since: Option<SystemTime>,
+}
+
+impl TargetDigest {
+    /// Whether only the load differs from `other`.
+    pub fn same_but_load(&self, other: &Self) -> bool {
+        let mut like = other.clone();
+        like.load = self.load;
+        *self == like
+    }
+}
+
+/// Number of an edition of a daemon's record within one incarnation.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[serde(transparent)]
+pub struct SequenceNumber(pub u64);
+
+/// Which edition of a daemon's record; ordered by incarnation, then sequence.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[display("{incarnation}.{sequence}")]
+pub struct MemberStamp {
+    /// The daemon's run.
+    pub incarnation: IncarnationNumber,
+    /// Edition within the run.
+    pub sequence: SequenceNumber,
+}
+
+/// What of a daemon stays the same for one incarnation.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberProfile {
+    /// Name for people.
+    pub name: DaemonName,
+    /// Where other daemons reach it.
+    pub peer_address: SocketAddr,
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its region.
+    pub region: RegionName,
+}
+
+/// One daemon and its targets, as the daemon itself tells it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberRecord {
+    /// The daemon.
+    pub id: DaemonId,
+    /// Which edition.
+    pub stamp: MemberStamp,
+    /// Names and addresses.
+    pub profile: MemberProfile,
+    /// Whether the daemon is stopping and takes no new calls.
+    pub draining: bool,
+    /// The targets beside it.
+    pub targets: Vec<TargetDigest>,
+}
+
+/// Least time between two editions that differ in load alone.
+pub const LOAD_INTERVAL: Duration = Duration::from_secs(60);
+/// Least difference in load worth an edition of its own.
+pub const LOAD_STEP: u8 = 2;
--- /dev/null
+++ b/crates/members/src/join.rs
@@ -0,0 +1,231 @@
+//! How a daemon finds the first members through the log.
+//!
+//! The plan spreads appends and reads over time, so that a fleet that
+//! restarts together stays below the log's rate. A daemon that others
+//! contacted before its turn does not read at all. Only the last records of
+//! the stream are read: they name enough daemons to ask for the rest.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use feed::port::{LogRecord, ReadAnswer};
+use model::{DaemonId, LogOffset, RecordCount};
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::record::{JoinRecord, StreamRecord};
+
+/// Time over which daemons that start together append.
+pub const APPEND_SPREAD: Duration = Duration::from_secs(3);
+/// Least wait from the first append to the first read.
+pub const READ_DELAY: Duration = Duration::from_millis(500);
+/// Time over which daemons that start together read.
+pub const READ_SPREAD: Duration = Duration::from_secs(4);
+/// Mean time between reads of a daemon that has members.
+pub const READ_INTERVAL: Duration = Duration::from_secs(900);
+/// Records read from the end of the stream.
+pub const TAIL_RECORDS: RecordCount = RecordCount(192);
+/// Members with which a daemon needs no read to start.
+pub const ENOUGH_MEMBERS: usize = 3;
+/// Longest wait after failed reads or appends.
+const MAX_BACKOFF: Duration = Duration::from_secs(60);
+/// Most doublings of the wait of a daemon that finds no members.
+const MAX_DOUBLINGS: u32 = 4;
+/// Silence after which a read counts as failed.
+const READ_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Where the reading of the stream stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ReadStage {
+    Idle,
+    /// The end of the stream was asked for.
+    Head,
+    /// The last records were asked for.
+    Tail,
+}
+
+/// A read that is due.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PlannedRead {
+    /// Where to read; the highest offset asks for the end of the stream only.
+    pub from: LogOffset,
+    /// Most records to return.
+    pub limit: RecordCount,
+}
+
+/// When to append to and read from the stream, and whom it named.
+#[derive(Debug)]
+pub struct JoinPlan {
+    own: DaemonId,
+    record_interval: Duration,
+    append_at: Instant,
+    read_at: Instant,
+    stage: ReadStage,
+    starting: bool,
+    turns: u32,
+    failures: u32,
+    candidates: BTreeMap<DaemonId, JoinRecord>,
+}
+
+impl JoinPlan {
+    /// A plan for a daemon that starts at `now` and repeats its record each `record_interval`.
+    pub fn new(own: DaemonId, record_interval: Duration, now: Instant, rng: &mut SmallRng) -> Self {
+        let append_at = now + spread(APPEND_SPREAD, rng);
+        Self {
+            own,
+            record_interval,
+            append_at,
+            read_at: append_at + READ_DELAY + spread(READ_SPREAD, rng),
+            stage: ReadStage::Idle,
+            starting: true,
+            turns: 0,
+            failures: 0,
+            candidates: BTreeMap::new(),
+        }
+    }
+
+    /// Whether a join record is due; the next one is planned.
+    pub fn take_append(&mut self, now: Instant, rng: &mut SmallRng) -> bool {
+        if now < self.append_at {
+            return false;
+        }
+        self.append_at = now + self.record_interval.mul_f64(rng.random_range(0.8..1.0));
+        true
+    }
+
+    /// Plans another append soon, since the last one failed.
+    pub fn on_append_failed(&mut self, now: Instant, rng: &mut SmallRng) {
+        self.append_at = now + self.backoff(rng);
+    }
+
+    /// The read that is due; `members` are known already.
+    pub fn take_read(
+        &mut self,
+        members: usize,
+        now: Instant,
+        rng: &mut SmallRng,
+    ) -> Option<PlannedRead> {
+        if now < self.read_at {
+            return None;
+        }
+        if self.starting && members >= ENOUGH_MEMBERS {
+            // The members that it has tell it the rest.
+            self.starting = false;
+            self.finish_read(now, rng);
+            return None;
+        }
+        self.stage = ReadStage::Head;
+        self.read_at = now + READ_TIMEOUT;
+        Some(PlannedRead {
+            from: LogOffset(u64::MAX),
+            limit: RecordCount(1),
+        })
+    }
+
+    /// Takes the answer of a read; tells the next read of the same turn.
+    pub fn on_answer(
+        &mut self,
+        answer: &ReadAnswer,
+        now: Instant,
+        rng: &mut SmallRng,
+    ) -> Option<PlannedRead> {
+        match (self.stage, answer) {
+            (ReadStage::Idle, _) => None,
+            (ReadStage::Head, ReadAnswer::Batch(batch)) => {
+                self.stage = ReadStage::Tail;
+                let tail = batch.next.0.saturating_sub(TAIL_RECORDS.0.into());
+                Some(PlannedRead {
+                    from: LogOffset(tail.max(batch.first.0)),
+                    limit: TAIL_RECORDS,
+                })
+            }
+            (ReadStage::Tail, ReadAnswer::Batch(batch)) => {
+                self.take_records(&batch.records);
+                self.finish_read(now, rng);
+                None
+            }
+            (_, ReadAnswer::Expired { first }) => {
+                self.stage = ReadStage::Tail;
+                Some(PlannedRead {
+                    from: *first,
+                    limit: TAIL_RECORDS,
+                })
+            }
+        }
+    }
+
+    /// Plans another read later, since this one failed.
+    pub fn on_read_failed(&mut self, now: Instant, rng: &mut SmallRng) {
+        self.stage = ReadStage::Idle;
+        self.read_at = now + self.backoff(rng);
+    }
+
+    /// Keeps the daemons that `records` name as candidates.
+    pub fn take_records(&mut self, records: &[LogRecord]) {
+        for record in records.iter().rev().take(TAIL_RECORDS.0 as usize).rev() {
+            match StreamRecord::decode(&record.body) {
+                Ok(StreamRecord::Join(join)) if join.id != self.own => {
+                    self.candidates.insert(join.id, join);
+                }
+                Ok(StreamRecord::Leave(leave)) => self.drop_left(&leave.id, leave.incarnation),
+                Ok(StreamRecord::Join(_)) | Err(_) => {}
+            }
+        }
+    }
+
+    /// Up to `count` random candidates for which `wanted` holds.
+    pub fn pick(
+        &self,
+        count: usize,
+        wanted: impl Fn(DaemonId) -> bool,
+        rng: &mut SmallRng,
+    ) -> Vec<&JoinRecord> {
+        let mut wanted: Vec<&JoinRecord> = self
+            .candidates
+            .values()
+            .filter(|join| wanted(join.id))
+            .collect();
+        let mut picked = Vec::new();
+        while picked.len() < count && !wanted.is_empty() {
+            picked.push(wanted.swap_remove(rng.random_range(0..wanted.len())));
+        }
+        picked
+    }
+
+    /// Forgets candidates, once enough members are known.
+    pub fn clear_candidates(&mut self) {
+        self.candidates.clear();
+    }
+
+    fn drop_left(&mut self, id: &DaemonId, incarnation: model::IncarnationNumber) {
+        let left = self
+            .candidates
+            .get(id)
+            .is_some_and(|join| join.incarnation <= incarnation);
+        if left {
+            self.candidates.remove(id);
+        }
+    }
+
+    fn finish_read(&mut self, now: Instant, rng: &mut SmallRng) {
+        self.stage = ReadStage::Idle;
+        self.failures = 0;
+        let wait = if self.starting {
+            self.turns = (self.turns + 1).min(MAX_DOUBLINGS);
+            READ_SPREAD * (1 << self.turns)
+        } else {
+            READ_INTERVAL
+        };
+        self.read_at = now + wait.mul_f64(rng.random_range(0.5..1.5));
+    }
+
+    fn backoff(&mut self, rng: &mut SmallRng) -> Duration {
+        self.failures += 1;
+        let base = Duration::from_secs(1 << self.failures.min(2 + MAX_DOUBLINGS)).min(MAX_BACKOFF);
+        base.mul_f64(rng.random_range(0.5..1.5))
+    }
+}
+
+fn spread(range: Duration, rng: &mut SmallRng) -> Duration {
+    range.mul_f64(rng.random::<f64>())
+}
--- /dev/null
+++ b/crates/members/src/queue.rs
@@ -0,0 +1,144 @@
+//! Updates on their way to other members, and the byte rate that bounds them.
+//!
+//! An update is passed on a number of times that grows with the logarithm of
+//! the fleet; hearing it again counts as passing it on. When very many
+//! updates wait (a herd returns, a partition heals) each is passed on fewer
+//! times, and the exchange of summaries delivers the rest.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use model::DaemonId;
+
+use crate::message::{MemberUpdate, encoded_len};
+
+/// Queue length beyond which updates are passed on fewer times.
+const CROWDED_LEN: usize = 48;
+/// Least number of times that an update is passed on.
+const MIN_TRANSMITS: u32 = 2;
+
+#[derive(Clone, Debug)]
+struct QueuedUpdate {
+    update: MemberUpdate,
+    bytes: usize,
+    sent: u32,
+    limit: u32,
+    order: u64,
+}
+
+/// The newest update about each member that is still being passed on.
+#[derive(Debug, Default)]
+pub struct UpdateQueue {
+    updates: BTreeMap<DaemonId, QueuedUpdate>,
+    pushed: u64,
+}
+
+impl UpdateQueue {
+    /// Queues `update` in place of an older one about the same member.
+    pub fn push(&mut self, update: MemberUpdate, fleet: usize) {
+        self.pushed += 1;
+        let crowd = (self.updates.len() / CROWDED_LEN) as u32;
+        let transmits = transmits_for(fleet) / (1 + crowd);
+        let queued = QueuedUpdate {
+            bytes: encoded_len(&update),
+            sent: 0,
+            limit: transmits.max(MIN_TRANSMITS),
+            order: self.pushed,
+            update,
+        };
+        self.updates.insert(queued.update.id(), queued);
+    }
+
+    /// Notes that another member already passed `update` on.
+    pub fn heard_again(&mut self, update: &MemberUpdate) {
+        let id = update.id();
+        let Some(queued) = self.updates.get_mut(&id) else {
+            return;
+        };
+        if queued.update == *update {
+            queued.sent += 1;
+            if queued.sent >= queued.limit {
+                self.updates.remove(&id);
+            }
+        }
+    }
+
+    /// Takes updates of at most `limit` bytes, those passed on least first.
+    pub fn take(&mut self, limit: usize) -> Vec<MemberUpdate> {
+        let mut order: Vec<(u32, Reverse<u64>, DaemonId)> = self
+            .updates
+            .iter()
+            .map(|(id, queued)| (queued.sent, Reverse(queued.order), *id))
+            .collect();
+        order.sort_unstable();
+        let mut room = limit;
+        let mut taken = Vec::new();
+        for (_, _, id) in order {
+            let Some(queued) = self.updates.get_mut(&id) else {
+                continue;
+            };
+            if queued.bytes > room {
+                continue;
+            }
+            room -= queued.bytes;
+            taken.push(queued.update.clone());
+            queued.sent += 1;
+            if queued.sent >= queued.limit {
+                self.updates.remove(&id);
+            }
+        }
+        taken
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.updates.is_empty()
+    }
+
+    /// How many updates wait.
+    pub fn len(&self) -> usize {
+        self.updates.len()
+    }
+}
+
+/// How often an update is passed on in a fleet of `fleet` members.
+fn transmits_for(fleet: usize) -> u32 {
+    const PER_DOUBLING: u32 = 1;
+    const BASE: u32 = 4;
+    BASE + PER_DOUBLING * (fleet.max(1).ilog2())
+}
+
+/// A rate of bytes with a bounded burst.
+#[derive(Clone, Debug)]
+pub struct ByteBucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    filled_at: Instant,
+}
+
+impl ByteBucket {
+    /// A full bucket of `burst` bytes that gains `rate` bytes a second.
+    pub fn new(rate: u32, burst: u32, now: Instant) -> Self {
+        Self {
+            rate: rate.into(),
+            burst: burst.into(),
+            level: burst.into(),
+            filled_at: now,
+        }
+    }
+
+    /// The bytes that may be sent now.
+    pub fn available(&mut self, now: Instant) -> usize {
+        let passed: Duration = now.duration_since(self.filled_at);
+        self.filled_at = now;
+        self.level = (self.level + self.rate * passed.as_secs_f64()).min(self.burst);
+        self.level.max(0.0) as usize
+    }
+
+    /// Notes bytes sent; the level may fall below zero and then recovers first.
+    pub fn spend(&mut self, bytes: usize) {
+        self.level -= bytes as f64;
+    }
+}
--- /dev/null
+++ b/crates/members/src/receive.rs
@@ -0,0 +1,237 @@
+//! What a [`MemberNode`] does with messages.
+
+use std::net::SocketAddr;
+
+use model::DaemonId;
+
+use crate::digest::MemberStamp;
+use crate::message::{MemberMessage, MemberUpdate, MessageBody, ProbeNumber};
+use crate::node::{MemberNode, MemberOutput, accusation_of};
+use crate::probe::ProbeKind;
+use crate::sync::FEW_RECORDS;
+use crate::table::{MemberState, UpdateEffect};
+
+impl MemberNode {
+    /// Takes a message of another member.
+    pub fn on_message(&mut self, from: DaemonId, message: MemberMessage) -> Vec<MemberOutput> {
+        let mut outputs = Vec::new();
+        if from == self.own.id || self.is_stale(from, message.stamp) {
+            self.counts.stale_messages += 1;
+            return outputs;
+        }
+        let synced = matches!(message.body, MessageBody::SyncRecords { .. });
+        let few = message.updates.len() <= FEW_RECORDS;
+        for update in &message.updates {
+            self.on_update(update, synced, few || !synced, &mut outputs);
+        }
+        let wants_record = message.wants_record;
+        let address = message.address;
+        let answered = matches!(message.body, MessageBody::Ping { .. });
+        self.on_body(from, message, &mut outputs);
+        if wants_record && !answered {
+            let own = self.own_update();
+            self.send_at(from, address, MessageBody::Gossip, vec![own], &mut outputs);
+        }
+        outputs
+    }
+
+    /// Whether a message comes from a run that has ended.
+    fn is_stale(&self, from: DaemonId, stamp: MemberStamp) -> bool {
+        let Some(entry) = self.table.get(from) else {
+            return false;
+        };
+        let known = entry.stamp().incarnation;
+        let left = entry.state == MemberState::Left;
+        stamp.incarnation < known || (left && stamp.incarnation == known)
+    }
+
+    fn on_body(&mut self, from: DaemonId, message: MemberMessage, outputs: &mut Vec<MemberOutput>) {
+        let address = message.address;
+        match message.body {
+            MessageBody::Ping { probe, .. } => {
+                self.on_ping(
+                    from,
+                    &message.stamp,
+                    address,
+                    probe,
+                    message.wants_record,
+                    outputs,
+                );
+            }
+            MessageBody::Ack { probe, view } => self.on_ack(from, probe, view, outputs),
+            MessageBody::PingRequest {
+                probe,
+                subject,
+                address: subject_address,
+            } => self.on_ping_request(from, probe, subject, subject_address, outputs),
+            MessageBody::Gossip => {}
+            MessageBody::SyncOffer { buckets } => {
+                self.on_sync_offer(from, address, &buckets, outputs);
+            }
+            MessageBody::SyncSummary { differing, entries } => {
+                self.on_sync_summary(from, address, differing, &entries, outputs);
+            }
+            MessageBody::SyncRecords { wants } => {
+                self.on_sync_records(from, address, &message.updates, &wants, outputs);
+            }
+        }
+    }
+
+    fn on_ping(
+        &mut self,
+        from: DaemonId,
+        stamp: &MemberStamp,
+        address: SocketAddr,
+        probe: ProbeNumber,
+        wants_record: bool,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        let mut first = Vec::new();
+        if wants_record {
+            first.push(self.own_update());
+        }
+        let held = self
+            .table
+            .get(from)
+            .filter(|entry| entry.stamp() >= *stamp)
+            .and_then(accusation_of);
+        first.extend(held);
+        let view = self.view_hash();
+        self.send_at(
+            from,
+            address,
+            MessageBody::Ack { probe, view },
+            first,
+            outputs,
+        );
+    }
+
+    fn on_ack(
+        &mut self,
+        from: DaemonId,
+        probe: ProbeNumber,
+        view: u64,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        if let Some(relay) = self.probes.finish_relay(probe) {
+            let body = MessageBody::Ack {
+                probe: relay.probe,
+                view: self.view_hash(),
+            };
+            self.send_to(relay.asker, body, Vec::new(), outputs);
+            return;
+        }
+        if let Some(finished) = self.probes.finish(probe)
+            && finished.kind == ProbeKind::Near
+        {
+            self.health.on_answer();
+        }
+        self.compare_views(from, view, outputs);
+    }
+
+    fn on_ping_request(
+        &mut self,
+        from: DaemonId,
+        probe: ProbeNumber,
+        subject: DaemonId,
+        address: SocketAddr,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        let now = self.clock.now();
+        if subject == self.own.id {
+            return;
+        }
+        let Some(relay) = self.probes.start_relay(from, probe, now) else {
+            return;
+        };
+        let first = self.table.get(subject).and_then(accusation_of);
+        let body = MessageBody::Ping {
+            probe: relay,
+            view: self.view_hash(),
+        };
+        self.send_at(subject, address, body, first.into_iter().collect(), outputs);
+    }
+
+    /// Takes one piece of knowledge; `spread` tells whether news are passed on.
+    fn on_update(
+        &mut self,
+        update: &MemberUpdate,
+        synced: bool,
+        spread: bool,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        if update.id() == self.own.id {
+            return self.on_own_update(update, outputs);
+        }
+        if !self.believes(update, synced) {
+            self.check_claim(update);
+            return;
+        }
+        let effect = self.learn(update, spread, outputs);
+        let accused = matches!(update, MemberUpdate::Suspect { .. })
+            && matches!(effect, UpdateEffect::StateChanged { .. });
+        if accused {
+            self.confirm_suspect(update.id(), outputs);
+        }
+    }
+
+    /// Refutes what others hold against this daemon.
+    fn on_own_update(&mut self, update: &MemberUpdate, outputs: &mut Vec<MemberOutput>) {
+        let stamp = update.stamp();
+        let own = self.own.stamp;
+        if stamp.incarnation > own.incarnation {
+            outputs.push(MemberOutput::Superseded);
+            return;
+        }
+        if stamp.incarnation < own.incarnation || stamp.sequence < own.sequence {
+            return;
+        }
+        match update {
+            MemberUpdate::Suspect { .. } | MemberUpdate::Dead { .. } => {
+                self.counts.refutations += 1;
+                self.renew(|record| record.stamp.sequence = stamp.sequence);
+            }
+            MemberUpdate::Alive(_) if stamp.sequence > own.sequence => {
+                self.renew(|record| record.stamp.sequence = stamp.sequence);
+            }
+            MemberUpdate::Alive(_) | MemberUpdate::Left { .. } => {}
+        }
+    }
+
+    /// Whether an accusation counts without a look of one's own.
+    ///
+    /// It does when the accuser is in the accused's region or in this
+    /// daemon's: across a cut between regions each side would otherwise
+    /// spread the other's verdicts among the very members they are about.
+    fn believes(&self, update: &MemberUpdate, synced: bool) -> bool {
+        let (id, by) = match update {
+            MemberUpdate::Suspect { id, by, .. } | MemberUpdate::Dead { id, by, .. } => (*id, *by),
+            MemberUpdate::Alive(_) | MemberUpdate::Left { .. } => return true,
+        };
+        let Some(entry) = self.table.get(id) else {
+            return true;
+        };
+        if synced && entry.state == MemberState::Alive {
+            return false;
+        }
+        let own = &self.own.profile.region;
+        let by_region = match self.table.region(by) {
+            Some(region) => region,
+            None if by == self.own.id => own,
+            None => return false,
+        };
+        by_region == own || *by_region == entry.profile().region
+    }
+
+    /// Has the accused probed, with the claim, so that it can refute it.
+    fn check_claim(&mut self, update: &MemberUpdate) {
+        let id = update.id();
+        let doubted = self
+            .table
+            .get(id)
+            .is_some_and(|entry| entry.state.is_live() && entry.stamp() <= update.stamp());
+        if doubted {
+            self.turns.add_check(id, update.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/members/src/suspicion.rs
@@ -0,0 +1,122 @@
+//! When a suspicion becomes a death.
+//!
+//! A suspect has time to refute. The time is short when several members in
+//! different failure domains got no answer, long when one alone says so. If
+//! most of a failure domain looks lost, a slow link is as likely a cause as a
+//! loss; then no time is long enough without accusers from two other domains.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use model::{DaemonId, DomainName};
+
+use crate::digest::MemberProfile;
+use crate::health::LocalHealth;
+use crate::table::{MemberEntry, MemberState, MemberTable};
+
+/// Time to refute when several members accuse.
+pub const CONFIRMED_TIMEOUT: Duration = Duration::from_millis(1600);
+/// Time to refute when one member alone accuses.
+pub const LONE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a death counts as part of the loss of a domain.
+const LOSS_WINDOW: Duration = Duration::from_secs(60);
+/// Accusers, and domains of accusers, that confirm.
+const CONFIRMING: usize = 2;
+
+/// Members of one failure domain by state.
+#[derive(Clone, Copy, Debug, Default)]
+struct DomainCount {
+    present: usize,
+    lost: usize,
+}
+
+impl DomainCount {
+    /// Whether most of the domain looks lost, beyond a single member.
+    fn is_wide_loss(self) -> bool {
+        self.lost >= 2 && 2 * self.lost > self.present + self.lost
+    }
+}
+
+/// The suspects whose time to refute has run out.
+pub fn expired_suspects(
+    own: &MemberProfile,
+    table: &MemberTable,
+    health: LocalHealth,
+    now: Instant,
+) -> Vec<DaemonId> {
+    let suspects: Vec<&MemberEntry> = table
+        .live()
+        .filter(|entry| entry.state == MemberState::Suspect)
+        .collect();
+    if suspects.is_empty() || health.is_distrusted() {
+        return Vec::new();
+    }
+    let counts = count_domains(own, table, now);
+    suspects
+        .into_iter()
+        .filter(|entry| is_expired(entry, own, table, &counts, health, now))
+        .map(|entry| entry.record.id)
+        .collect()
+}
+
+fn is_expired(
+    entry: &MemberEntry,
+    own: &MemberProfile,
+    table: &MemberTable,
+    counts: &BTreeMap<&DomainName, DomainCount>,
+    health: LocalHealth,
+    now: Instant,
+) -> bool {
+    let confirmed = entry.accusers.len() >= CONFIRMING;
+    let timeout = if confirmed {
+        CONFIRMED_TIMEOUT
+    } else {
+        LONE_TIMEOUT
+    };
+    if now.duration_since(entry.since) < health.stretch(timeout) {
+        return false;
+    }
+    let domain = &entry.profile().domain;
+    let wide = counts.get(domain).is_some_and(|count| count.is_wide_loss());
+    !wide || accusing_domains(entry, own, table) >= needed_domains(domain, counts)
+}
+
+/// Domains other than the suspect's from which it was accused.
+fn accusing_domains(entry: &MemberEntry, own: &MemberProfile, table: &MemberTable) -> usize {
+    let domains: BTreeSet<&DomainName> = entry
+        .accusers
+        .iter()
+        .map(|id| table.domain(*id).unwrap_or(&own.domain))
+        .filter(|domain| **domain != entry.profile().domain)
+        .collect();
+    domains.len()
+}
+
+/// How many domains must accuse before members of `domain` are declared dead.
+fn needed_domains(domain: &DomainName, counts: &BTreeMap<&DomainName, DomainCount>) -> usize {
+    let others = counts
+        .iter()
+        .filter(|(other, count)| **other != domain && count.present + count.lost > 0)
+        .count();
+    others.min(CONFIRMING)
+}
+
+fn count_domains<'table>(
+    own: &'table MemberProfile,
+    table: &'table MemberTable,
+    now: Instant,
+) -> BTreeMap<&'table DomainName, DomainCount> {
+    let mut counts: BTreeMap<&DomainName, DomainCount> = BTreeMap::new();
+    counts.entry(&own.domain).or_default().present += 1;
+    for entry in table.iter() {
+        let count = counts.entry(&entry.profile().domain).or_default();
+        let recent = now.duration_since(entry.since) < LOSS_WINDOW;
+        match entry.state {
+            MemberState::Alive => count.present += 1,
+            MemberState::Suspect => count.lost += 1,
+            MemberState::Dead if recent => count.lost += 1,
+            MemberState::Dead | MemberState::Left => {}
+        }
+    }
+    counts
+}
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -58,12 +58,16 @@
     AuthorName,
     /// A customer, who holds one plan.
     CustomerName,
+    /// A daemon's name for people.
+    DaemonName,
     /// A failure domain.
     DomainName,
     /// An HTTP method.
     MethodName,
     /// A plan that customers hold.
     PlanName,
+    /// A region, made of failure domains.
+    RegionName,
     /// A service, offered by targets.
     ServiceName,
     /// A stream of the log service.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,7 +14,8 @@
 pub use clock::{ClockPort, FakeClock, SharedClock, SystemClock};
 pub use error::{ErrorKind, KindAnswer, KindError, Result, ensure};
 pub use ids::{
-    AuthorName, ChangeId, ConfigVersion, CustomerName, DaemonId, DomainName, IncarnationNumber,
-    LogOffset, MethodName, PlanName, ServiceName, StreamName, TargetName,
+    AuthorName, ChangeId, ConfigVersion, CustomerName, DaemonId, DaemonName, DomainName,
+    IncarnationNumber, LogOffset, MethodName, PlanName, RegionName, ServiceName, StreamName,
+    TargetName,
 };
 pub use units::{ByteCount, CallCount, CallRate, RecordCount};
