--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -168,6 +168,8 @@
     LogExpired => "log-expired", 410, true, false, 8, "None; readers go on from a snapshot.";
     /// The log lost records or began anew.
     LogDiverged => "log-diverged", 409, true, false, 9, "Stop publishing and follow the page on a lost log.";
+    /// The stream permits rules that this release does not know.
+    RulesUnknown => "rules-unknown", 503, true, false, 9, "Update the daemon that says so.";
     /// The log service answered what the port cannot read.
     LogAnswerInvalid => "log-answer-invalid", 502, false, true, 8, "Check the address of the log service.";
     /// A frame from a peer is larger than allowed.
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -108,7 +108,7 @@
     /// The position after this one.
     #[must_use]
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
@@ -181,7 +181,7 @@
 
     /// The version made by the change at `offset`.
     pub fn at(offset: LogOffset) -> Self {
-        Self(offset.0 + 1)
+        Self(offset.0.saturating_add(1))
     }
 
     /// The offset of the change that made this version.
--- /dev/null
+++ b/crates/plans/src/check.rs
@@ -0,0 +1,264 @@
+//! What must hold for the two lists as a whole.
+//!
+//! The same rules judge a file (where each fault gets a line and column) and
+//! the result of folding a change, so a pair that `quetzal check` lets pass
+//! is never refused for its content later.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+
+use model::{CustomerName, MethodName, PlanName, ServiceName};
+
+use crate::lists::{ListPair, PlanAllowance, ServiceRule};
+
+/// Most customers.
+pub const MAX_CUSTOMERS: usize = 10_000;
+/// Most services.
+pub const MAX_SERVICES: usize = 256;
+/// Most plans.
+pub const MAX_PLANS: usize = 256;
+/// Most methods of a service.
+pub const MAX_METHODS: usize = 16;
+/// Longest path of a service, in bytes.
+pub const MAX_PATH_BYTES: usize = 128;
+/// Timeouts in milliseconds.
+pub const TIMEOUT_RANGE_MS: RangeInclusive<u32> = 1..=3_600_000;
+/// Calls a second.
+pub const RATE_RANGE: RangeInclusive<u32> = 1..=1_000_000;
+/// Calls at once.
+pub const CALLS_AT_ONCE_RANGE: RangeInclusive<u32> = 1..=100_000;
+
+/// A rule that the pair breaks.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListFault {
+    /// Where the mistake is.
+    pub place: FaultPlace,
+    /// What is wrong.
+    pub message: Box<str>,
+}
+
+/// The part of the lists in which a fault lies.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum FaultPlace {
+    /// The customers as a whole.
+    Customers,
+    /// The plan named by a customer.
+    CustomerPlan(CustomerName),
+    /// The services as a whole.
+    Services,
+    /// A service's path.
+    ServicePath(ServiceName),
+    /// A service's timeout.
+    ServiceTimeout(ServiceName),
+    /// A service's methods.
+    ServiceMethods(ServiceName),
+    /// One method of a service.
+    ServiceMethod(ServiceName, MethodName),
+    /// The plans as a whole.
+    Plans,
+    /// A plan.
+    Plan(PlanName),
+    /// A plan's allowance for a service.
+    Allowance(PlanName, ServiceName),
+    /// The methods of an allowance.
+    AllowanceMethods(PlanName, ServiceName),
+    /// One method of an allowance.
+    AllowanceMethod(PlanName, ServiceName, MethodName),
+    /// The rate of an allowance.
+    AllowanceRate(PlanName, ServiceName),
+    /// The calls at once of an allowance.
+    AllowanceCalls(PlanName, ServiceName),
+}
+
+/// Every rule that the pair breaks.
+pub fn find_faults(pair: &ListPair) -> Vec<ListFault> {
+    let mut faults = Vec::new();
+    check_sizes(pair, &mut faults);
+    check_customers(pair, &mut faults);
+    for (name, rule) in &pair.allowances.services {
+        check_service(name, rule, &mut faults);
+    }
+    check_overlaps(pair, &mut faults);
+    for (plan, allowances) in &pair.allowances.plans {
+        if allowances.is_empty() {
+            let message = format!("plan \"{plan}\" allows nothing; remove it or allow a service");
+            push(&mut faults, FaultPlace::Plan(plan.clone()), message);
+        }
+        for (service, allowance) in allowances {
+            check_allowance(pair, plan, service, allowance, &mut faults);
+        }
+    }
+    faults
+}
+
+fn push(faults: &mut Vec<ListFault>, place: FaultPlace, message: impl Into<Box<str>>) {
+    let message = message.into();
+    faults.push(ListFault { place, message });
+}
+
+fn check_sizes(pair: &ListPair, faults: &mut Vec<ListFault>) {
+    let sizes = [
+        (
+            FaultPlace::Customers,
+            "customers",
+            pair.plans.customers.len(),
+            MAX_CUSTOMERS,
+        ),
+        (
+            FaultPlace::Services,
+            "services",
+            pair.allowances.services.len(),
+            MAX_SERVICES,
+        ),
+        (
+            FaultPlace::Plans,
+            "plans",
+            pair.allowances.plans.len(),
+            MAX_PLANS,
+        ),
+    ];
+    for (place, what, count, most) in sizes {
+        if count > most {
+            push(
+                faults,
+                place,
+                format!("{count} {what}; at most {most} are allowed"),
+            );
+        }
+    }
+}
+
+fn check_customers(pair: &ListPair, faults: &mut Vec<ListFault>) {
+    for (customer, entry) in &pair.plans.customers {
+        if pair.allowances.plans.contains_key(&entry.plan) {
+            continue;
+        }
+        let message = format!(
+            "customer \"{customer}\" holds plan \"{}\", which allowances.jsonc does not define",
+            entry.plan
+        );
+        push(faults, FaultPlace::CustomerPlan(customer.clone()), message);
+    }
+}
+
+fn check_service(name: &ServiceName, rule: &ServiceRule, faults: &mut Vec<ListFault>) {
+    if let Some(message) = path_fault(&rule.path) {
+        push(faults, FaultPlace::ServicePath(name.clone()), message);
+    }
+    if !TIMEOUT_RANGE_MS.contains(&rule.timeout_ms) {
+        let message = range_fault("timeout_ms", rule.timeout_ms, &TIMEOUT_RANGE_MS);
+        push(faults, FaultPlace::ServiceTimeout(name.clone()), message);
+    }
+    if rule.methods.is_empty() || rule.methods.len() > MAX_METHODS {
+        let message = format!("service \"{name}\" must offer 1 to {MAX_METHODS} methods");
+        push(faults, FaultPlace::ServiceMethods(name.clone()), message);
+    }
+    for method in rule.methods.keys() {
+        if !method.bytes().all(|byte| byte.is_ascii_uppercase()) {
+            let message = format!("method \"{method}\" must be written in capital letters");
+            let place = FaultPlace::ServiceMethod(name.clone(), method.clone());
+            push(faults, place, message);
+        }
+    }
+}
+
+/// What is wrong with `path` as a service's path.
+fn path_fault(path: &str) -> Option<Box<str>> {
+    if path == "/" {
+        return None;
+    }
+    if path.len() > MAX_PATH_BYTES {
+        return Some(format!("a path has at most {MAX_PATH_BYTES} bytes").into());
+    }
+    let Some(rest) = path.strip_prefix('/') else {
+        return Some(format!("path \"{path}\" must begin with \"/\"").into());
+    };
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte);
+    let sound = |part: &str| !matches!(part, "" | "." | "..") && part.bytes().all(allowed);
+    if rest.split('/').all(sound) {
+        return None;
+    }
+    let message = format!("path \"{path}\" must be \"/\" and segments of a-z A-Z 0-9 - _ . ~");
+    Some(message.into())
+}
+
+fn range_fault(field: &str, value: u32, range: &RangeInclusive<u32>) -> Box<str> {
+    let (low, high) = (range.start(), range.end());
+    format!("{field} is {value}; it must lie from {low} to {high}").into()
+}
+
+/// Reports each service whose path lies within another's or equals it.
+fn check_overlaps(pair: &ListPair, faults: &mut Vec<ListFault>) {
+    let services = &pair.allowances.services;
+    let mut owners: BTreeMap<&str, &ServiceName> = BTreeMap::new();
+    for (name, rule) in services {
+        match owners.get(&*rule.path) {
+            None => {
+                owners.insert(&rule.path, name);
+            }
+            Some(owner) => {
+                let message = format!("path \"{}\" belongs to service \"{owner}\"", rule.path);
+                push(faults, FaultPlace::ServicePath(name.clone()), message);
+            }
+        }
+    }
+    for (path, name) in &owners {
+        let outer = enclosing_paths(path).find_map(|outer| owners.get_key_value(outer));
+        let Some((outer, owner)) = outer else {
+            continue;
+        };
+        let message = format!("path \"{path}\" lies within \"{outer}\" of service \"{owner}\"");
+        push(faults, FaultPlace::ServicePath((*name).clone()), message);
+    }
+}
+
+/// The paths that enclose `path`, from the nearest to `/`.
+fn enclosing_paths(path: &str) -> impl Iterator<Item = &str> {
+    let ends = path.rmatch_indices('/').map(|(end, _)| end);
+    ends.map(|end| if end == 0 { "/" } else { &path[..end] })
+        .filter(move |outer| *outer != path)
+}
+
+fn check_allowance(
+    pair: &ListPair,
+    plan: &PlanName,
+    service: &ServiceName,
+    allowance: &PlanAllowance,
+    faults: &mut Vec<ListFault>,
+) {
+    let names = || (plan.clone(), service.clone());
+    if !RATE_RANGE.contains(&allowance.rate_per_s) {
+        let message = range_fault("rate_per_s", allowance.rate_per_s, &RATE_RANGE);
+        let (plan, service) = names();
+        push(faults, FaultPlace::AllowanceRate(plan, service), message);
+    }
+    if !CALLS_AT_ONCE_RANGE.contains(&allowance.calls_at_once) {
+        let message = range_fault(
+            "calls_at_once",
+            allowance.calls_at_once,
+            &CALLS_AT_ONCE_RANGE,
+        );
+        let (plan, service) = names();
+        push(faults, FaultPlace::AllowanceCalls(plan, service), message);
+    }
+    if allowance.methods.is_empty() {
+        let message = format!("plan \"{plan}\" allows no method of service \"{service}\"");
+        let (plan, service) = names();
+        push(faults, FaultPlace::AllowanceMethods(plan, service), message);
+    }
+    let Some(rule) = pair.allowances.services.get(service) else {
+        let message = format!("plan \"{plan}\" allows service \"{service}\", which is not defined");
+        let (plan, service) = names();
+        push(faults, FaultPlace::Allowance(plan, service), message);
+        return;
+    };
+    for method in &allowance.methods {
+        if rule.methods.contains_key(method) {
+            continue;
+        }
+        let message = format!("service \"{service}\" has no method \"{method}\"");
+        let (plan, service) = names();
+        let place = FaultPlace::AllowanceMethod(plan, service, method.clone());
+        push(faults, place, message);
+    }
+}
--- /dev/null
+++ b/crates/plans/src/state/judge.rs
@@ -0,0 +1,161 @@
+//! Judging one record against a state.
+//!
+//! Nothing here reads a clock, a setting or the release's own version: two
+//! releases that know the rules of a stream decide alike.
+
+use model::{ChangeId, ConfigVersion, ErrorKind, KindError, LogOffset};
+
+use super::{ConfigState, Result};
+use crate::change::{ChangeRecord, RULES_VERSION, RebaseRecord, RulesRecord, StreamRecord};
+use crate::entry::EntryEdit;
+use crate::head::ConfigRecord;
+use crate::history::{KnownOutcome, refused_before};
+use crate::lists::ListPair;
+use crate::verdict::{ChangeRefusal, ChangeVerdict};
+
+/// Highest place that a rebase may move to; leaves room for all records to come.
+const MAX_REBASE_OFFSET: LogOffset = LogOffset(1 << 53);
+
+/// What judging a record found.
+pub(super) enum RecordDecision {
+    /// The change, and the lists with it in force.
+    Change(ChangeRecord, ListPair),
+    /// Whole lists.
+    Rebase(RebaseRecord),
+    /// Newer rules.
+    Rules(RulesRecord),
+    /// Nothing is changed.
+    Refuse(ChangeRefusal),
+    /// The change made this version before.
+    Repeat(ConfigVersion),
+}
+
+impl ConfigState {
+    /// Decides on the next record; the id is told only for one that came for the first time.
+    pub(super) fn judge(
+        &self,
+        record: &ConfigRecord,
+    ) -> Result<(Option<ChangeId>, RecordDecision)> {
+        let decoded = match self.decode(&record.body) {
+            Ok(decoded) => decoded,
+            Err(error) => return Ok((None, RecordDecision::refuse(&error))),
+        };
+        let id = decoded.id();
+        if let Some(outcome) = self.history.known_outcome(id) {
+            return Ok((None, RecordDecision::repeat(outcome)));
+        }
+        let decision = match decoded {
+            StreamRecord::Change(change) => self.judge_change(change),
+            StreamRecord::Rebase(rebase) => self.judge_rebase(rebase),
+            StreamRecord::Rules(rules) => self.judge_rules(rules)?,
+        };
+        Ok((Some(id), decision))
+    }
+
+    /// Reads a record under the rules permitted so far, whatever this release knows.
+    fn decode(&self, body: &[u8]) -> Result<StreamRecord> {
+        let rules = StreamRecord::rules_of(body)?;
+        if rules == 0 || rules > self.rules {
+            let detail = format!("rules {rules} are not permitted on this stream");
+            return Err(KindError::new(ErrorKind::ChangeRefused, detail));
+        }
+        StreamRecord::decode(body)
+    }
+
+    fn judge_change(&self, change: ChangeRecord) -> RecordDecision {
+        if let Err(error) = self.history.check_base(change.base, self.head.folded) {
+            return RecordDecision::refuse(&error);
+        }
+        let edits = self.effective_edits(&change);
+        let conflict = self.history.find_conflict(change.base, &edits, &self.lists);
+        if let Some((entry, conflict)) = conflict {
+            let reason = format!(
+                "{entry} was changed by {} in version {}, after base {}",
+                conflict.author, conflict.version, change.base
+            );
+            let mut refusal = ChangeRefusal::new(ErrorKind::ChangeConflict, &reason);
+            refusal.conflict = Some(conflict);
+            return RecordDecision::Refuse(refusal);
+        }
+        let mut lists = self.lists.clone();
+        for edit in edits {
+            lists.set_entry(edit);
+        }
+        match lists.validate() {
+            Ok(()) => RecordDecision::Change(change, lists),
+            Err(error) => RecordDecision::refuse(&error),
+        }
+    }
+
+    /// The edits that change what an entry holds now.
+    pub(super) fn effective_edits<'a>(&self, change: &'a ChangeRecord) -> Vec<&'a EntryEdit> {
+        let edits = change.edits.iter();
+        edits
+            .filter(|edit| self.lists.entry(&edit.entry) != edit.after)
+            .collect()
+    }
+
+    fn judge_rebase(&self, rebase: RebaseRecord) -> RecordDecision {
+        let highest = ConfigVersion::at(MAX_REBASE_OFFSET);
+        if rebase.version < self.next_version() || rebase.version > highest {
+            let (version, folded) = (rebase.version, self.head.folded);
+            let reason = format!("version {version} must lie after {folded}, up to {highest}");
+            let refusal = ChangeRefusal::new(ErrorKind::ChangeRefused, &reason);
+            return RecordDecision::Refuse(refusal);
+        }
+        if let Err(error) = self.history.check_base(rebase.base, self.head.folded) {
+            return RecordDecision::refuse(&error);
+        }
+        if self.head.version > rebase.base {
+            let (version, base) = (self.head.version, rebase.base);
+            let reason = format!("version {version} was accepted after base {base}");
+            let refusal = ChangeRefusal::new(ErrorKind::ChangeConflict, &reason);
+            return RecordDecision::Refuse(refusal);
+        }
+        match rebase.lists.validate() {
+            Ok(()) => RecordDecision::Rebase(rebase),
+            Err(error) => RecordDecision::refuse(&error),
+        }
+    }
+
+    fn judge_rules(&self, rules: RulesRecord) -> Result<RecordDecision> {
+        if rules.permit != self.rules + 1 {
+            let (permit, present) = (rules.permit, self.rules);
+            let reason = format!("rules {permit} do not follow rules {present}");
+            let refusal = ChangeRefusal::new(ErrorKind::ChangeRefused, &reason);
+            return Ok(RecordDecision::Refuse(refusal));
+        }
+        if rules.permit > RULES_VERSION {
+            let detail = format!(
+                "the stream permits rules {}; update this daemon",
+                rules.permit
+            );
+            return Err(KindError::new(ErrorKind::RulesUnknown, detail));
+        }
+        Ok(RecordDecision::Rules(rules))
+    }
+}
+
+impl RecordDecision {
+    fn refuse(error: &KindError) -> Self {
+        Self::Refuse(ChangeRefusal::new(error.kind, &error.detail))
+    }
+
+    fn repeat(outcome: KnownOutcome) -> Self {
+        match outcome {
+            KnownOutcome::Accepted(version) => Self::Repeat(version),
+            KnownOutcome::Refused => Self::Refuse(refused_before()),
+        }
+    }
+
+    /// The verdict, for the record that ends the fold at `folded`.
+    pub(super) fn verdict(&self, folded: ConfigVersion) -> ChangeVerdict {
+        match self {
+            Self::Change(..) | Self::Rebase(_) | Self::Rules(_) => {
+                ChangeVerdict::Accepted { version: folded }
+            }
+            Self::Refuse(refusal) => ChangeVerdict::Refused(refusal.clone()),
+            Self::Repeat(of) => ChangeVerdict::Repeated { of: *of },
+        }
+    }
+}
