--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,110 @@
+//! Questions to a daemon's operator interface.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use daemon::status::StatusReport;
+use feed::{HttpLog, SharedLog};
+use model::{ChangeId, ErrorKind, KindError};
+use plans::{ChangeVerdict, ConfigState, StateSnapshot};
+use serde::de::DeserializeOwned;
+use ureq::Agent;
+use ureq::http::Response;
+
+use crate::config::{DaemonArgs, Result};
+
+/// Time for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest answer in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 << 20;
+
+/// A client of one daemon.
+#[derive(Clone, Debug)]
+pub struct DaemonClient {
+    daemon: SocketAddr,
+    log: Option<Box<str>>,
+    agent: Agent,
+}
+
+impl DaemonClient {
+    /// A client of the daemon that the arguments name.
+    pub fn new(args: &DaemonArgs) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(ANSWER_TIMEOUT))
+            .build();
+        Self {
+            daemon: args.daemon,
+            log: args.log.as_deref().map(Box::from),
+            agent: config.into(),
+        }
+    }
+
+    /// The daemon's view of itself and the fleet.
+    pub fn status(&self) -> Result<StatusReport> {
+        self.get("/v1/status")?.read_json_body()
+    }
+
+    /// The accepted configuration; the empty one before the first change.
+    pub fn state(&self) -> Result<ConfigState> {
+        match self.get("/v1/snapshot")?.read_bytes() {
+            Ok(bytes) => Ok(StateSnapshot::decode(&bytes)?.into_state()),
+            Err(error) if error.kind == ErrorKind::ConfigAbsent => Ok(ConfigState::new()),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// The verdict on a change, once the daemon has folded it.
+    pub fn outcome(&self, change: ChangeId) -> Result<Option<ChangeVerdict>> {
+        self.get(&format!("/v1/outcome/{change}"))?.read_json_body()
+    }
+
+    /// The log service, as named or as the daemon uses it.
+    pub fn log(&self) -> Result<SharedLog> {
+        let url = match &self.log {
+            Some(url) => url.clone(),
+            None => self.status()?.log_url,
+        };
+        Ok(Arc::new(HttpLog::new(&url)))
+    }
+
+    fn get(&self, path: &str) -> Result<ClientAnswer> {
+        let url = format!("http://{}{path}", self.daemon);
+        let response = self.agent.get(url).call().map_err(|error| {
+            let detail = format!("daemon {}: {error}", self.daemon);
+            KindError::new(ErrorKind::PeerUnavailable, detail)
+        })?;
+        Ok(ClientAnswer(response))
+    }
+}
+
+struct ClientAnswer(Response<ureq::Body>);
+
+impl ClientAnswer {
+    fn read_bytes(mut self) -> Result<Vec<u8>> {
+        let status = self.0.status();
+        let bytes = self
+            .0
+            .body_mut()
+            .with_config()
+            .limit(MAX_ANSWER_BYTES)
+            .read_to_vec()
+            .map_err(|error| KindError::new(ErrorKind::PeerUnavailable, error.to_string()))?;
+        if status.is_success() {
+            return Ok(bytes);
+        }
+        Err(serde_json::from_slice(&bytes).unwrap_or_else(|_| {
+            KindError::new(
+                ErrorKind::PeerUnavailable,
+                format!("the daemon answered {status}"),
+            )
+        }))
+    }
+
+    fn read_json_body<T: DeserializeOwned>(self) -> Result<T> {
+        let bytes = self.read_bytes()?;
+        serde_json::from_slice(&bytes)
+            .map_err(|error| KindError::new(ErrorKind::FrameInvalid, error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/demo.rs
@@ -0,0 +1,237 @@
+//! quetzal demo: the whole system on this machine for a first look.
+//!
+//! Runs the log service's stand-in, four daemons in two failure domains and
+//! three targets of two services in this one process, on loopback; publishes
+//! a pair of lists, makes calls, changes a plan, and shows when the change is
+//! in force. Nothing is left behind.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bpaf::Bpaf;
+use daemon::settings::NumberSettings;
+use daemon::{DaemonSettings, RunningDaemon};
+use feed::{HttpLog, LogServer, LogSettings, MemoryLog, SharedLog, serve};
+use model::{ChangeId, ConfigVersion, ErrorKind, KindError, SystemClock};
+use plans::{ChangeMeta, ChangeRecord, ListPair};
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+
+use crate::client::DaemonClient;
+use crate::config::{DaemonArgs, Result};
+use crate::demo_target::DemoTarget;
+use crate::follow::{append_change, await_force, await_verdict};
+
+const DAEMON_COUNT: usize = 4;
+const DOMAINS: [&str; 2] = ["cairo-a", "cairo-b"];
+const TARGETS: [(&str, &str); 3] = [
+    ("catalog-1", "catalog"),
+    ("catalog-2", "catalog"),
+    ("deals-1", "deals"),
+];
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+const FORCE_TIMEOUT: Duration = Duration::from_secs(20);
+
+const PLANS: &str = r#"{
+  // Which plan each customer holds.
+  "customers": {
+    "nile-brands": { "plan": "browse" }
+  }
+}"#;
+const ALLOWANCES: &str = r#"{
+  "services": {
+    "catalog": { "path": "/catalog", "timeout_ms": 2000, "kind": "report",
+                 "methods": { "GET": { "idempotent": true } } },
+    "deals":   { "path": "/deals", "timeout_ms": 2000, "kind": "booking",
+                 "methods": { "GET": { "idempotent": true }, "POST": { "idempotent": false } } }
+  },
+  "plans": {
+    "browse": { "catalog": { "methods": ["GET"], "rate_per_s": 100, "calls_at_once": 20 } },
+    "agency": { "catalog": { "methods": ["GET"], "rate_per_s": 100, "calls_at_once": 20 },
+                "deals":   { "methods": ["GET", "POST"], "rate_per_s": 50, "calls_at_once": 10 } }
+  }
+}"#;
+
+/// Arguments of `demo`.
+#[derive(Bpaf, Clone, Debug)]
+pub struct DemoArgs {}
+
+/// Runs the session and stops everything again.
+pub fn run(_: &DemoArgs) -> Result<ExitCode> {
+    let fleet = DemoFleet::start()?;
+    let result = play(&fleet);
+    fleet.stop();
+    result?;
+    println!("stopped");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn play(fleet: &DemoFleet) -> Result<()> {
+    fleet.await_members()?;
+    println!("log      http://{}", fleet.log_address());
+    println!("daemons  {DAEMON_COUNT} in {}", DOMAINS.join(" and "));
+    println!("targets  {}", TARGETS.map(|(name, _)| name).join(", "));
+
+    let lists = parse(PLANS)?;
+    let version = fleet.publish("demo", ConfigVersion::NONE, &lists, "first lists")?;
+    fleet.call("GET", "/catalog/creators")?;
+    fleet.call("POST", "/deals/bookings")?;
+
+    let changed = parse(&PLANS.replace("browse", "agency"))?;
+    fleet.publish("demo", version, &changed, "nile-brands books deals")?;
+    fleet.call("POST", "/deals/bookings")
+}
+
+fn parse(plans: &str) -> Result<ListPair> {
+    ListPair::parse(plans, ALLOWANCES).map_err(|problems| {
+        let first = problems.first().map(ToString::to_string);
+        KindError::new(ErrorKind::ListInvalid, first.unwrap_or_default())
+    })
+}
+
+/// Everything that the demo runs.
+struct DemoFleet {
+    targets: Vec<DemoTarget>,
+    daemons: Vec<RunningDaemon>,
+    log: LogServer,
+    client: DaemonClient,
+}
+
+impl DemoFleet {
+    fn start() -> Result<Self> {
+        let memory = Arc::new(MemoryLog::new(
+            LogSettings::default(),
+            SystemClock::shared(),
+        ));
+        let log = serve(&memory, SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let url = format!("http://{}", log.address());
+        let started: Result<Vec<RunningDaemon>> = (0..DAEMON_COUNT)
+            .map(|index| RunningDaemon::start(settings(index, &url)?))
+            .collect();
+        let daemons = started?;
+        let targets: Result<Vec<DemoTarget>> = TARGETS
+            .iter()
+            .zip(&daemons)
+            .map(|((target, service), daemon)| {
+                DemoTarget::start(
+                    &target.parse()?,
+                    &service.parse()?,
+                    daemon.operator_address(),
+                )
+            })
+            .collect();
+        let client = DaemonClient::new(&DaemonArgs {
+            daemon: daemons[0].operator_address(),
+            log: Some(url),
+        });
+        Ok(Self {
+            targets: targets?,
+            daemons,
+            log,
+            client,
+        })
+    }
+
+    fn log_address(&self) -> SocketAddr {
+        self.log.address()
+    }
+
+    /// Waits until the daemons know one another and every target.
+    fn await_members(&self) -> Result<()> {
+        let started = Instant::now();
+        while started.elapsed() < START_TIMEOUT {
+            let status = self.client.status()?;
+            let targets: usize = status
+                .members
+                .iter()
+                .map(|member| member.targets.len())
+                .sum();
+            if status.fleet.members as usize == DAEMON_COUNT && targets == TARGETS.len() {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        Err(KindError::new(
+            ErrorKind::PeerUnavailable,
+            "the daemons did not find one another",
+        ))
+    }
+
+    fn publish(
+        &self,
+        author: &str,
+        base: ConfigVersion,
+        lists: &ListPair,
+        note: &str,
+    ) -> Result<ConfigVersion> {
+        let state = self.client.state()?;
+        let meta = ChangeMeta {
+            id: ChangeId(Uuid::now_v7()),
+            author: author.parse()?,
+            note: note.into(),
+        };
+        let record = ChangeRecord::between(&state, base, lists, meta)?;
+        let log: SharedLog = Arc::new(HttpLog::new(&format!("http://{}", self.log_address())));
+        append_change(&log, &record.encode()?)?;
+        let version = await_verdict(&self.client, record.id)?;
+        println!("publish  {note}, by {author} upon version {base}");
+        let report = await_force(&self.client, record.id, version, FORCE_TIMEOUT, |_| {})?;
+        println!("         {}", report.line());
+        Ok(version)
+    }
+
+    /// Calls through the daemon that has no target beside it.
+    fn call(&self, method: &str, path: &str) -> Result<()> {
+        let proxy = self.daemons[DAEMON_COUNT - 1].core();
+        let request = ureq::http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", proxy.settings.caller_address))
+            .header("quetzal-customer", "nile-brands")
+            .header("idempotency-key", Uuid::now_v7().to_string())
+            .body(())
+            .map_err(|error| KindError::new(ErrorKind::RequestInvalid, error.to_string()))?;
+        let agent: ureq::Agent = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .build()
+            .into();
+        let mut response = agent
+            .run(request)
+            .map_err(|error| KindError::new(ErrorKind::PeerUnavailable, error.to_string()))?;
+        let text = response.body_mut().read_to_string().unwrap_or_default();
+        let status = response.status().as_u16();
+        println!(
+            "call     {method} {path} as nile-brands -> {status} {}",
+            text.trim()
+        );
+        Ok(())
+    }
+
+    fn stop(self) {
+        drop(self.targets);
+        let force = CancellationToken::new();
+        // Nothing is in progress; there is no one left to learn of a drain.
+        force.cancel();
+        for daemon in self.daemons {
+            daemon.stop(&force);
+        }
+        drop(self.log);
+    }
+}
+
+fn settings(index: usize, log_url: &str) -> Result<DaemonSettings> {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    Ok(DaemonSettings {
+        name: format!("daemon-{}", index + 1).into(),
+        domain: DOMAINS[index % DOMAINS.len()].parse()?,
+        region: "cairo".parse()?,
+        log_url: log_url.into(),
+        caller_address: any_port,
+        peer_address: any_port,
+        operator_address: any_port,
+        peers: Vec::new(),
+        metrics_address: None,
+        numbers: NumberSettings::default(),
+    })
+}
--- /dev/null
+++ b/crates/cli/src/cmd/init.rs
@@ -0,0 +1,32 @@
+//! quetzal init DIR: writes a commented pair of lists to start from.
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use model::{ErrorKind, KindError};
+
+use crate::config::Result;
+use crate::folder::{FolderArgs, folder_args, has_lists, write_texts};
+
+/// Arguments of `init`.
+#[derive(Bpaf, Clone, Debug)]
+pub struct InitArgs {
+    #[bpaf(external(folder_args))]
+    folder: FolderArgs,
+}
+
+/// Writes the pair unless the folder holds lists already.
+pub fn run(args: &InitArgs) -> Result<ExitCode> {
+    let dir = &args.folder.dir;
+    if has_lists(dir) {
+        let detail = format!("{} holds lists already", dir.display());
+        return Err(KindError::new(ErrorKind::RequestInvalid, detail));
+    }
+    let (plans, allowances) = plans::lists::template();
+    write_texts(dir, &plans, &allowances)?;
+    println!(
+        "wrote plans.jsonc and allowances.jsonc to {}",
+        dir.display()
+    );
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/cli/src/cmd/mod.rs
@@ -0,0 +1,81 @@
+//! The subcommands, one file each.
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+use crate::config::Result;
+
+pub mod check;
+pub mod demo;
+pub mod diff;
+pub mod history;
+pub mod init;
+pub mod log;
+pub mod publish;
+pub mod pull;
+pub mod status;
+pub mod undo;
+
+/// Publish the two lists and see where they are in force.
+///
+/// Operators edit plans.jsonc (which plan each customer holds) and
+/// allowances.jsonc (what each plan may use) in one folder and publish it.
+///
+/// Exit codes: 0 done, 2 input wrong, 5 refused, 6 accepted but not yet
+/// everywhere, 7 unknown whether accepted, 8 log service, 9 log lost records.
+///
+/// First steps: quetzal demo; quetzal init lists; quetzal check lists;
+/// quetzal publish lists
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options("quetzal"), version)]
+pub enum Command {
+    /// Run the whole system on this machine for a first look
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo::demo_args))] demo::DemoArgs),
+    /// Write a commented pair of lists to start from
+    #[bpaf(command)]
+    Init(#[bpaf(external(init::init_args))] init::InitArgs),
+    /// Check the two lists without publishing
+    #[bpaf(command)]
+    Check(#[bpaf(external(check::check_args))] check::CheckArgs),
+    /// Show what publishing would change
+    #[bpaf(command)]
+    Diff(#[bpaf(external(diff::diff_args))] diff::DiffArgs),
+    /// Publish the two lists and follow them until they are in force
+    #[bpaf(command)]
+    Publish(#[bpaf(external(publish::publish_args))] publish::PublishArgs),
+    /// Fetch the accepted lists
+    #[bpaf(command)]
+    Pull(#[bpaf(external(pull::pull_args))] pull::PullArgs),
+    /// Take one version back
+    #[bpaf(command)]
+    Undo(#[bpaf(external(undo::undo_args))] undo::UndoArgs),
+    /// List the accepted changes
+    #[bpaf(command)]
+    History(#[bpaf(external(history::history_args))] history::HistoryArgs),
+    /// Show which version is in force where, and what is wrong
+    #[bpaf(command)]
+    Status(#[bpaf(external(status::status_args))] status::StatusArgs),
+    /// Run the log service's stand-in
+    #[bpaf(command)]
+    Log(#[bpaf(external(log::log_args))] log::LogArgs),
+}
+
+impl Command {
+    /// Runs the subcommand.
+    pub fn run(self) -> Result<ExitCode> {
+        match self {
+            Self::Demo(args) => demo::run(&args),
+            Self::Init(args) => init::run(&args),
+            Self::Check(args) => check::run(&args),
+            Self::Diff(args) => diff::run(&args),
+            Self::Publish(args) => publish::run(&args),
+            Self::Pull(args) => pull::run(&args),
+            Self::Undo(args) => undo::run(&args),
+            Self::History(args) => history::run(&args),
+            Self::Status(args) => status::run(&args),
+            Self::Log(args) => log::run(&args),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/status.rs
@@ -0,0 +1,86 @@
+//! quetzal status: which version is in force where, who lags and why, what
+//! drains, and whether the log is up.
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use comfy_table::Table;
+use comfy_table::presets::NOTHING;
+use daemon::status::{MemberReport, StatusReport};
+
+use crate::client::DaemonClient;
+use crate::config::{DaemonArgs, Result, daemon_args};
+use crate::output::print_json;
+
+/// Members listed before the rest is only counted.
+const MAX_ROWS: usize = 40;
+
+/// Arguments of `status`.
+#[derive(Bpaf, Clone, Debug)]
+pub struct StatusArgs {
+    #[bpaf(external(daemon_args))]
+    daemon: DaemonArgs,
+    /// Print JSON
+    json: bool,
+}
+
+/// Prints one screen.
+pub fn run(args: &StatusArgs) -> Result<ExitCode> {
+    let status = DaemonClient::new(&args.daemon).status()?;
+    if args.json {
+        print_json(&status)?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    print_fleet(&status);
+    print_members(&status.members);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_fleet(status: &StatusReport) {
+    println!(
+        "daemon   {} in {}, version {}, configuration {}",
+        status.name, status.domain, status.version, status.freshness
+    );
+    match &status.log {
+        Some(log) => println!("log      {} is {log}", status.log_url),
+        None => println!("log      {} is read by other daemons", status.log_url),
+    }
+    let fleet = &status.fleet;
+    println!(
+        "fleet    version {} in force on {} of {} proxies",
+        status.version,
+        fleet.in_force(status.version),
+        fleet.members
+    );
+    for line in fleet.lagging_lines(status.version) {
+        println!("lagging  {line}");
+    }
+}
+
+fn print_members(members: &[MemberReport]) {
+    let mut table = Table::new();
+    table.load_preset(NOTHING);
+    table.set_header(["DAEMON", "DOMAIN", "STATE", "TARGETS"]);
+    for member in members.iter().take(MAX_ROWS) {
+        let state = if member.draining {
+            "draining"
+        } else {
+            &member.state
+        };
+        let targets: Vec<String> = member
+            .targets
+            .iter()
+            .map(|target| format!("{}/{} {}", target.service, target.target, target.state))
+            .collect();
+        table.add_row([
+            &*member.name,
+            member.domain.as_str(),
+            state,
+            &targets.join(", "),
+        ]);
+    }
+    println!("{table}");
+    if members.len() > MAX_ROWS {
+        println!("and {} more; see --json", members.len() - MAX_ROWS);
+    }
+}
--- a/crates/daemon/src/beside.rs
+++ b/crates/daemon/src/beside.rs
@@ -18,7 +18,7 @@
 use route::{GateConfig, TargetLoad};
 use tokio::time::timeout;
 
-use crate::body::{BodyEnd, CallBody};
+use crate::body::{BodyBounds, BodyEnd, CallBody};
 use crate::gate::{GatePass, TargetGate};
 use crate::peer::{CallHead, CallRefusal, ResponseHead, pack_headers};
 use crate::target_client::TargetClient;
@@ -31,6 +31,7 @@
 pub struct BesideDesk {
     clock: SharedClock,
     queue: CallCount,
+    bounds: BodyBounds,
     client: TargetClient,
     state: Mutex<BesideState>,
 }
@@ -41,6 +42,15 @@
     gates: HashMap<TargetName, Arc<TargetGate>>,
 }
 
+/// A call that holds its slot beside the target.
+#[derive(Debug)]
+pub struct AdmittedCall {
+    gate: Arc<TargetGate>,
+    pass: GatePass,
+    address: SocketAddr,
+    deadline: Instant,
+}
+
 /// A target's answer with its body.
 #[derive(Debug)]
 pub struct TargetAnswer {
@@ -51,10 +61,11 @@
 }
 
 impl BesideDesk {
-    /// A desk without targets; `queue` calls may wait for each.
-    pub fn new(queue: CallCount, clock: SharedClock) -> Self {
+    /// A desk without targets; `queue` calls may wait for each, answers stay within `bounds`.
+    pub fn new(queue: CallCount, bounds: BodyBounds, clock: SharedClock) -> Self {
         Self {
             queue,
+            bounds,
             client: TargetClient::new(),
             state: Mutex::new(BesideState {
                 registry: TargetRegistry::new(Arc::clone(&clock)),
@@ -121,48 +132,84 @@
     /// Load of each target.
     pub fn loads(&self) -> Vec<(TargetName, TargetLoad)> {
         let desk = self.lock();
-        let loads = desk.gates.iter().map(|(name, gate)| (name.clone(), gate.load()));
+        let loads = desk
+            .gates
+            .iter()
+            .map(|(name, gate)| (name.clone(), gate.load()));
         loads.collect()
     }
 
-    /// Runs a call on its target.
-    pub async fn run(&self, head: &CallHead, body: CallBody) -> Result<TargetAnswer> {
+    /// Gives the call its slot, or refuses it before anything was sent to the target.
+    pub async fn admit(&self, head: &CallHead) -> Result<AdmittedCall> {
         let deadline = self.clock.now() + head.remaining;
         let (gate, address) = self.find(head)?;
-        let pass = gate
-            .enter(&head.customer, head.class, deadline)
-            .await
-            .map_err(|error| refuse(&gate, error))?;
-        self.run_admitted(head, body, &gate, pass, address, deadline)
-            .await
+        let entered = gate.enter(&head.customer, head.class, deadline).await;
+        let pass = entered.map_err(|error| refuse(&gate, error))?;
+        Ok(AdmittedCall {
+            gate,
+            pass,
+            address,
+            deadline,
+        })
     }
 
-    async fn run_admitted(
+    /// Runs an admitted call on its target.
+    pub async fn run(
         &self,
+        admitted: AdmittedCall,
         head: &CallHead,
         body: CallBody,
-        gate: &Arc<TargetGate>,
-        mut pass: GatePass,
-        address: SocketAddr,
-        deadline: Instant,
     ) -> Result<TargetAnswer> {
+        let AdmittedCall {
+            gate,
+            mut pass,
+            address,
+            deadline,
+        } = admitted;
         let mut forward = head.clone();
         forward.remaining = deadline.saturating_duration_since(self.clock.now());
         let sending = self.client.send(address, &forward, body);
-        let response = match timeout(forward.remaining, sending).await {
-            Ok(Ok(response)) => response,
+        match timeout(forward.remaining, sending).await {
+            Ok(Ok(response)) => Ok(self.answer_with(response, &gate, pass)),
             Ok(Err(error)) => {
                 pass.mark_failed();
-                return Err(refuse(gate, error));
+                Err(refuse(&gate, error))
             }
-            Err(_) => return Err(refuse(gate, out_of_time())),
+            Err(_) => Err(refuse(&gate, out_of_time())),
+        }
+    }
+
+    fn answer_with(
+        &self,
+        response: Response<Incoming>,
+        gate: &Arc<TargetGate>,
+        mut pass: GatePass,
+    ) -> TargetAnswer {
+        let (parts, incoming) = response.into_parts();
+        if parts.status.is_server_error() {
+            pass.mark_failed();
+        }
+        let head = ResponseHead {
+            status: parts.status.as_u16(),
+            headers: pack_headers(&parts.headers),
+            load: gate.load(),
+            waited: pass.waited,
         };
-        Ok(answer_with(response, gate, pass))
+        let body = CallBody::from_target(incoming, self.bounds).watched(move |end| {
+            if end == BodyEnd::Broken {
+                pass.mark_failed();
+            }
+            drop(pass);
+        });
+        TargetAnswer { head, body }
     }
 
     fn find(&self, head: &CallHead) -> Result<(Arc<TargetGate>, SocketAddr)> {
         let desk = self.lock();
-        let target = head.target.as_ref().ok_or_else(|| absent("no target named"))?;
+        let target = head
+            .target
+            .as_ref()
+            .ok_or_else(|| absent("no target named"))?;
         let announcement = desk
             .registry
             .target(target)
@@ -203,30 +250,6 @@
     announcement.state < TargetState::Draining
 }
 
-fn answer_with(
-    response: Response<Incoming>,
-    gate: &Arc<TargetGate>,
-    mut pass: GatePass,
-) -> TargetAnswer {
-    let (parts, incoming) = response.into_parts();
-    if parts.status.is_server_error() {
-        pass.mark_failed();
-    }
-    let head = ResponseHead {
-        status: parts.status.as_u16(),
-        headers: pack_headers(&parts.headers),
-        load: gate.load(),
-        waited: pass.waited,
-    };
-    let body = CallBody::from_target(incoming).watched(move |end| {
-        if end == BodyEnd::Broken {
-            pass.mark_failed();
-        }
-        drop(pass);
-    });
-    TargetAnswer { head, body }
-}
-
 fn refuse(gate: &TargetGate, error: KindError) -> CallRefusal {
     let come_again = error.kind.answer().not_run && error.kind.answer().retryable;
     CallRefusal {
--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -95,13 +95,7 @@
 
     /// A body from a caller, within `bounds`.
     pub fn from_caller(incoming: Incoming, bounds: BodyBounds) -> Self {
-        let mut body = Self::new(BodySource::Caller(incoming));
-        body.bound = Some(BoundState {
-            bounds,
-            received: 0,
-            idle: Box::pin(sleep(bounds.idle_timeout)),
-        });
-        body
+        Self::new(BodySource::Caller(incoming)).bounded(bounds)
     }
 
     /// A body from another daemon.
@@ -109,9 +103,18 @@
         Self::new(BodySource::Peer(receiver))
     }
 
-    /// A body from a target.
-    pub fn from_target(incoming: Incoming) -> Self {
-        Self::new(BodySource::Target(incoming))
+    /// A body from a target, within `bounds`.
+    pub fn from_target(incoming: Incoming, bounds: BodyBounds) -> Self {
+        Self::new(BodySource::Target(incoming)).bounded(bounds)
+    }
+
+    fn bounded(mut self, bounds: BodyBounds) -> Self {
+        self.bound = Some(BoundState {
+            bounds,
+            received: 0,
+            idle: Box::pin(sleep(bounds.idle_timeout)),
+        });
+        self
     }
 
     /// Calls `watch` once, when the body has ended or is dropped.
@@ -159,9 +162,12 @@
         }
     }
 
-    /// Whether the body is whole in memory and can be sent again.
-    pub fn is_whole(&self) -> bool {
-        matches!(self.source, BodySource::Whole(_))
+    /// A copy of a body that is whole in memory.
+    pub fn copy(&self) -> Option<Self> {
+        match &self.source {
+            BodySource::Whole(bytes) => Some(Self::whole(bytes.clone())),
+            _ => None,
+        }
     }
 
     fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes>>> {
@@ -290,7 +296,11 @@
     fn drop(&mut self) {
         if !self.ended {
             let whole = matches!(&self.source, BodySource::Whole(_));
-            self.end(if whole { BodyEnd::Whole } else { BodyEnd::Dropped });
+            self.end(if whole {
+                BodyEnd::Whole
+            } else {
+                BodyEnd::Dropped
+            });
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/call.rs
@@ -0,0 +1,219 @@
+//! A caller's call, from its head to its answer.
+//!
+//! The table in force when the call arrives judges it to its end. Checks that
+//! need no other daemon come first, so that refusals are quick.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use limits::{LimitRefusal, LimitTicket, LoadSign, PlanLimit, ShedTicket};
+use model::{CallClass, ErrorKind, KindError};
+use plans::lists::CallKind;
+use plans::{CallGrant, RouteTable};
+use route::CallDeadline;
+use spread::FreshnessCase;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::answer::{AnswerMark, pass_on, refuse};
+use crate::beside::{Result, TargetAnswer};
+use crate::body::{BodyBounds, CallBody};
+use crate::core::DaemonCore;
+use crate::dispatch::dispatch;
+use crate::peer::{CallHead, CallRefusal, pack_headers};
+use crate::request::CallRequest;
+
+/// Bytes of a body that are read before the call is sent, so that it can be repeated.
+const READ_AHEAD_BYTES: usize = 64 << 10;
+
+/// Serves one call.
+pub async fn serve_call(core: Arc<DaemonCore>, request: Request<Incoming>) -> Response<CallBody> {
+    core.counters.count("calls");
+    core.open_call();
+    let ended = Arc::clone(&core);
+    let response = answer_or_refuse(core, request).await;
+    response.map(|body| body.watched(move |_| ended.close_call()))
+}
+
+async fn answer_or_refuse(core: Arc<DaemonCore>, request: Request<Incoming>) -> Response<CallBody> {
+    let (mark, result) = answer_call(&core, request).await;
+    match result {
+        Ok(answer) => pass_on(&answer.head, answer.body, mark),
+        Err(refusal) => {
+            core.counters.count("refused");
+            core.counters.count_error(refusal.error.kind);
+            refuse(&refusal, mark)
+        }
+    }
+}
+
+async fn answer_call(
+    core: &Arc<DaemonCore>,
+    request: Request<Incoming>,
+) -> (AnswerMark, Result<TargetAnswer>) {
+    let Some(table) = core.table.load_full() else {
+        let error = KindError::new(ErrorKind::ConfigAbsent, "no configuration yet");
+        return (AnswerMark::NONE, Err(error.into()));
+    };
+    let case = core.freshness.load().case;
+    let mark = AnswerMark {
+        version: table.version(),
+        stale: case == FreshnessCase::CutOff,
+    };
+    (mark, run_call(core, &table, case, request).await)
+}
+
+async fn run_call(
+    core: &Arc<DaemonCore>,
+    table: &RouteTable,
+    case: FreshnessCase,
+    request: Request<Incoming>,
+) -> Result<TargetAnswer> {
+    model::ensure(
+        !core.is_draining(),
+        ErrorKind::Draining,
+        "this daemon is draining",
+    )?;
+    let (parts, incoming) = request.into_parts();
+    let call = CallRequest::read(&parts)?;
+    let grant = table.admit(&call.customer, &call.secret, &call.method, &call.path)?;
+    if !grant.method.idempotent {
+        check_keyed(&call, case)?;
+    }
+    let deadline = CallDeadline::new(core.clock.now(), call.remaining, grant.service.timeout);
+    let tickets = CallTickets::take(core, &grant)?;
+
+    let bounds = BodyBounds {
+        max_bytes: core.settings.numbers.max_body_bytes.into(),
+        idle_timeout: core.settings.idle_timeout(),
+    };
+    let mut body = CallBody::from_caller(incoming, bounds);
+    body.read_ahead(READ_AHEAD_BYTES).await?;
+    let head = build_head(&call, &grant, &parts.headers, body.bytes());
+    let result = dispatch(core, head, deadline, body).await;
+    tickets.follow(result)
+}
+
+fn check_keyed(call: &CallRequest, case: FreshnessCase) -> Result<()> {
+    model::ensure(
+        case != FreshnessCase::CutOff,
+        ErrorKind::ConfigStale,
+        "this daemon is cut off and cannot prove that its configuration is current",
+    )?;
+    model::ensure(
+        call.key.is_some(),
+        ErrorKind::KeyMissing,
+        "this method needs an Idempotency-Key header",
+    )?;
+    Ok(())
+}
+
+fn build_head(
+    call: &CallRequest,
+    grant: &CallGrant<'_>,
+    headers: &http::HeaderMap,
+    body: &[u8],
+) -> CallHead {
+    CallHead {
+        service: grant.service.name.clone(),
+        target: None,
+        customer: grant.customer.name.clone(),
+        class: class_of(grant),
+        method: grant.method.name.clone(),
+        path: call.path.clone(),
+        headers: pack_headers(headers),
+        remaining: Duration::ZERO,
+        depth: call.depth,
+        mark: call.mark,
+        idempotent: grant.method.idempotent,
+        streamed: false,
+        print: fingerprint(call, body),
+        permit: None,
+    }
+}
+
+/// The class of a call: reads of a booking or upload service count as reads.
+fn class_of(grant: &CallGrant<'_>) -> CallClass {
+    let safe = matches!(grant.method.name.as_str(), "GET" | "HEAD" | "OPTIONS");
+    match grant.service.kind {
+        CallKind::Report => CallClass::Report,
+        _ if safe => CallClass::Read,
+        CallKind::Upload => CallClass::Upload,
+        CallKind::Booking => CallClass::Booking,
+    }
+}
+
+fn fingerprint(call: &CallRequest, body: &[u8]) -> u128 {
+    let mut hasher = Xxh3::new();
+    for part in [call.method.as_bytes(), call.path.as_bytes(), body] {
+        hasher.update(&part.len().to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest128()
+}
+
+/// What a call holds of its customer's limits until its answer is through.
+struct CallTickets {
+    core: Arc<DaemonCore>,
+    limit: Option<LimitTicket>,
+    shed: ShedTicket,
+    sign: LoadSign,
+}
+
+impl CallTickets {
+    fn take(core: &Arc<DaemonCore>, grant: &CallGrant<'_>) -> Result<Self> {
+        let (service, customer) = (&grant.service.name, &grant.customer.name);
+        let shed = core
+            .shedder()
+            .admit(service, class_of(grant), customer)
+            .map_err(limit_refusal)?;
+        let mut tickets = Self {
+            core: Arc::clone(core),
+            limit: None,
+            shed,
+            sign: LoadSign::Unknown,
+        };
+        let limit = PlanLimit {
+            rate: grant.allowance.rate,
+            calls: grant.allowance.calls_at_once,
+        };
+        let admitted = core.limits().admit(customer, service, limit);
+        tickets.limit = Some(admitted.map_err(limit_refusal)?);
+        Ok(tickets)
+    }
+
+    /// Holds the tickets until the end of the answer.
+    fn follow(mut self, result: Result<TargetAnswer>) -> Result<TargetAnswer> {
+        match result {
+            Ok(TargetAnswer { head, body }) => {
+                self.sign = LoadSign::Ran(head.waited);
+                let body = body.watched(move |_| drop(self));
+                Ok(TargetAnswer { head, body })
+            }
+            Err(refusal) => {
+                if refusal.error.kind == ErrorKind::QueueFull {
+                    self.sign = LoadSign::Refused;
+                }
+                Err(refusal)
+            }
+        }
+    }
+}
+
+impl Drop for CallTickets {
+    fn drop(&mut self) {
+        if let Some(limit) = self.limit.take() {
+            self.core.limits().release(limit);
+        }
+        self.core.shedder().finish(&self.shed, self.sign);
+    }
+}
+
+fn limit_refusal(refusal: LimitRefusal) -> CallRefusal {
+    CallRefusal {
+        error: KindError::new(refusal.kind, "refused by the plan's limits"),
+        retry_after: Some(refusal.retry_after),
+        load: None,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/command.rs
@@ -0,0 +1,123 @@
+//! The command line of `quetzald`.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use model::{ErrorKind, KindError};
+use plans::lists::ListProblem;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use tokio_util::sync::CancellationToken;
+
+use crate::run::{RunningDaemon, StopOutcome};
+use crate::settings::DaemonSettings;
+
+/// Results of the command.
+pub type Result<T> = model::Result<T>;
+
+/// Exit code of a stop that cut calls off.
+const FORCED_EXIT: u8 = 12;
+
+/// Runs the daemon beside a target: proxy, distributor and member.
+///
+/// SIGTERM or SIGINT drains and stops; a second one cuts off what still runs.
+/// Exit codes: 0 drained, 2 settings wrong, 11 address in use, 12 forced.
+///
+/// Example: quetzald --settings daemon.jsonc
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+pub struct DaemonCommand {
+    /// File with the settings, JSON with comments
+    #[bpaf(argument("FILE"), complete_shell(bpaf::ShellComp::File { mask: None }))]
+    settings: Option<PathBuf>,
+    /// Check the settings and stop
+    check: bool,
+    /// List every setting with unit, default and range
+    list_settings: bool,
+}
+
+impl DaemonCommand {
+    /// Runs the command to its end.
+    pub fn run(self) -> Result<ExitCode> {
+        if self.list_settings {
+            print!("{}", DaemonSettings::help());
+            return Ok(ExitCode::SUCCESS);
+        }
+        let settings = match self.read_settings()? {
+            Ok(settings) => settings,
+            Err(problems) => {
+                for problem in problems {
+                    eprintln!("{problem}");
+                }
+                return Ok(ExitCode::from(ErrorKind::SettingInvalid.answer().exit_code));
+            }
+        };
+        if self.check {
+            println!("settings are in order");
+            return Ok(ExitCode::SUCCESS);
+        }
+        start_logging();
+        run_daemon(settings)
+    }
+
+    fn read_settings(&self) -> Result<std::result::Result<DaemonSettings, Vec<ListProblem>>> {
+        let Some(file) = &self.settings else {
+            return Err(KindError::new(
+                ErrorKind::SettingInvalid,
+                "name a file with --settings FILE",
+            ));
+        };
+        let text = read_file(file)?;
+        let name = file.to_string_lossy();
+        Ok(DaemonSettings::parse(&name, &text))
+    }
+}
+
+fn read_file(file: &Path) -> Result<String> {
+    std::fs::read_to_string(file).map_err(|error| {
+        KindError::new(
+            ErrorKind::LocalFailed,
+            format!("{}: {error}", file.display()),
+        )
+    })
+}
+
+fn start_logging() {
+    let environment = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(environment).init();
+}
+
+fn run_daemon(settings: DaemonSettings) -> Result<ExitCode> {
+    let failed = |error: std::io::Error| KindError::new(ErrorKind::LocalFailed, error.to_string());
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(failed)?;
+    let daemon = RunningDaemon::start(settings)?;
+    log::info!(
+        "daemon {} runs; operators at {}",
+        daemon.core().id,
+        daemon.operator_address()
+    );
+    let stop = daemon.stop_token().clone();
+    let force = CancellationToken::new();
+    let handle = signals.handle();
+    let outcome = std::thread::scope(|scope| {
+        let watcher = scope.spawn(|| {
+            for _ in signals.forever() {
+                if stop.is_cancelled() {
+                    force.cancel();
+                }
+                stop.cancel();
+            }
+        });
+        daemon.wait_for_stop();
+        let outcome = daemon.stop(&force);
+        handle.close();
+        // The watcher only waits for signals and cannot fail.
+        drop(watcher.join());
+        outcome
+    });
+    Ok(match outcome {
+        StopOutcome::Drained => ExitCode::SUCCESS,
+        StopOutcome::Forced => ExitCode::from(FORCED_EXIT),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/counters.rs
@@ -0,0 +1,79 @@
+//! Counters of one daemon.
+//!
+//! Every event counts here first; log lines are written only on changes of
+//! state. Counts go to a statsd address through `cadence` if one is set, and
+//! are kept in memory for the operators' page.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::{Mutex, PoisonError};
+
+use cadence::{Counted, NopMetricSink, StatsdClient, UdpMetricSink};
+use model::{ErrorKind, KindError};
+
+/// Results of opening the counters; the kind is `LocalFailed`.
+pub type Result<T> = model::Result<T>;
+
+/// Prefix of every counter's name.
+const PREFIX: &str = "quetzal";
+
+/// Counters by name.
+pub struct CounterBoard {
+    client: StatsdClient,
+    counts: Mutex<BTreeMap<&'static str, u64>>,
+}
+
+impl fmt::Debug for CounterBoard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CounterBoard").finish_non_exhaustive()
+    }
+}
+
+impl CounterBoard {
+    /// Counters that also go to `address`, if there is one.
+    pub fn open(address: Option<SocketAddr>) -> Result<Self> {
+        let client = match address {
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            Some(address) => StatsdClient::from_sink(PREFIX, open_sink(address)?),
+        };
+        Ok(Self {
+            client,
+            counts: Mutex::new(BTreeMap::new()),
+        })
+    }
+
+    /// Counts one event.
+    pub fn count(&self, name: &'static str) {
+        self.add(name, 1);
+    }
+
+    /// Counts `amount` events, bytes or microseconds.
+    pub fn add(&self, name: &'static str, amount: u64) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        *counts.entry(name).or_default() += amount;
+        drop(counts);
+        // A lost datagram loses one count and nothing else.
+        drop(self.client.count(name, amount as i64));
+    }
+
+    /// Counts an error by its kind.
+    pub fn count_error(&self, kind: ErrorKind) {
+        self.count(kind.answer().name);
+    }
+
+    /// All counts since the start, by name.
+    pub fn read(&self) -> BTreeMap<&'static str, u64> {
+        let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.clone()
+    }
+}
+
+fn open_sink(address: SocketAddr) -> Result<UdpMetricSink> {
+    let failed = |detail: String| KindError::new(ErrorKind::LocalFailed, detail);
+    let socket = UdpSocket::bind(("0.0.0.0", 0)).map_err(|error| failed(error.to_string()))?;
+    socket
+        .set_nonblocking(true)
+        .map_err(|error| failed(error.to_string()))?;
+    UdpMetricSink::from(address, socket).map_err(|error| failed(error.to_string()))
+}
--- /dev/null
+++ b/crates/daemon/src/forward.rs
@@ -0,0 +1,111 @@
+//! One attempt of a call on one target, here or through another daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{DaemonId, ErrorKind, KindError};
+use tokio::time::timeout;
+use tokio_util::task::AbortOnDropHandle;
+use wire::BodySender;
+
+use crate::beside::{Result, TargetAnswer};
+use crate::body::CallBody;
+use crate::core::DaemonCore;
+use crate::peer::{CallAnswer, CallHead, CallRefusal, PeerRequest};
+
+/// Largest answer head in bytes.
+const MAX_ANSWER_HEAD_BYTES: usize = 256 << 10;
+/// Time beyond the deadline for the refusal of the daemon beside the target to arrive.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
+
+/// Sends a call to the daemon beside its target and waits for the head of the answer.
+///
+/// `body` is taken only once the call has its slot; a refusal that leaves it
+/// in place leaves the call free to be sent elsewhere.
+pub async fn forward(
+    core: &Arc<DaemonCore>,
+    daemon: DaemonId,
+    head: &CallHead,
+    body: &mut Option<CallBody>,
+) -> Result<TargetAnswer> {
+    if daemon == core.id {
+        return run_here(core, head, body).await;
+    }
+    let waiting = send_there(
+        core,
+        daemon,
+        PeerRequest::Call(Box::new(head.clone())),
+        body,
+    );
+    let answered = timeout(head.remaining + ANSWER_MARGIN, waiting).await;
+    answered.unwrap_or_else(|_| Err(lost("no answer before the deadline")))
+}
+
+async fn run_here(
+    core: &Arc<DaemonCore>,
+    head: &CallHead,
+    body: &mut Option<CallBody>,
+) -> Result<TargetAnswer> {
+    let admitted = core.beside.admit(head).await?;
+    let body = body.take().unwrap_or_else(|| CallBody::whole(Vec::new()));
+    core.beside.run(admitted, head, body).await
+}
+
+/// Sends `request` to another daemon; a streamed body follows once it is admitted.
+pub async fn send_there(
+    core: &Arc<DaemonCore>,
+    daemon: DaemonId,
+    request: PeerRequest,
+    body: &mut Option<CallBody>,
+) -> Result<TargetAnswer> {
+    let address = core.addresses.load().get(&daemon).copied();
+    let address =
+        address.ok_or_else(|| KindError::new(ErrorKind::PeerUnavailable, "the daemon has left"))?;
+    let exchange = core.pool.open(address, &request).await?;
+    let mut sender = Some(exchange.sender);
+    let mut upload = None;
+    if body.as_ref().is_none_or(|body| body.copy().is_some()) {
+        upload = start_upload(core, &mut sender, body.take());
+    }
+    let (mut answer, mut receiver) = exchange.answer.head::<CallAnswer>().await?;
+    if matches!(answer, CallAnswer::Admitted) {
+        upload = upload.or_else(|| start_upload(core, &mut sender, body.take()));
+        answer = receiver.read_message(MAX_ANSWER_HEAD_BYTES).await?;
+    }
+    match answer {
+        CallAnswer::Response(head) => Ok(TargetAnswer {
+            head,
+            // The upload may go on beside the answer and ends with it.
+            body: CallBody::from_peer(receiver).watched(move |_| drop(upload)),
+        }),
+        CallAnswer::Refused(refusal) => Err(refusal),
+        CallAnswer::Admitted => Err(lost("the peer admitted the call twice")),
+    }
+}
+
+fn start_upload(
+    core: &Arc<DaemonCore>,
+    sender: &mut Option<BodySender>,
+    body: Option<CallBody>,
+) -> Option<AbortOnDropHandle<()>> {
+    let sender = sender.take()?;
+    let body = body.unwrap_or_else(|| CallBody::whole(Vec::new()));
+    let task = core.tasks.spawn(upload(sender, body));
+    Some(AbortOnDropHandle::new(task))
+}
+
+/// Copies a body to a peer; a body that breaks off resets the stream.
+async fn upload(mut sender: BodySender, mut body: CallBody) {
+    while let Some(chunk) = body.next().await {
+        let Ok(chunk) = chunk else { return };
+        if sender.send(chunk).await.is_err() {
+            return;
+        }
+    }
+    // An error here shows on the answer's side too.
+    drop(sender.finish());
+}
+
+fn lost(detail: &str) -> CallRefusal {
+    KindError::new(ErrorKind::OutcomeUnknown, detail).into()
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,34 @@
 //! The daemon beside each target: proxy, distributor and member.
+//!
+//! Adapters around the decision crates: [`listener`] and [`call`] serve
+//! callers, [`peers`] other daemons, [`beside`] the targets, [`operator`] the
+//! staff; [`control`] drives distribution, membership and limits. What
+//! adapters share is in [`core`], and [`run`] starts and stops it all.
+
+pub mod answer;
+pub mod beside;
+pub mod body;
+pub mod call;
+pub mod command;
+pub mod control;
+pub mod core;
+pub mod counters;
+pub mod courier;
+pub mod dispatch;
+pub mod forward;
+pub mod gate;
+pub mod listener;
+pub mod log_jobs;
+pub mod operator;
+pub mod peer;
+pub mod peers;
+pub mod replica;
+pub mod request;
+pub mod run;
+pub mod settings;
+pub mod status;
+pub mod target_client;
+pub mod targets;
+
+pub use run::{RunningDaemon, StopOutcome};
+pub use settings::DaemonSettings;
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -53,6 +53,20 @@
     Once(Vec<u8>),
 }
 
+impl ControlMessage {
+    /// Bytes of the message itself.
+    pub fn len(&self) -> usize {
+        let (Self::Spread(bytes) | Self::Member(bytes) | Self::Limit(bytes) | Self::Once(bytes)) =
+            self;
+        bytes.len()
+    }
+
+    /// Whether the message has no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
 /// The receiver has taken a batch.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct ControlAck;
@@ -91,6 +105,8 @@
     pub mark: RetryMark,
     /// Whether the method is idempotent.
     pub idempotent: bool,
+    /// Whether the body is sent only after [`CallAnswer::Admitted`].
+    pub streamed: bool,
     /// Fingerprint of route and body, against requests that crash targets.
     pub print: u128,
     /// Proof for the daemon beside the target that a key's home dispatches in time.
@@ -100,6 +116,8 @@
 /// Answer to a call.
 #[derive(Debug, Deserialize, Serialize)]
 pub enum CallAnswer {
+    /// The call has its slot; a streamed body may follow, and another answer will.
+    Admitted,
     /// The target answered; the body follows.
     Response(ResponseHead),
     /// The call was refused or lost.
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,140 @@
+//! The listener for other daemons.
+
+use std::sync::Arc;
+
+use model::{ErrorKind, KindError};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use wire::{BodyReceiver, BodySender, PeerResponder, PeerStream, WireLimits, serve_peers};
+
+use crate::beside::TargetAnswer;
+use crate::body::CallBody;
+use crate::control::ControlEvent;
+use crate::core::DaemonCore;
+use crate::peer::{CallAnswer, CallHead, CallRefusal, ControlAck, PeerRequest};
+
+/// Largest answer head in bytes.
+const MAX_HEAD_BYTES: usize = 256 << 10;
+
+/// Results of answering a peer.
+type Result<T> = model::Result<T>;
+
+/// Serves other daemons until `token` is cancelled, then lets open exchanges end.
+pub async fn serve_daemons(
+    core: Arc<DaemonCore>,
+    listener: TcpListener,
+    events: mpsc::Sender<ControlEvent>,
+    token: CancellationToken,
+) {
+    let limits = WireLimits {
+        max_connections: core.settings.numbers.peer_connections as usize,
+        ..WireLimits::default()
+    };
+    let counting = Arc::clone(&core);
+    let handle = move |stream: PeerStream<PeerRequest>| {
+        let (core, events) = (Arc::clone(&core), events.clone());
+        async move {
+            if let Err(error) = answer_peer(&core, &events, stream).await {
+                core.counters.count_error(error.kind);
+            }
+        }
+    };
+    let refused = move |error: KindError| counting.counters.count_error(error.kind);
+    serve_peers(listener, limits, token, handle, refused).await;
+}
+
+async fn answer_peer(
+    core: &Arc<DaemonCore>,
+    events: &mpsc::Sender<ControlEvent>,
+    stream: PeerStream<PeerRequest>,
+) -> Result<()> {
+    let PeerStream {
+        head,
+        receiver,
+        responder,
+        ..
+    } = stream;
+    match head {
+        PeerRequest::Control(batch) => {
+            // A full queue drops the batch; the areas repair what is lost.
+            if events.try_send(ControlEvent::Peer(batch)).is_err() {
+                core.counters.count("control-events-dropped");
+            }
+            responder.answer_whole(&ControlAck).await
+        }
+        PeerRequest::Call(call) => answer_call(core, &call, receiver, responder).await,
+        PeerRequest::Keyed(_) => {
+            let refusal = KindError::new(ErrorKind::HomeUnavailable, "not a key home");
+            let answer = CallAnswer::Refused(CallRefusal::from(refusal));
+            responder.answer_whole(&answer).await
+        }
+    }
+}
+
+/// Runs a call for a peer; a peer that gives up drops it wherever it stands.
+async fn answer_call(
+    core: &Arc<DaemonCore>,
+    head: &CallHead,
+    receiver: BodyReceiver,
+    mut responder: PeerResponder,
+) -> Result<()> {
+    let admitted = tokio::select! {
+        admitted = core.beside.admit(head) => admitted,
+        () = responder.abandoned() => return Ok(()),
+    };
+    let admitted = match admitted {
+        Ok(admitted) => admitted,
+        Err(refusal) => return responder.answer_whole(&CallAnswer::Refused(refusal)).await,
+    };
+    let running = core
+        .beside
+        .run(admitted, head, CallBody::from_peer(receiver));
+    if head.streamed {
+        let mut sender = responder.answer(&CallAnswer::Admitted).await?;
+        let result = tokio::select! {
+            result = running => result,
+            () = sender.closed() => return Ok(()),
+        };
+        let (answer, body) = split(result);
+        sender.send_message(&answer, MAX_HEAD_BYTES).await?;
+        return send_body(core, sender, body).await;
+    }
+    let result = tokio::select! {
+        result = running => result,
+        () = responder.abandoned() => return Ok(()),
+    };
+    let (answer, body) = split(result);
+    let sender = responder.answer(&answer).await?;
+    send_body(core, sender, body).await
+}
+
+fn split(result: crate::beside::Result<TargetAnswer>) -> (CallAnswer, Option<CallBody>) {
+    match result {
+        Ok(TargetAnswer { head, body }) => (CallAnswer::Response(head), Some(body)),
+        Err(refusal) => (CallAnswer::Refused(refusal), None),
+    }
+}
+
+/// Sends a body at the speed of its reader, who may not stall for ever.
+async fn send_body(
+    core: &DaemonCore,
+    mut sender: BodySender,
+    body: Option<CallBody>,
+) -> Result<()> {
+    let Some(mut body) = body else {
+        return sender.finish();
+    };
+    while let Some(chunk) = body.next().await {
+        let sending = sender.send(chunk?);
+        timeout(core.settings.idle_timeout(), sending)
+            .await
+            .map_err(stalled)??;
+    }
+    sender.finish()
+}
+
+fn stalled(elapsed: tokio::time::error::Elapsed) -> KindError {
+    KindError::new(ErrorKind::IdleTimeout, elapsed.to_string())
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -195,8 +195,10 @@
     let known: Vec<&str> = TEXT_FIELDS.iter().copied().chain(number_names).collect();
     let fields = reader.fields(&root, "the settings", &known);
 
-    let mut required = |reader: &mut DocumentReader<'_>, name: &str| {
-        reader.required(&fields, name, "the settings", &root).cloned()
+    let required = |reader: &mut DocumentReader<'_>, name: &str| {
+        reader
+            .required(&fields, name, "the settings", &root)
+            .cloned()
     };
     let domain = required(reader, "domain").and_then(|value| reader.parse_string(&value, "domain"));
     let log_url = required(reader, "log_url").and_then(|value| read_url(reader, &value));
@@ -237,7 +239,10 @@
     })
 }
 
-fn read_url(reader: &mut DocumentReader<'_>, value: &jsonc_parser::ast::Value<'_>) -> Option<Box<str>> {
+fn read_url(
+    reader: &mut DocumentReader<'_>,
+    value: &jsonc_parser::ast::Value<'_>,
+) -> Option<Box<str>> {
     let url = reader.string(value, "log_url")?;
     if url.starts_with("http://") {
         return Some(url.into());
--- /dev/null
+++ b/crates/daemon/src/status.rs
@@ -0,0 +1,235 @@
+//! What a daemon tells operators about itself and the fleet.
+
+use std::collections::BTreeMap;
+
+use members::{MemberNode, MemberState, TargetState};
+use model::{ConfigVersion, DaemonId, DomainName, IncarnationNumber, ServiceName, TargetName};
+use serde::{Deserialize, Serialize};
+use spread::SpreadNode;
+
+use crate::core::DaemonCore;
+use crate::replica::PlansReplica;
+
+/// One daemon's view of itself and the fleet.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StatusReport {
+    /// The daemon that answers.
+    pub daemon: DaemonId,
+    /// Its name.
+    pub name: Box<str>,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its run.
+    pub incarnation: IncarnationNumber,
+    /// Version in force here.
+    pub version: ConfigVersion,
+    /// How current it is: absent, current, source down, cut off.
+    pub freshness: Box<str>,
+    /// Age of the last proof that it is the log's, in milliseconds.
+    pub proof_age_ms: Option<u64>,
+    /// The log service as this daemon finds it, if it reads the log.
+    pub log: Option<Box<str>>,
+    /// Address of the log service.
+    pub log_url: Box<str>,
+    /// Whether this daemon is draining.
+    pub draining: bool,
+    /// The fleet, as summed up on the way.
+    pub fleet: FleetReport,
+    /// Each member.
+    pub members: Vec<MemberReport>,
+    /// Counters since the start.
+    pub counters: BTreeMap<Box<str>, u64>,
+}
+
+/// The fleet's versions.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct FleetReport {
+    /// Daemons that should report.
+    pub members: u32,
+    /// Daemons at each version, the newest first.
+    pub versions: Vec<VersionReport>,
+    /// Daemons that lag, the worst first; at most a few are named.
+    pub laggards: Vec<LaggardReport>,
+    /// Age of this report in milliseconds.
+    pub age_ms: Option<u64>,
+}
+
+/// Daemons at one version.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct VersionReport {
+    /// The version.
+    pub version: ConfigVersion,
+    /// How many daemons have it in force.
+    pub daemons: u32,
+}
+
+/// A daemon that lags.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct LaggardReport {
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// Its name, if known.
+    pub name: Option<Box<str>>,
+    /// Why it lags.
+    pub reason: Box<str>,
+    /// Its version.
+    pub version: ConfigVersion,
+    /// For how long, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// One member.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct MemberReport {
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// Its name.
+    pub name: Box<str>,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// What is held of it.
+    pub state: Box<str>,
+    /// Where operators reach it is not known; callers reach it here.
+    pub caller_address: Box<str>,
+    /// Whether it is draining.
+    pub draining: bool,
+    /// The targets beside it.
+    pub targets: Vec<TargetReport>,
+}
+
+/// One target.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct TargetReport {
+    /// The target.
+    pub target: TargetName,
+    /// Its service.
+    pub service: ServiceName,
+    /// What it can do.
+    pub state: TargetState,
+}
+
+impl FleetReport {
+    /// Daemons that have `version` or a later one in force.
+    pub fn in_force(&self, version: ConfigVersion) -> u32 {
+        let reached = self
+            .versions
+            .iter()
+            .filter(|count| count.version >= version);
+        reached.map(|count| count.daemons).sum()
+    }
+
+    /// A line for each daemon that is named as lagging behind `version`.
+    pub fn lagging_lines(&self, version: ConfigVersion) -> Vec<Box<str>> {
+        let lagging = self.laggards.iter().filter(|lag| lag.version < version);
+        lagging.map(LaggardReport::line).collect()
+    }
+}
+
+impl LaggardReport {
+    fn line(&self) -> Box<str> {
+        let id = self.daemon.to_string();
+        let name = self.name.as_deref().unwrap_or(&id);
+        let seconds = self.age_ms as f64 / 1e3;
+        format!(
+            "{name} at version {}: {} for {seconds:.1} s",
+            self.version, self.reason
+        )
+        .into()
+    }
+}
+
+impl StatusReport {
+    /// The report of a daemon.
+    pub(crate) fn new(
+        core: &DaemonCore,
+        spread: &SpreadNode<PlansReplica>,
+        members: &MemberNode,
+    ) -> Self {
+        let freshness = spread.freshness();
+        let version = core.table.load().as_ref().map(|table| table.version());
+        let members: Vec<MemberReport> = members.members().iter().map(report_member).collect();
+        Self {
+            daemon: core.id,
+            name: core.settings.name.clone(),
+            domain: core.settings.domain.clone(),
+            incarnation: core.incarnation,
+            version: version.unwrap_or_default(),
+            freshness: freshness.case.to_string().into(),
+            proof_age_ms: freshness.proof_age.map(|age| age.as_millis() as u64),
+            log: spread
+                .is_reading()
+                .then(|| format!("{:?}", spread.log_state()).to_lowercase().into()),
+            log_url: core.settings.log_url.clone(),
+            draining: core.is_draining(),
+            fleet: report_fleet(spread, &members),
+            members,
+            counters: core
+                .counters
+                .read()
+                .into_iter()
+                .map(|(name, count)| (name.into(), count))
+                .collect(),
+        }
+    }
+}
+
+fn report_member(view: &members::MemberView) -> MemberReport {
+    let state = match view.state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Dead => "dead",
+        MemberState::Left => "left",
+    };
+    MemberReport {
+        daemon: view.id,
+        name: view.profile.name.as_str().into(),
+        domain: view.profile.domain.clone(),
+        state: state.into(),
+        caller_address: view.profile.caller_address.to_string().into(),
+        draining: view.draining,
+        targets: view
+            .targets
+            .iter()
+            .map(|digest| TargetReport {
+                target: digest.target.clone(),
+                service: digest.service.clone(),
+                state: digest.state,
+            })
+            .collect(),
+    }
+}
+
+fn report_fleet(spread: &SpreadNode<PlansReplica>, members: &[MemberReport]) -> FleetReport {
+    let Some((summary, age)) = spread.fleet_summary() else {
+        return FleetReport::default();
+    };
+    let name_of = |id: DaemonId| {
+        let found = members.iter().find(|member| member.daemon == id);
+        found.map(|member| member.name.clone())
+    };
+    FleetReport {
+        members: summary.members,
+        versions: summary
+            .sum
+            .versions
+            .iter()
+            .map(|count| VersionReport {
+                version: count.version,
+                daemons: count.daemons,
+            })
+            .collect(),
+        laggards: summary
+            .sum
+            .laggards
+            .iter()
+            .map(|lag| LaggardReport {
+                daemon: lag.daemon,
+                name: name_of(lag.daemon),
+                reason: lag.reason.to_string().into(),
+                version: lag.version,
+                age_ms: lag.age.0.into(),
+            })
+            .collect(),
+        age_ms: Some(age.as_millis() as u64),
+    }
+}
--- a/crates/daemon/src/target_client.rs
+++ b/crates/daemon/src/target_client.rs
@@ -84,9 +84,16 @@
     *request.headers_mut() = unpack_headers(&head.headers)?;
     let headers = request.headers_mut();
     // The target passes these on with its own calls, so that the deadline and depth travel.
-    headers.insert("quetzal-timeout-ms", number_value(head.remaining.as_millis()));
+    headers.insert(
+        "quetzal-timeout-ms",
+        number_value(head.remaining.as_millis()),
+    );
     headers.insert("quetzal-depth", number_value(head.depth.into()));
-    let mark = if head.mark == route::RetryMark::Repeated { "1" } else { "0" };
+    let mark = if head.mark == route::RetryMark::Repeated {
+        "1"
+    } else {
+        "0"
+    };
     headers.insert("quetzal-repeated", HeaderValue::from_static(mark));
     Ok(request)
 }
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -125,6 +125,16 @@
         }
     }
 
+    /// Takes over the failure domains of this proxy's region, for targets set from now on.
+    pub fn set_region(&mut self, domains: &[DomainName]) {
+        self.config.region = domains.into();
+    }
+
+    /// The services with targets.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
+    }
+
     /// Replaces the targets of `service`, keeping what calls have shown about those that stay.
     ///
     /// No targets forgets the service.
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -34,12 +34,11 @@
         }
     }
 
-    pub(crate) async fn send_head(
-        &mut self,
-        head: &impl Serialize,
-        max_bytes: usize,
-    ) -> Result<()> {
-        self.send(encode_frame(head, max_bytes)?).await
+    /// Sends a message behind its length.
+    ///
+    /// Kinds: `OutcomeUnknown`, `PeerUnavailable`, `FrameTooLarge`.
+    pub async fn send_message(&mut self, message: &impl Serialize, max_bytes: usize) -> Result<()> {
+        self.send(encode_frame(message, max_bytes)?).await
     }
 
     /// Sends `chunk`, waiting for the peer's window.
@@ -118,18 +117,20 @@
         }
     }
 
-    /// Reads the head; bytes behind it stay for [`BodyReceiver::next`].
-    pub(crate) async fn read_head<T: DeserializeOwned>(&mut self, max_bytes: usize) -> Result<T> {
+    /// Reads a message behind its length; bytes behind it stay for [`BodyReceiver::next`].
+    ///
+    /// Kinds: `FrameInvalid`, `FrameTooLarge`, `OutcomeUnknown`.
+    pub async fn read_message<T: DeserializeOwned>(&mut self, max_bytes: usize) -> Result<T> {
         loop {
-            if let Some(head) = take_frame(&mut self.early, max_bytes)? {
-                return Ok(head);
+            if let Some(message) = take_frame(&mut self.early, max_bytes)? {
+                return Ok(message);
             }
             match self.receive().await {
                 Some(chunk) => self.early.extend_from_slice(&chunk?),
                 None => {
                     return Err(KindError::new(
                         ErrorKind::FrameInvalid,
-                        "the stream ended within its head",
+                        "the stream ended within a message",
                     ));
                 }
             }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,7 +19,7 @@
 pub use body::{BodyReceiver, BodySender};
 pub use codec::{decode_message, encode_message};
 pub use pool::{PeerAnswer, PeerExchange, PeerPool};
-pub use server::{PeerStream, serve_peers};
+pub use server::{PeerResponder, PeerStream, serve_peers};
 
 use std::time::Duration;
 
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -90,7 +90,7 @@
     pub async fn head<T: DeserializeOwned>(self) -> Result<(T, BodyReceiver)> {
         let response = self.response.await.map_err(stream_error)?;
         let mut receiver = BodyReceiver::new(response.into_body(), Some(self.usage));
-        let head = receiver.read_head(self.max_head_bytes).await?;
+        let head = receiver.read_message(self.max_head_bytes).await?;
         Ok((head, receiver))
     }
 }
@@ -118,7 +118,9 @@
             )
             .map_err(unavailable)?;
         let mut sender = BodySender::new(stream, Some(Arc::clone(&usage)));
-        sender.send_head(head, self.limits.max_head_bytes).await?;
+        sender
+            .send_message(head, self.limits.max_head_bytes)
+            .await?;
         let answer = PeerAnswer {
             response,
             usage,
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -32,35 +32,41 @@
     pub head: H,
     /// Body bytes after the head.
     pub receiver: BodyReceiver,
-    responder: SendResponse<Bytes>,
+    /// The way to answer.
+    pub responder: PeerResponder,
+}
+
+/// Answers one exchange.
+#[derive(Debug)]
+pub struct PeerResponder {
+    response: SendResponse<Bytes>,
     max_head_bytes: usize,
 }
 
-impl<H> PeerStream<H> {
+impl PeerResponder {
     /// Answers with `head`; the body follows through the sender.
     ///
     /// Kinds: `OutcomeUnknown`, `FrameTooLarge`.
-    pub async fn answer(mut self, head: &impl Serialize) -> Result<(BodySender, BodyReceiver)> {
+    pub async fn answer(mut self, head: &impl Serialize) -> Result<BodySender> {
         let stream = self
-            .responder
+            .response
             .send_response(Response::new(()), false)
             .map_err(stream_error)?;
         let mut sender = BodySender::new(stream, None);
-        sender.send_head(head, self.max_head_bytes).await?;
-        Ok((sender, self.receiver))
+        sender.send_message(head, self.max_head_bytes).await?;
+        Ok(sender)
     }
 
     /// Answers with `head` and no body.
     ///
-    /// Kinds: as [`PeerStream::answer`].
+    /// Kinds: as [`PeerResponder::answer`].
     pub async fn answer_whole(self, head: &impl Serialize) -> Result<()> {
-        let (sender, _) = self.answer(head).await?;
-        sender.finish()
+        self.answer(head).await?.finish()
     }
 
     /// Waits until the peer has given up the exchange.
     pub async fn abandoned(&mut self) {
-        let reset = std::future::poll_fn(|context| self.responder.poll_reset(context)).await;
+        let reset = std::future::poll_fn(|context| self.response.poll_reset(context)).await;
         drop(reset);
     }
 }
@@ -140,12 +146,12 @@
             return Ok(());
         };
         // A connection that breaks off is no fault of its own; its streams report it.
-        let Ok((request, responder)) = request else {
+        let Ok((request, response)) = request else {
             return Ok(());
         };
         let (handle, refused) = (handle.clone(), refused.clone());
         streams.spawn(async move {
-            match open_stream(request, responder, peer, limits).await {
+            match open_stream(request, response, peer, limits).await {
                 Ok(stream) => handle(stream).await,
                 Err(error) => refused(error),
             }
@@ -168,12 +174,12 @@
 
 async fn open_stream<H: DeserializeOwned>(
     request: Request<RecvStream>,
-    mut responder: SendResponse<Bytes>,
+    mut response: SendResponse<Bytes>,
     peer: SocketAddr,
     limits: WireLimits,
 ) -> Result<PeerStream<H>> {
     let mut receiver = BodyReceiver::new(request.into_body(), None);
-    let reading = timeout(HEAD_TIMEOUT, receiver.read_head(limits.max_head_bytes));
+    let reading = timeout(HEAD_TIMEOUT, receiver.read_message(limits.max_head_bytes));
     let read = reading
         .await
         .unwrap_or_else(|elapsed| Err(KindError::new(ErrorKind::IdleTimeout, elapsed.to_string())));
@@ -182,11 +188,13 @@
             peer,
             head,
             receiver,
-            responder,
-            max_head_bytes: limits.max_head_bytes,
+            responder: PeerResponder {
+                response,
+                max_head_bytes: limits.max_head_bytes,
+            },
         }),
         Err(error) => {
-            responder.send_reset(Reason::PROTOCOL_ERROR);
+            response.send_reset(Reason::PROTOCOL_ERROR);
             Err(error)
         }
     }
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -55,8 +55,8 @@
 }
 
 async fn echo(stream: PeerStream<String>, broken: Arc<AtomicU32>) {
-    let head = stream.head.clone();
-    let Ok((mut sender, mut receiver)) = stream.answer(&head).await else {
+    let mut receiver = stream.receiver;
+    let Ok(mut sender) = stream.responder.answer(&stream.head).await else {
         return;
     };
     while let Some(chunk) = receiver.next().await {
