--- /dev/null
+++ b/crates/members/tests/fleet/mod.rs
@@ -0,0 +1,439 @@
+//! Members in one process, joined by queues with delay and loss.
+//!
+//! Shared by the tests and the bench. Links are a closure; the log is a list
+//! with a rate meter. Everything follows from the seed.
+
+#![allow(dead_code, reason = "each user needs a part of it")]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use feed::port::{LogRecord, ReadAnswer, RecordBatch};
+use model::{ClockPort, DaemonId, FakeClock, IncarnationNumber, LogOffset, RecordCount};
+use quetzal_members::{
+    MemberChange, MemberMessage, MemberNode, MemberOutput, MemberProfile, MemberSettings,
+    MemberState, TICK_INTERVAL, TargetDigest, TargetState, encode_message,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Bytes of framing, TCP and IP for one message, its share of acks included.
+pub const MESSAGE_OVERHEAD: u64 = 100;
+/// Time for one answer of the log.
+const LOG_DELAY: Duration = Duration::from_millis(20);
+
+/// One-way delay of a message, or none if it is lost.
+pub type LinkRule = Box<dyn FnMut(&LinkEnds, &mut SmallRng) -> Option<Duration>>;
+
+/// The ends of a link, as indexes into the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkEnds {
+    pub from: usize,
+    pub to: usize,
+    pub from_domain: usize,
+    pub to_domain: usize,
+    pub same_region: bool,
+}
+
+enum Event {
+    Tick {
+        run: u64,
+    },
+    Deliver {
+        from: DaemonId,
+        message: Box<MemberMessage>,
+    },
+    Answer {
+        run: u64,
+        answer: Option<ReadAnswer>,
+    },
+}
+
+/// Events of one kind in one second.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SecondCount {
+    pub messages: u64,
+    pub bytes: u64,
+    pub reads: u64,
+    pub appends: u64,
+}
+
+/// One daemon of the fleet.
+pub struct Slot {
+    pub node: Option<MemberNode>,
+    pub id: DaemonId,
+    pub domain: usize,
+    pub bytes: u64,
+    pub messages: u64,
+    run: u64,
+}
+
+/// A fleet in memory.
+pub struct Fleet {
+    pub clock: FakeClock,
+    pub slots: Vec<Slot>,
+    pub link: LinkRule,
+    pub log_up: bool,
+    pub log: Vec<LogRecord>,
+    pub seconds: Vec<SecondCount>,
+    pub changes: Vec<(Duration, usize, MemberChange)>,
+    pub record_interval: Duration,
+    pub regions: usize,
+    by_id: BTreeMap<DaemonId, usize>,
+    queue: BinaryHeap<Reverse<(Duration, u64, usize)>>,
+    events: BTreeMap<u64, Event>,
+    pushed: u64,
+    rng: SmallRng,
+}
+
+/// 1.5 ms within a region, 40 ms between regions, and `loss` of all messages.
+pub fn plain_link(loss: f64) -> LinkRule {
+    Box::new(move |ends, rng| {
+        if rng.random_bool(loss) {
+            return None;
+        }
+        Some(base_delay(ends))
+    })
+}
+
+/// Delay of a sound link.
+pub fn base_delay(ends: &LinkEnds) -> Duration {
+    if ends.same_region {
+        Duration::from_micros(1500)
+    } else {
+        Duration::from_millis(40)
+    }
+}
+
+impl Fleet {
+    /// A fleet of `count` daemons over `domains` failure domains and `regions` regions, all stopped.
+    pub fn new(count: usize, domains: usize, regions: usize, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let slots: Vec<Slot> = (0..count)
+            .map(|index| Slot {
+                node: None,
+                id: DaemonId(rng.random_range(1..u64::MAX)),
+                domain: index % domains,
+                bytes: 0,
+                messages: 0,
+                run: 0,
+            })
+            .collect();
+        Self {
+            clock: FakeClock::new(),
+            by_id: slots
+                .iter()
+                .enumerate()
+                .map(|(index, slot)| (slot.id, index))
+                .collect(),
+            slots,
+            link: plain_link(0.0),
+            log_up: true,
+            log: Vec::new(),
+            seconds: Vec::new(),
+            changes: Vec::new(),
+            record_interval: Duration::from_secs(600),
+            regions,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            pushed: 0,
+            rng,
+        }
+    }
+
+    /// A fleet that has run for `warm` and whose counts begin now.
+    pub fn warm(count: usize, domains: usize, regions: usize, seed: u64, warm: Duration) -> Self {
+        let mut fleet = Self::new(count, domains, regions, seed);
+        fleet.start_all();
+        fleet.run_for(warm);
+        fleet.reset_counts();
+        fleet
+    }
+
+    pub fn start_all(&mut self) {
+        for index in 0..self.slots.len() {
+            self.start(index);
+        }
+    }
+
+    /// Starts a daemon, or starts it again with a higher incarnation.
+    pub fn start(&mut self, index: usize) {
+        self.start_with_seeds(index, Vec::new());
+    }
+
+    pub fn start_with_seeds(&mut self, index: usize, seeds: Vec<SocketAddr>) {
+        self.slots[index].run += 1;
+        let run = self.slots[index].run;
+        let settings = MemberSettings {
+            id: self.slots[index].id,
+            incarnation: IncarnationNumber(1_767_225_600_000 + run),
+            profile: self.profile(index),
+            record_interval: self.record_interval,
+            seeds,
+        };
+        let rng = SmallRng::seed_from_u64(self.rng.random());
+        let mut node = MemberNode::new(settings, self.clock.shared(), rng);
+        node.set_targets(vec![target_of(index, TargetState::Ready)]);
+        self.slots[index].node = Some(node);
+        let phase = TICK_INTERVAL.mul_f64(self.rng.random());
+        self.push(phase, index, Event::Tick { run });
+    }
+
+    /// Ends a daemon without a word.
+    pub fn crash(&mut self, index: usize) {
+        self.slots[index].node = None;
+        self.slots[index].run += 1;
+    }
+
+    pub fn address(index: usize) -> SocketAddr {
+        format!("10.0.{}.{}:7000", index / 250, index % 250 + 1)
+            .parse()
+            .unwrap()
+    }
+
+    pub fn node(&mut self, index: usize) -> &mut MemberNode {
+        self.slots[index].node.as_mut().unwrap()
+    }
+
+    pub fn region_of(&self, domain: usize) -> usize {
+        domain % self.regions
+    }
+
+    /// Carries out what a call on one node returned.
+    pub fn carry_out(&mut self, index: usize, outputs: Vec<MemberOutput>) {
+        for output in outputs {
+            self.carry_out_one(index, output);
+        }
+    }
+
+    /// Runs for `span`.
+    pub fn run_for(&mut self, span: Duration) {
+        let end = self.clock.elapsed() + span;
+        while let Some(Reverse((at, number, index))) = self.queue.pop() {
+            if at > end {
+                self.queue.push(Reverse((at, number, index)));
+                break;
+            }
+            self.clock.advance(at.saturating_sub(self.clock.elapsed()));
+            let event = self.events.remove(&number).unwrap();
+            self.handle(index, event);
+        }
+        self.clock.advance(end.saturating_sub(self.clock.elapsed()));
+    }
+
+    /// Runs until `done` holds, looking every 100 ms; the time taken, or none after `limit`.
+    pub fn run_until(
+        &mut self,
+        limit: Duration,
+        done: impl Fn(&mut Self) -> bool,
+    ) -> Option<Duration> {
+        const STEP: Duration = Duration::from_millis(100);
+        let begin = self.clock.elapsed();
+        while self.clock.elapsed() - begin < limit {
+            if done(self) {
+                return Some(self.clock.elapsed() - begin);
+            }
+            self.run_for(STEP);
+        }
+        None
+    }
+
+    /// Share of running daemons that hold `index` for `state`.
+    pub fn share_holding(&self, index: usize, holds: impl Fn(MemberState) -> bool) -> f64 {
+        let id = self.slots[index].id;
+        let nodes: Vec<&MemberNode> = self.running().filter(|node| node.own_record().id != id).collect();
+        let holding = nodes
+            .iter()
+            .filter(|node| node.state_of(id).is_some_and(&holds))
+            .count();
+        holding as f64 / nodes.len().max(1) as f64
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = &MemberNode> {
+        self.slots.iter().filter_map(|slot| slot.node.as_ref())
+    }
+
+    /// Whether all running daemons hold the same live members.
+    pub fn is_converged(&self) -> bool {
+        let mut hashes = self.running().map(MemberNode::view_hash);
+        let first = hashes.next();
+        hashes.all(|hash| Some(hash) == first)
+    }
+
+    /// Whether every running daemon knows every other as alive, and no others.
+    pub fn is_complete(&self) -> bool {
+        let count = self.running().count();
+        self.is_converged() && self.running().all(|node| node.live_count() == count)
+    }
+
+    pub fn reset_counts(&mut self) {
+        for slot in &mut self.slots {
+            slot.bytes = 0;
+            slot.messages = 0;
+        }
+        self.changes.clear();
+        self.seconds.clear();
+    }
+
+    /// Deaths of running daemons that any daemon noted.
+    pub fn false_deaths(&self) -> usize {
+        self.changes
+            .iter()
+            .filter(|(_, _, change)| change.state == MemberState::Dead)
+            .filter(|(_, _, change)| self.slots[self.by_id[&change.id]].node.is_some())
+            .count()
+    }
+
+    /// Notes of a member as suspect.
+    pub fn suspicions(&self) -> usize {
+        self.changes
+            .iter()
+            .filter(|(_, _, change)| change.state == MemberState::Suspect)
+            .count()
+    }
+
+    fn profile(&self, index: usize) -> MemberProfile {
+        let domain = self.slots[index].domain;
+        MemberProfile {
+            name: format!("vm-{index:03}").parse().unwrap(),
+            peer_address: Self::address(index),
+            caller_address: Self::address(index),
+            domain: format!("domain-{domain}").parse().unwrap(),
+            region: format!("region-{}", self.region_of(domain)).parse().unwrap(),
+        }
+    }
+
+    fn handle(&mut self, index: usize, event: Event) {
+        let run = self.slots[index].run;
+        let Some(node) = self.slots[index].node.as_mut() else {
+            return;
+        };
+        let outputs = match event {
+            Event::Tick { run: started } if started == run => {
+                let outputs = node.on_tick();
+                self.push(TICK_INTERVAL, index, Event::Tick { run });
+                outputs
+            }
+            Event::Deliver { from, message } => node.on_message(from, *message),
+            Event::Answer {
+                run: asked,
+                answer: Some(answer),
+            } if asked == run => node.on_read_answer(&answer),
+            Event::Answer {
+                run: asked,
+                answer: None,
+            } if asked == run => {
+                node.on_read_failed();
+                return;
+            }
+            Event::Tick { .. } | Event::Answer { .. } => return,
+        };
+        self.carry_out(index, outputs);
+    }
+
+    fn carry_out_one(&mut self, index: usize, output: MemberOutput) {
+        match output {
+            MemberOutput::Send { to, message, .. } => {
+                let target = self.by_id[&to];
+                self.send(index, target, message);
+            }
+            MemberOutput::Contact { address, message } => {
+                let target = (0..self.slots.len()).find(|to| Self::address(*to) == address);
+                self.send(index, target.unwrap(), message);
+            }
+            MemberOutput::Append { body, .. } => self.append(index, body),
+            MemberOutput::ReadMembers { from, limit } => self.read(index, from, limit),
+            MemberOutput::Changed(change) => {
+                self.changes.push((self.clock.elapsed(), index, change));
+            }
+            MemberOutput::Superseded => self.slots[index].node = None,
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: MemberMessage) {
+        let bytes = encode_message(&message).len() as u64 + MESSAGE_OVERHEAD;
+        self.slots[from].bytes += bytes;
+        self.slots[from].messages += 1;
+        let second = self.second();
+        second.messages += 1;
+        second.bytes += bytes;
+        let (from_domain, to_domain) = (self.slots[from].domain, self.slots[to].domain);
+        let ends = LinkEnds {
+            from,
+            to,
+            from_domain,
+            to_domain,
+            same_region: self.region_of(from_domain) == self.region_of(to_domain),
+        };
+        let from = self.slots[from].id;
+        if let Some(delay) = (self.link)(&ends, &mut self.rng) {
+            let message = Box::new(message);
+            self.push(delay, to, Event::Deliver { from, message });
+        }
+    }
+
+    fn append(&mut self, index: usize, body: Box<[u8]>) {
+        self.second().appends += 1;
+        if !self.log_up {
+            if let Some(node) = self.slots[index].node.as_mut() {
+                node.on_append_failed();
+            }
+            return;
+        }
+        let record = LogRecord {
+            offset: LogOffset(self.log.len() as u64),
+            at: self.clock.wall(),
+            body,
+        };
+        self.log.push(record);
+    }
+
+    fn read(&mut self, index: usize, from: LogOffset, limit: RecordCount) {
+        self.second().reads += 1;
+        let run = self.slots[index].run;
+        let answer = self.log_up.then(|| self.batch(from, limit));
+        self.push(LOG_DELAY, index, Event::Answer { run, answer });
+    }
+
+    fn batch(&self, from: LogOffset, limit: RecordCount) -> ReadAnswer {
+        let end = self.log.len();
+        let start = (from.0 as usize).min(end);
+        let stop = (start + limit.0 as usize).min(end);
+        ReadAnswer::Batch(RecordBatch {
+            first: LogOffset(0),
+            next: LogOffset(stop as u64),
+            records: self.log[start..stop].to_vec(),
+        })
+    }
+
+    fn second(&mut self) -> &mut SecondCount {
+        let index = self.clock.elapsed().as_secs() as usize;
+        if self.seconds.len() <= index {
+            self.seconds.resize(index + 1, SecondCount::default());
+        }
+        &mut self.seconds[index]
+    }
+
+    fn push(&mut self, delay: Duration, index: usize, event: Event) {
+        self.pushed += 1;
+        let at = self.clock.elapsed() + delay;
+        self.queue.push(Reverse((at, self.pushed, index)));
+        self.events.insert(self.pushed, event);
+    }
+}
+
+/// The one target beside daemon `index`; 35 services in all.
+pub fn target_of(index: usize, state: TargetState) -> TargetDigest {
+    TargetDigest {
+        service: format!("service-{:02}", index % 35).parse().unwrap(),
+        target: format!("target-{index:03}").parse().unwrap(),
+        incarnation: IncarnationNumber(1),
+        address: format!("127.0.0.1:{}", 8000 + index).parse().unwrap(),
+        slots: model::CallCount(10),
+        state,
+        load: quetzal_members::LoadLevel(2),
+        ready_since: None,
+    }
+}
