--- a/crates/members/src/join.rs
+++ b/crates/members/src/join.rs
@@ -31,6 +31,8 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(60);
 /// Most doublings of the wait of a daemon that finds no members.
 const MAX_DOUBLINGS: u32 = 4;
+/// Turns to read that a daemon lets pass after a first contact.
+const MAX_WAIVED: u32 = 2;
 /// Silence after which a read counts as failed.
 const READ_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -62,6 +64,7 @@
     read_at: Instant,
     stage: ReadStage,
     starting: bool,
+    waived: u32,
     turns: u32,
     failures: u32,
     candidates: BTreeMap<DaemonId, JoinRecord>,
@@ -78,6 +81,7 @@
             read_at: append_at + READ_DELAY + spread(READ_SPREAD, rng),
             stage: ReadStage::Idle,
             starting: true,
+            waived: 0,
             turns: 0,
             failures: 0,
             candidates: BTreeMap::new(),
@@ -114,6 +118,12 @@
             self.finish_read(now, rng);
             return None;
         }
+        if self.starting && members > 0 && self.waived < MAX_WAIVED {
+            // Somebody made contact just now: more will follow without a read.
+            self.waived += 1;
+            self.read_at = now + READ_SPREAD.mul_f64(rng.random_range(0.5..1.0));
+            return None;
+        }
         self.stage = ReadStage::Head;
         self.read_at = now + READ_TIMEOUT;
         Some(PlannedRead {
--- a/crates/members/src/message.rs
+++ b/crates/members/src/message.rs
@@ -75,6 +75,8 @@
     SyncOffer {
         /// The hashes, [`BUCKET_COUNT`] of them.
         buckets: Vec<u32>,
+        /// How many live members the sender knows.
+        members: u32,
     },
     /// The sender's live members in the buckets that differ from an offer.
     SyncSummary {
@@ -170,7 +172,7 @@
 fn check_message(message: &MemberMessage, whole: bool) -> Result<()> {
     let invalid = |held: bool, detail: &str| ensure(held, ErrorKind::FrameInvalid, detail);
     invalid(whole, "bytes follow the message")?;
-    if let MessageBody::SyncOffer { buckets } = &message.body {
+    if let MessageBody::SyncOffer { buckets, .. } = &message.body {
         invalid(buckets.len() == BUCKET_COUNT, "wrong count of buckets")?;
     }
     let bounded = message.updates.iter().all(|update| match update {
--- a/crates/members/src/node.rs
+++ b/crates/members/src/node.rs
@@ -43,7 +43,7 @@
 /// Time between attempts to contact daemons named by the log or the settings.
 const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
 /// Daemons contacted in one attempt.
-const CONTACT_COUNT: usize = 3;
+const CONTACT_COUNT: usize = 6;
 /// Members told at once when this daemon leaves.
 const LEAVE_FANOUT: usize = 8;
 /// Ticks between looks for tombstones that have expired.
--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -65,8 +65,8 @@
                 address: subject_address,
             } => self.on_ping_request(from, probe, subject, subject_address, outputs),
             MessageBody::Gossip => {}
-            MessageBody::SyncOffer { buckets } => {
-                self.on_sync_offer(from, address, &buckets, outputs);
+            MessageBody::SyncOffer { buckets, members } => {
+                self.on_sync_offer(from, address, &buckets, members, outputs);
             }
             MessageBody::SyncSummary { differing, entries } => {
                 self.on_sync_summary(from, address, differing, &entries, outputs);
--- a/crates/members/src/suspicion.rs
+++ b/crates/members/src/suspicion.rs
@@ -44,16 +44,14 @@
     health: LocalHealth,
     now: Instant,
 ) -> Vec<DaemonId> {
-    let suspects: Vec<&MemberEntry> = table
-        .live()
-        .filter(|entry| entry.state == MemberState::Suspect)
-        .collect();
-    if suspects.is_empty() || health.is_distrusted() {
+    if table.suspect_count() == 0 || health.is_distrusted() {
         return Vec::new();
     }
+    let suspects = table
+        .live()
+        .filter(|entry| entry.state == MemberState::Suspect);
     let counts = count_domains(own, table, now);
     suspects
-        .into_iter()
         .filter(|entry| is_expired(entry, own, table, &counts, health, now))
         .map(|entry| entry.record.id)
         .collect()
--- a/crates/members/src/sync.rs
+++ b/crates/members/src/sync.rs
@@ -30,9 +30,13 @@
 /// Bytes a second of records that one daemon serves.
 const SERVE_RATE: u32 = 4_000;
 /// Bytes of records served at once after a quiet time.
-const SERVE_BURST: u32 = 120_000;
+const SERVE_BURST: u32 = 32_000;
+/// Bytes that may be served below which an offer is left to others.
+const MIN_SERVED: usize = 2_000;
+/// Bytes of one member in a summary.
+const SUMMARY_BYTES: usize = 20;
 /// Most members listed in one summary.
-const MAX_SUMMARY: usize = BULK_BYTES / 24;
+const MAX_SUMMARY: usize = BULK_BYTES / SUMMARY_BYTES;
 
 /// When exchanges may begin and how much may be served.
 #[derive(Debug)]
@@ -66,12 +70,9 @@
         self.sync.next_at = now + SYNC_INTERVAL.mul_f64(self.rng.random_range(0.8..1.2));
         self.counts.syncs += 1;
         let buckets = view_buckets(&self.own, &self.table).to_vec();
-        self.send_to(
-            from,
-            MessageBody::SyncOffer { buckets },
-            Vec::new(),
-            outputs,
-        );
+        let members = self.live_count() as u32;
+        let body = MessageBody::SyncOffer { buckets, members };
+        self.send_to(from, body, Vec::new(), outputs);
     }
 
     pub(crate) fn on_sync_offer(
@@ -79,24 +80,51 @@
         from: DaemonId,
         address: SocketAddr,
         theirs: &[u32],
+        members: u32,
         outputs: &mut Vec<MemberOutput>,
     ) {
+        let now = self.clock.now();
+        if self.sync.served.available(now) < MIN_SERVED {
+            return;
+        }
         let ours = view_buckets(&self.own, &self.table);
-        let mut by_bucket = live_by_bucket(&self.own, &self.table);
-        let mut differing = 0;
+        let differing = (0..BUCKET_COUNT)
+            .filter(|bucket| theirs.get(*bucket) != Some(&ours[*bucket]))
+            .fold(0, |bits, bucket| bits | 1 << bucket);
+        if 2 * members as usize <= self.live_count() {
+            // The peer has just started: it lacks nearly all of these.
+            let updates = self.newer_records(differing, &BTreeMap::new());
+            self.serve(from, address, Vec::new(), updates, outputs);
+            return;
+        }
+        self.send_summary(from, address, differing, outputs);
+    }
+
+    fn send_summary(
+        &mut self,
+        to: DaemonId,
+        address: SocketAddr,
+        mut differing: u64,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
         let mut entries = Vec::new();
-        for bucket in 0..BUCKET_COUNT {
-            let members = &mut by_bucket[bucket];
-            let fits = entries.len() + members.len() <= MAX_SUMMARY;
-            if theirs.get(bucket) != Some(&ours[bucket]) && fits {
-                differing |= 1 << bucket;
-                entries.append(members);
+        let by_bucket = live_by_bucket(&self.own, &self.table);
+        for (bucket, mut members) in by_bucket.into_iter().enumerate() {
+            if differing >> bucket & 1 == 0 {
+                continue;
+            }
+            if entries.len() + members.len() > MAX_SUMMARY {
+                differing &= !(1 << bucket);
+                continue;
             }
+            entries.append(&mut members);
         }
-        if differing != 0 {
-            let body = MessageBody::SyncSummary { differing, entries };
-            self.send_at(from, address, body, Vec::new(), outputs);
+        if differing == 0 {
+            return;
         }
+        self.sync.served.spend(entries.len() * SUMMARY_BYTES);
+        let body = MessageBody::SyncSummary { differing, entries };
+        self.send_at(to, address, body, Vec::new(), outputs);
     }
 
     pub(crate) fn on_sync_summary(
--- a/crates/members/src/table.rs
+++ b/crates/members/src/table.rs
@@ -103,6 +103,7 @@
     entries: BTreeMap<DaemonId, MemberEntry>,
     buckets: [u32; BUCKET_COUNT],
     live_count: usize,
+    suspect_count: usize,
     edition: u64,
 }
 
@@ -112,6 +113,7 @@
             entries: BTreeMap::new(),
             buckets: [0; BUCKET_COUNT],
             live_count: 0,
+            suspect_count: 0,
             edition: 0,
         }
     }
@@ -138,6 +140,11 @@
         self.live_count
     }
 
+    /// How many members are suspect.
+    pub fn suspect_count(&self) -> usize {
+        self.suspect_count
+    }
+
     /// Changes whenever the set of live members does.
     pub fn edition(&self) -> u64 {
         self.edition
@@ -274,28 +281,28 @@
     }
 
     fn set_entry(&mut self, entry: MemberEntry) {
-        let id = entry.record.id;
+        self.count_entry(&entry, 1);
         let live = entry.state.is_live();
-        self.toggle_hash(&entry, live);
-        let before = self.entries.insert(id, entry);
+        let before = self.entries.insert(entry.record.id, entry);
         let was_live = before.as_ref().is_some_and(|old| old.state.is_live());
         if let Some(old) = before {
-            self.toggle_hash(&old, was_live);
+            self.count_entry(&old, -1);
         }
         if live != was_live {
             self.edition += 1;
-            self.live_count = if live {
-                self.live_count + 1
-            } else {
-                self.live_count - 1
-            };
         }
     }
 
-    fn toggle_hash(&mut self, entry: &MemberEntry, live: bool) {
-        if live {
-            let id = entry.record.id;
-            self.buckets[bucket_of(id)] ^= entry_hash(id, entry.stamp());
+    /// Adds an entry to the counts and hashes, or takes it out.
+    fn count_entry(&mut self, entry: &MemberEntry, step: isize) {
+        if !entry.state.is_live() {
+            return;
+        }
+        let id = entry.record.id;
+        self.buckets[bucket_of(id)] ^= entry_hash(id, entry.stamp());
+        self.live_count = self.live_count.saturating_add_signed(step);
+        if entry.state == MemberState::Suspect {
+            self.suspect_count = self.suspect_count.saturating_add_signed(step);
         }
     }
 
--- a/crates/members/tests/fleet/mod.rs
+++ b/crates/members/tests/fleet/mod.rs
@@ -14,7 +14,7 @@
 use model::{ClockPort, DaemonId, FakeClock, IncarnationNumber, LogOffset, RecordCount};
 use quetzal_members::{
     MemberChange, MemberMessage, MemberNode, MemberOutput, MemberProfile, MemberSettings,
-    MemberState, TICK_INTERVAL, TargetDigest, TargetState, encode_message,
+    MemberState, MessageBody, TICK_INTERVAL, TargetDigest, TargetState, encode_message,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -81,6 +81,7 @@
     pub changes: Vec<(Duration, usize, MemberChange)>,
     pub record_interval: Duration,
     pub regions: usize,
+    pub kinds: BTreeMap<&'static str, (u64, u64)>,
     by_id: BTreeMap<DaemonId, usize>,
     queue: BinaryHeap<Reverse<(Duration, u64, usize)>>,
     events: BTreeMap<u64, Event>,
@@ -136,6 +137,7 @@
             changes: Vec::new(),
             record_interval: Duration::from_secs(600),
             regions,
+            kinds: BTreeMap::new(),
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             pushed: 0,
@@ -243,7 +245,10 @@
     /// Share of running daemons that hold `index` for `state`.
     pub fn share_holding(&self, index: usize, holds: impl Fn(MemberState) -> bool) -> f64 {
         let id = self.slots[index].id;
-        let nodes: Vec<&MemberNode> = self.running().filter(|node| node.own_record().id != id).collect();
+        let nodes: Vec<&MemberNode> = self
+            .running()
+            .filter(|node| node.own_record().id != id)
+            .collect();
         let holding = nodes
             .iter()
             .filter(|node| node.state_of(id).is_some_and(&holds))
@@ -274,6 +279,7 @@
             slot.messages = 0;
         }
         self.changes.clear();
+        self.kinds.clear();
         self.seconds.clear();
     }
 
@@ -301,7 +307,9 @@
             peer_address: Self::address(index),
             caller_address: Self::address(index),
             domain: format!("domain-{domain}").parse().unwrap(),
-            region: format!("region-{}", self.region_of(domain)).parse().unwrap(),
+            region: format!("region-{}", self.region_of(domain))
+                .parse()
+                .unwrap(),
         }
     }
 
@@ -356,6 +364,8 @@
         let bytes = encode_message(&message).len() as u64 + MESSAGE_OVERHEAD;
         self.slots[from].bytes += bytes;
         self.slots[from].messages += 1;
+        let kind = self.kinds.entry(kind_of(&message)).or_default();
+        *kind = (kind.0 + 1, kind.1 + bytes);
         let second = self.second();
         second.messages += 1;
         second.bytes += bytes;
@@ -424,6 +434,18 @@
     }
 }
 
+fn kind_of(message: &MemberMessage) -> &'static str {
+    match message.body {
+        MessageBody::Ping { .. } => "ping",
+        MessageBody::Ack { .. } => "ack",
+        MessageBody::PingRequest { .. } => "ping request",
+        MessageBody::Gossip => "gossip",
+        MessageBody::SyncOffer { .. } => "sync offer",
+        MessageBody::SyncSummary { .. } => "sync summary",
+        MessageBody::SyncRecords { .. } => "sync records",
+    }
+}
+
 /// The one target beside daemon `index`; 35 services in all.
 pub fn target_of(index: usize, state: TargetState) -> TargetDigest {
     TargetDigest {
