--- a/crates/members/src/message.rs
+++ b/crates/members/src/message.rs
@@ -75,23 +75,28 @@
     SyncOffer {
         /// The hashes, [`BUCKET_COUNT`] of them.
         buckets: Vec<u32>,
-        /// How many live members the sender knows.
-        members: u32,
     },
     /// The sender's live members in the buckets that differ from an offer.
     SyncSummary {
-        /// One bit for each bucket that differs.
-        differing: u64,
-        /// The members and their editions.
-        entries: Vec<(DaemonId, MemberStamp)>,
+        /// The members.
+        summary: ViewSummary,
     },
-    /// Records that the receiver lacked are in the updates; asks for others.
+    /// What the receiver lacked is in the updates.
     SyncRecords {
-        /// Members whose records the sender lacks.
-        wants: Vec<DaemonId>,
+        /// The sender's live members, if it asks for what it lacks.
+        summary: Option<ViewSummary>,
     },
 }
 
+/// The live members of some buckets, each as a hash of its id and edition.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ViewSummary {
+    /// One bit for each bucket listed.
+    pub differing: u64,
+    /// The hashes, ascending.
+    pub hashes: Vec<u32>,
+}
+
 /// One piece of knowledge about a member.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum MemberUpdate {
@@ -172,7 +177,7 @@
 fn check_message(message: &MemberMessage, whole: bool) -> Result<()> {
     let invalid = |held: bool, detail: &str| ensure(held, ErrorKind::FrameInvalid, detail);
     invalid(whole, "bytes follow the message")?;
-    if let MessageBody::SyncOffer { buckets, .. } = &message.body {
+    if let MessageBody::SyncOffer { buckets } = &message.body {
         invalid(buckets.len() == BUCKET_COUNT, "wrong count of buckets")?;
     }
     let bounded = message.updates.iter().all(|update| match update {
--- a/crates/members/src/queue.rs
+++ b/crates/members/src/queue.rs
@@ -15,8 +15,8 @@
 
 /// Queue length beyond which updates are passed on fewer times.
 const CROWDED_LEN: usize = 48;
-/// Least number of times that an update is passed on.
-const MIN_TRANSMITS: u32 = 2;
+/// Least number of times that an accusation is passed on.
+const MIN_TRANSMITS: u32 = 4;
 
 #[derive(Clone, Debug)]
 struct QueuedUpdate {
@@ -37,19 +37,32 @@
 impl UpdateQueue {
     /// Queues `update` in place of an older one about the same member.
     pub fn push(&mut self, update: MemberUpdate, fleet: usize) {
+        let limit = self.limit_for(&update, fleet);
+        if limit == 0 {
+            self.updates.remove(&update.id());
+            return;
+        }
         self.pushed += 1;
-        let crowd = (self.updates.len() / CROWDED_LEN) as u32;
-        let transmits = transmits_for(fleet) / (1 + crowd);
         let queued = QueuedUpdate {
             bytes: encoded_len(&update),
             sent: 0,
-            limit: transmits.max(MIN_TRANSMITS),
+            limit,
             order: self.pushed,
             update,
         };
         self.updates.insert(queued.update.id(), queued);
     }
 
+    /// How often to pass `update` on; never, for records in a crowd, as summaries deliver them.
+    fn limit_for(&self, update: &MemberUpdate, fleet: usize) -> u32 {
+        let crowd = (self.updates.len() / CROWDED_LEN) as u32;
+        let transmits = transmits_for(fleet) / (1 + crowd);
+        match update {
+            MemberUpdate::Alive(_) => transmits,
+            _ => transmits.max(MIN_TRANSMITS),
+        }
+    }
+
     /// Notes that another member already passed `update` on.
     pub fn heard_again(&mut self, update: &MemberUpdate) {
         let id = update.id();
--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -65,14 +65,14 @@
                 address: subject_address,
             } => self.on_ping_request(from, probe, subject, subject_address, outputs),
             MessageBody::Gossip => {}
-            MessageBody::SyncOffer { buckets, members } => {
-                self.on_sync_offer(from, address, &buckets, members, outputs);
+            MessageBody::SyncOffer { buckets } => {
+                self.on_sync_offer(from, address, &buckets, outputs);
             }
-            MessageBody::SyncSummary { differing, entries } => {
-                self.on_sync_summary(from, address, differing, &entries, outputs);
+            MessageBody::SyncSummary { summary } => {
+                self.on_sync_summary(from, address, &summary, outputs);
             }
-            MessageBody::SyncRecords { wants } => {
-                self.on_sync_records(from, address, &message.updates, &wants, outputs);
+            MessageBody::SyncRecords { summary } => {
+                self.on_sync_records(from, address, &message.updates, summary.as_ref(), outputs);
             }
         }
     }
--- a/crates/members/src/sync.rs
+++ b/crates/members/src/sync.rs
@@ -6,20 +6,22 @@
 //! buckets that differ are compared member by member. A daemon serves
 //! records at a bounded rate and leaves the rest to others.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use model::DaemonId;
 use rand::Rng;
+use rand::seq::SliceRandom;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::digest::{MemberRecord, MemberStamp};
-use crate::message::{BUCKET_COUNT, BULK_BYTES, MemberUpdate, MessageBody, encoded_len};
+use crate::message::{
+    BUCKET_COUNT, BULK_BYTES, MemberUpdate, MessageBody, ViewSummary, encoded_len,
+};
 use crate::node::{MemberNode, MemberOutput, accusation_of};
 use crate::queue::ByteBucket;
-use crate::table::{MemberState, MemberTable, bucket_of, entry_hash};
+use crate::table::{MemberEntry, MemberState, MemberTable, bucket_of, entry_hash};
 
 /// Records in one exchange that are few enough to pass on as news.
 pub const FEW_RECORDS: usize = 8;
@@ -33,10 +35,8 @@
 const SERVE_BURST: u32 = 32_000;
 /// Bytes that may be served below which an offer is left to others.
 const MIN_SERVED: usize = 2_000;
-/// Bytes of one member in a summary.
-const SUMMARY_BYTES: usize = 20;
 /// Most members listed in one summary.
-const MAX_SUMMARY: usize = BULK_BYTES / SUMMARY_BYTES;
+const MAX_SUMMARY: usize = 2048;
 
 /// When exchanges may begin and how much may be served.
 #[derive(Debug)]
@@ -70,17 +70,20 @@
         self.sync.next_at = now + SYNC_INTERVAL.mul_f64(self.rng.random_range(0.8..1.2));
         self.counts.syncs += 1;
         let buckets = view_buckets(&self.own, &self.table).to_vec();
-        let members = self.live_count() as u32;
-        let body = MessageBody::SyncOffer { buckets, members };
-        self.send_to(from, body, Vec::new(), outputs);
+        self.send_to(
+            from,
+            MessageBody::SyncOffer { buckets },
+            Vec::new(),
+            outputs,
+        );
     }
 
+    /// Answers an offer with the members of the buckets that differ.
     pub(crate) fn on_sync_offer(
         &mut self,
         from: DaemonId,
         address: SocketAddr,
         theirs: &[u32],
-        members: u32,
         outputs: &mut Vec<MemberOutput>,
     ) {
         let now = self.clock.now();
@@ -91,69 +94,28 @@
         let differing = (0..BUCKET_COUNT)
             .filter(|bucket| theirs.get(*bucket) != Some(&ours[*bucket]))
             .fold(0, |bits, bucket| bits | 1 << bucket);
-        if 2 * members as usize <= self.live_count() {
-            // The peer has just started: it lacks nearly all of these.
-            let updates = self.newer_records(differing, &BTreeMap::new());
-            self.serve(from, address, Vec::new(), updates, outputs);
-            return;
-        }
-        self.send_summary(from, address, differing, outputs);
-    }
-
-    fn send_summary(
-        &mut self,
-        to: DaemonId,
-        address: SocketAddr,
-        mut differing: u64,
-        outputs: &mut Vec<MemberOutput>,
-    ) {
-        let mut entries = Vec::new();
-        let by_bucket = live_by_bucket(&self.own, &self.table);
-        for (bucket, mut members) in by_bucket.into_iter().enumerate() {
-            if differing >> bucket & 1 == 0 {
-                continue;
-            }
-            if entries.len() + members.len() > MAX_SUMMARY {
-                differing &= !(1 << bucket);
-                continue;
-            }
-            entries.append(&mut members);
+        if differing != 0 {
+            let summary = self.summary(differing);
+            self.sync.served.spend(encoded_len(&summary));
+            let body = MessageBody::SyncSummary { summary };
+            self.send_at(from, address, body, Vec::new(), outputs);
         }
-        if differing == 0 {
-            return;
-        }
-        self.sync.served.spend(entries.len() * SUMMARY_BYTES);
-        let body = MessageBody::SyncSummary { differing, entries };
-        self.send_at(to, address, body, Vec::new(), outputs);
     }
 
+    /// Sends what the summary lacks, and a summary in return.
     pub(crate) fn on_sync_summary(
         &mut self,
         from: DaemonId,
         address: SocketAddr,
-        differing: u64,
-        entries: &[(DaemonId, MemberStamp)],
+        theirs: &ViewSummary,
         outputs: &mut Vec<MemberOutput>,
     ) {
-        let theirs: BTreeMap<DaemonId, MemberStamp> = entries.iter().copied().collect();
-        let wants: Vec<DaemonId> = theirs
-            .iter()
-            .filter(|(id, stamp)| self.lacks(**id, **stamp))
-            .map(|(id, _)| *id)
-            .collect();
-        let mut updates = self.newer_records(differing, &theirs);
-        updates.extend(
-            theirs
-                .iter()
-                .filter_map(|(id, stamp)| self.claim(*id, *stamp)),
-        );
-        if wants.len() > FEW_RECORDS {
+        let ours = self.summary(theirs.differing);
+        if ours.missing_in(theirs) > FEW_RECORDS {
             self.catch_up();
         }
-        if wants.is_empty() && updates.is_empty() {
-            return;
-        }
-        self.serve(from, address, wants, updates, outputs);
+        let updates = self.lacking_in(theirs);
+        self.serve(from, address, Some(ours), updates, outputs);
     }
 
     pub(crate) fn on_sync_records(
@@ -161,19 +123,15 @@
         from: DaemonId,
         address: SocketAddr,
         updates: &[MemberUpdate],
-        wants: &[DaemonId],
+        theirs: Option<&ViewSummary>,
         outputs: &mut Vec<MemberOutput>,
     ) {
         if updates.len() > FEW_RECORDS {
             self.catch_up();
         }
-        let records: Vec<MemberUpdate> = wants
-            .iter()
-            .filter_map(|id| self.live_record(*id))
-            .map(MemberUpdate::Alive)
-            .collect();
-        if !records.is_empty() {
-            self.serve(from, address, Vec::new(), records, outputs);
+        if let Some(theirs) = theirs {
+            let updates = self.lacking_in(theirs);
+            self.serve(from, address, None, updates, outputs);
         }
     }
 
@@ -182,13 +140,14 @@
         &mut self,
         to: DaemonId,
         address: SocketAddr,
-        wants: Vec<DaemonId>,
-        updates: Vec<MemberUpdate>,
+        mut summary: Option<ViewSummary>,
+        mut updates: Vec<MemberUpdate>,
         outputs: &mut Vec<MemberOutput>,
     ) {
         let now = self.clock.now();
         let mut room = self.sync.served.available(now);
-        let mut wants = Some(wants);
+        // When not all can be served, each daemon serves others.
+        updates.shuffle(&mut self.rng);
         let mut batch = Vec::new();
         let mut batch_bytes = 0;
         for update in updates {
@@ -198,7 +157,7 @@
             }
             if batch_bytes + bytes > BULK_BYTES {
                 let full = std::mem::take(&mut batch);
-                self.send_records(to, address, wants.take(), full, outputs);
+                self.send_records(to, address, summary.take(), full, outputs);
                 batch_bytes = 0;
             }
             room -= bytes;
@@ -206,8 +165,8 @@
             self.sync.served.spend(bytes);
             batch.push(update);
         }
-        if !batch.is_empty() || wants.as_ref().is_some_and(|wants| !wants.is_empty()) {
-            self.send_records(to, address, wants.take(), batch, outputs);
+        if !batch.is_empty() || summary.is_some() {
+            self.send_records(to, address, summary, batch, outputs);
         }
     }
 
@@ -215,13 +174,11 @@
         &self,
         to: DaemonId,
         address: SocketAddr,
-        wants: Option<Vec<DaemonId>>,
+        summary: Option<ViewSummary>,
         updates: Vec<MemberUpdate>,
         outputs: &mut Vec<MemberOutput>,
     ) {
-        let body = MessageBody::SyncRecords {
-            wants: wants.unwrap_or_default(),
-        };
+        let body = MessageBody::SyncRecords { summary };
         let message = self.message(self.table.get(to).is_none(), body, updates);
         outputs.push(MemberOutput::Send {
             to,
@@ -235,57 +192,62 @@
         self.sync.next_at = self.sync.next_at.min(soon);
     }
 
-    /// Live records in the buckets `differing` that a peer lacks or has an older edition of.
-    fn newer_records(
-        &self,
-        differing: u64,
-        theirs: &BTreeMap<DaemonId, MemberStamp>,
-    ) -> Vec<MemberUpdate> {
+    /// The live members in the buckets `differing`.
+    fn summary(&self, differing: u64) -> ViewSummary {
+        let mut hashes: Vec<u32> = self
+            .live_records(differing)
+            .map(|record| entry_hash(record.id, record.stamp))
+            .take(MAX_SUMMARY)
+            .collect();
+        hashes.sort_unstable();
+        ViewSummary { differing, hashes }
+    }
+
+    /// What the sender of a summary does not know: records, and ends of members that it lists.
+    fn lacking_in(&self, theirs: &ViewSummary) -> Vec<MemberUpdate> {
+        let records = self
+            .live_records(theirs.differing)
+            .filter(|record| !theirs.holds(record.id, record.stamp))
+            .map(|record| MemberUpdate::Alive(Arc::clone(record)));
+        let ends = self
+            .table
+            .iter()
+            .filter(|entry| theirs.holds(entry.record.id, entry.stamp()))
+            .filter_map(end_of);
+        records.chain(ends).collect()
+    }
+
+    fn live_records(&self, differing: u64) -> impl Iterator<Item = &Arc<MemberRecord>> {
         let live = self.table.live().map(|entry| &entry.record);
         live.chain(std::iter::once(&self.own))
-            .filter(|record| differing >> bucket_of(record.id) & 1 == 1)
-            .filter(|record| {
-                theirs
-                    .get(&record.id)
-                    .is_none_or(|stamp| *stamp < record.stamp)
-            })
-            .map(|record| MemberUpdate::Alive(Arc::clone(record)))
-            .collect()
+            .filter(move |record| differing >> bucket_of(record.id) & 1 == 1)
     }
+}
 
-    /// What is held against a member that a peer lists as live.
-    fn claim(&self, id: DaemonId, stamp: MemberStamp) -> Option<MemberUpdate> {
-        let entry = self.table.get(id)?;
-        match entry.state {
-            MemberState::Dead if entry.stamp() >= stamp => accusation_of(entry),
-            MemberState::Left if entry.stamp().incarnation >= stamp.incarnation => {
-                Some(MemberUpdate::Left {
-                    id,
-                    stamp: entry.stamp(),
-                })
-            }
-            _ => None,
-        }
+impl ViewSummary {
+    fn holds(&self, id: DaemonId, stamp: MemberStamp) -> bool {
+        self.hashes.binary_search(&entry_hash(id, stamp)).is_ok()
     }
 
-    fn lacks(&self, id: DaemonId, stamp: MemberStamp) -> bool {
-        if id == self.own.id {
-            return false;
-        }
-        let Some(entry) = self.table.get(id) else {
-            return true;
-        };
-        let ended =
-            entry.state == MemberState::Left && entry.stamp().incarnation >= stamp.incarnation;
-        entry.stamp() < stamp && !ended
+    /// How many of `theirs` are missing here.
+    fn missing_in(&self, theirs: &Self) -> usize {
+        theirs
+            .hashes
+            .iter()
+            .filter(|hash| self.hashes.binary_search(hash).is_err())
+            .count()
     }
+}
 
-    fn live_record(&self, id: DaemonId) -> Option<Arc<MemberRecord>> {
-        if id == self.own.id {
-            return Some(Arc::clone(&self.own));
-        }
-        let entry = self.table.get(id)?;
-        entry.state.is_live().then(|| Arc::clone(&entry.record))
+/// The update that tells that a member is dead or has left.
+fn end_of(entry: &MemberEntry) -> Option<MemberUpdate> {
+    match entry.state {
+        MemberState::Alive | MemberState::Suspect => None,
+        MemberState::Dead => accusation_of(entry),
+        MemberState::Left => Some(MemberUpdate::Left {
+            id: entry.record.id,
+            stamp: entry.stamp(),
+        }),
     }
 }
 
@@ -303,13 +265,3 @@
     buckets[bucket_of(own.id)] ^= entry_hash(own.id, own.stamp);
     buckets
 }
-
-fn live_by_bucket(own: &MemberRecord, table: &MemberTable) -> Vec<Vec<(DaemonId, MemberStamp)>> {
-    let mut by_bucket = vec![Vec::new(); BUCKET_COUNT];
-    by_bucket[bucket_of(own.id)].push((own.id, own.stamp));
-    for entry in table.live() {
-        let id = entry.record.id;
-        by_bucket[bucket_of(id)].push((id, entry.stamp()));
-    }
-    by_bucket
-}
