--- a/crates/members/src/message.rs
+++ b/crates/members/src/message.rs
@@ -78,18 +78,25 @@
     },
     /// The sender's live members in the buckets that differ from an offer.
     SyncSummary {
-        /// One bit for each bucket that differs.
-        differing: u64,
-        /// The members and their editions.
-        entries: Vec<(DaemonId, MemberStamp)>,
+        /// The members.
+        summary: ViewSummary,
     },
-    /// Records that the receiver lacked are in the updates; asks for others.
+    /// What the receiver lacked is in the updates.
     SyncRecords {
-        /// Members whose records the sender lacks.
-        wants: Vec<DaemonId>,
+        /// The sender's live members, if it asks for what it lacks.
+        summary: Option<ViewSummary>,
     },
 }
 
+/// The live members of some buckets, each as a hash of its id and edition.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ViewSummary {
+    /// One bit for each bucket listed.
+    pub differing: u64,
+    /// The hashes, ascending.
+    pub hashes: Vec<u32>,
+}
+
 /// One piece of knowledge about a member.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum MemberUpdate {
--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -68,11 +68,11 @@
             MessageBody::SyncOffer { buckets } => {
                 self.on_sync_offer(from, address, &buckets, outputs);
             }
-            MessageBody::SyncSummary { differing, entries } => {
-                self.on_sync_summary(from, address, differing, &entries, outputs);
+            MessageBody::SyncSummary { summary } => {
+                self.on_sync_summary(from, address, &summary, outputs);
             }
-            MessageBody::SyncRecords { wants } => {
-                self.on_sync_records(from, address, &message.updates, &wants, outputs);
+            MessageBody::SyncRecords { summary } => {
+                self.on_sync_records(from, address, &message.updates, summary.as_ref(), outputs);
             }
         }
     }
