Add the API of at most once: keys, homes, leases, permits, poison requests

Cause: non-idempotent calls need one place that decides whether they run.

Change: state machines for key homes (books of issued keys and of leased ranges, handover by pages), the lease stream's fold and keeper, dispatch permits, the poison watch and the router from key to home. The table of error kinds gains key-closed, key-withdrawn, key-early, answer-forgotten and home-full; key-unknown no longer claims "not run", since an earlier home may have run the key.

--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -122,8 +122,18 @@
     OutcomeUnknown => "outcome-unknown", 502, false, false, 4, "Send the call again with the same Idempotency-Key.";
     /// The call crashed targets before and is stopped.
     PoisonRequest => "poison-request", 422, true, false, 2, "Look at the request; it is forgotten after a time.";
-    /// The key is outside the window in which it can be judged.
-    KeyUnknown => "key-unknown", 409, true, false, 2, "Have the caller send a fresh key.";
+    /// Nobody can tell whether the call with this key ran; it will not run now.
+    KeyUnknown => "key-unknown", 409, false, false, 4, "Look in the service's records whether it ran before a fresh key is sent.";
+    /// The key's home is gone; the call never runs again and may have run.
+    KeyClosed => "key-closed", 410, false, false, 4, "Look in the service's records whether it ran before a fresh key is sent.";
+    /// The key was closed before the call ran; it never runs.
+    KeyWithdrawn => "key-withdrawn", 410, true, false, 2, "Have the caller send a fresh key.";
+    /// The key's time lies ahead of the log's clock.
+    KeyEarly => "key-early", 425, true, true, 3, "Correct the caller's clock.";
+    /// The call ran to its end; its answer is no longer held.
+    AnswerForgotten => "answer-forgotten", 410, false, false, 4, "Look in the service's records; the call ran once.";
+    /// The key's home can remember no further key.
+    HomeFull => "home-full", 503, true, true, 3, "Wait, or add key homes.";
     /// The key was used for another request.
     KeyReused => "key-reused", 422, true, false, 2, "Have the caller use one key for each request.";
     /// The call with this key is still running.
--- /dev/null
+++ b/crates/once/src/home/mod.rs
@@ -0,0 +1,23 @@
+//! The key states of one home.
+//!
+//! A [`KeyHome`] decides for each call whether it runs. Its books hold the
+//! keys that the daemon itself issued, those of the ranges whose lease it
+//! holds, and those that leaving homes handed over. It forgets no key early:
+//! when it can remember no more it refuses new calls as not run.
+
+pub mod answer;
+pub mod book;
+pub mod entry;
+pub mod handover;
+pub mod keys;
+pub mod verdict;
+
+pub use answer::{AnswerHeader, AnswerStore, StoredAnswer};
+pub use book::BookId;
+pub use entry::KeyState;
+pub use handover::{HandoverPage, StageAnswer};
+pub use keys::{HomeCounts, HomeSettings, KeyHome};
+pub use verdict::{
+    CloseVerdict, HandedOutcome, KeyCall, KeyRefusal, KeySettlement, KeyVerdict, RunOutcome,
+    RunTicket,
+};
--- /dev/null
+++ b/crates/once/src/lease/keeper.rs
@@ -0,0 +1,471 @@
+//! Claims, renews and releases the ranges of one key home.
+//!
+//! Reads the lease stream through its owner, folds it, and says what to
+//! append. An append whose answer is lost needs no care: whether it took
+//! effect is read from the stream, and a repeated one changes nothing. A
+//! holder counts its lease on its monotonic clock from before it sent the
+//! append, less the drift that clocks may have.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use feed::port::ReadAnswer;
+use model::{ErrorKind, KindError, LogOffset, SharedClock};
+use rand::Rng;
+use rand::rngs::SmallRng;
+use smallvec::SmallVec;
+
+use super::clock::LogClock;
+use super::record::{LeaseAction, LeaseRecord, RangeClaim};
+use super::roster::assign_ranges;
+use super::table::{FoldChange, LeaseTable, MAX_LEASE};
+use super::types::{HolderId, KeyRange, LeaseTerm, LogStamp, TermEpoch, TermRef};
+use super::view::LeaseView;
+
+/// Pause after a failed read or append.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Claims wait up to this long after a change of the homes.
+const CLAIM_JITTER: Duration = Duration::from_millis(300);
+/// A range that its own home leaves vacant for this long is claimed by another.
+const FALLBACK_DELAY: Duration = Duration::from_secs(3);
+/// Pause between two `Refound` records of one home.
+const REFOUND_INTERVAL: Duration = Duration::from_secs(10);
+/// Every so many renewals carry a checkpoint.
+const CHECKPOINT_EVERY: u64 = 8;
+/// Appends whose answers are awaited or were lost.
+const MAX_SENT: usize = 16;
+
+/// Times of a key home's leases.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseSettings {
+    /// Length of a lease.
+    pub lease: Duration,
+    /// Time between renewals; several fit into a lease.
+    pub renew_interval: Duration,
+    /// Skew of callers' clocks that is allowed for.
+    pub skew: Duration,
+    /// Drift of monotonic clocks, in parts per thousand.
+    pub drift_permille: u32,
+}
+
+impl Default for LeaseSettings {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(8),
+            renew_interval: Duration::from_millis(2500),
+            skew: Duration::from_secs(2),
+            drift_permille: 5,
+        }
+    }
+}
+
+/// What the keeper wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LeaseOutput {
+    /// Read the stream; answer with `on_read` or `on_read_failed`.
+    Read {
+        /// Where to read on.
+        from: LogOffset,
+    },
+    /// Append to the stream; answer with `on_appended`.
+    Append {
+        /// Number of the record.
+        serial: u64,
+        /// The record.
+        body: Box<[u8]>,
+    },
+    /// A change of this home's terms, for its key states.
+    Term(TermUpdate),
+    /// The holders changed; pass them on to other daemons.
+    View(LeaseView),
+    /// An operator must look.
+    Alarm(KindError),
+}
+
+/// A change of the terms that this home holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum TermUpdate {
+    /// The home holds a term, new or renewed.
+    Held {
+        /// The range.
+        range: KeyRange,
+        /// Its term.
+        term: LeaseTerm,
+        /// The lease is surely held until then.
+        valid_until: Instant,
+    },
+    /// The home holds the term no longer.
+    Ended(TermRef),
+}
+
+/// A term that this home holds.
+#[derive(Clone, Copy, Debug)]
+struct HeldTerm {
+    term: LeaseTerm,
+    valid_until: Instant,
+}
+
+/// Keeps the leases of one daemon.
+#[derive(Debug)]
+pub struct LeaseKeeper {
+    me: HolderId,
+    settings: LeaseSettings,
+    clock: SharedClock,
+    rng: SmallRng,
+    table: LeaseTable,
+    log_clock: LogClock,
+    homes: Vec<HolderId>,
+    wanted: Vec<HolderId>,
+    held: BTreeMap<KeyRange, HeldTerm>,
+    vacant_since: BTreeMap<KeyRange, Instant>,
+    releases: VecDeque<(SmallVec<[TermRef; 8]>, HolderId)>,
+    sent: VecDeque<(u64, Instant)>,
+    serial: u64,
+    appending: Option<u64>,
+    reading: bool,
+    caught_up: bool,
+    diverged: bool,
+    next_read: Instant,
+    next_append: Instant,
+    next_claim: Instant,
+    next_renew: Instant,
+    next_refound: Instant,
+}
+
+impl LeaseKeeper {
+    /// A keeper for `me` that reads the stream from its first kept record.
+    pub fn new(me: HolderId, settings: LeaseSettings, clock: SharedClock, rng: SmallRng) -> Self {
+        let now = clock.now();
+        Self {
+            me,
+            settings,
+            clock,
+            rng,
+            table: LeaseTable::starting_at(LogOffset(0)),
+            log_clock: LogClock::default(),
+            homes: Vec::new(),
+            wanted: Vec::new(),
+            held: BTreeMap::new(),
+            vacant_since: BTreeMap::new(),
+            releases: VecDeque::new(),
+            sent: VecDeque::new(),
+            serial: 0,
+            appending: None,
+            reading: false,
+            caught_up: false,
+            diverged: false,
+            next_read: now,
+            next_append: now,
+            next_claim: now,
+            next_renew: now,
+            next_refound: now,
+        }
+    }
+
+    /// The fold over the stream.
+    pub fn table(&self) -> &LeaseTable {
+        &self.table
+    }
+
+    /// A time that the log's clock has passed.
+    pub fn log_now(&self) -> Option<LogStamp> {
+        self.log_clock.read(self.clock.now())
+    }
+
+    /// The terms that this home holds, by its own knowledge.
+    pub fn held(&self) -> impl Iterator<Item = TermRef> {
+        self.held.iter().map(|(range, held)| TermRef {
+            range: *range,
+            epoch: held.term.epoch,
+        })
+    }
+
+    /// Sets the daemons that should be homes; see [`pick_homes`](super::pick_homes).
+    pub fn set_homes(&mut self, homes: Vec<HolderId>) {
+        if homes == self.homes {
+            return;
+        }
+        self.wanted = assign_ranges(&homes);
+        self.homes = homes;
+        let jitter = self.rng.random_range(Duration::ZERO..CLAIM_JITTER);
+        self.next_claim = self.clock.now() + jitter;
+    }
+
+    /// The terms to hand over and to whom: those that other homes should hold.
+    ///
+    /// Call [`LeaseKeeper::set_homes`] without this home first to leave.
+    pub fn misplaced(&self) -> BTreeMap<HolderId, SmallVec<[TermRef; 8]>> {
+        let mut plan: BTreeMap<HolderId, SmallVec<[TermRef; 8]>> = BTreeMap::new();
+        for term in self.held() {
+            let wanted = term.range.index().and_then(|index| self.wanted.get(index));
+            if let Some(home) = wanted.filter(|home| **home != self.me) {
+                plan.entry(*home).or_default().push(term);
+            }
+        }
+        plan
+    }
+
+    /// Appends the release of `terms` once the successor holds their keys.
+    pub fn release(&mut self, terms: SmallVec<[TermRef; 8]>, successor: HolderId) {
+        self.releases.push_back((terms, successor));
+    }
+
+    /// Says what to read and append now.
+    pub fn on_tick(&mut self) -> Vec<LeaseOutput> {
+        let now = self.clock.now();
+        let mut outputs = Vec::new();
+        if self.diverged {
+            return outputs;
+        }
+        if !self.reading && now >= self.next_read {
+            self.reading = true;
+            outputs.push(LeaseOutput::Read {
+                from: self.table.next(),
+            });
+        }
+        if self.appending.is_none() && now >= self.next_append {
+            outputs.extend(self.next_record(now));
+        }
+        outputs
+    }
+
+    /// Takes what a read found.
+    pub fn on_read(&mut self, answer: &ReadAnswer) -> Vec<LeaseOutput> {
+        self.reading = false;
+        let batch = match answer {
+            ReadAnswer::Batch(batch) => batch,
+            ReadAnswer::Expired { first } => {
+                // Terms held so far stay: what they own was settled by records read.
+                self.table = LeaseTable::starting_at(*first);
+                return Vec::new();
+            }
+        };
+        if batch.next < self.table.next() {
+            return self.stop_diverged(batch.next);
+        }
+        self.caught_up = batch.records.is_empty();
+        if batch.records.is_empty() && batch.first > self.table.next() {
+            self.table = LeaseTable::starting_at(batch.first);
+        }
+        let now = self.clock.now();
+        let view_before = self.table.view();
+        for entry in &batch.records {
+            self.log_clock.observe(entry.at.into(), now);
+            for change in self.table.fold(entry) {
+                self.take_change(change);
+            }
+        }
+        let mut outputs = self.update_held(now);
+        let view = self.table.view();
+        if view.rows != view_before.rows {
+            outputs.push(LeaseOutput::View(view));
+        }
+        outputs
+    }
+
+    /// A read failed; it is tried again after a pause.
+    pub fn on_read_failed(&mut self) {
+        self.reading = false;
+        self.caught_up = false;
+        self.next_read = self.clock.now() + RETRY_PAUSE;
+    }
+
+    /// The append `serial` was answered; whether it took effect is read from the stream.
+    pub fn on_appended(&mut self, serial: u64, answered: bool) {
+        if self.appending == Some(serial) {
+            self.appending = None;
+        }
+        if !answered {
+            self.next_append = self.clock.now() + RETRY_PAUSE;
+        }
+    }
+
+    fn stop_diverged(&mut self, end: LogOffset) -> Vec<LeaseOutput> {
+        self.diverged = true;
+        let ended = std::mem::take(&mut self.held);
+        let mut outputs: Vec<LeaseOutput> = ended
+            .into_iter()
+            .map(|(range, held)| {
+                let epoch = held.term.epoch;
+                LeaseOutput::Term(TermUpdate::Ended(TermRef { range, epoch }))
+            })
+            .collect();
+        let detail = format!(
+            "the lease stream ends at {end}, records up to {} were read",
+            self.table.next()
+        );
+        outputs.push(LeaseOutput::Alarm(KindError::new(
+            ErrorKind::LogDiverged,
+            detail,
+        )));
+        outputs
+    }
+
+    fn take_change(&mut self, change: FoldChange) {
+        let (serial, range) = match change {
+            FoldChange::Began {
+                range,
+                term,
+                serial,
+            } if term.holder == self.me => (serial, Some(range)),
+            FoldChange::Renewed { holder, serial } if holder == self.me => (serial, None),
+            _ => return,
+        };
+        let sent = self.sent.iter().find(|(number, _)| *number == serial);
+        let Some((_, sent)) = sent.copied() else {
+            return;
+        };
+        for (held_range, term) in self.table.held_by(self.me) {
+            if range.is_some_and(|range| range != held_range) {
+                continue;
+            }
+            let valid_until = sent + self.sure_part(term.lease());
+            let held = self.held.entry(held_range).or_insert(HeldTerm {
+                term: *term,
+                valid_until,
+            });
+            held.valid_until = held.valid_until.max(valid_until);
+        }
+    }
+
+    /// The part of a lease that has not ended even if this clock is slow.
+    fn sure_part(&self, lease: Duration) -> Duration {
+        lease * (1000 - self.settings.drift_permille) / 1000
+    }
+
+    fn update_held(&mut self, now: Instant) -> Vec<LeaseOutput> {
+        if !self.table.is_known() {
+            return Vec::new();
+        }
+        let mut outputs = Vec::new();
+        let before = std::mem::take(&mut self.held);
+        for (range, held) in &before {
+            let epoch = held.term.epoch;
+            let current = self.table.term(*range);
+            if current.is_none_or(|term| term.holder != self.me || term.epoch != epoch) {
+                let ended = TermRef {
+                    range: *range,
+                    epoch,
+                };
+                outputs.push(LeaseOutput::Term(TermUpdate::Ended(ended)));
+            }
+        }
+        for (range, term) in self.table.held_by(self.me) {
+            let known = before.get(&range);
+            // A term received by a release is vouched for by its first renewal.
+            let valid_until = known
+                .filter(|held| held.term.epoch == term.epoch)
+                .map_or(now, |held| held.valid_until);
+            let held = HeldTerm {
+                term: *term,
+                valid_until,
+            };
+            self.held.insert(range, held);
+            outputs.push(LeaseOutput::Term(TermUpdate::Held {
+                range,
+                term: *term,
+                valid_until,
+            }));
+            if known.is_none() && valid_until <= now {
+                self.next_renew = now;
+            }
+        }
+        outputs
+    }
+
+    fn next_record(&mut self, now: Instant) -> Option<LeaseOutput> {
+        if let Some((terms, successor)) = self.next_release() {
+            return Some(self.append(LeaseAction::Release { terms, successor }, now));
+        }
+        if now >= self.next_claim {
+            let claims = self.claimable(now);
+            if !claims.is_empty() {
+                self.next_claim = now + RETRY_PAUSE;
+                self.next_renew = now + self.settings.renew_interval;
+                let action = LeaseAction::Claim {
+                    claims,
+                    lease_ms: self.settings.lease.as_millis() as u32,
+                    skew_ms: self.settings.skew.as_millis() as u32,
+                };
+                return Some(self.append(action, now));
+            }
+        }
+        if now >= self.next_renew && !self.held.is_empty() {
+            self.next_renew = now + self.settings.renew_interval;
+            return Some(self.append(LeaseAction::Renew, now));
+        }
+        let may_refound = self.caught_up && !self.table.is_known() && self.is_home();
+        if may_refound && now >= self.next_refound {
+            self.next_refound = now + REFOUND_INTERVAL.min(MAX_LEASE);
+            return Some(self.append(LeaseAction::Refound, now));
+        }
+        None
+    }
+
+    /// The oldest release that has not been seen in the stream.
+    fn next_release(&mut self) -> Option<(SmallVec<[TermRef; 8]>, HolderId)> {
+        while let Some((terms, successor)) = self.releases.front().cloned() {
+            let held = |term: &TermRef| {
+                self.held
+                    .get(&term.range)
+                    .is_some_and(|held| held.term.epoch == term.epoch)
+            };
+            let terms: SmallVec<[TermRef; 8]> = terms.into_iter().filter(held).collect();
+            if !terms.is_empty() {
+                return Some((terms, successor));
+            }
+            self.releases.pop_front();
+        }
+        None
+    }
+
+    fn is_home(&self) -> bool {
+        self.homes.contains(&self.me)
+    }
+
+    fn claimable(&mut self, now: Instant) -> SmallVec<[RangeClaim; 8]> {
+        let mut claims = SmallVec::new();
+        if !self.caught_up || !self.table.is_known() || !self.is_home() {
+            return claims;
+        }
+        let log_now = self.log_clock.read(now);
+        for range in KeyRange::all() {
+            let term = self.table.term(range);
+            let lapsed = term.is_none_or(|term| log_now.is_some_and(|at| at >= term.lapses()));
+            if !lapsed {
+                self.vacant_since.remove(&range);
+                continue;
+            }
+            let since = *self.vacant_since.entry(range).or_insert(now);
+            let wanted = range.index().and_then(|index| self.wanted.get(index));
+            let abandoned = now.saturating_duration_since(since) >= FALLBACK_DELAY;
+            if wanted == Some(&self.me) || abandoned {
+                let prior = term.map_or(TermEpoch::NONE, |term| term.epoch);
+                claims.push(RangeClaim { range, prior });
+            }
+        }
+        claims
+    }
+
+    fn append(&mut self, action: LeaseAction, now: Instant) -> LeaseOutput {
+        self.serial += 1;
+        let serial = self.serial;
+        let bare_renewal = action == LeaseAction::Renew && !serial.is_multiple_of(CHECKPOINT_EVERY);
+        let checkpoint = (!bare_renewal).then(|| self.table.checkpoint()).flatten();
+        let record = LeaseRecord {
+            by: self.me,
+            serial,
+            action,
+            checkpoint,
+        };
+        if self.sent.len() == MAX_SENT {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((serial, now));
+        self.appending = Some(serial);
+        LeaseOutput::Append {
+            serial,
+            body: record.encode(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/src/lease/roster.rs
@@ -0,0 +1,61 @@
+//! Which daemons are key homes and which ranges each should hold.
+//!
+//! Both follow from the member list alone, so daemons that see the same
+//! members agree without a word, and daemons that do not merely race for a
+//! claim, which the log settles.
+
+use std::collections::BTreeMap;
+
+use model::{DaemonId, DomainName};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::types::{HolderId, KeyRange};
+
+/// Key homes in each failure domain; one may die without the domain being left without.
+pub const HOMES_PER_DOMAIN: usize = 2;
+
+/// Picks the homes among `members`, `HOMES_PER_DOMAIN` in each failure domain.
+pub fn pick_homes(members: &[(DomainName, HolderId)]) -> Vec<HolderId> {
+    let mut domains: BTreeMap<&DomainName, Vec<HolderId>> = BTreeMap::new();
+    for (domain, member) in members {
+        domains.entry(domain).or_default().push(*member);
+    }
+    let mut homes: Vec<HolderId> = domains
+        .into_values()
+        .flat_map(|mut members| {
+            members.sort_by_key(|member| weight(member.daemon, u8::MAX));
+            members.truncate(HOMES_PER_DOMAIN);
+            members
+        })
+        .collect();
+    homes.sort_unstable();
+    homes
+}
+
+/// The home that should hold each range; none if there are no homes.
+///
+/// Rendezvous hashing with an upper bound on each home's share: a home that
+/// leaves moves few ranges besides its own.
+pub fn assign_ranges(homes: &[HolderId]) -> Vec<HolderId> {
+    if homes.is_empty() {
+        return Vec::new();
+    }
+    let share = KeyRange::COUNT.div_ceil(homes.len());
+    let mut loads = vec![0; homes.len()];
+    KeyRange::all()
+        .map(|range| {
+            let chosen = (0..homes.len())
+                .filter(|index| loads[*index] < share)
+                .max_by_key(|index| weight(homes[*index].daemon, range.0))
+                .expect("the shares add up to all ranges");
+            loads[chosen] += 1;
+            homes[chosen]
+        })
+        .collect()
+}
+
+fn weight(daemon: DaemonId, salt: u8) -> u64 {
+    let mut bytes = [salt; 9];
+    bytes[..8].copy_from_slice(&daemon.0.to_le_bytes());
+    xxh3_64(&bytes)
+}
--- /dev/null
+++ b/crates/once/src/lease/table.rs
@@ -0,0 +1,314 @@
+//! The fold over the lease stream.
+//!
+//! Pure and alike on every reader that saw the same records. A reader that
+//! begins in mid-stream knows nothing until a record brings a checkpoint, the
+//! table of an appender that knew it; it then folds what it read since. If no
+//! holder is left to bring one, two `Refound` records a longest lease apart
+//! with nothing between them prove that no lease is alive.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use feed::port::LogRecord;
+use model::LogOffset;
+use serde::{Deserialize, Serialize};
+
+use super::record::{LeaseAction, LeaseRecord, RangeClaim};
+use super::types::{HolderId, KeyRange, LeaseTerm, LogStamp, TermEpoch, TermRef};
+use super::view::{HolderRow, LeaseView};
+
+/// Longest lease that a claim may ask for.
+pub const MAX_LEASE: Duration = Duration::from_secs(30);
+/// Shortest lease that a claim may ask for.
+pub const MIN_LEASE: Duration = Duration::from_millis(500);
+/// Records kept while the table waits for a checkpoint.
+const MAX_WAITING: usize = 1024;
+/// Largest skew of callers' clocks that a claim may allow.
+pub const MAX_SKEW: Duration = Duration::from_secs(10);
+
+/// A table as carried by a record.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TableCheckpoint {
+    /// Records below this offset are folded in.
+    pub next: LogOffset,
+    /// Whether the stream was read from its first record.
+    pub from_first: bool,
+    /// The latest term of each range that has one.
+    pub terms: Vec<(KeyRange, LeaseTerm)>,
+}
+
+/// What a record changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FoldChange {
+    /// A term began.
+    Began {
+        /// The range.
+        range: KeyRange,
+        /// Its new term.
+        term: LeaseTerm,
+        /// The number of the record that began it.
+        serial: u64,
+    },
+    /// A holder's terms were renewed by its record `serial`.
+    Renewed {
+        /// The holder.
+        holder: HolderId,
+        /// The number of its record.
+        serial: u64,
+    },
+    /// The whole table changed; look at it anew.
+    Replaced,
+}
+
+/// The latest term of every range.
+#[derive(Clone, Debug)]
+pub struct LeaseTable {
+    start: LogOffset,
+    next: LogOffset,
+    known: bool,
+    from_first: bool,
+    terms: [Option<LeaseTerm>; KeyRange::COUNT],
+    waiting: VecDeque<LogRecord>,
+    refound_at: Option<LogStamp>,
+}
+
+impl LeaseTable {
+    /// A table whose stream is read from `first` on.
+    pub fn starting_at(first: LogOffset) -> Self {
+        let from_first = first == LogOffset(0);
+        Self {
+            start: first,
+            next: first,
+            known: from_first,
+            from_first,
+            terms: [None; KeyRange::COUNT],
+            waiting: VecDeque::new(),
+            refound_at: None,
+        }
+    }
+
+    /// The offset of the next record to fold.
+    pub fn next(&self) -> LogOffset {
+        self.next
+    }
+
+    /// Whether the table knows all terms; otherwise it waits for a checkpoint.
+    pub fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// The latest term of `range`.
+    pub fn term(&self, range: KeyRange) -> Option<&LeaseTerm> {
+        self.terms.get(range.index()?)?.as_ref()
+    }
+
+    /// Every range with its latest term.
+    pub fn terms(&self) -> impl Iterator<Item = (KeyRange, &LeaseTerm)> {
+        KeyRange::all().filter_map(|range| Some((range, self.term(range)?)))
+    }
+
+    /// The ranges held by `holder`.
+    pub fn held_by(&self, holder: HolderId) -> impl Iterator<Item = (KeyRange, &LeaseTerm)> {
+        self.terms().filter(move |(_, term)| term.holder == holder)
+    }
+
+    /// The table as a record carries it; none while it is not known.
+    pub fn checkpoint(&self) -> Option<TableCheckpoint> {
+        self.known.then(|| TableCheckpoint {
+            next: self.next,
+            from_first: self.from_first,
+            terms: self.terms().map(|(range, term)| (range, *term)).collect(),
+        })
+    }
+
+    /// The holders, to be passed to daemons that do not read the stream.
+    pub fn view(&self) -> LeaseView {
+        let row = |(range, term): (KeyRange, &LeaseTerm)| HolderRow {
+            range,
+            holder: term.holder,
+            epoch: term.epoch,
+        };
+        LeaseView {
+            next: self.next,
+            rows: self.terms().map(row).collect(),
+        }
+    }
+
+    /// Folds the next record; one that was folded already changes nothing.
+    pub fn fold(&mut self, entry: &LogRecord) -> Vec<FoldChange> {
+        if entry.offset < self.next {
+            return Vec::new();
+        }
+        self.next = entry.offset.next();
+        // A record that nobody can read changes nothing, on every reader alike.
+        let Ok(record) = LeaseRecord::decode(&entry.body) else {
+            return Vec::new();
+        };
+        if record.action == LeaseAction::Refound {
+            return self.fold_refound(entry.at.into());
+        }
+        self.refound_at = None;
+        if self.known {
+            return self.fold_action(entry, &record);
+        }
+        self.wait_for_checkpoint(entry, record.checkpoint.as_ref())
+    }
+
+    fn fold_action(&mut self, entry: &LogRecord, record: &LeaseRecord) -> Vec<FoldChange> {
+        let at = LogStamp::from(entry.at);
+        match &record.action {
+            LeaseAction::Claim {
+                claims,
+                lease_ms,
+                skew_ms,
+            } => {
+                let term = LeaseTerm {
+                    holder: record.by,
+                    epoch: TermEpoch::at(entry.offset),
+                    prior: TermEpoch::NONE,
+                    begun: at,
+                    renewed: at,
+                    lease_ms: *lease_ms,
+                    skew_ms: *skew_ms,
+                    owns_after: Some(at.after(MAX_SKEW)),
+                };
+                claims
+                    .iter()
+                    .filter_map(|claim| self.fold_claim(*claim, term, record.serial))
+                    .collect()
+            }
+            LeaseAction::Renew => self.fold_renewal(record.by, record.serial, at),
+            LeaseAction::Release { terms, successor } => terms
+                .iter()
+                .filter_map(|term| self.fold_release(*term, record, *successor, entry))
+                .collect(),
+            LeaseAction::Refound => Vec::new(),
+        }
+    }
+
+    fn fold_claim(
+        &mut self,
+        claim: RangeClaim,
+        mut term: LeaseTerm,
+        serial: u64,
+    ) -> Option<FoldChange> {
+        let lease_allowed = (MIN_LEASE..=MAX_LEASE).contains(&term.lease());
+        let skew_allowed = u128::from(term.skew_ms) <= MAX_SKEW.as_millis();
+        let slot = self.terms.get_mut(claim.range.index()?)?;
+        let free = match slot {
+            Some(current) => claim.prior == current.epoch && term.begun >= current.lapses(),
+            None => claim.prior == TermEpoch::NONE,
+        };
+        if !free || !lease_allowed || !skew_allowed {
+            return None;
+        }
+        term.prior = claim.prior;
+        match slot {
+            Some(current) => term.owns_after = Some(current.owned_until()),
+            None if self.from_first => term.owns_after = None,
+            // An earlier term may have been forgotten; it lapsed before now.
+            None => {}
+        }
+        *slot = Some(term);
+        Some(FoldChange::Began {
+            range: claim.range,
+            term,
+            serial,
+        })
+    }
+
+    fn fold_renewal(&mut self, by: HolderId, serial: u64, at: LogStamp) -> Vec<FoldChange> {
+        let mut renewed = false;
+        for term in self
+            .terms
+            .iter_mut()
+            .flatten()
+            .filter(|term| term.holder == by)
+        {
+            term.renewed = term.renewed.max(at);
+            renewed = true;
+        }
+        let change = FoldChange::Renewed { holder: by, serial };
+        Vec::from_iter(renewed.then_some(change))
+    }
+
+    fn fold_release(
+        &mut self,
+        released: TermRef,
+        record: &LeaseRecord,
+        successor: HolderId,
+        entry: &LogRecord,
+    ) -> Option<FoldChange> {
+        let at = LogStamp::from(entry.at);
+        let slot = self.terms.get_mut(released.range.index()?)?.as_mut()?;
+        if slot.holder != record.by || slot.epoch != released.epoch {
+            return None;
+        }
+        *slot = LeaseTerm {
+            holder: successor,
+            epoch: TermEpoch::at(entry.offset),
+            prior: released.epoch,
+            begun: at,
+            renewed: slot.renewed.max(at),
+            owns_after: Some(slot.owned_until()),
+            ..*slot
+        };
+        Some(FoldChange::Began {
+            range: released.range,
+            term: *slot,
+            serial: record.serial,
+        })
+    }
+
+    fn fold_refound(&mut self, at: LogStamp) -> Vec<FoldChange> {
+        let Some(earlier) = self.refound_at else {
+            self.refound_at = Some(at);
+            return Vec::new();
+        };
+        if at < earlier.after(MAX_LEASE) {
+            return Vec::new();
+        }
+        self.refound_at = None;
+        self.known = true;
+        self.from_first = false;
+        self.terms = [None; KeyRange::COUNT];
+        self.waiting.clear();
+        vec![FoldChange::Replaced]
+    }
+
+    fn wait_for_checkpoint(
+        &mut self,
+        entry: &LogRecord,
+        checkpoint: Option<&TableCheckpoint>,
+    ) -> Vec<FoldChange> {
+        if self.waiting.len() == MAX_WAITING {
+            let dropped = self.waiting.pop_front();
+            self.start = dropped.map_or(self.start, |entry| entry.offset.next());
+        }
+        self.waiting.push_back(entry.clone());
+        match checkpoint {
+            Some(checkpoint) if checkpoint.next >= self.start => self.adopt(checkpoint),
+            _ => Vec::new(),
+        }
+    }
+
+    fn adopt(&mut self, checkpoint: &TableCheckpoint) -> Vec<FoldChange> {
+        self.known = true;
+        self.from_first = checkpoint.from_first;
+        for (range, term) in &checkpoint.terms {
+            let slot = range.index().and_then(|index| self.terms.get_mut(index));
+            if let Some(slot) = slot {
+                *slot = Some(*term);
+            }
+        }
+        for entry in std::mem::take(&mut self.waiting) {
+            if entry.offset < checkpoint.next {
+                continue;
+            }
+            if let Ok(record) = LeaseRecord::decode(&entry.body) {
+                self.fold_action(&entry, &record);
+            }
+        }
+        vec![FoldChange::Replaced]
+    }
+}
--- /dev/null
+++ b/crates/once/src/permit/mod.rs
@@ -0,0 +1,67 @@
+//! Dispatch permits: how late a home may start a call.
+//!
+//! A home that is paused between its decision and its dispatch would start
+//! the call whenever it wakes. The daemon beside the target therefore hands
+//! out permits dated on its own monotonic clock, and starts a call only with
+//! one that is young, unused and not from a fenced term. Permits are fetched
+//! ahead, so a call in the steady state pays no round trip for one.
+//!
+//! A home that lost the answer to a dispatch can revoke its permit: if it was
+//! never used, the call is proven not to have run.
+
+mod issuer;
+mod purse;
+
+pub use issuer::{PermitIssuer, PermitSettings, RevokeAnswer};
+pub use purse::PermitPurse;
+
+use model::DaemonId;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::lease::{HolderId, TermRef};
+
+/// Most permits in one grant.
+pub const MAX_GRANT: u8 = 32;
+
+/// A right to start one call beside one target.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct DispatchPermit {
+    /// The daemon run beside the target.
+    pub issuer: HolderId,
+    /// Number among the issuer's permits.
+    pub number: u64,
+}
+
+/// Asks for permits.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PermitRequest {
+    /// The home that will use them.
+    pub home: HolderId,
+    /// The daemon beside the target.
+    pub issuer: DaemonId,
+    /// How many; at most [`MAX_GRANT`].
+    pub count: u8,
+}
+
+/// Permits for a home.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PermitGrant {
+    /// The daemon run that issued them.
+    pub issuer: HolderId,
+    /// The permits' numbers.
+    pub numbers: SmallVec<[u64; 8]>,
+    /// Milliseconds for which the issuer honours them.
+    pub lifetime_ms: u32,
+}
+
+/// Comes with a dispatched call.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DispatchPass {
+    /// The permit that the call uses up.
+    pub permit: DispatchPermit,
+    /// The home that sends the call.
+    pub home: HolderId,
+    /// The term under which the call was begun; none for an issued key.
+    pub term: Option<TermRef>,
+}
--- /dev/null
+++ b/crates/once/src/permit/purse.rs
@@ -0,0 +1,160 @@
+//! Permits held at the home, fetched ahead.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use model::{DaemonId, SharedClock};
+
+use super::{DispatchPermit, MAX_GRANT, PermitGrant, PermitRequest};
+use crate::lease::HolderId;
+
+/// Daemons whose permits are held at once.
+const MAX_ISSUERS: usize = 1024;
+/// An issuer without use for this long is dropped.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+/// Permits are held for the use of this much time.
+const AHEAD_TIME: Duration = Duration::from_secs(1);
+/// Weight of the newest second in the average of use.
+const NEW_WEIGHT: f64 = 0.5;
+/// A permit is used only while this part of its lifetime is left for the way.
+const WAY_PART: u32 = 4;
+/// No answer to a request for this long: ask again.
+const ASK_PAUSE: Duration = Duration::from_millis(500);
+
+#[derive(Debug)]
+struct IssuerPurse {
+    permits: VecDeque<(DispatchPermit, Instant)>,
+    asked: Option<Instant>,
+    taken: u32,
+    rate: f64,
+    counted: Instant,
+    used: Instant,
+}
+
+/// The permits of one home.
+#[derive(Debug)]
+pub struct PermitPurse {
+    me: HolderId,
+    clock: SharedClock,
+    issuers: HashMap<DaemonId, IssuerPurse>,
+}
+
+impl PermitPurse {
+    /// An empty purse of the home `me`.
+    pub fn new(me: HolderId, clock: SharedClock) -> Self {
+        Self {
+            me,
+            clock,
+            issuers: HashMap::new(),
+        }
+    }
+
+    /// A usable permit of `issuer`; without one, fetch and try again.
+    pub fn take(&mut self, issuer: DaemonId) -> Option<DispatchPermit> {
+        let now = self.clock.now();
+        let purse = self.purse(issuer, now);
+        purse.taken += 1;
+        purse.used = now;
+        purse.drop_old(now);
+        // The oldest that is still good, so that few go to waste.
+        purse.permits.pop_front().map(|(permit, _)| permit)
+    }
+
+    /// What to ask of `issuer` now, so that the next calls find permits.
+    pub fn wants(&mut self, issuer: DaemonId) -> Option<PermitRequest> {
+        let now = self.clock.now();
+        let home = self.me;
+        let purse = self.purse(issuer, now);
+        purse.drop_old(now);
+        let waiting = purse
+            .asked
+            .is_some_and(|asked| now.saturating_duration_since(asked) < ASK_PAUSE);
+        let held = purse.permits.len() as u32;
+        let aim = purse.aim(now);
+        if waiting || held * 2 > aim {
+            return None;
+        }
+        purse.asked = Some(now);
+        Some(PermitRequest {
+            home,
+            issuer,
+            count: (aim - held) as u8,
+        })
+    }
+
+    /// Takes a grant, answered to a request sent at `asked`.
+    pub fn on_grant(&mut self, grant: &PermitGrant, asked: Instant) {
+        let now = self.clock.now();
+        let lifetime = Duration::from_millis(grant.lifetime_ms.into());
+        let good_until = asked + lifetime * (WAY_PART - 1) / WAY_PART;
+        let purse = self.purse(grant.issuer.daemon, now);
+        purse.asked = None;
+        for number in grant.numbers.iter().take(MAX_GRANT.into()) {
+            let permit = DispatchPermit {
+                issuer: grant.issuer,
+                number: *number,
+            };
+            purse.permits.push_back((permit, good_until));
+        }
+        while purse.permits.len() > usize::from(MAX_GRANT) * 2 {
+            purse.permits.pop_front();
+        }
+    }
+
+    /// A request failed or an issuer restarted: its permits are worth nothing.
+    pub fn on_failed(&mut self, issuer: DaemonId) {
+        self.issuers.remove(&issuer);
+    }
+
+    /// Permits held, of all issuers.
+    pub fn held(&self) -> usize {
+        self.issuers.values().map(|purse| purse.permits.len()).sum()
+    }
+
+    fn purse(&mut self, issuer: DaemonId, now: Instant) -> &mut IssuerPurse {
+        if self.issuers.len() >= MAX_ISSUERS && !self.issuers.contains_key(&issuer) {
+            self.drop_idle(now);
+        }
+        self.issuers.entry(issuer).or_insert_with(|| IssuerPurse {
+            permits: VecDeque::new(),
+            asked: None,
+            taken: 0,
+            rate: 0.0,
+            counted: now,
+            used: now,
+        })
+    }
+
+    /// Makes room: drops the idle, or else the one that is longest unused.
+    fn drop_idle(&mut self, now: Instant) {
+        self.issuers
+            .retain(|_, purse| now.saturating_duration_since(purse.used) < IDLE_TIME);
+        if self.issuers.len() < MAX_ISSUERS {
+            return;
+        }
+        let oldest = self.issuers.iter().min_by_key(|(_, purse)| purse.used);
+        if let Some(oldest) = oldest.map(|(issuer, _)| *issuer) {
+            self.issuers.remove(&oldest);
+        }
+    }
+}
+
+impl IssuerPurse {
+    fn drop_old(&mut self, now: Instant) {
+        self.permits.retain(|(_, good_until)| now < *good_until);
+    }
+
+    /// Permits to hold: the use of [`AHEAD_TIME`], and at least one.
+    fn aim(&mut self, now: Instant) -> u32 {
+        let span = now.saturating_duration_since(self.counted);
+        if span >= AHEAD_TIME {
+            let rate = f64::from(self.taken) / span.as_secs_f64();
+            self.rate += (rate - self.rate) * NEW_WEIGHT;
+            self.taken = 0;
+            self.counted = now;
+        }
+        let expected = self.rate * AHEAD_TIME.as_secs_f64();
+        let aim = expected.ceil().max(f64::from(self.taken)) as u32;
+        aim.clamp(1, MAX_GRANT.into())
+    }
+}
--- /dev/null
+++ b/crates/once/src/poison/watch.rs
@@ -0,0 +1,279 @@
+//! Counts crashes by request and stops the requests that cause them.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use model::{ErrorKind, KindError, SharedClock};
+use smallvec::SmallVec;
+
+use super::flight::FlightTable;
+use super::{CrashId, CrashReport, MAX_SUSPECTS, PoisonMessage, SuspectCleared};
+use crate::lease::HolderId;
+use crate::print::RequestPrint;
+
+/// What starting a request returns.
+///
+/// Kinds: `PoisonRequest` (stopped everywhere) and `QueueFull` (not at this
+/// target now; try another). Either way it has not run.
+pub type Result<T> = model::Result<T>;
+
+/// Crashes after which a request is stopped.
+const MAX_CRASHES: usize = 2;
+
+/// Times and bounds of the watch.
+#[derive(Clone, Copy, Debug)]
+pub struct PoisonSettings {
+    /// How long a suspect or stopped request is remembered after its last crash.
+    pub memory: Duration,
+    /// Most requests remembered.
+    pub max_requests: usize,
+}
+
+impl Default for PoisonSettings {
+    fn default() -> Self {
+        Self {
+            memory: Duration::from_secs(600),
+            max_requests: 1024,
+        }
+    }
+}
+
+/// What the watch wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PoisonOutput {
+    /// Tell every other daemon.
+    Tell(PoisonMessage),
+    /// A request was stopped; count and log it.
+    Stopped(RequestPrint),
+}
+
+/// What the watch remembers, for metrics.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoisonCounts {
+    /// Requests in flight at one crash.
+    pub suspects: usize,
+    /// Requests that are stopped.
+    pub stopped: usize,
+}
+
+#[derive(Clone, Debug)]
+struct SuspectRow {
+    crashes: SmallVec<[CrashId; 2]>,
+    last: Instant,
+}
+
+impl SuspectRow {
+    fn is_stopped(&self) -> bool {
+        self.crashes.len() >= MAX_CRASHES
+    }
+}
+
+/// Watches one daemon's target and knows the crashes of all others.
+#[derive(Debug)]
+pub struct PoisonWatch {
+    me: HolderId,
+    settings: PoisonSettings,
+    clock: SharedClock,
+    flights: FlightTable,
+    rows: HashMap<RequestPrint, SuspectRow>,
+    crash_number: u64,
+}
+
+impl PoisonWatch {
+    /// A watch that suspects nobody.
+    pub fn new(me: HolderId, settings: PoisonSettings, clock: SharedClock) -> Self {
+        Self {
+            me,
+            settings,
+            clock,
+            flights: FlightTable::default(),
+            rows: HashMap::new(),
+            crash_number: 0,
+        }
+    }
+
+    /// Whether a request may go on to any target; for proxies and homes.
+    pub fn check(&self, print: RequestPrint) -> Result<()> {
+        match self.rows.get(&print) {
+            Some(row) if row.is_stopped() && !self.is_expired(row) => Err(KindError::new(
+                ErrorKind::PoisonRequest,
+                format!("the request was in flight when {MAX_CRASHES} targets crashed"),
+            )),
+            _ => Ok(()),
+        }
+    }
+
+    /// Starts a request at the target of this daemon.
+    pub fn start(&mut self, print: RequestPrint) -> Result<()> {
+        self.check(print)?;
+        if self.must_wait(print) {
+            return Err(KindError::new(
+                ErrorKind::QueueFull,
+                "another suspect of the same crash runs at this target",
+            ));
+        }
+        self.flights.start(print);
+        Ok(())
+    }
+
+    /// A request ended at the target; `sound` if the target answered it.
+    pub fn finish(&mut self, print: RequestPrint, sound: bool) -> Option<PoisonOutput> {
+        self.flights.leave(print);
+        if !sound {
+            return None;
+        }
+        self.flights.note_finished(print);
+        let row = self.rows.get(&print)?;
+        if row.is_stopped() {
+            return None;
+        }
+        self.rows.remove(&print);
+        let cleared = SuspectCleared { print };
+        Some(PoisonOutput::Tell(PoisonMessage::Cleared(cleared)))
+    }
+
+    /// The target crashed; what was in flight is suspected and no longer in flight.
+    pub fn on_target_crashed(&mut self) -> Vec<PoisonOutput> {
+        let flying = self.flights.take_flying();
+        let suspects = self.pick_suspects(flying);
+        if suspects.is_empty() {
+            return Vec::new();
+        }
+        self.crash_number += 1;
+        let report = CrashReport {
+            crash: CrashId {
+                reporter: self.me,
+                number: self.crash_number,
+            },
+            suspects,
+        };
+        let mut outputs = self.take_report(&report);
+        outputs.push(PoisonOutput::Tell(PoisonMessage::Crash(report)));
+        outputs
+    }
+
+    /// Takes what another daemon tells, possibly again; says what to tell in turn.
+    pub fn on_message(&mut self, message: &PoisonMessage) -> Vec<PoisonOutput> {
+        match message {
+            PoisonMessage::Crash(report) => {
+                let mut outputs = self.take_report(report);
+                outputs.extend(self.clear_finished(report));
+                outputs
+            }
+            PoisonMessage::Cleared(cleared) => {
+                let row = self.rows.get(&cleared.print);
+                // Two crashes outweigh a request that ended well elsewhere.
+                if row.is_some_and(|row| !row.is_stopped()) {
+                    self.rows.remove(&cleared.print);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// Forgets what is older than the memory.
+    pub fn on_tick(&mut self) {
+        let now = self.clock.now();
+        let memory = self.settings.memory;
+        self.rows
+            .retain(|_, row| now.saturating_duration_since(row.last) < memory);
+    }
+
+    /// What is remembered.
+    pub fn counts(&self) -> PoisonCounts {
+        let live = self.rows.values().filter(|row| !self.is_expired(row));
+        let stopped = live.clone().filter(|row| row.is_stopped()).count();
+        PoisonCounts {
+            suspects: live.count() - stopped,
+            stopped,
+        }
+    }
+
+    /// Forgets a request by hand; returns whether it was remembered.
+    pub fn forget(&mut self, print: RequestPrint) -> bool {
+        self.rows.remove(&print).is_some()
+    }
+
+    /// Whether another suspect of a crash of `print` is in flight here.
+    fn must_wait(&self, print: RequestPrint) -> bool {
+        let Some(row) = self.rows.get(&print).filter(|row| !self.is_expired(row)) else {
+            return false;
+        };
+        self.flights.flying().any(|flying| {
+            flying != print
+                && self.rows.get(&flying).is_some_and(|other| {
+                    other
+                        .crashes
+                        .iter()
+                        .any(|crash| row.crashes.contains(crash))
+                })
+        })
+    }
+
+    /// Those in flight that may have caused a crash; earlier suspects first.
+    fn pick_suspects(&self, flying: Vec<RequestPrint>) -> Box<[RequestPrint]> {
+        let is_suspect = |print: &RequestPrint| self.rows.contains_key(print);
+        let (known, fresh): (Vec<_>, Vec<_>) = flying
+            .into_iter()
+            .filter(|print| !self.flights.has_finished(*print))
+            .partition(is_suspect);
+        // One that was suspected before explains the crash alone.
+        let chosen = if known.is_empty() { fresh } else { known };
+        chosen.into_iter().take(MAX_SUSPECTS).collect()
+    }
+
+    fn take_report(&mut self, report: &CrashReport) -> Vec<PoisonOutput> {
+        let now = self.clock.now();
+        let mut outputs = Vec::new();
+        for print in report.suspects.iter().take(MAX_SUSPECTS) {
+            self.make_room(*print);
+            let row = self.rows.entry(*print).or_insert_with(|| SuspectRow {
+                crashes: SmallVec::new(),
+                last: now,
+            });
+            if row.is_stopped() || row.crashes.contains(&report.crash) {
+                continue;
+            }
+            row.crashes.push(report.crash);
+            row.last = now;
+            if row.is_stopped() {
+                outputs.push(PoisonOutput::Stopped(*print));
+            }
+        }
+        outputs
+    }
+
+    /// Clears suspects of a report that lately ran to their end here.
+    fn clear_finished(&mut self, report: &CrashReport) -> Vec<PoisonOutput> {
+        let mut outputs = Vec::new();
+        for print in report.suspects.iter().copied() {
+            let suspected = self.rows.get(&print).is_some_and(|row| !row.is_stopped());
+            if suspected && self.flights.has_finished(print) {
+                self.rows.remove(&print);
+                let cleared = SuspectCleared { print };
+                outputs.push(PoisonOutput::Tell(PoisonMessage::Cleared(cleared)));
+            }
+        }
+        outputs
+    }
+
+    fn make_room(&mut self, print: RequestPrint) {
+        if self.rows.len() < self.settings.max_requests || self.rows.contains_key(&print) {
+            return;
+        }
+        // Stopped requests are dangerous to forget; mere suspects go first.
+        let oldest = self
+            .rows
+            .iter()
+            .min_by_key(|(_, row)| (row.is_stopped(), row.last))
+            .map(|(print, _)| *print);
+        if let Some(oldest) = oldest {
+            self.rows.remove(&oldest);
+        }
+    }
+
+    fn is_expired(&self, row: &SuspectRow) -> bool {
+        let age = self.clock.now().saturating_duration_since(row.last);
+        age >= self.settings.memory
+    }
+}
