--- a/crates/once/src/lease/keeper.rs
+++ b/crates/once/src/lease/keeper.rs
@@ -99,7 +99,7 @@
 }
 
 /// A term that this home holds.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 struct HeldTerm {
     term: LeaseTerm,
     valid_until: Instant,
@@ -249,13 +249,14 @@
         }
         let now = self.clock.now();
         let view_before = self.table.view();
+        let held_before = self.held.clone();
         for entry in &batch.records {
             self.log_clock.observe(entry.at.into(), now);
             for change in self.table.fold(entry) {
                 self.take_change(change);
             }
         }
-        let mut outputs = self.update_held(now);
+        let mut outputs = self.update_held(&held_before, now);
         let view = self.table.view();
         if view.rows != view_before.rows {
             outputs.push(LeaseOutput::View(view));
@@ -333,13 +334,18 @@
         lease * (1000 - self.settings.drift_permille) / 1000
     }
 
-    fn update_held(&mut self, now: Instant) -> Vec<LeaseOutput> {
+    /// Brings the held terms up to the table and tells what changed since `before`.
+    fn update_held(
+        &mut self,
+        before: &BTreeMap<KeyRange, HeldTerm>,
+        now: Instant,
+    ) -> Vec<LeaseOutput> {
         if !self.table.is_known() {
             return Vec::new();
         }
         let mut outputs = Vec::new();
-        let before = std::mem::take(&mut self.held);
-        for (range, held) in &before {
+        let vouched = std::mem::take(&mut self.held);
+        for (range, held) in before {
             let epoch = held.term.epoch;
             let current = self.table.term(*range);
             if current.is_none_or(|term| term.holder != self.me || term.epoch != epoch) {
@@ -351,9 +357,9 @@
             }
         }
         for (range, term) in self.table.held_by(self.me) {
-            let known = before.get(&range);
             // A term received by a release is vouched for by its first renewal.
-            let valid_until = known
+            let valid_until = vouched
+                .get(&range)
                 .filter(|held| held.term.epoch == term.epoch)
                 .map_or(now, |held| held.valid_until);
             let held = HeldTerm {
@@ -361,12 +367,15 @@
                 valid_until,
             };
             self.held.insert(range, held);
+            if before.get(&range) == Some(&held) {
+                continue;
+            }
             outputs.push(LeaseOutput::Term(TermUpdate::Held {
                 range,
                 term: *term,
                 valid_until,
             }));
-            if known.is_none() && valid_until <= now {
+            if valid_until <= now {
                 self.next_renew = now;
             }
         }
--- /dev/null
+++ b/crates/once/tests/world/ledger.rs
@@ -0,0 +1,112 @@
+//! What really ran, against what callers were told.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+use model::ErrorKind;
+use once::home::CloseVerdict;
+use once::key::KeyDigest;
+use once::{KeyCall, KeyRefusal, RunProof, StoredAnswer};
+use quetzal_once as once;
+
+/// What a caller is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallerAnswer {
+    Answered(Arc<StoredAnswer>),
+    Running,
+    Refused(KeyRefusal),
+}
+
+impl CallerAnswer {
+    pub fn kind(&self) -> Option<ErrorKind> {
+        match self {
+            Self::Refused(refusal) => Some(refusal.error.kind),
+            _ => None,
+        }
+    }
+
+    pub fn proof(&self) -> Option<RunProof> {
+        match self {
+            Self::Refused(refusal) => Some(refusal.proof),
+            _ => None,
+        }
+    }
+}
+
+/// The truth, and the checks against it.
+#[derive(Default)]
+pub struct Ledger {
+    pub runs: HashMap<KeyDigest, u32>,
+    pub refusals: BTreeMap<ErrorKind, u32>,
+    pub answered: u32,
+    never: HashSet<KeyDigest>,
+    first: HashMap<KeyDigest, Arc<StoredAnswer>>,
+    digests: HashMap<u64, KeyDigest>,
+    answers: HashMap<u64, CallerAnswer>,
+}
+
+impl Ledger {
+    pub fn note_sending(&mut self, sending: u64, call: &KeyCall) {
+        self.digests.insert(sending, call.digest);
+    }
+
+    /// A target runs a call; its answer differs from every other.
+    pub fn run(&mut self, digest: KeyDigest) -> Arc<StoredAnswer> {
+        let runs = self.runs.entry(digest).or_default();
+        *runs += 1;
+        assert_eq!(*runs, 1, "{digest} ran twice");
+        assert!(!self.never.contains(&digest), "{digest} ran though closed");
+        let number = self.runs.len();
+        Arc::new(StoredAnswer {
+            status: 201,
+            headers: Box::default(),
+            body: format!("payout {number}").into_bytes().into(),
+        })
+    }
+
+    /// A home or proxy decides on an answer; it must be true now.
+    pub fn claim(&mut self, sending: u64, answer: &CallerAnswer) {
+        let digest = self.digests[&sending];
+        let runs = self.runs.get(&digest).copied().unwrap_or_default();
+        match answer {
+            CallerAnswer::Answered(answer) => {
+                assert_eq!(runs, 1, "{digest} answered without a run");
+                let first = self
+                    .first
+                    .entry(digest)
+                    .or_insert_with(|| Arc::clone(answer));
+                assert_eq!(first, answer, "{digest} got a second answer");
+                self.answered += 1;
+            }
+            CallerAnswer::Refused(refusal) => {
+                match refusal.proof {
+                    RunProof::NotRun => assert_eq!(runs, 0, "{digest} ran: {}", refusal.error),
+                    RunProof::Done => assert_eq!(runs, 1, "{digest} never ran: {}", refusal.error),
+                    RunProof::SendingNotRun | RunProof::MayHaveRun => {}
+                }
+                *self.refusals.entry(refusal.error.kind).or_default() += 1;
+            }
+            CallerAnswer::Running => {}
+        }
+    }
+
+    pub fn deliver(&mut self, sending: u64, answer: CallerAnswer) {
+        self.answers.insert(sending, answer);
+    }
+
+    pub fn answer(&self, sending: u64) -> Option<CallerAnswer> {
+        self.answers.get(&sending).cloned()
+    }
+
+    pub fn note_close(&mut self, digest: KeyDigest, verdict: &CloseVerdict) {
+        let runs = self.runs.get(&digest).copied().unwrap_or_default();
+        match verdict {
+            CloseVerdict::NeverRan => {
+                assert_eq!(runs, 0, "{digest} ran before it was closed");
+                self.never.insert(digest);
+            }
+            CloseVerdict::Ran(_) => assert_eq!(runs, 1, "{digest} never ran"),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/tests/world/log.rs
@@ -0,0 +1,140 @@
+//! The log service of the world, with outages, delays and lost answers.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, SystemTime};
+
+use feed::port::{LogRecord, ReadAnswer, RecordBatch};
+use once::HolderId;
+
+use model::LogOffset;
+use quetzal_once as once;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+/// What a node asks of the log.
+#[derive(Clone, Debug)]
+pub enum LogRequest {
+    Read(LogOffset),
+    Append { serial: u64, body: Box<[u8]> },
+}
+
+/// What the log answers.
+#[derive(Clone, Debug)]
+pub enum LogAnswer {
+    Read(Option<ReadAnswer>),
+    Appended { serial: u64, answered: bool },
+}
+
+struct PendingAppend {
+    lands: u64,
+    body: Box<[u8]>,
+}
+
+struct PendingAnswer {
+    arrives: u64,
+    to: HolderId,
+    answer: LogAnswer,
+}
+
+#[derive(Default)]
+pub struct WorldLog {
+    pub outage: bool,
+    /// Nodes that cannot reach the log.
+    pub unreachable: BTreeSet<usize>,
+    /// Of a hundred answers to appends, so many are lost.
+    pub lost_percent: u32,
+    pub appends: usize,
+    pub records: Vec<LogRecord>,
+    first: u64,
+    pending: Vec<PendingAppend>,
+    answers: Vec<PendingAnswer>,
+}
+
+impl WorldLog {
+    pub fn is_reachable(&self, node: usize) -> bool {
+        !self.outage && !self.unreachable.contains(&node)
+    }
+
+    /// Drops every record older than `age_ms`.
+    pub fn expire(&mut self, now: u64, age_ms: u64) {
+        let limit = stamp(now - age_ms);
+        let old = self.records.iter().filter(|entry| entry.at < limit).count();
+        self.records.drain(..old);
+        self.first += old as u64;
+    }
+
+    pub fn step(&mut self, now: u64) {
+        let (landing, pending): (Vec<_>, Vec<_>) = self
+            .pending
+            .drain(..)
+            .partition(|append| append.lands <= now);
+        self.pending = pending;
+        for append in landing {
+            let offset = LogOffset(self.first + self.records.len() as u64);
+            self.appends += 1;
+            self.records.push(LogRecord {
+                offset,
+                at: stamp(now),
+                body: append.body,
+            });
+        }
+    }
+
+    pub fn submit(
+        &mut self,
+        _node: usize,
+        from: HolderId,
+        request: LogRequest,
+        connected: bool,
+        now: u64,
+        rng: &mut SmallRng,
+    ) {
+        let arrives = now + rng.random_range(1..60);
+        let answer = match request {
+            LogRequest::Read(_) if !connected => LogAnswer::Read(None),
+            LogRequest::Read(offset) => LogAnswer::Read(Some(self.read(offset))),
+            LogRequest::Append { serial, .. } if !connected => LogAnswer::Appended {
+                serial,
+                answered: false,
+            },
+            LogRequest::Append { serial, body } => {
+                let lost = rng.random_range(0..100) < self.lost_percent;
+                // An append whose answer is lost may also land much later.
+                let delay = if lost { rng.random_range(0..2500) } else { 0 };
+                let lands = now + delay;
+                self.pending.push(PendingAppend { lands, body });
+                let answered = !lost;
+                LogAnswer::Appended { serial, answered }
+            }
+        };
+        self.answers.push(PendingAnswer {
+            arrives,
+            to: from,
+            answer,
+        });
+    }
+
+    pub fn answers_for(&mut self, to: HolderId, now: u64) -> Vec<LogAnswer> {
+        let due = |answer: &mut PendingAnswer| answer.to == to && answer.arrives <= now;
+        let answers = self.answers.extract_if(.., due);
+        answers.map(|pending| pending.answer).collect()
+    }
+
+    fn read(&self, from: LogOffset) -> ReadAnswer {
+        if from.0 < self.first {
+            let first = LogOffset(self.first);
+            return ReadAnswer::Expired { first };
+        }
+        let skipped = (from.0 - self.first) as usize;
+        let records: Vec<LogRecord> = self.records.iter().skip(skipped).cloned().collect();
+        ReadAnswer::Batch(RecordBatch {
+            first: LogOffset(self.first),
+            next: LogOffset(self.first + self.records.len() as u64),
+            records,
+        })
+    }
+}
+
+fn stamp(now: u64) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_millis(now)
+}
--- /dev/null
+++ b/crates/once/tests/world/node.rs
@@ -0,0 +1,550 @@
+//! One daemon of the world: what `quetzald` does with the parts of the crate.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use model::{ClockPort, ErrorKind, FakeClock};
+use once::home::{BookId, HandedOutcome, KeySettlement};
+use once::lease::{LeaseKeeper, LeaseOutput, LeaseView, TermRef};
+use once::permit::{
+    DispatchPass, DispatchPermit, PermitGrant, PermitIssuer, PermitPurse, PermitRequest,
+    PermitSettings, RevokeAnswer,
+};
+use once::{
+    HandoverPage, HolderId, HolderStatus, HomeAnswer, IssuerMove, KeyCall, KeyHome, KeyRefusal,
+    KeyRouter, KeyVerdict, RunOutcome, RunProof, RunTicket, StageAnswer, StoredAnswer,
+};
+
+use quetzal_once as once;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use smallvec::SmallVec;
+
+use super::ledger::{CallerAnswer, Ledger};
+use super::log::{LogAnswer, LogRequest};
+use super::{STEP_MS, WINDOW, home_settings, lease_settings};
+
+/// A home gives up waiting for a target's answer or a permit.
+const DISPATCH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What daemons send each other.
+#[derive(Clone, Debug)]
+pub enum Message {
+    Call {
+        sending: u64,
+        call: KeyCall,
+    },
+    Answer {
+        sending: u64,
+        answer: CallerAnswer,
+    },
+    PermitAsk(PermitRequest),
+    PermitGranted(PermitGrant),
+    Dispatch {
+        sending: u64,
+        pass: DispatchPass,
+        ticket: RunTicket,
+    },
+    Ran {
+        sending: u64,
+        answer: Arc<StoredAnswer>,
+    },
+    Declined {
+        sending: u64,
+    },
+    Revoke {
+        sending: u64,
+        permit: DispatchPermit,
+    },
+    Revoked {
+        sending: u64,
+        answer: RevokeAnswer,
+    },
+    Page(HandoverPage),
+    Staged {
+        book: BookId,
+        answer: StageAnswer,
+    },
+    Settled(KeySettlement),
+    View(LeaseView),
+}
+
+/// A call that the home has begun.
+struct Flight {
+    ticket: RunTicket,
+    proxy: HolderId,
+    target: HolderId,
+    permit: Option<DispatchPermit>,
+    revoking: bool,
+    since: Instant,
+}
+
+/// A book on its way to its next home.
+struct Handing {
+    pages: Vec<HandoverPage>,
+    to: HolderId,
+    whole: bool,
+    sent: Instant,
+    next: usize,
+}
+
+type Outgoing = Vec<(HolderId, Message)>;
+
+pub struct Node {
+    pub id: HolderId,
+    pub alive: bool,
+    pub leaving: bool,
+    pub clock: FakeClock,
+    pub home: KeyHome,
+    pub keeper: LeaseKeeper,
+    pub router: KeyRouter,
+    pub calls: Vec<(u64, KeyCall)>,
+    pub new_moves: Vec<IssuerMove>,
+    /// The target runs calls but its answers get lost.
+    pub loses_answers: bool,
+    /// The target takes no calls.
+    pub declines: bool,
+    /// How long the target takes.
+    pub target_ms: u64,
+    issuer: PermitIssuer,
+    purse: PermitPurse,
+    flights: HashMap<u64, Flight>,
+    running: Vec<(Instant, HolderId, u64, Arc<StoredAnswer>)>,
+    outbox: Outgoing,
+    log_requests: Vec<LogRequest>,
+    handings: BTreeMap<BookId, Handing>,
+    late: Vec<HandedOutcome>,
+    peers: Vec<HolderId>,
+    paused_until: u64,
+    clock_stopped_until: u64,
+    steps: u64,
+}
+
+impl Node {
+    pub fn start(id: HolderId, seed: u64) -> Self {
+        let clock = FakeClock::new();
+        let shared = || clock.shared();
+        let rng = SmallRng::seed_from_u64(seed);
+        Self {
+            id,
+            alive: true,
+            leaving: false,
+            home: KeyHome::new(id, home_settings(), shared()),
+            keeper: LeaseKeeper::new(id, lease_settings(), shared(), rng),
+            router: KeyRouter::new(id, WINDOW, shared()),
+            calls: Vec::new(),
+            new_moves: Vec::new(),
+            loses_answers: false,
+            declines: false,
+            target_ms: 60,
+            issuer: PermitIssuer::new(id, PermitSettings::default(), shared()),
+            purse: PermitPurse::new(id, shared()),
+            flights: HashMap::new(),
+            running: Vec::new(),
+            outbox: Vec::new(),
+            log_requests: Vec::new(),
+            handings: BTreeMap::new(),
+            late: Vec::new(),
+            peers: Vec::new(),
+            paused_until: 0,
+            clock_stopped_until: 0,
+            steps: 0,
+            clock,
+        }
+    }
+
+    pub fn pause(&mut self, until: u64, clock_stops: bool) {
+        self.paused_until = until;
+        if clock_stops {
+            self.clock_stopped_until = until;
+        }
+    }
+
+    pub fn advance(&mut self, now: u64) {
+        if now > self.clock_stopped_until {
+            self.clock.advance(Duration::from_millis(STEP_MS));
+        }
+    }
+
+    pub fn is_awake(&self, now: u64) -> bool {
+        self.alive && now > self.paused_until
+    }
+
+    pub fn take_log_requests(&mut self) -> Vec<LogRequest> {
+        std::mem::take(&mut self.log_requests)
+    }
+
+    /// What was decided in the step before goes out now: a pause may fall between.
+    pub fn step(
+        &mut self,
+        homes: &[HolderId],
+        statuses: &BTreeMap<HolderId, HolderStatus>,
+        ledger: &mut Ledger,
+    ) -> Outgoing {
+        let outgoing = std::mem::take(&mut self.outbox);
+        self.steps += 1;
+        self.peers = homes.to_vec();
+        self.keeper.set_homes(homes.to_vec());
+        let outputs = self.keeper.on_tick();
+        self.take_outputs(outputs);
+        if self.steps.is_multiple_of(25) {
+            self.home.on_tick(self.keeper.log_now());
+        }
+        self.route_calls(statuses, ledger);
+        self.end_runs();
+        self.check_flights(ledger);
+        if self.leaving {
+            self.hand_over();
+        }
+        outgoing
+    }
+
+    pub fn on_log_answer(&mut self, answer: LogAnswer) {
+        match answer {
+            LogAnswer::Read(Some(answer)) => {
+                let outputs = self.keeper.on_read(&answer);
+                self.take_outputs(outputs);
+            }
+            LogAnswer::Read(None) => self.keeper.on_read_failed(),
+            LogAnswer::Appended { serial, answered } => self.keeper.on_appended(serial, answered),
+        }
+    }
+
+    fn take_outputs(&mut self, outputs: Vec<LeaseOutput>) {
+        for output in outputs {
+            match output {
+                LeaseOutput::Read { from } => self.log_requests.push(LogRequest::Read(from)),
+                LeaseOutput::Append { serial, body } => {
+                    self.log_requests.push(LogRequest::Append { serial, body });
+                }
+                LeaseOutput::Term(update) => self.home.on_term(update),
+                LeaseOutput::View(view) => {
+                    self.issuer.observe(&view);
+                    self.router.on_view(view.clone());
+                    let peers = self.peers.iter().filter(|peer| **peer != self.id);
+                    let sends = peers.map(|peer| (*peer, Message::View(view.clone())));
+                    self.outbox.extend(sends);
+                }
+                LeaseOutput::Alarm(error) => panic!("unexpected alarm: {error}"),
+            }
+        }
+    }
+
+    fn route_calls(&mut self, statuses: &BTreeMap<HolderId, HolderStatus>, ledger: &mut Ledger) {
+        let status_of = |id| {
+            statuses
+                .get(&id)
+                .copied()
+                .unwrap_or(HolderStatus::Unreachable)
+        };
+        for (sending, call) in std::mem::take(&mut self.calls) {
+            match self.router.home_of(&call.key, call.digest, status_of) {
+                HomeAnswer::Local => self.begin(self.id, sending, &call, ledger),
+                HomeAnswer::Remote(home) => {
+                    self.outbox.push((home, Message::Call { sending, call }));
+                }
+                HomeAnswer::Refused(refusal) => {
+                    let answer = CallerAnswer::Refused(refusal);
+                    self.tell(self.id, sending, answer, ledger);
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, proxy: HolderId, sending: u64, call: &KeyCall, ledger: &mut Ledger) {
+        let ticket = match self.home.begin(call) {
+            KeyVerdict::Run(ticket) => ticket,
+            KeyVerdict::Running => return self.tell(proxy, sending, CallerAnswer::Running, ledger),
+            KeyVerdict::Finished(answer) => {
+                return self.tell(proxy, sending, CallerAnswer::Answered(answer), ledger);
+            }
+            KeyVerdict::Refused(refusal) => {
+                return self.tell(proxy, sending, CallerAnswer::Refused(refusal), ledger);
+            }
+        };
+        let targets = self.peers.len().max(1);
+        let target = self.peers.get(sending as usize % targets).copied();
+        let target = target.unwrap_or(self.id);
+        let flight = Flight {
+            ticket,
+            proxy,
+            target,
+            permit: None,
+            revoking: false,
+            since: self.clock.now(),
+        };
+        self.flights.insert(sending, flight);
+        self.dispatch(sending);
+    }
+
+    fn dispatch(&mut self, sending: u64) {
+        let Some(flight) = self.flights.get_mut(&sending) else {
+            return;
+        };
+        let target = flight.target;
+        flight.permit = self.purse.take(target.daemon);
+        if let Some(permit) = flight.permit {
+            let pass = DispatchPass {
+                permit,
+                home: self.id,
+                term: flight.ticket.term(),
+            };
+            let ticket = flight.ticket;
+            let message = Message::Dispatch {
+                sending,
+                pass,
+                ticket,
+            };
+            self.outbox.push((target, message));
+        }
+        if let Some(request) = self.purse.wants(target.daemon) {
+            self.outbox.push((target, Message::PermitAsk(request)));
+        }
+    }
+
+    fn check_flights(&mut self, ledger: &mut Ledger) {
+        let now = self.clock.now();
+        let mut sendings: Vec<u64> = self.flights.keys().copied().collect();
+        sendings.sort_unstable();
+        for sending in sendings {
+            let flight = &self.flights[&sending];
+            let age = now.saturating_duration_since(flight.since);
+            match flight.permit {
+                None if age < DISPATCH_TIMEOUT => self.dispatch(sending),
+                // Nothing was sent without a permit.
+                None => self.end(sending, RunOutcome::NotRun, ledger),
+                Some(_) if age > DISPATCH_TIMEOUT * 2 => {
+                    self.end(sending, RunOutcome::Lost, ledger)
+                }
+                Some(permit) if age > DISPATCH_TIMEOUT && !flight.revoking => {
+                    let target = flight.target;
+                    self.outbox
+                        .push((target, Message::Revoke { sending, permit }));
+                    let flight = self.flights.get_mut(&sending).expect("just seen");
+                    flight.revoking = true;
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    fn end(&mut self, sending: u64, outcome: RunOutcome, ledger: &mut Ledger) {
+        let Some(flight) = self.flights.remove(&sending) else {
+            return;
+        };
+        let answer = match &outcome {
+            RunOutcome::Done(answer) => CallerAnswer::Answered(Arc::clone(answer)),
+            RunOutcome::NotRun => refusal(ErrorKind::TargetAbsent, RunProof::NotRun),
+            _ => refusal(ErrorKind::OutcomeUnknown, RunProof::MayHaveRun),
+        };
+        if let Some(handed) = self.home.settle(flight.ticket, outcome) {
+            self.late.push(handed);
+        }
+        self.tell(flight.proxy, sending, answer, ledger);
+    }
+
+    fn tell(&mut self, proxy: HolderId, sending: u64, answer: CallerAnswer, ledger: &mut Ledger) {
+        ledger.claim(sending, &answer);
+        if proxy == self.id {
+            ledger.deliver(sending, answer);
+        } else {
+            self.outbox
+                .push((proxy, Message::Answer { sending, answer }));
+        }
+    }
+
+    pub fn on_message(&mut self, from: HolderId, message: Message, ledger: &mut Ledger) {
+        match message {
+            Message::Call { sending, call } => self.begin(from, sending, &call, ledger),
+            Message::Answer { sending, answer } => ledger.deliver(sending, answer),
+            Message::PermitAsk(request) => {
+                let grant = self.issuer.grant(&request);
+                self.outbox.push((from, Message::PermitGranted(grant)));
+            }
+            Message::PermitGranted(grant) => {
+                // The request left at most this long ago; see `DISPATCH_TIMEOUT`.
+                let asked = self.clock.now();
+                self.purse.on_grant(&grant, asked);
+            }
+            Message::Dispatch {
+                sending,
+                pass,
+                ticket,
+            } => {
+                self.start_run(from, sending, &pass, ticket, ledger);
+            }
+            Message::Ran { sending, answer } => {
+                self.end(sending, RunOutcome::Done(answer), ledger);
+            }
+            Message::Declined { sending } => self.end(sending, RunOutcome::NotRun, ledger),
+            Message::Revoke { sending, permit } => {
+                let answer = self.issuer.revoke(permit);
+                self.outbox
+                    .push((from, Message::Revoked { sending, answer }));
+            }
+            Message::Revoked { sending, answer } => match answer {
+                RevokeAnswer::NeverUsed => self.end(sending, RunOutcome::NotRun, ledger),
+                RevokeAnswer::Used | RevokeAnswer::Unknown => {
+                    self.end(sending, RunOutcome::Lost, ledger);
+                }
+            },
+            Message::Page(page) => {
+                let book = page.book;
+                if let Ok(answer) = self.home.stage(from, page) {
+                    self.outbox.push((from, Message::Staged { book, answer }));
+                }
+            }
+            Message::Staged { book, answer } => self.on_staged(book, answer),
+            Message::Settled(settlement) => {
+                let handed = self.home.on_settlement(settlement);
+                self.late.extend(handed);
+                self.send_late();
+            }
+            Message::View(view) => {
+                self.issuer.observe(&view);
+                self.router.on_view(view);
+            }
+        }
+    }
+
+    fn start_run(
+        &mut self,
+        home: HolderId,
+        sending: u64,
+        pass: &DispatchPass,
+        ticket: RunTicket,
+        ledger: &mut Ledger,
+    ) {
+        if self.declines || self.issuer.redeem(pass).is_err() {
+            self.outbox.push((home, Message::Declined { sending }));
+            return;
+        }
+        let answer = ledger.run(ticket.digest);
+        let ends = self.clock.now() + Duration::from_millis(self.target_ms);
+        if !self.loses_answers {
+            self.running.push((ends, home, sending, answer));
+        }
+    }
+
+    fn end_runs(&mut self) {
+        let now = self.clock.now();
+        for (_, home, sending, answer) in self.running.extract_if(.., |run| run.0 <= now) {
+            self.outbox.push((home, Message::Ran { sending, answer }));
+        }
+    }
+
+    fn hand_over(&mut self) {
+        if self.peers.is_empty() || self.peers.contains(&self.id) {
+            return;
+        }
+        for (to, terms) in self.keeper.misplaced() {
+            for term in terms {
+                self.hand_book(BookId::Range(term), to);
+            }
+        }
+        let successor = self.peers[0];
+        for book in self.home.books_to_hand() {
+            if matches!(book, BookId::Issuer(_)) {
+                self.hand_book(book, successor);
+            }
+        }
+        self.send_pages();
+        let done = self.handings.values().all(|handing| handing.whole);
+        let idle = self.flights.is_empty() && self.running.is_empty() && self.late.is_empty();
+        let sent = self.outbox.is_empty() && self.calls.is_empty();
+        if done && idle && sent && self.keeper.held().next().is_none() {
+            self.alive = false;
+        }
+    }
+
+    fn hand_book(&mut self, book: BookId, to: HolderId) {
+        if self.handings.contains_key(&book) {
+            return;
+        }
+        let Ok(pages) = self.home.seal(book, to) else {
+            return;
+        };
+        let handing = Handing {
+            pages,
+            to,
+            whole: false,
+            sent: self.clock.now(),
+            next: 0,
+        };
+        self.handings.insert(book, handing);
+        self.send_page(book);
+    }
+
+    fn send_page(&mut self, book: BookId) {
+        let now = self.clock.now();
+        if let Some(handing) = self.handings.get_mut(&book)
+            && let Some(page) = handing.pages.get(handing.next)
+        {
+            handing.sent = now;
+            self.outbox.push((handing.to, Message::Page(page.clone())));
+        }
+    }
+
+    /// Sends again what was not answered.
+    fn send_pages(&mut self) {
+        let now = self.clock.now();
+        let quiet = |handing: &Handing| {
+            !handing.whole && now.saturating_duration_since(handing.sent) > Duration::from_secs(1)
+        };
+        let books: Vec<BookId> = self
+            .handings
+            .iter()
+            .filter(|(_, handing)| quiet(handing))
+            .map(|(book, _)| *book)
+            .collect();
+        for book in books {
+            self.send_page(book);
+        }
+    }
+
+    fn on_staged(&mut self, book: BookId, answer: StageAnswer) {
+        let Some(handing) = self.handings.get_mut(&book) else {
+            return;
+        };
+        match answer {
+            StageAnswer::Next(number) => {
+                handing.next = number as usize;
+                self.send_page(book);
+            }
+            StageAnswer::Whole if !handing.whole => {
+                handing.whole = true;
+                let to = handing.to;
+                match book {
+                    BookId::Range(term) => {
+                        let terms: SmallVec<[TermRef; 8]> = SmallVec::from_iter([term]);
+                        self.keeper.release(terms, to);
+                    }
+                    BookId::Issuer(issuer) => self.new_moves.push(IssuerMove {
+                        issuer,
+                        successor: to,
+                    }),
+                }
+                self.send_late();
+            }
+            StageAnswer::Whole => {}
+        }
+    }
+
+    /// Outcomes follow the pages of their books.
+    fn send_late(&mut self) {
+        let handings = &self.handings;
+        let whole = |late: &mut HandedOutcome| {
+            let handing = handings.get(&late.settlement.ticket.book);
+            handing.is_some_and(|handing| handing.whole)
+        };
+        for late in self.late.extract_if(.., whole) {
+            self.outbox
+                .push((late.to, Message::Settled(late.settlement)));
+        }
+    }
+}
+
+fn refusal(kind: ErrorKind, proof: RunProof) -> CallerAnswer {
+    CallerAnswer::Refused(KeyRefusal::new(kind, proof, "the target gave no answer"))
+}
