--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -7,6 +7,8 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use model::ConfigVersion;
+use once::RunProof;
+use once::proof::PROOF_HEADER;
 use serde_json::json;
 
 use crate::body::CallBody;
@@ -58,6 +60,7 @@
     // The error headers are this system's own; a target must not forge them.
     response.headers_mut().remove(ERROR_HEADER);
     response.headers_mut().remove(NOT_RUN_HEADER);
+    response.headers_mut().remove(PROOF_HEADER);
     mark.apply(response.headers_mut());
     response
 }
@@ -68,7 +71,7 @@
     let body = json!({
         "error": row.name,
         "detail": &refusal.error.detail,
-        "not_run": row.not_run,
+        "run": refusal.proof.to_string(),
     });
     let mut response = Response::new(CallBody::whole(body.to_string().into_bytes()));
     *response.status_mut() = StatusCode::from_u16(row.status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -78,7 +81,10 @@
         http::header::CONTENT_TYPE,
         HeaderValue::from_static("application/json"),
     );
-    if row.not_run {
+    if let Ok(proof) = HeaderValue::from_str(&refusal.proof.to_string()) {
+        headers.insert(PROOF_HEADER, proof);
+    }
+    if refusal.proof == RunProof::NotRun {
         headers.insert(NOT_RUN_HEADER, HeaderValue::from_static("true"));
     }
     if let Some(retry_after) = refusal.retry_after {
--- a/crates/daemon/src/beside.rs
+++ b/crates/daemon/src/beside.rs
@@ -15,17 +15,24 @@
 use members::announce::{TargetAnnouncement, TargetChange, TargetRegistry, TargetState};
 use members::digest::TargetDigest;
 use model::{CallCount, ErrorKind, KindError, SharedClock, TargetName};
+use once::RequestPrint;
 use route::{GateConfig, TargetLoad};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
 
 use crate::body::{BodyBounds, BodyEnd, CallBody};
 use crate::gate::{GatePass, TargetGate};
+use crate::key_desk::KeyDesk;
 use crate::peer::{CallHead, CallRefusal, ResponseHead, pack_headers};
 use crate::target_client::TargetClient;
 
 /// An answer, or why there is none.
 pub type Result<T> = std::result::Result<T, CallRefusal>;
 
+/// Time for a target to take a connection before it counts as crashed.
+const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The targets beside this daemon.
 #[derive(Debug)]
 pub struct BesideDesk {
@@ -33,6 +40,8 @@
     queue: CallCount,
     bounds: BodyBounds,
     client: TargetClient,
+    keys: Arc<KeyDesk>,
+    tasks: TaskTracker,
     state: Mutex<BesideState>,
 }
 
@@ -51,6 +60,32 @@
     deadline: Instant,
 }
 
+/// A request in flight at a target, watched for crashes; ends when dropped.
+#[derive(Debug)]
+struct RequestFlight {
+    keys: Arc<KeyDesk>,
+    print: RequestPrint,
+    sound: bool,
+}
+
+impl RequestFlight {
+    /// Ends a request whose connection broke: looks whether the target is still there.
+    async fn end_broken(self, address: SocketAddr) {
+        let connecting = timeout(CRASH_PROBE_TIMEOUT, TcpStream::connect(address));
+        if !matches!(connecting.await, Ok(Ok(_))) {
+            let outputs = self.keys.poison().on_target_crashed();
+            self.keys.note_poison(outputs);
+        }
+    }
+}
+
+impl Drop for RequestFlight {
+    fn drop(&mut self) {
+        let output = self.keys.poison().finish(self.print, self.sound);
+        self.keys.note_poison(output);
+    }
+}
+
 /// A target's answer with its body.
 #[derive(Debug)]
 pub struct TargetAnswer {
@@ -62,10 +97,18 @@
 
 impl BesideDesk {
     /// A desk without targets; `queue` calls may wait for each, answers stay within `bounds`.
-    pub fn new(queue: CallCount, bounds: BodyBounds, clock: SharedClock) -> Self {
+    pub fn new(
+        queue: CallCount,
+        bounds: BodyBounds,
+        keys: Arc<KeyDesk>,
+        tasks: TaskTracker,
+        clock: SharedClock,
+    ) -> Self {
         Self {
             queue,
             bounds,
+            keys,
+            tasks,
             client: TargetClient::new(),
             state: Mutex::new(BesideState {
                 registry: TargetRegistry::new(Arc::clone(&clock)),
@@ -166,24 +209,47 @@
             address,
             deadline,
         } = admitted;
+        let flight = self.start(head).map_err(|error| refuse(&gate, error))?;
         let mut forward = head.clone();
         forward.remaining = deadline.saturating_duration_since(self.clock.now());
         let sending = self.client.send(address, &forward, body);
         match timeout(forward.remaining, sending).await {
-            Ok(Ok(response)) => Ok(self.answer_with(response, &gate, pass)),
+            Ok(Ok(response)) => Ok(self.answer_with(response, &gate, pass, flight, address)),
             Ok(Err(error)) => {
                 pass.mark_failed();
+                flight.end_broken(address).await;
                 Err(refuse(&gate, error))
             }
             Err(_) => Err(refuse(&gate, out_of_time())),
         }
     }
 
+    /// Lets a call go to the target: no request that crashes targets, no stale permit.
+    fn start(&self, head: &CallHead) -> model::Result<RequestFlight> {
+        let print = RequestPrint(head.print);
+        self.keys.poison().start(print)?;
+        // From here on the flight ends when it is dropped.
+        let flight = RequestFlight {
+            keys: Arc::clone(&self.keys),
+            print,
+            sound: false,
+        };
+        if !head.idempotent {
+            let pass = head.pass.as_ref().ok_or_else(|| {
+                KindError::new(ErrorKind::PermitInvalid, "a keyed call without a permit")
+            })?;
+            self.keys.issuer().redeem(pass)?;
+        }
+        Ok(flight)
+    }
+
     fn answer_with(
         &self,
         response: Response<Incoming>,
         gate: &Arc<TargetGate>,
         mut pass: GatePass,
+        mut flight: RequestFlight,
+        address: SocketAddr,
     ) -> TargetAnswer {
         let (parts, incoming) = response.into_parts();
         if parts.status.is_server_error() {
@@ -195,9 +261,12 @@
             load: gate.load(),
             waited: pass.waited,
         };
+        let tasks = self.tasks.clone();
         let body = CallBody::from_target(incoming, self.bounds).watched(move |end| {
+            flight.sound = end == BodyEnd::Whole;
             if end == BodyEnd::Broken {
                 pass.mark_failed();
+                tasks.spawn(flight.end_broken(address));
             }
             drop(pass);
         });
@@ -253,9 +322,9 @@
 fn refuse(gate: &TargetGate, error: KindError) -> CallRefusal {
     let come_again = error.kind.answer().not_run && error.kind.answer().retryable;
     CallRefusal {
-        error,
         retry_after: come_again.then(|| gate.retry_after().max(Duration::from_millis(10))),
         load: Some(gate.load()),
+        ..error.into()
     }
 }
 
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -10,17 +10,18 @@
 use hyper::body::Incoming;
 use limits::{LimitRefusal, LimitTicket, LoadSign, PlanLimit, ShedTicket};
 use model::{CallClass, ErrorKind, KindError};
+use once::{CallKey, PrintHasher, RequestPrint, RunProof};
 use plans::lists::CallKind;
 use plans::{CallGrant, RouteTable};
 use route::CallDeadline;
 use spread::FreshnessCase;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::answer::{AnswerMark, pass_on, refuse};
 use crate::beside::{Result, TargetAnswer};
 use crate::body::{BodyBounds, CallBody};
 use crate::core::DaemonCore;
-use crate::dispatch::dispatch;
+use crate::dispatch::{Dispatch, dispatch};
+use crate::keyed::run_keyed;
 use crate::peer::{CallHead, CallRefusal, pack_headers};
 use crate::request::CallRequest;
 
@@ -78,11 +79,22 @@
     let (parts, incoming) = request.into_parts();
     let call = CallRequest::read(&parts)?;
     let grant = table.admit(&call.customer, &call.secret, &call.method, &call.path)?;
-    if !grant.method.idempotent {
-        check_keyed(&call, case)?;
-    }
+    let key = read_key(&call, &grant, case)?;
+    let result = run_granted(core, &call, &grant, &parts.headers, incoming, key).await;
+    // A key may have been sent before, which only its home can tell about.
+    result.map_err(|refusal| weaken(refusal, call.key.is_some() && !grant.method.idempotent))
+}
+
+async fn run_granted(
+    core: &Arc<DaemonCore>,
+    call: &CallRequest,
+    grant: &CallGrant<'_>,
+    headers: &http::HeaderMap,
+    incoming: Incoming,
+    key: Option<CallKey>,
+) -> Result<TargetAnswer> {
     let deadline = CallDeadline::new(core.clock.now(), call.remaining, grant.service.timeout);
-    let tickets = CallTickets::take(core, &grant)?;
+    let tickets = CallTickets::take(core, grant)?;
 
     let bounds = BodyBounds {
         max_bytes: core.settings.numbers.max_body_bytes.into(),
@@ -90,23 +102,55 @@
     };
     let mut body = CallBody::from_caller(incoming, bounds);
     body.read_ahead(READ_AHEAD_BYTES).await?;
-    let head = build_head(&call, &grant, &parts.headers, body.bytes());
-    let result = dispatch(core, head, deadline, body).await;
+    let head = build_head(call, grant, headers, body.bytes());
+    core.keys.poison().check(RequestPrint(head.print))?;
+    let result = match key {
+        Some(key) => run_keyed(core, head, key, deadline, body).await,
+        None => {
+            let ticket = None;
+            dispatch(
+                core,
+                Dispatch {
+                    head,
+                    deadline,
+                    ticket,
+                },
+                body,
+            )
+            .await
+        }
+    };
     tickets.follow(result)
 }
 
-fn check_keyed(call: &CallRequest, case: FreshnessCase) -> Result<()> {
+/// The key of a non-idempotent call; none for an idempotent one.
+fn read_key(
+    call: &CallRequest,
+    grant: &CallGrant<'_>,
+    case: FreshnessCase,
+) -> Result<Option<CallKey>> {
+    if grant.method.idempotent {
+        return Ok(None);
+    }
     model::ensure(
         case != FreshnessCase::CutOff,
         ErrorKind::ConfigStale,
         "this daemon is cut off and cannot prove that its configuration is current",
     )?;
-    model::ensure(
-        call.key.is_some(),
-        ErrorKind::KeyMissing,
-        "this method needs an Idempotency-Key header",
-    )?;
-    Ok(())
+    let missing = || {
+        let detail = "this method needs an Idempotency-Key header";
+        KindError::new(ErrorKind::KeyMissing, detail)
+    };
+    let text = call.key.as_deref().ok_or_else(missing)?;
+    Ok(Some(text.parse()?))
+}
+
+/// What a refusal given before the key's home was asked proves about the call.
+fn weaken(mut refusal: CallRefusal, keyed: bool) -> CallRefusal {
+    if keyed && refusal.proof == RunProof::NotRun && !refusal.by_home {
+        refusal.proof = RunProof::before_home(refusal.error.kind);
+    }
+    refusal
 }
 
 fn build_head(
@@ -128,8 +172,9 @@
         mark: call.mark,
         idempotent: grant.method.idempotent,
         streamed: false,
-        print: fingerprint(call, body),
-        permit: None,
+        print: fingerprint(call, grant, headers, body),
+        key: None,
+        pass: None,
     }
 }
 
@@ -144,13 +189,18 @@
     }
 }
 
-fn fingerprint(call: &CallRequest, body: &[u8]) -> u128 {
-    let mut hasher = Xxh3::new();
-    for part in [call.method.as_bytes(), call.path.as_bytes(), body] {
-        hasher.update(&part.len().to_le_bytes());
-        hasher.update(part);
-    }
-    hasher.digest128()
+fn fingerprint(
+    call: &CallRequest,
+    grant: &CallGrant<'_>,
+    headers: &http::HeaderMap,
+    body: &[u8],
+) -> u128 {
+    let length = headers.get(http::header::CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let customer = &grant.customer.name;
+    let mut hasher = PrintHasher::new(customer, &call.method, &call.path, length);
+    hasher.update(body);
+    hasher.finish().0
 }
 
 /// What a call holds of its customer's limits until its answer is through.
@@ -212,8 +262,7 @@
 
 fn limit_refusal(refusal: LimitRefusal) -> CallRefusal {
     CallRefusal {
-        error: KindError::new(refusal.kind, "refused by the plan's limits"),
         retry_after: Some(refusal.retry_after),
-        load: None,
+        ..KindError::new(refusal.kind, "refused by the plan's limits").into()
     }
 }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -11,8 +11,9 @@
 use std::time::Duration;
 
 use limits::LimitOutput;
-use members::{MemberNode, MemberOutput, MemberSettings, MemberState};
+use members::{MemberNode, MemberOutput, MemberSettings, MemberState, MemberView};
 use model::{DaemonId, KindError};
+use once::HolderId;
 use plans::RouteTable;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -23,6 +24,8 @@
 
 use crate::core::{AddressBook, DaemonCore};
 use crate::courier::ControlCourier;
+use crate::key_control::{HandoverDone, KeyControl, OnceSends};
+use crate::key_desk::RunBook;
 use crate::log_jobs::{JobDone, JobOwner, LogDesk};
 use crate::peer::{ControlBatch, ControlMessage};
 use crate::replica::PlansReplica;
@@ -47,8 +50,12 @@
     TargetsChanged,
     /// An operator asks.
     Status(oneshot::Sender<StatusReport>),
+    /// A handover of key books ended.
+    Handed(HandoverDone),
     /// A planned stop begins.
     Drain,
+    /// Asks whether a draining daemon has handed its keys over.
+    IsFree(oneshot::Sender<bool>),
     /// The daemon leaves the membership; answered once the others were told.
     Leave(oneshot::Sender<()>),
 }
@@ -59,6 +66,7 @@
     core: Arc<DaemonCore>,
     spread: SpreadNode<PlansReplica>,
     members: MemberNode,
+    keys: KeyControl,
     courier: ControlCourier,
     desk: LogDesk,
     /// Addresses of peers that wrote to us, before the membership knows them.
@@ -93,6 +101,7 @@
         let members = MemberNode::new(member_settings(&core), Arc::clone(&core.clock), random());
         Self {
             courier: ControlCourier::new(Arc::clone(&core)),
+            keys: KeyControl::new(Arc::clone(&core), desk.clone(), random()),
             spread,
             members,
             desk,
@@ -137,7 +146,12 @@
             ControlEvent::Log(done) => self.on_log(done),
             ControlEvent::TargetsChanged => self.on_targets_changed(),
             ControlEvent::Status(asked) => drop(asked.send(self.status())),
+            ControlEvent::Handed(done) => {
+                let sends = self.keys.on_handed(done);
+                self.do_once(sends);
+            }
             ControlEvent::Drain => self.drain(),
+            ControlEvent::IsFree(asked) => drop(asked.send(self.keys.is_free())),
             ControlEvent::Leave(_) => {}
         }
     }
@@ -155,6 +169,10 @@
         }
         let outputs = self.core.limits().on_tick();
         self.do_limits(outputs);
+        let sends = self.keys.on_tick();
+        self.do_once(sends);
+        let sends = self.keys.do_poison(self.core.keys.take_poison());
+        self.do_once(sends);
         self.core.freshness.store(Arc::new(self.spread.freshness()));
     }
 
@@ -198,7 +216,10 @@
                 let outputs = self.core.limits().on_message(from, message);
                 self.do_limits(outputs);
             }
-            ControlMessage::Once(_) => {}
+            ControlMessage::Once(bytes) => {
+                let sends = self.keys.on_message(from, wire::decode_message(bytes)?);
+                self.do_once(sends);
+            }
         }
         Ok(())
     }
@@ -222,6 +243,13 @@
                 self.core.counters.count_error(error.kind);
                 self.members.on_read_failed();
             }
+            JobDone::Read(JobOwner::Leases(_), answer) => {
+                let sends = self.keys.on_read(answer);
+                self.do_once(sends);
+            }
+            JobDone::Append(JobOwner::Leases(serial), answer) => {
+                self.keys.on_appended(serial, &answer);
+            }
             JobDone::Append(JobOwner::Members, Ok(_)) => {}
             JobDone::Append(JobOwner::Members, Err(error)) => {
                 self.core.counters.count_error(error.kind);
@@ -286,6 +314,12 @@
         }
     }
 
+    fn do_once(&mut self, sends: OnceSends) {
+        for (to, message) in sends {
+            self.send(to, &message, ControlMessage::Once);
+        }
+    }
+
     fn send(
         &mut self,
         to: DaemonId,
@@ -362,11 +396,37 @@
         }
         self.heard.retain(|id, _| !addresses.contains_key(id));
         self.core.limits().set_members(&ids);
+        self.publish_runs(&views);
         self.core.addresses.store(Arc::new(addresses));
         publish_targets(&self.core, self.members.all_targets());
     }
 
+    /// Tells the keys' side which runs of daemons are alive.
+    fn publish_runs(&mut self, views: &[MemberView]) {
+        let live = || views.iter().filter(|view| view.state.is_live());
+        let runs: RunBook = live().map(|view| (view.id, view.incarnation)).collect();
+        for (daemon, incarnation) in self.core.runs.load().iter() {
+            if runs.get(daemon).is_none_or(|run| run > incarnation) {
+                self.keys.on_holder_gone(HolderId {
+                    daemon: *daemon,
+                    incarnation: *incarnation,
+                });
+            }
+        }
+        self.core.runs.store(Arc::new(runs));
+        let able = live().filter(|view| !view.draining);
+        let holders = able.map(|view| {
+            let holder = HolderId {
+                daemon: view.id,
+                incarnation: view.incarnation,
+            };
+            (view.profile.domain.clone(), holder)
+        });
+        self.keys.set_members(holders.collect());
+    }
+
     fn drain(&mut self) {
+        self.keys.leave();
         self.members.drain();
         self.core.beside.drain();
         self.on_targets_changed();
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -4,14 +4,18 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use limits::{LimitGate, LoadShedder};
-use model::{CallCount, DaemonId, IncarnationNumber, SharedClock};
+use model::{CallCount, DaemonId, ErrorKind, IncarnationNumber, KindError, SharedClock};
+use once::HolderId;
+use once::home::HandedOutcome;
 use plans::{ConfigState, RouteTable};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use route::{PickerConfig, RetryPolicy, TargetPicker};
+use serde::de::DeserializeOwned;
 use smallvec::SmallVec;
 use spread::{FreshnessCase, FreshnessReport};
 use tokio_util::task::TaskTracker;
@@ -20,8 +24,14 @@
 use crate::beside::BesideDesk;
 use crate::body::BodyBounds;
 use crate::counters::{CounterBoard, Result};
+use crate::key_control::{OnceMessage, send_settlement};
+use crate::key_desk::{KeyDesk, RunBook};
+use crate::peer::{ControlAck, ControlBatch, ControlMessage, PeerRequest};
 use crate::settings::DaemonSettings;
 
+/// Time for the next home to take an outcome.
+const SETTLEMENT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Where each live member listens for peers.
 pub type AddressBook = HashMap<DaemonId, SocketAddr>;
 
@@ -46,6 +56,10 @@
     pub addresses: ArcSwap<AddressBook>,
     /// Targets beside this daemon.
     pub beside: BesideDesk,
+    /// Keys, permits and poison requests.
+    pub keys: Arc<KeyDesk>,
+    /// Runs of live members.
+    pub runs: ArcSwap<RunBook>,
     /// Connections to peers.
     pub pool: PeerPool,
     /// Counters.
@@ -64,6 +78,13 @@
     /// The state of a daemon that starts.
     pub fn new(settings: DaemonSettings, clock: SharedClock) -> Result<Self> {
         let id = settings.daemon_id();
+        let incarnation = incarnation_now(&clock);
+        let me = HolderId {
+            daemon: id,
+            incarnation,
+        };
+        let keys = Arc::new(KeyDesk::new(me, &clock));
+        let tasks = TaskTracker::new();
         let picker_config = PickerConfig {
             domain: settings.domain.clone(),
             region: SmallVec::new(),
@@ -85,15 +106,23 @@
         };
         Ok(Self {
             id,
-            incarnation: incarnation_now(&clock),
+            incarnation,
             table: ArcSwapOption::empty(),
             state: ArcSwapOption::empty(),
             freshness: ArcSwap::from_pointee(absent),
             addresses: ArcSwap::default(),
-            beside: BesideDesk::new(queue, answer_bounds, Arc::clone(&clock)),
+            beside: BesideDesk::new(
+                queue,
+                answer_bounds,
+                Arc::clone(&keys),
+                tasks.clone(),
+                Arc::clone(&clock),
+            ),
+            keys,
+            runs: ArcSwap::default(),
             pool: PeerPool::new(wire_limits),
             counters: CounterBoard::open(settings.metrics_address)?,
-            tasks: TaskTracker::new(),
+            tasks,
             picker: Mutex::new(TargetPicker::new(
                 picker_config,
                 Arc::clone(&clock),
@@ -109,6 +138,47 @@
         })
     }
 
+    /// Asks another daemon and waits for its answer.
+    ///
+    /// Kinds: `PeerUnavailable`, `OutcomeUnknown`, `FrameInvalid`, `FrameTooLarge`.
+    pub async fn ask<T: DeserializeOwned>(
+        &self,
+        daemon: DaemonId,
+        request: &PeerRequest,
+        patience: Duration,
+    ) -> model::Result<T> {
+        let address = self.addresses.load().get(&daemon).copied();
+        let address = address
+            .ok_or_else(|| KindError::new(ErrorKind::PeerUnavailable, "the daemon has left"))?;
+        let asking = tokio::time::timeout(patience, self.pool.ask(address, request));
+        asking.await.unwrap_or_else(|elapsed| {
+            let detail = format!("{address}: {elapsed}");
+            Err(KindError::new(ErrorKind::OutcomeUnknown, detail))
+        })
+    }
+
+    /// Sends an outcome to the home that took its book over.
+    pub fn hand_settlement(self: &Arc<Self>, handed: HandedOutcome) {
+        let core = Arc::clone(self);
+        self.tasks.spawn(async move {
+            let (to, message) = send_settlement(handed);
+            if let Err(error) = core.send_control(to, &message).await {
+                core.counters.count_error(error.kind);
+            }
+        });
+    }
+
+    async fn send_control(&self, to: DaemonId, message: &OnceMessage) -> model::Result<()> {
+        let batch = ControlBatch {
+            from: self.id,
+            address: self.settings.peer_address,
+            messages: vec![ControlMessage::Once(wire::encode_message(message)?)],
+        };
+        let request = PeerRequest::Control(batch);
+        let _: ControlAck = self.ask(to, &request, SETTLEMENT_TIMEOUT).await?;
+        Ok(())
+    }
+
     /// Choice of targets.
     pub fn picker(&self) -> MutexGuard<'_, TargetPicker> {
         self.picker.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use model::{DaemonId, ErrorKind, KindError};
+use once::RunTicket;
 use route::{
     AttemptFailure, CallDeadline, CallOutcome, CallResult, FailureCause, PickTicket, RetryVerdict,
 };
@@ -13,34 +14,51 @@
 use crate::body::{BodyEnd, CallBody};
 use crate::core::DaemonCore;
 use crate::forward::forward;
+use crate::keyed::{revoke, take_pass};
 use crate::peer::{CallHead, CallRefusal};
 
 /// Daemons that an attempt of the call has failed at.
 type TriedList = SmallVec<[DaemonId; 4]>;
 
+/// A call that is ready to be sent.
+#[derive(Debug)]
+pub struct Dispatch {
+    /// The call.
+    pub head: CallHead,
+    /// When it must have been answered.
+    pub deadline: CallDeadline,
+    /// The right to run it, for a call with a key.
+    pub ticket: Option<RunTicket>,
+}
+
 /// Sends the call until a target answers or no further attempt is allowed.
 pub async fn dispatch(
     core: &Arc<DaemonCore>,
-    mut head: CallHead,
-    deadline: CallDeadline,
+    call: Dispatch,
     body: CallBody,
 ) -> Result<TargetAnswer> {
+    let Dispatch {
+        mut head,
+        deadline,
+        ticket,
+    } = call;
     core.retries().on_first(head.mark);
     head.streamed = body.copy().is_none();
     let mut body = Some(body);
     let mut tried = TriedList::new();
     loop {
         head.remaining = deadline.next_hop(core.clock.now())?;
-        let ticket = pick(core, &head, &tried)?;
-        head.target = Some(ticket.view.target.clone());
+        let picked = pick(core, &head, &tried)?;
+        let daemon = picked.view.daemon;
+        head.target = Some(picked.view.target.clone());
         let spare = body.as_ref().and_then(CallBody::copy);
-        let refusal = match forward(core, ticket.view.daemon, &head, &mut body).await {
-            Ok(answer) => return Ok(watch_answer(core, ticket, answer)),
+        let refusal = match attempt(core, daemon, &mut head, ticket, &mut body).await {
+            Ok(answer) => return Ok(watch_answer(core, picked, answer)),
             Err(refusal) => refusal,
         };
         body = body.or(spare);
-        finish_attempt(core, &ticket, &refusal);
-        tried.push(ticket.view.daemon);
+        finish_attempt(core, &picked, &refusal);
+        tried.push(daemon);
         let failure = AttemptFailure {
             cause: cause_of(&refusal),
             idempotent: head.idempotent,
@@ -62,6 +80,30 @@
     }
 }
 
+/// One attempt; a keyed call takes a permit of the daemon first.
+async fn attempt(
+    core: &Arc<DaemonCore>,
+    daemon: DaemonId,
+    head: &mut CallHead,
+    ticket: Option<RunTicket>,
+    body: &mut Option<CallBody>,
+) -> Result<TargetAnswer> {
+    let Some(ticket) = ticket else {
+        return forward(core, daemon, head, body).await;
+    };
+    let pass = take_pass(core, daemon, ticket).await?;
+    head.pass = Some(pass);
+    let refusal = match forward(core, daemon, head, body).await {
+        Ok(answer) => return Ok(answer),
+        Err(refusal) => refusal,
+    };
+    // A lost answer with an unused permit proves that nothing ran.
+    if !refusal.error.kind.answer().not_run && revoke(core, pass.permit).await {
+        return Err(KindError::new(ErrorKind::PeerUnavailable, refusal.error.detail).into());
+    }
+    Err(refusal)
+}
+
 fn pick(core: &DaemonCore, head: &CallHead, tried: &[DaemonId]) -> Result<PickTicket> {
     let mut picker = core.picker();
     let fresh = picker.pick(&head.service, tried);
@@ -70,9 +112,8 @@
     ticket.ok_or_else(|| {
         let detail = format!("no target of {} is present and willing", head.service);
         CallRefusal {
-            error: KindError::new(ErrorKind::TargetAbsent, detail),
             retry_after: Some(Duration::from_secs(1)),
-            load: None,
+            ..KindError::new(ErrorKind::TargetAbsent, detail).into()
         }
     })
 }
--- /dev/null
+++ b/crates/daemon/src/key_control.rs
@@ -0,0 +1,414 @@
+//! The part of the control loop that keeps leases, homes and handovers.
+//!
+//! Few daemons of each failure domain are key homes and keep leases on the
+//! log; every daemon hears who holds which range, from peers. A home whose
+//! ranges belong elsewhere, as when it drains, hands them over page by page
+//! before it releases them on the log.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use feed::ReadAnswer;
+use model::{DaemonId, DomainName, KindError, LogOffset, RecordCount};
+use once::home::{HandedOutcome, HandoverPage, KeySettlement};
+use once::lease::{LeaseView, TermRef, pick_homes};
+use once::{
+    BookId, HolderId, IssuerMove, LeaseKeeper, LeaseOutput, LeaseSettings, PoisonMessage,
+    PoisonOutput, StageAnswer,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use spread::LogTag;
+use spread::message::LogRead;
+
+use crate::core::DaemonCore;
+use crate::log_jobs::{JobOwner, LogDesk};
+use crate::peer::PeerRequest;
+
+/// Stream of the leases.
+const LEASE_STREAM: &str = "leases";
+/// How long a read of the lease stream waits for a record.
+const LEASE_WAIT: Duration = Duration::from_secs(1);
+/// Records of one read.
+const LEASE_LIMIT: RecordCount = RecordCount(200);
+/// Members told of a newer view of the leases.
+const VIEW_FAN_OUT: usize = 4;
+/// Ticks of the loop between two questions for a newer view.
+const ASK_TICKS: u64 = 20;
+/// Ticks of the loop between two looks for misplaced ranges.
+const HANDOVER_TICKS: u64 = 10;
+/// Time for a successor to take one page.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What daemons tell one another about keys, leases and crashes.
+#[derive(Debug, Deserialize, Serialize)]
+pub enum OnceMessage {
+    /// Who holds which range.
+    View(LeaseView),
+    /// Asks for a view that is newer than this offset, and for moves.
+    AskView(LogOffset),
+    /// An issuer's keys have another home.
+    Move(IssuerMove),
+    /// What came of a call whose book was handed over.
+    Settlement(KeySettlement),
+    /// A crash, or a suspect that was cleared.
+    Poison(PoisonMessage),
+}
+
+/// Messages for other daemons.
+pub type OnceSends = Vec<(DaemonId, OnceMessage)>;
+
+/// Leases and homes of one daemon.
+#[derive(Debug)]
+pub struct KeyControl {
+    core: Arc<DaemonCore>,
+    keeper: LeaseKeeper,
+    desk: LogDesk,
+    random: SmallRng,
+    members: Vec<(DomainName, HolderId)>,
+    is_home: bool,
+    handing: bool,
+    leaving: bool,
+    ticks: u64,
+}
+
+impl KeyControl {
+    /// The control of a daemon that is no home yet.
+    pub fn new(core: Arc<DaemonCore>, desk: LogDesk, mut random: SmallRng) -> Self {
+        let settings = LeaseSettings::default();
+        let clock = Arc::clone(&core.clock);
+        let keeper_random = SmallRng::from_rng(&mut random);
+        Self {
+            keeper: LeaseKeeper::new(core.keys.me, settings, clock, keeper_random),
+            core,
+            desk,
+            random,
+            members: Vec::new(),
+            is_home: false,
+            handing: false,
+            leaving: false,
+            ticks: 0,
+        }
+    }
+
+    /// Takes the live members that do not drain.
+    pub fn set_members(&mut self, members: Vec<(DomainName, HolderId)>) {
+        self.members = members;
+        let me = self.core.keys.me;
+        let others = || self.members.iter().filter(|(_, member)| *member != me);
+        let able: Vec<(DomainName, HolderId)> = if self.leaving {
+            others().cloned().collect()
+        } else {
+            self.members.clone()
+        };
+        let homes = pick_homes(&able);
+        self.is_home = homes.contains(&me);
+        self.keeper.set_homes(homes);
+    }
+
+    /// Begins to hand everything over.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        let members = std::mem::take(&mut self.members);
+        self.set_members(members);
+    }
+
+    /// Whether a leaving daemon has handed over all ranges that it held.
+    pub fn is_free(&self) -> bool {
+        let alone = self.members.len() <= 1;
+        alone || (!self.handing && self.keeper.held().next().is_none())
+    }
+
+    /// Does what is due; called on every tick of the loop.
+    pub fn on_tick(&mut self) -> OnceSends {
+        self.ticks += 1;
+        let mut sends = OnceSends::new();
+        if self.is_home || self.keeper.held().next().is_some() {
+            let outputs = self.keeper.on_tick();
+            sends.extend(self.do_leases(outputs));
+        }
+        self.core.keys.home().on_tick(self.keeper.log_now());
+        self.core.keys.poison().on_tick();
+        if self.ticks.is_multiple_of(ASK_TICKS) {
+            sends.extend(self.ask_view());
+        }
+        if self.ticks.is_multiple_of(HANDOVER_TICKS) && !self.handing {
+            self.hand_over();
+        }
+        sends
+    }
+
+    /// Takes the answer to a read of the lease stream.
+    pub fn on_read(&mut self, answer: Result<ReadAnswer, KindError>) -> OnceSends {
+        match answer {
+            Ok(answer) => {
+                let outputs = self.keeper.on_read(&answer);
+                self.do_leases(outputs)
+            }
+            Err(error) => {
+                self.core.counters.count_error(error.kind);
+                self.keeper.on_read_failed();
+                OnceSends::new()
+            }
+        }
+    }
+
+    /// Takes the answer to an append to the lease stream.
+    pub fn on_appended(&mut self, serial: u64, answer: &Result<LogOffset, KindError>) {
+        self.keeper.on_appended(serial, answer.is_ok());
+    }
+
+    /// Takes a message of a peer.
+    pub fn on_message(&mut self, from: DaemonId, message: OnceMessage) -> OnceSends {
+        match message {
+            OnceMessage::View(view) => self.take_view(view),
+            OnceMessage::AskView(known) => self.answer_view(from, known),
+            OnceMessage::Move(change) => {
+                self.core.keys.router().on_move(change);
+                OnceSends::new()
+            }
+            OnceMessage::Settlement(settlement) => {
+                let handed = self.core.keys.home().on_settlement(settlement);
+                handed.map(send_settlement).into_iter().collect()
+            }
+            OnceMessage::Poison(message) => {
+                let outputs = self.core.keys.poison().on_message(&message);
+                self.do_poison(outputs)
+            }
+        }
+    }
+
+    /// Carries out what the watch for poison requests wants.
+    pub fn do_poison(&self, outputs: Vec<PoisonOutput>) -> OnceSends {
+        let mut sends = OnceSends::new();
+        for output in outputs {
+            match output {
+                PoisonOutput::Tell(message) => {
+                    let others = self.others().map(|holder| holder.daemon);
+                    sends.extend(others.map(|to| (to, OnceMessage::Poison(message.clone()))));
+                }
+                PoisonOutput::Stopped(print) => {
+                    self.core.counters.count("poison-stopped");
+                    log::warn!("request {print} crashed two targets and is stopped");
+                }
+            }
+        }
+        sends
+    }
+
+    /// Takes note that a run of a daemon is over.
+    pub fn on_holder_gone(&self, holder: HolderId) {
+        self.core.keys.home().on_holder_gone(holder);
+    }
+
+    /// Ends a handover: releases on the log what the successors hold now.
+    pub fn on_handed(&mut self, done: HandoverDone) -> OnceSends {
+        self.handing = false;
+        for (successor, terms) in done.released {
+            self.core.counters.add("ranges-handed", terms.len() as u64);
+            self.keeper.release(terms, successor);
+        }
+        let mut sends = OnceSends::new();
+        for change in done.moves {
+            self.core.keys.router().on_move(change);
+            let others = self.others().map(|holder| holder.daemon);
+            sends.extend(others.map(|to| (to, OnceMessage::Move(change))));
+        }
+        sends
+    }
+
+    fn others(&self) -> impl Iterator<Item = HolderId> {
+        let me = self.core.keys.me;
+        let holders = self.members.iter().map(|(_, holder)| *holder);
+        holders.filter(move |holder| *holder != me)
+    }
+
+    fn do_leases(&mut self, outputs: Vec<LeaseOutput>) -> OnceSends {
+        let mut sends = OnceSends::new();
+        for output in outputs {
+            match output {
+                LeaseOutput::Read { from } => self.read_leases(from),
+                LeaseOutput::Append { serial, body } => {
+                    let stream = LEASE_STREAM.parse().expect("a constant name is valid");
+                    self.desk.append(JobOwner::Leases(serial), stream, body);
+                }
+                LeaseOutput::Term(update) => self.core.keys.home().on_term(update),
+                LeaseOutput::View(view) => sends.extend(self.take_view(view)),
+                LeaseOutput::Alarm(error) => log::error!("leases: {error}"),
+            }
+        }
+        sends
+    }
+
+    fn read_leases(&self, from: LogOffset) {
+        let read = LogRead {
+            tag: LogTag::default(),
+            stream: LEASE_STREAM.parse().expect("a constant name is valid"),
+            from,
+            limit: LEASE_LIMIT,
+            wait: LEASE_WAIT,
+        };
+        self.desk.read(JobOwner::Leases(0), read);
+    }
+
+    /// Keeps a newer view and passes it on.
+    fn take_view(&mut self, view: LeaseView) -> OnceSends {
+        self.core.keys.issuer().observe(&view);
+        if !self.core.keys.router().on_view(view.clone()) {
+            return OnceSends::new();
+        }
+        let others: Vec<HolderId> = self.others().collect();
+        let chosen = others.choose_multiple(&mut self.random, VIEW_FAN_OUT);
+        chosen
+            .map(|holder| (holder.daemon, OnceMessage::View(view.clone())))
+            .collect()
+    }
+
+    fn ask_view(&mut self) -> OnceSends {
+        let others: Vec<HolderId> = self.others().collect();
+        let known = self.core.keys.router().view().next;
+        let asked = others.choose(&mut self.random);
+        asked
+            .map(|holder| (holder.daemon, OnceMessage::AskView(known)))
+            .into_iter()
+            .collect()
+    }
+
+    fn answer_view(&self, from: DaemonId, known: LogOffset) -> OnceSends {
+        let router = self.core.keys.router();
+        let mut sends = OnceSends::new();
+        if router.view().next > known {
+            sends.push((from, OnceMessage::View(router.view().clone())));
+        }
+        let moves = router.moves();
+        sends.extend(moves.map(|change| (from, OnceMessage::Move(change))));
+        sends
+    }
+
+    /// Starts to hand over the ranges that other homes should hold.
+    fn hand_over(&mut self) {
+        let misplaced = self.keeper.misplaced();
+        let mut plan: VecDeque<HandoverStep> = VecDeque::new();
+        for (successor, terms) in misplaced {
+            plan.push_back(HandoverStep {
+                successor,
+                books: terms.iter().map(|term| BookId::Range(*term)).collect(),
+                terms,
+            });
+        }
+        if self.leaving
+            && let Some(successor) = self.others().min()
+        {
+            let books = self.core.keys.home().books_to_hand();
+            plan.push_back(HandoverStep {
+                successor,
+                books: books
+                    .into_iter()
+                    .filter(|book| matches!(book, BookId::Issuer(_)))
+                    .collect(),
+                terms: SmallVec::new(),
+            });
+        }
+        if plan.is_empty() {
+            return;
+        }
+        self.handing = true;
+        let core = Arc::clone(&self.core);
+        let events = self.desk.events().clone();
+        self.core.tasks.spawn(async move {
+            let done = run_handover(&core, plan).await;
+            // A loop that has ended needs no answer.
+            let _ = events
+                .send(crate::control::ControlEvent::Handed(done))
+                .await;
+        });
+    }
+}
+
+/// The message that carries an outcome to a book's next home.
+pub fn send_settlement(handed: HandedOutcome) -> (DaemonId, OnceMessage) {
+    let to = handed.to.daemon;
+    (to, OnceMessage::Settlement(handed.settlement))
+}
+
+/// Books for one successor, and the terms to release once it holds them.
+#[derive(Debug)]
+struct HandoverStep {
+    successor: HolderId,
+    books: Vec<BookId>,
+    terms: SmallVec<[TermRef; 8]>,
+}
+
+/// What a handover came to.
+#[derive(Debug, Default)]
+pub struct HandoverDone {
+    released: Vec<(HolderId, SmallVec<[TermRef; 8]>)>,
+    moves: Vec<IssuerMove>,
+}
+
+async fn run_handover(core: &Arc<DaemonCore>, plan: VecDeque<HandoverStep>) -> HandoverDone {
+    let mut done = HandoverDone::default();
+    for step in plan {
+        let mut handed = Vec::new();
+        for book in step.books {
+            match send_book(core, book, step.successor).await {
+                Ok(()) => handed.push(book),
+                Err(error) => {
+                    core.counters.count_error(error.kind);
+                    log::warn!("{book} was not handed over: {error}");
+                }
+            }
+        }
+        for book in &handed {
+            if let BookId::Issuer(issuer) = book {
+                done.moves.push(IssuerMove {
+                    issuer: *issuer,
+                    successor: step.successor,
+                });
+            }
+        }
+        let is_handed = |term: &TermRef| handed.contains(&BookId::Range(*term));
+        let terms: SmallVec<[TermRef; 8]> = step.terms.into_iter().filter(is_handed).collect();
+        if !terms.is_empty() {
+            done.released.push((step.successor, terms));
+        }
+    }
+    done
+}
+
+async fn send_book(core: &Arc<DaemonCore>, book: BookId, successor: HolderId) -> model::Result<()> {
+    let pages = core.keys.home().seal(book, successor)?;
+    let mut number = 0;
+    // Each page is sent once and, at the most, the whole book once more.
+    for _ in 0..=2 * pages.len() {
+        let Some(page) = pages.get(number) else {
+            return Ok(());
+        };
+        match send_page(core, successor, page).await? {
+            StageAnswer::Whole => return Ok(()),
+            StageAnswer::Next(next) => number = next as usize,
+        }
+    }
+    Err(KindError::new(
+        model::ErrorKind::PeerUnavailable,
+        "the successor does not take the pages",
+    ))
+}
+
+async fn send_page(
+    core: &Arc<DaemonCore>,
+    successor: HolderId,
+    page: &HandoverPage,
+) -> model::Result<StageAnswer> {
+    let request = PeerRequest::Stage {
+        from: core.keys.me,
+        page: Box::new(page.clone()),
+    };
+    let answer: model::Result<StageAnswer> =
+        core.ask(successor.daemon, &request, PAGE_TIMEOUT).await?;
+    answer
+}
--- /dev/null
+++ b/crates/daemon/src/key_desk.rs
@@ -0,0 +1,110 @@
+//! What this daemon knows of idempotency keys, permits and poison requests.
+//!
+//! Holds the state machines of `once` behind one lock each: the home of keys,
+//! permits held and issued, the way to other homes, and crashes of targets.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use model::{DaemonId, IncarnationNumber};
+use model::{ErrorKind, KindError, SharedClock};
+use once::permit::PermitSettings;
+use once::poison::PoisonSettings;
+use once::router::HolderStatus;
+use once::{
+    CallKey, HolderId, HomeAnswer, HomeSettings, KeyDigest, KeyHome, KeyRouter, PermitIssuer,
+    PermitPurse, PoisonOutput, PoisonWatch,
+};
+
+/// Runs of live daemons.
+pub type RunBook = BTreeMap<DaemonId, IncarnationNumber>;
+
+/// Keys, permits and poison requests at one daemon.
+#[derive(Debug)]
+pub struct KeyDesk {
+    /// This run of the daemon.
+    pub me: HolderId,
+    home: Mutex<KeyHome>,
+    purse: Mutex<PermitPurse>,
+    issuer: Mutex<PermitIssuer>,
+    router: Mutex<KeyRouter>,
+    poison: Mutex<PoisonWatch>,
+    noted: Mutex<Vec<PoisonOutput>>,
+}
+
+impl KeyDesk {
+    /// A desk that knows nothing yet.
+    pub fn new(me: HolderId, clock: &SharedClock) -> Self {
+        let settings = HomeSettings::default();
+        let shared = || Arc::clone(clock);
+        Self {
+            me,
+            router: Mutex::new(KeyRouter::new(me, settings.window, shared())),
+            home: Mutex::new(KeyHome::new(me, settings, shared())),
+            purse: Mutex::new(PermitPurse::new(me, shared())),
+            issuer: Mutex::new(PermitIssuer::new(me, PermitSettings::default(), shared())),
+            poison: Mutex::new(PoisonWatch::new(me, PoisonSettings::default(), shared())),
+            noted: Mutex::default(),
+        }
+    }
+
+    /// The home of keys.
+    pub fn home(&self) -> MutexGuard<'_, KeyHome> {
+        self.home.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Permits held for calls from here.
+    pub fn purse(&self) -> MutexGuard<'_, PermitPurse> {
+        self.purse.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Permits issued for the targets beside this daemon.
+    pub fn issuer(&self) -> MutexGuard<'_, PermitIssuer> {
+        self.issuer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The way to the homes of keys.
+    pub fn router(&self) -> MutexGuard<'_, KeyRouter> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Requests that crash targets.
+    pub fn poison(&self) -> MutexGuard<'_, PoisonWatch> {
+        self.poison.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keeps what the watch wants done for the control loop.
+    pub fn note_poison(&self, outputs: impl IntoIterator<Item = PoisonOutput>) {
+        let mut noted = self.noted.lock().unwrap_or_else(PoisonError::into_inner);
+        noted.extend(outputs);
+    }
+
+    /// What the watch has wanted done since the last call.
+    pub fn take_poison(&self) -> Vec<PoisonOutput> {
+        let mut noted = self.noted.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *noted)
+    }
+
+    /// Where a call with `key` is decided, given the runs of live daemons.
+    pub fn home_of(&self, key: &CallKey, digest: KeyDigest, runs: &RunBook) -> HomeAnswer {
+        self.router()
+            .home_of(key, digest, |holder| status_of(holder, runs))
+    }
+
+    /// Issues a key that this daemon decides about.
+    ///
+    /// Kinds: `Draining`.
+    pub fn issue(&self) -> model::Result<CallKey> {
+        let key = self.home().issue();
+        let refused = || KindError::new(ErrorKind::Draining, "this daemon hands its keys over");
+        key.map(CallKey::Issued).ok_or_else(refused)
+    }
+}
+
+fn status_of(holder: HolderId, runs: &RunBook) -> HolderStatus {
+    match runs.get(&holder.daemon) {
+        Some(run) if *run == holder.incarnation => HolderStatus::Present,
+        Some(run) if *run > holder.incarnation => HolderStatus::Gone,
+        _ => HolderStatus::Unreachable,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/keyed.rs
@@ -0,0 +1,308 @@
+//! Non-idempotent calls: sent to the home of their key, and run from there.
+//!
+//! The home decides whether a call runs, holds a permit of the daemon beside
+//! the target before it sends it, and remembers the answer. A call that began
+//! runs to its end even if its caller leaves, so that the same key sent again
+//! gets the first answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{DaemonId, ErrorKind, KindError};
+use once::home::AnswerHeader;
+use once::permit::{PermitGrant, PermitRequest, RevokeAnswer};
+use once::{
+    CallKey, DispatchPass, DispatchPermit, HomeAnswer, KeyCall, KeyDigest, KeyRefusal, KeyVerdict,
+    RequestPrint, RunOutcome, RunProof, RunTicket, StoredAnswer,
+};
+use route::{CallDeadline, TargetLoad};
+use tokio::time::timeout;
+
+use crate::beside::{Result, TargetAnswer};
+use crate::body::{BodyEnd, CallBody};
+use crate::core::DaemonCore;
+use crate::dispatch::{Dispatch, dispatch};
+use crate::forward::send_there;
+use crate::peer::{CallHead, CallRefusal, HeaderPair, PeerRequest, ResponseHead};
+
+/// Largest answer that is remembered, in bytes.
+const MAX_REMEMBERED_BYTES: usize = 60 << 10;
+/// Time for a daemon to grant or revoke permits.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time beyond the deadline for the home's refusal to arrive.
+const HOME_MARGIN: Duration = Duration::from_millis(100);
+/// Marks an answer that was given before.
+const REPLAYED_HEADER: &str = "quetzal-replayed";
+
+/// Sends a call to the home of its key, which may be here.
+pub async fn run_keyed(
+    core: &Arc<DaemonCore>,
+    mut head: CallHead,
+    key: CallKey,
+    deadline: CallDeadline,
+    body: CallBody,
+) -> Result<TargetAnswer> {
+    let digest = KeyDigest::of(&head.customer, &key);
+    let home = core.keys.home_of(&key, digest, &core.runs.load());
+    head.key = Some(key);
+    match home {
+        HomeAnswer::Local => run_at_home(core, head, deadline, body).await,
+        HomeAnswer::Remote(holder) => {
+            core.counters.count("keyed-forwarded");
+            head.remaining = deadline.next_hop(core.clock.now())?;
+            head.streamed = body.copy().is_none();
+            let patience = head.remaining + HOME_MARGIN;
+            let request = PeerRequest::Keyed(Box::new(head));
+            let mut body = Some(body);
+            let sending = send_there(core, holder.daemon, request, &mut body);
+            let answered = timeout(patience, sending).await;
+            answered
+                .unwrap_or_else(|_| Err(lost("no answer of the key's home before the deadline")))
+        }
+        HomeAnswer::Refused(refusal) => Err(refuse(refusal)),
+    }
+}
+
+/// Decides about a call as the home of its key, and runs it if it may run.
+pub async fn run_at_home(
+    core: &Arc<DaemonCore>,
+    head: CallHead,
+    deadline: CallDeadline,
+    body: CallBody,
+) -> Result<TargetAnswer> {
+    let Some(key) = head.key.clone() else {
+        return Err(KindError::new(ErrorKind::KeyMissing, "a keyed call without a key").into());
+    };
+    let call = KeyCall {
+        digest: KeyDigest::of(&head.customer, &key),
+        print: RequestPrint(head.print),
+        key,
+    };
+    let verdict = core.keys.home().begin(&call);
+    match verdict {
+        KeyVerdict::Run(ticket) => run_begun(core, head, deadline, body, ticket).await,
+        KeyVerdict::Running => Err(CallRefusal {
+            proof: RunProof::MayHaveRun,
+            ..KindError::new(ErrorKind::KeyRunning, "the call with this key is running").into()
+        }),
+        KeyVerdict::Finished(answer) => {
+            core.counters.count("keyed-replayed");
+            Ok(replay(&answer))
+        }
+        KeyVerdict::Refused(refusal) => Err(refuse(refusal)),
+    }
+}
+
+/// Runs a begun call in a task of its own, which goes on if the caller leaves.
+async fn run_begun(
+    core: &Arc<DaemonCore>,
+    head: CallHead,
+    deadline: CallDeadline,
+    body: CallBody,
+    ticket: RunTicket,
+) -> Result<TargetAnswer> {
+    let settler = TicketSettler {
+        core: Arc::clone(core),
+        ticket: Some(ticket),
+    };
+    let task = core
+        .tasks
+        .spawn(run_to_end(Arc::clone(core), head, deadline, body, settler));
+    task.await
+        .unwrap_or_else(|error| Err(lost(&error.to_string())))
+}
+
+async fn run_to_end(
+    core: Arc<DaemonCore>,
+    head: CallHead,
+    deadline: CallDeadline,
+    body: CallBody,
+    mut settler: TicketSettler,
+) -> Result<TargetAnswer> {
+    let ticket = settler.ticket;
+    let sent = dispatch(
+        &core,
+        Dispatch {
+            head,
+            deadline,
+            ticket,
+        },
+        body,
+    )
+    .await;
+    let TargetAnswer { head, mut body } = match sent {
+        Ok(answer) => answer,
+        Err(refusal) => return Err(settler.settle_refusal(refusal)),
+    };
+    match body.read_ahead(MAX_REMEMBERED_BYTES).await {
+        Ok(true) => {
+            let answer = remember(&head, &body);
+            settler.settle(RunOutcome::Done(Arc::new(answer)));
+            Ok(TargetAnswer { head, body })
+        }
+        Ok(false) => {
+            let status = head.status;
+            let body = body.watched(move |end| {
+                if end == BodyEnd::Whole {
+                    settler.settle(RunOutcome::DoneLarge { status });
+                }
+            });
+            Ok(TargetAnswer { head, body })
+        }
+        Err(error) => Err(settler.settle_refusal(error.into())),
+    }
+}
+
+/// Settles a ticket; dropped without, it records the call as lost.
+struct TicketSettler {
+    core: Arc<DaemonCore>,
+    ticket: Option<RunTicket>,
+}
+
+impl TicketSettler {
+    fn settle(&mut self, outcome: RunOutcome) {
+        let Some(ticket) = self.ticket.take() else {
+            return;
+        };
+        let handed = self.core.keys.home().settle(ticket, outcome);
+        if let Some(handed) = handed {
+            self.core.hand_settlement(handed);
+        }
+    }
+
+    /// Settles by what a refusal proves, which the answer then says.
+    fn settle_refusal(&mut self, mut refusal: CallRefusal) -> CallRefusal {
+        if refusal.error.kind.answer().not_run {
+            self.settle(RunOutcome::NotRun);
+            refusal.proof = RunProof::NotRun;
+            refusal.by_home = true;
+            return refusal;
+        }
+        self.settle(RunOutcome::Lost);
+        refusal.proof = RunProof::MayHaveRun;
+        refusal
+    }
+}
+
+impl Drop for TicketSettler {
+    fn drop(&mut self) {
+        self.settle(RunOutcome::Lost);
+    }
+}
+
+/// A pass for one dispatch of a begun call to the daemon beside a target.
+///
+/// Kinds: `PermitInvalid`, `PeerUnavailable`; the dispatch has not run.
+pub async fn take_pass(
+    core: &Arc<DaemonCore>,
+    daemon: DaemonId,
+    ticket: RunTicket,
+) -> model::Result<DispatchPass> {
+    let held = core.keys.purse().take(daemon);
+    let permit = match held {
+        Some(permit) => permit,
+        None => fetch_permit(core, daemon).await?,
+    };
+    let wanted = core.keys.purse().wants(daemon);
+    if let Some(request) = wanted {
+        let core = Arc::clone(core);
+        let tasks = core.tasks.clone();
+        tasks.spawn(async move {
+            if let Err(error) = fetch_grant(&core, request).await {
+                core.counters.count_error(error.kind);
+            }
+        });
+    }
+    Ok(DispatchPass {
+        permit,
+        home: core.keys.me,
+        term: ticket.term(),
+    })
+}
+
+async fn fetch_permit(core: &Arc<DaemonCore>, daemon: DaemonId) -> model::Result<DispatchPermit> {
+    let request = PermitRequest {
+        home: core.keys.me,
+        issuer: daemon,
+        count: 1,
+    };
+    fetch_grant(core, request).await?;
+    let permit = core.keys.purse().take(daemon);
+    permit.ok_or_else(|| KindError::new(ErrorKind::PermitInvalid, "no permit was granted"))
+}
+
+async fn fetch_grant(core: &Arc<DaemonCore>, request: PermitRequest) -> model::Result<()> {
+    let asked = core.clock.now();
+    core.counters.count("permit-requests");
+    let grant: PermitGrant = if request.issuer == core.id {
+        core.keys.issuer().grant(&request)
+    } else {
+        let message = PeerRequest::Permits(request);
+        let granted = core.ask(request.issuer, &message, PERMIT_TIMEOUT);
+        match granted.await {
+            Ok(grant) => grant,
+            Err(error) => {
+                core.keys.purse().on_failed(request.issuer);
+                return Err(error);
+            }
+        }
+    };
+    core.keys.purse().on_grant(&grant, asked);
+    Ok(())
+}
+
+/// Whether a dispatch whose answer was lost is proven not to have run.
+pub async fn revoke(core: &Arc<DaemonCore>, permit: DispatchPermit) -> bool {
+    let daemon = permit.issuer.daemon;
+    let answer = if daemon == core.id {
+        Ok(core.keys.issuer().revoke(permit))
+    } else {
+        core.ask(daemon, &PeerRequest::Revoke(permit), PERMIT_TIMEOUT)
+            .await
+    };
+    matches!(answer, Ok(RevokeAnswer::NeverUsed))
+}
+
+fn remember(head: &ResponseHead, body: &CallBody) -> StoredAnswer {
+    let headers = head.headers.iter().map(|pair| AnswerHeader {
+        name: pair.name.clone(),
+        value: pair.value.clone(),
+    });
+    StoredAnswer {
+        status: head.status,
+        headers: headers.collect(),
+        body: Box::from(&**body.bytes()),
+    }
+}
+
+fn replay(answer: &StoredAnswer) -> TargetAnswer {
+    let kept = answer.headers.iter().map(|header| HeaderPair {
+        name: header.name.clone(),
+        value: header.value.clone(),
+    });
+    let replayed = HeaderPair {
+        name: REPLAYED_HEADER.into(),
+        value: Box::from(&b"true"[..]),
+    };
+    TargetAnswer {
+        head: ResponseHead {
+            status: answer.status,
+            headers: kept.chain([replayed]).collect(),
+            load: TargetLoad::default(),
+            waited: Duration::ZERO,
+        },
+        body: CallBody::whole(answer.body.to_vec()),
+    }
+}
+
+fn refuse(refusal: KeyRefusal) -> CallRefusal {
+    CallRefusal {
+        proof: refusal.proof,
+        by_home: true,
+        ..refusal.error.into()
+    }
+}
+
+fn lost(detail: &str) -> CallRefusal {
+    KindError::new(ErrorKind::OutcomeUnknown, detail).into()
+}
--- a/crates/daemon/src/log_jobs.rs
+++ b/crates/daemon/src/log_jobs.rs
@@ -21,6 +21,8 @@
     Spread(LogTag),
     /// Membership.
     Members,
+    /// Leases of key homes; appends carry their serial number.
+    Leases(u64),
 }
 
 /// What a job came to.
@@ -46,6 +48,11 @@
         Self { core, log, events }
     }
 
+    /// The way to the control loop.
+    pub fn events(&self) -> &mpsc::Sender<ControlEvent> {
+        &self.events
+    }
+
     /// Starts a read.
     pub fn read(&self, owner: JobOwner, read: LogRead) {
         self.core.counters.count("log-reads");
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -7,6 +7,9 @@
 use model::{
     CallClass, CustomerName, DaemonId, ErrorKind, KindError, MethodName, ServiceName, TargetName,
 };
+use once::home::HandoverPage;
+use once::permit::PermitRequest;
+use once::{CallKey, DispatchPass, DispatchPermit, HolderId, RunProof};
 use route::{RetryMark, TargetLoad};
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +30,17 @@
     Call(Box<CallHead>),
     /// A non-idempotent call for the receiver as its key's home; answered with [`CallAnswer`].
     Keyed(Box<CallHead>),
+    /// Asks for dispatch permits; answered with a grant.
+    Permits(PermitRequest),
+    /// Makes a permit unusable; answered with what that proves.
+    Revoke(DispatchPermit),
+    /// A page of a key book; answered with a result of [`once::StageAnswer`].
+    Stage {
+        /// The home that leaves.
+        from: HolderId,
+        /// The page.
+        page: Box<HandoverPage>,
+    },
 }
 
 /// Messages of the control areas from one daemon, each encoded by its area.
@@ -109,8 +123,10 @@
     pub streamed: bool,
     /// Fingerprint of route and body, against requests that crash targets.
     pub print: u128,
-    /// Proof for the daemon beside the target that a key's home dispatches in time.
-    pub permit: Option<Box<[u8]>>,
+    /// The key of a non-idempotent call.
+    pub key: Option<CallKey>,
+    /// The right to start a non-idempotent call beside its target.
+    pub pass: Option<DispatchPass>,
 }
 
 /// Answer to a call.
@@ -146,14 +162,20 @@
     pub retry_after: Option<Duration>,
     /// Load of the target.
     pub load: Option<TargetLoad>,
+    /// What the refusal proves about the call.
+    pub proof: RunProof,
+    /// Whether the home of the call's key gave the refusal.
+    pub by_home: bool,
 }
 
 impl From<KindError> for CallRefusal {
     fn from(error: KindError) -> Self {
         Self {
+            proof: RunProof::without_key(error.kind),
             error,
             retry_after: None,
             load: None,
+            by_home: false,
         }
     }
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use model::{ErrorKind, KindError};
+use route::CallDeadline;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -13,10 +14,13 @@
 use crate::body::CallBody;
 use crate::control::ControlEvent;
 use crate::core::DaemonCore;
-use crate::peer::{CallAnswer, CallHead, CallRefusal, ControlAck, PeerRequest};
+use crate::keyed::run_at_home;
+use crate::peer::{CallAnswer, CallHead, ControlAck, PeerRequest};
 
 /// Largest answer head in bytes.
 const MAX_HEAD_BYTES: usize = 256 << 10;
+/// Largest body that travels before the call is admitted, in bytes.
+const MAX_BODY_BYTES: usize = 128 << 10;
 
 /// Results of answering a peer.
 type Result<T> = model::Result<T>;
@@ -65,9 +69,17 @@
             responder.answer_whole(&ControlAck).await
         }
         PeerRequest::Call(call) => answer_call(core, &call, receiver, responder).await,
-        PeerRequest::Keyed(_) => {
-            let refusal = KindError::new(ErrorKind::HomeUnavailable, "not a key home");
-            let answer = CallAnswer::Refused(CallRefusal::from(refusal));
+        PeerRequest::Keyed(call) => answer_keyed(core, *call, receiver, responder).await,
+        PeerRequest::Permits(request) => {
+            let grant = core.keys.issuer().grant(&request);
+            responder.answer_whole(&grant).await
+        }
+        PeerRequest::Revoke(permit) => {
+            let answer = core.keys.issuer().revoke(permit);
+            responder.answer_whole(&answer).await
+        }
+        PeerRequest::Stage { from, page } => {
+            let answer = core.keys.home().stage(from, *page);
             responder.answer_whole(&answer).await
         }
     }
@@ -110,6 +122,28 @@
     send_body(core, sender, body).await
 }
 
+/// Decides about a call as its key's home; it runs on if the peer gives up.
+async fn answer_keyed(
+    core: &Arc<DaemonCore>,
+    head: CallHead,
+    receiver: BodyReceiver,
+    responder: PeerResponder,
+) -> Result<()> {
+    let deadline = CallDeadline::new(core.clock.now(), Some(head.remaining), head.remaining);
+    let body = CallBody::from_peer(receiver);
+    if head.streamed {
+        let mut sender = responder.answer(&CallAnswer::Admitted).await?;
+        let (answer, body) = split(run_at_home(core, head, deadline, body).await);
+        sender.send_message(&answer, MAX_HEAD_BYTES).await?;
+        return send_body(core, sender, body).await;
+    }
+    let mut body = body;
+    body.read_ahead(MAX_BODY_BYTES).await?;
+    let (answer, body) = split(run_at_home(core, head, deadline, body).await);
+    let sender = responder.answer(&answer).await?;
+    send_body(core, sender, body).await
+}
+
 fn split(result: crate::beside::Result<TargetAnswer>) -> (CallAnswer, Option<CallBody>) {
     match result {
         Ok(TargetAnswer { head, body }) => (CallAnswer::Response(head), Some(body)),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -169,7 +169,8 @@
         let started = Instant::now();
         loop {
             let known = started.elapsed() >= DRAIN_NOTICE;
-            if known && self.core.beside.is_idle() && self.core.is_quiet() {
+            let ended = self.core.beside.is_idle() && self.core.is_quiet();
+            if known && ended && self.is_free().await {
                 return StopOutcome::Drained;
             }
             let late = started.elapsed() >= self.core.settings.drain_timeout();
@@ -183,6 +184,13 @@
         }
     }
 
+    /// Whether the keys decided here have another home by now.
+    async fn is_free(&self) -> bool {
+        let (sender, receiver) = oneshot::channel();
+        let asked = self.events.send(ControlEvent::IsFree(sender)).await;
+        asked.is_err() || receiver.await.unwrap_or(true)
+    }
+
     async fn leave(&self) {
         let (sender, receiver) = oneshot::channel();
         if self.events.send(ControlEvent::Leave(sender)).await.is_ok() {
