--- /dev/null
+++ b/crates/limits/benches/limits/fleet.rs
@@ -0,0 +1,332 @@
+//! Proxies that admit calls and exchange shares over links with delay.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::{Duration, Instant};
+
+use model::{CallCount, CallRate, ClockPort, DaemonId, FakeClock};
+use quetzal_limits::{LimitGate, LimitMessage, LimitOutput, PlanLimit};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::scenario::{Fault, Scenario};
+use crate::ways::{Admission, Counter, Ticket, Way};
+
+/// Step of the simulated time; a tick of each gate is every twentieth.
+const STEP: Duration = Duration::from_millis(5);
+const STEPS_OF_TICK: usize = 20;
+
+/// Bytes that a frame adds to a message.
+const FRAME_BYTES: usize = 24;
+
+/// Mean duration of a call.
+const CALL_TIME: Duration = Duration::from_millis(30);
+
+/// Window over which admitted calls are compared with the limit.
+pub const WINDOW: Duration = Duration::from_secs(5);
+
+/// Time until the membership knows of a change.
+const DETECTION: Duration = Duration::from_secs(2);
+
+/// What a run showed.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    pub offered: u64,
+    pub admitted: u64,
+    /// Largest excess over the limit in any window, as a part of the limit.
+    pub overshoot: f64,
+    /// Part of the calls that an exact counter admits and this way refuses.
+    pub wrongly_refused: f64,
+    /// Most calls at once, as a part of the limit.
+    pub calls_at_once: f64,
+    /// Bytes a second and daemon, sent and received: mean and largest.
+    pub bytes_mean: f64,
+    pub bytes_most: f64,
+}
+
+struct Customer {
+    limit: PlanLimit,
+    exact: Counter,
+    in_flight: u32,
+    most_in_flight: u32,
+    admitted: Vec<u64>,
+    exactly: Vec<u64>,
+}
+
+struct Mail {
+    from: usize,
+    to: usize,
+    message: LimitMessage,
+}
+
+pub struct Fleet {
+    scenario: Scenario,
+    clock: FakeClock,
+    start: Instant,
+    random: SmallRng,
+    admission: Admission,
+    customers: Vec<Customer>,
+    mail: BTreeMap<(Instant, u64), Mail>,
+    ends: BinaryHeap<Reverse<(Instant, u64)>>,
+    tickets: BTreeMap<u64, (usize, Option<Ticket>, bool)>,
+    sequence: u64,
+    bytes: Vec<u64>,
+    offered: u64,
+}
+
+impl Fleet {
+    pub fn new(way: Way, scenario: Scenario) -> Self {
+        let clock = FakeClock::new();
+        let start = clock.now();
+        let limit = PlanLimit {
+            rate: CallRate(scenario.rate),
+            calls: CallCount(scenario.calls),
+        };
+        let customer = |_| Customer {
+            limit,
+            exact: Counter::new(limit, 1, start),
+            in_flight: 0,
+            most_in_flight: 0,
+            admitted: vec![0; scenario.windows()],
+            exactly: vec![0; scenario.windows()],
+        };
+        Self {
+            admission: Admission::new(way, scenario.daemons, scenario.customers, &clock),
+            customers: (0..scenario.customers).map(customer).collect(),
+            scenario,
+            clock,
+            start,
+            random: SmallRng::seed_from_u64(11),
+            mail: BTreeMap::new(),
+            ends: BinaryHeap::new(),
+            tickets: BTreeMap::new(),
+            sequence: 0,
+            bytes: vec![0; scenario.daemons],
+            offered: 0,
+        }
+    }
+
+    pub fn run(mut self) -> Figures {
+        let steps = (self.scenario.time.as_millis() / STEP.as_millis()) as usize;
+        for step in 0..steps {
+            self.inject(step);
+            self.end_calls();
+            self.deliver();
+            self.offer(step);
+            self.tick(step);
+            self.clock.advance(STEP);
+        }
+        self.figures()
+    }
+
+    fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    fn end_calls(&mut self) {
+        while let Some(Reverse((at, number))) = self.ends.peek().copied() {
+            if at > self.now() {
+                break;
+            }
+            self.ends.pop();
+            let Some((customer, ticket, exact)) = self.tickets.remove(&number) else {
+                continue;
+            };
+            if exact {
+                self.customers[customer].exact.release();
+            }
+            if let Some(ticket) = ticket {
+                self.customers[customer].in_flight -= 1;
+                self.admission.release(ticket);
+            }
+        }
+    }
+
+    /// Brings the calls of one step.
+    fn offer(&mut self, step: usize) {
+        let elapsed = STEP * step as u32;
+        for customer in 0..self.customers.len() {
+            let rate = self.scenario.offered(customer, elapsed);
+            for _ in 0..self.draw(rate * STEP.as_secs_f64()) {
+                let proxy = self.scenario.proxy(customer, elapsed, &mut self.random);
+                self.call(proxy, customer, elapsed);
+            }
+        }
+    }
+
+    /// A number of events with the mean `mean`.
+    fn draw(&mut self, mean: f64) -> u32 {
+        let (limit, mut product, mut count) = ((-mean).exp(), 1.0, 0);
+        loop {
+            product *= self.random.random::<f64>();
+            if product <= limit {
+                return count;
+            }
+            count += 1;
+        }
+    }
+
+    fn call(&mut self, proxy: usize, customer: usize, elapsed: Duration) {
+        self.offered += 1;
+        let now = self.now();
+        let window = (elapsed.as_millis() / WINDOW.as_millis()) as usize;
+        let limit = self.customers[customer].limit;
+        let ticket = self.admission.admit(proxy, customer, limit);
+        let known = &mut self.customers[customer];
+        let exact = known.exact.admit(now);
+        known.exactly[window] += u64::from(exact);
+        if ticket.is_some() {
+            known.admitted[window] += 1;
+            known.in_flight += 1;
+            known.most_in_flight = known.most_in_flight.max(known.in_flight);
+        }
+        if ticket.is_some() || exact {
+            let drawn = -(1.0 - self.random.random::<f64>()).ln();
+            let end = now + CALL_TIME.mul_f64(drawn);
+            self.sequence += 1;
+            self.ends.push(Reverse((end, self.sequence)));
+            self.tickets
+                .insert(self.sequence, (customer, ticket, exact));
+        }
+        if self.admission.way == Way::Shares {
+            let outputs = self.admission.gates[proxy].take_fresh();
+            self.send(proxy, outputs);
+        }
+    }
+
+    fn tick(&mut self, step: usize) {
+        for proxy in 0..self.admission.gates.len() {
+            if (step + proxy).is_multiple_of(STEPS_OF_TICK) {
+                let outputs = self.admission.gates[proxy].on_tick();
+                self.send(proxy, outputs);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, outputs: Vec<LimitOutput>) {
+        for LimitOutput::Send { to, message } in outputs {
+            let to = to.0 as usize;
+            let encoded = bincode::serde::encode_to_vec(&message, bincode::config::standard());
+            let size = encoded.expect("messages encode").len() + FRAME_BYTES;
+            self.bytes[from] += size as u64;
+            if self.scenario.is_cut(from, to, self.now() - self.start) {
+                continue;
+            }
+            self.bytes[to] += size as u64;
+            let delay = Duration::from_micros(self.random.random_range(500..5000));
+            self.sequence += 1;
+            let at = self.now() + delay;
+            let mail = Mail { from, to, message };
+            self.mail.insert((at, self.sequence), mail);
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.mail.first_entry() {
+            if entry.key().0 > self.clock.now() {
+                break;
+            }
+            let mail = entry.remove();
+            let from = DaemonId(mail.from as u64);
+            let outputs = self.admission.gates[mail.to].on_message(from, mail.message);
+            self.send(mail.to, outputs);
+        }
+    }
+
+    /// Brings the fault about.
+    fn inject(&mut self, step: usize) {
+        let elapsed = STEP * step as u32;
+        let whole_second = elapsed.subsec_millis() == 0;
+        match self.scenario.fault {
+            Fault::Churn if whole_second => self.churn(elapsed.as_secs()),
+            Fault::Partition { from, until } => {
+                for proxy in self.scenario.daemons / 2..self.scenario.daemons {
+                    self.admission.cut_off[proxy] = elapsed >= from && elapsed < until;
+                }
+                if elapsed == from + DETECTION {
+                    self.set_members(&|proxy, other, half| (proxy < half) == (other < half));
+                }
+                if elapsed == until {
+                    self.set_members(&|_, _, _| true);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn set_members(&mut self, sees: &dyn Fn(usize, usize, usize) -> bool) {
+        let half = self.scenario.daemons / 2;
+        let all = 0..self.scenario.daemons;
+        for proxy in 0..self.admission.gates.len() {
+            let seen = all.clone().filter(|&other| sees(proxy, other, half));
+            let members: Vec<DaemonId> = seen.map(|other| DaemonId(other as u64)).collect();
+            self.admission.gates[proxy].set_members(&members);
+        }
+    }
+
+    /// Restarts one daemon each second; the others see it leave and come back.
+    fn churn(&mut self, second: u64) {
+        if self.admission.gates.is_empty() {
+            return;
+        }
+        let leaving = (second as usize * 7) % self.scenario.daemons;
+        let all = 0..self.scenario.daemons as u64;
+        let members: Vec<DaemonId> = all.clone().map(DaemonId).collect();
+        let others: Vec<DaemonId> = all
+            .filter(|id| *id != leaving as u64)
+            .map(DaemonId)
+            .collect();
+        // Seen in turn: some daemons still hold the old list when others have the new one.
+        let seen = if second.is_multiple_of(2) {
+            &others
+        } else {
+            &members
+        };
+        for gate in &mut self.admission.gates {
+            gate.set_members(seen);
+        }
+        if !second.is_multiple_of(2) {
+            return;
+        }
+        let mut fresh = LimitGate::new(DaemonId(leaving as u64), self.clock.shared());
+        fresh.set_members(&members);
+        self.admission.gates[leaving] = fresh;
+        let lost =
+            |ticket: &Ticket| matches!(ticket, Ticket::Shared(proxy, _) if *proxy == leaving);
+        for (customer, ticket, _) in self.tickets.values_mut() {
+            if ticket.as_ref().is_some_and(lost) {
+                *ticket = None;
+                self.customers[*customer].in_flight -= 1;
+            }
+        }
+    }
+
+    fn figures(&self) -> Figures {
+        let mut figures = Figures {
+            offered: self.offered,
+            ..Figures::default()
+        };
+        let (mut exactly, mut missing) = (0, 0);
+        for customer in &self.customers {
+            let allowed = customer.limit.rate.0 * WINDOW.as_secs_f64();
+            for (&admitted, &exact) in customer.admitted.iter().zip(&customer.exactly) {
+                figures.admitted += admitted;
+                exactly += exact;
+                missing += exact.saturating_sub(admitted);
+                let over = admitted as f64 / allowed - 1.0;
+                figures.overshoot = figures.overshoot.max(over);
+            }
+            let at_once = f64::from(customer.most_in_flight) / f64::from(customer.limit.calls.0);
+            figures.calls_at_once = figures.calls_at_once.max(at_once);
+        }
+        figures.wrongly_refused = missing as f64 / (exactly as f64).max(1.0);
+        let seconds = self.scenario.time.as_secs_f64();
+        let all: u64 = self.bytes.iter().sum();
+        let central = self.admission.call_messages as f64 * (FRAME_BYTES + 20) as f64;
+        let daemons = self.scenario.daemons as f64;
+        figures.bytes_mean = (all as f64 + central * 2.0) / daemons / seconds;
+        let most = self.bytes.iter().max().copied().unwrap_or(0) as f64;
+        figures.bytes_most = most.max(central) / seconds;
+        figures
+    }
+}
--- /dev/null
+++ b/crates/limits/benches/limits/scenario.rs
@@ -0,0 +1,208 @@
+//! Who calls where, and what goes wrong.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+/// Where a customer's calls come in.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Spread {
+    /// Evenly over this many proxies.
+    Proxies(usize),
+    /// One proxy, another every five seconds.
+    Moving,
+    /// Every tenth customer over all proxies, the others over two.
+    Mixed,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    None,
+    /// A daemon restarts every other second.
+    Churn,
+    /// Two halves that do not reach one another.
+    Partition {
+        from: Duration,
+        until: Duration,
+    },
+}
+
+/// One line of the comparison.
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    pub name: &'static str,
+    pub daemons: usize,
+    pub customers: usize,
+    pub spread: Spread,
+    /// The plan's calls a second and calls at once.
+    pub rate: f64,
+    pub calls: u32,
+    /// Calls offered, as a part of the plan's rate.
+    pub load: f64,
+    pub fault: Fault,
+    pub time: Duration,
+    /// Bounds on the shares' figures.
+    pub bound: Bound,
+}
+
+/// Largest overshoot, part wrongly refused, and calls at once as a part of the plan's.
+#[derive(Clone, Copy, Debug)]
+pub struct Bound {
+    pub overshoot: f64,
+    pub wrongly_refused: f64,
+    pub calls_at_once: f64,
+}
+
+impl Scenario {
+    /// Calls a second that come from `customer`.
+    pub fn offered(&self, _customer: usize, _elapsed: Duration) -> f64 {
+        self.rate * self.load
+    }
+
+    /// The proxy that the next call comes to.
+    pub fn proxy(&self, customer: usize, elapsed: Duration, random: &mut SmallRng) -> usize {
+        let home = customer * 37;
+        let index = match self.spread {
+            Spread::Proxies(count) => home + random.random_range(0..count) * self.daemons / count,
+            Spread::Moving => home + (elapsed.as_secs() / 5) as usize * 11,
+            Spread::Mixed if customer.is_multiple_of(10) => random.random_range(0..self.daemons),
+            Spread::Mixed => home + random.random_range(0..2) * self.daemons / 2,
+        };
+        index % self.daemons
+    }
+
+    /// Whether a message from one daemon to another is lost.
+    pub fn is_cut(&self, from: usize, to: usize, elapsed: Duration) -> bool {
+        let Fault::Partition { from: start, until } = self.fault else {
+            return false;
+        };
+        let half = self.daemons / 2;
+        elapsed >= start && elapsed < until && (from < half) != (to < half)
+    }
+
+    /// Number of windows of the run.
+    pub fn windows(&self) -> usize {
+        self.time.as_secs().div_ceil(super::fleet::WINDOW.as_secs()) as usize
+    }
+}
+
+const fn bound(overshoot: f64, wrongly_refused: f64, calls_at_once: f64) -> Bound {
+    Bound {
+        overshoot,
+        wrongly_refused,
+        calls_at_once,
+    }
+}
+
+const BASE: Scenario = Scenario {
+    name: "one proxy, 0.8 of the rate",
+    daemons: 720,
+    customers: 10,
+    spread: Spread::Proxies(1),
+    rate: 200.0,
+    calls: 40,
+    load: 0.8,
+    fault: Fault::None,
+    time: Duration::from_secs(30),
+    bound: bound(0.1, 0.02, 1.0),
+};
+
+pub const SCENARIOS: [Scenario; 12] = [
+    BASE,
+    Scenario {
+        name: "one proxy, 5 times the rate",
+        load: 5.0,
+        ..BASE
+    },
+    Scenario {
+        name: "two proxies, 0.8",
+        spread: Spread::Proxies(2),
+        ..BASE
+    },
+    Scenario {
+        name: "moves each 5 s, 0.8",
+        spread: Spread::Moving,
+        ..BASE
+    },
+    Scenario {
+        name: "20 proxies, 0.8",
+        spread: Spread::Proxies(20),
+        ..BASE
+    },
+    Scenario {
+        name: "20 proxies, 2 times",
+        spread: Spread::Proxies(20),
+        load: 2.0,
+        ..BASE
+    },
+    Scenario {
+        name: "all proxies, 0.8",
+        spread: Spread::Proxies(720),
+        ..BASE
+    },
+    Scenario {
+        name: "all proxies, 2 times",
+        spread: Spread::Proxies(720),
+        load: 2.0,
+        ..BASE
+    },
+    Scenario {
+        name: "14 daemons, 2 times, churn",
+        daemons: 14,
+        spread: Spread::Proxies(14),
+        load: 2.0,
+        fault: Fault::Churn,
+        ..BASE
+    },
+    Scenario {
+        name: "20 proxies, 0.8, churn",
+        spread: Spread::Proxies(20),
+        fault: Fault::Churn,
+        ..BASE
+    },
+    Scenario {
+        name: "20 proxies, 0.8, partition",
+        spread: Spread::Proxies(20),
+        fault: Fault::Partition {
+            from: Duration::from_secs(10),
+            until: Duration::from_secs(20),
+        },
+        ..BASE
+    },
+    Scenario {
+        name: "20 proxies, 2 times, partition",
+        spread: Spread::Proxies(20),
+        load: 2.0,
+        fault: Fault::Partition {
+            from: Duration::from_secs(10),
+            until: Duration::from_secs(20),
+        },
+        ..BASE
+    },
+];
+
+/// Bytes at the target size: several hundred active customers.
+pub const BYTES: [Scenario; 2] = [
+    Scenario {
+        name: "300 customers, mixed",
+        customers: 300,
+        spread: Spread::Mixed,
+        rate: 500.0,
+        calls: 100,
+        load: 0.8,
+        time: Duration::from_secs(20),
+        ..BASE
+    },
+    Scenario {
+        name: "300 customers, all proxies",
+        customers: 300,
+        spread: Spread::Proxies(720),
+        rate: 500.0,
+        calls: 100,
+        load: 0.8,
+        time: Duration::from_secs(20),
+        ..BASE
+    },
+];
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -34,7 +34,7 @@
 const FULL_PAUSE: Duration = Duration::from_millis(20);
 
 /// Utilization up to which a target has room.
-const ROOM_UTILIZATION: f32 = 0.9;
+const ROOM_UTILIZATION: f32 = 0.8;
 
 /// Least free share of slots that the estimate of waits assumes.
 const MIN_FREE_SHARE: f32 = 0.05;
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -277,7 +277,9 @@
     ) -> Option<(f32, usize)> {
         let mut best: Option<(f32, usize)> = None;
         for _ in 0..SAMPLE_COUNT.min(tier.len()) {
-            let index = self.sample(tier, rule, random)?;
+            let Some(index) = self.sample(tier, rule, best.map(|(_, index)| index), random) else {
+                break;
+            };
             let score = self.candidates[index].score(self.mean_s, rule.now);
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, index));
@@ -286,15 +288,21 @@
         best
     }
 
-    /// One willing target, drawn in proportion to its capacity among a few drawn evenly.
-    fn sample(&self, tier: &[usize], rule: &PickRule<'_>, random: &mut SmallRng) -> Option<usize> {
+    /// One willing target but `known`, drawn by capacity among a few drawn evenly.
+    fn sample(
+        &self,
+        tier: &[usize],
+        rule: &PickRule<'_>,
+        known: Option<usize>,
+        random: &mut SmallRng,
+    ) -> Option<usize> {
         let mut chosen = None;
         let mut total = 0.0;
         let mut drawn = 0;
         for _ in 0..MAX_DRAWS {
             let index = tier[random.random_range(0..tier.len())];
             let candidate = &self.candidates[index];
-            if !rule.allows(candidate) {
+            if Some(index) == known || !rule.allows(candidate) {
                 continue;
             }
             let capacity = candidate.capacity(self.mean_s, rule.now);
@@ -307,19 +315,20 @@
                 break;
             }
         }
-        chosen.or_else(|| self.first_allowed(tier, rule, random))
+        chosen.or_else(|| self.first_allowed(tier, rule, known, random))
     }
 
-    /// Any willing target of the tier, from a random start.
+    /// Any willing target of the tier but `known`, from a random start.
     fn first_allowed(
         &self,
         tier: &[usize],
         rule: &PickRule<'_>,
+        known: Option<usize>,
         random: &mut SmallRng,
     ) -> Option<usize> {
         let start = random.random_range(0..tier.len());
         let mut order = tier[start..].iter().chain(&tier[..start]).copied();
-        order.find(|&index| rule.allows(&self.candidates[index]))
+        order.find(|&index| Some(index) != known && rule.allows(&self.candidates[index]))
     }
 
     fn on_finished(&mut self, id: u64, outcome: &CallOutcome, now: Instant) {
