--- a/crates/plans/src/check.rs
+++ b/crates/plans/src/check.rs
@@ -146,7 +146,11 @@
         push(faults, FaultPlace::ServicePath(name.clone()), message);
     }
     if !TIMEOUT_RANGE_MS.contains(&rule.timeout_ms) {
-        let message = range_fault("timeout_ms", rule.timeout_ms, &TIMEOUT_RANGE_MS);
+        let message = range_fault(
+            &format!("timeout_ms of service \"{name}\""),
+            rule.timeout_ms,
+            &TIMEOUT_RANGE_MS,
+        );
         push(faults, FaultPlace::ServiceTimeout(name.clone()), message);
     }
     if rule.methods.is_empty() || rule.methods.len() > MAX_METHODS {
@@ -227,8 +231,9 @@
     faults: &mut Vec<ListFault>,
 ) {
     let names = || (plan.clone(), service.clone());
+    let of = |field: &str| format!("{field} of plan \"{plan}\" for service \"{service}\"");
     if !RATE_RANGE.contains(&allowance.rate_per_s) {
-        let message = range_fault("rate_per_s", allowance.rate_per_s, &RATE_RANGE);
+        let message = range_fault(&of("rate_per_s"), allowance.rate_per_s, &RATE_RANGE);
         let (plan, service) = names();
         push(faults, FaultPlace::AllowanceRate(plan, service), message);
     }
--- a/crates/plans/src/reader.rs
+++ b/crates/plans/src/reader.rs
@@ -5,13 +5,14 @@
 //! of the lists, so settings files are read with it too.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt::Display;
 use std::str::FromStr;
 
 use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 
+use model::KindError;
+
 use crate::lists::ListProblem;
 
 /// Largest text of one file, in bytes.
@@ -153,12 +154,11 @@
     /// The name of an entry as a typed name.
     pub fn parse_name<T>(&mut self, entry: &ObjectProp<'_>) -> Option<T>
     where
-        T: FromStr,
-        T::Err: Display,
+        T: FromStr<Err = KindError>,
     {
         match entry.name.as_str().parse() {
             Ok(name) => Some(name),
-            Err(error) => self.fail(entry.range.start, error.to_string()),
+            Err(error) => self.fail(entry.range.start, error.detail),
         }
     }
 
@@ -183,13 +183,12 @@
     /// The value as text that is read further.
     pub fn parse_string<T>(&mut self, value: &Value<'_>, field: &str) -> Option<T>
     where
-        T: FromStr,
-        T::Err: Display,
+        T: FromStr<Err = KindError>,
     {
         let text = self.string(value, field)?;
         match text.parse() {
             Ok(parsed) => Some(parsed),
-            Err(error) => self.fail(value.start(), error.to_string()),
+            Err(error) => self.fail(value.start(), error.detail),
         }
     }
 
--- a/crates/plans/src/render.rs
+++ b/crates/plans/src/render.rs
@@ -87,9 +87,13 @@
         .expect("writing to a string never fails");
 }
 
-/// `value` as indented JSON, for diffs.
+/// `value` as indented JSON without its empty fields, for diffs.
 pub fn pretty(value: &impl Serialize) -> String {
-    serde_json::to_string_pretty(value).expect("entries hold only text keys and finite numbers")
+    let mut value = serde_json::to_value(value).expect("entries have text keys");
+    if let Some(fields) = value.as_object_mut() {
+        fields.retain(|_, field| !field.is_null());
+    }
+    format!("{value:#}")
 }
 
 /// A commented pair of texts to start from.
--- /dev/null
+++ b/crates/plans/tests/lists.rs
@@ -0,0 +1,162 @@
+//! Reading, refusing and writing the two lists.
+
+#![allow(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck passes arguments by value"
+)]
+
+mod support;
+
+use model::ServiceName;
+use quetzal_plans::{ListPair, lists};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use support::template_pair;
+
+/// Every mistake of a pair of texts, one a line.
+fn problems(plans: &str, allowances: &str) -> String {
+    let problems = ListPair::parse(plans, allowances).unwrap_err();
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+#[test]
+fn template_has_three_services_and_agencies() {
+    let pair = template_pair();
+    let services: Vec<&str> = pair
+        .allowances
+        .services
+        .keys()
+        .map(ServiceName::as_str)
+        .collect();
+    assert_eq!(services, ["catalog", "deals", "studio"]);
+    assert_eq!(pair.plans.customers.len(), 3);
+}
+
+#[test]
+fn rendered_lists_parse_to_the_same_pair() {
+    let pair = template_pair();
+    let (plans, allowances) = pair.render();
+    insta::assert_snapshot!("rendered_plans", plans);
+    insta::assert_snapshot!("rendered_allowances", allowances);
+    assert_eq!(ListPair::parse(&plans, &allowances).unwrap(), pair);
+}
+
+#[test]
+fn order_and_comments_make_no_difference() {
+    let (plans, allowances) = lists::template();
+    let reordered = r#"{"customers":{"agency-tarek":{"plan":"silver"},
+        "agency-salma":{"plan":"gold"}, /* last */ "agency-nour":{"key_sha256":
+        "e89e0ffd4e6ad1e8d28e4ae3f7c6ddb0bcd1a1ddd5aa2fd2b1dc6ed27ea5a8bd","plan":"gold"}}}"#;
+    let mut pair = ListPair::parse(reordered, &allowances).unwrap();
+    let expected = ListPair::parse(&plans, &allowances).unwrap();
+    let name = "agency-nour".parse().unwrap();
+    let key = expected.plans.customers[&name].key_sha256;
+    pair.plans.customers.get_mut(&name).unwrap().key_sha256 = key;
+    assert_eq!(pair.render(), expected.render());
+}
+
+#[test]
+fn all_structural_mistakes_are_told_at_once() {
+    let plans = r#"{
+  // An unknown field, a missing plan, a broken hash, a wrong type, a double name.
+  "customers": {
+    "acme": { "plan": "gold", "plam": "x" },
+    "bolt": { "key_sha256": "00" },
+    "cora": 7,
+    "acme": { "plan": "gold" },
+    "d d": { "plan": "" }
+  },
+  "extra": 1
+}"#;
+    let allowances = r#"{
+  "services": {
+    "deals": { "path": 1, "timeout_ms": -2, "kind": "bookings", "methods": { "GET": {} } },
+    "studio": { "path": "/studio", "timeout_ms": 1.5, "methods": { "GET": { "idempotent": "yes" } } }
+  },
+  "plans": {
+    "gold": { "deals": { "methods": "GET", "rate_per_s": "9" } },
+    "gold": {}
+  }
+}"#;
+    insta::assert_snapshot!(problems(plans, allowances));
+}
+
+#[test]
+fn all_mistakes_across_both_lists_are_told_at_once() {
+    let plans = r#"{ "customers": {
+  "acme": { "plan": "golden" },
+  "bolt": { "plan": "gold" }
+} }"#;
+    let allowances = r#"{
+  "services": {
+    "album": { "path": "/album", "timeout_ms": 0, "methods": { "GET": { "idempotent": true } } },
+    "deals": { "path": "/deals", "timeout_ms": 9, "methods": { "post": { "idempotent": false } } },
+    "draft": { "path": "/deals/draft", "timeout_ms": 9, "methods": {} },
+    "print": { "path": "/album", "timeout_ms": 9, "methods": { "GET": { "idempotent": true } } },
+    "quote": { "path": "/a/../b", "timeout_ms": 9, "methods": { "GET": { "idempotent": true } } },
+    "share": { "path": "share", "timeout_ms": 9, "methods": { "GET": { "idempotent": true } } }
+  },
+  "plans": {
+    "gold": {
+      "deals": { "methods": ["GET", "GET"], "rate_per_s": 0, "calls_at_once": 4294967295 },
+      "payout": { "methods": [], "rate_per_s": 5, "calls_at_once": 5 }
+    },
+    "none": {}
+  }
+}"#;
+    insta::assert_snapshot!(problems(plans, allowances));
+}
+
+#[test]
+fn broken_syntax_is_told_for_each_file() {
+    insta::assert_snapshot!(problems("{ \"customers\": {", "// nothing\n"));
+}
+
+/// Text near the format: the template with a piece cut out or doubled.
+#[derive(Clone, Debug)]
+struct DamagedText(String);
+
+impl Arbitrary for DamagedText {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let (plans, allowances) = lists::template();
+        let text = if bool::arbitrary(g) {
+            plans
+        } else {
+            allowances
+        };
+        let mut chars: Vec<char> = text.chars().collect();
+        let start = usize::arbitrary(g) % chars.len();
+        let end = (start + usize::arbitrary(g) % 40).min(chars.len());
+        let piece: Vec<char> = chars.drain(start..end).collect();
+        if bool::arbitrary(g) {
+            let at = usize::arbitrary(g) % (chars.len() + 1);
+            chars.splice(at..at, piece);
+        }
+        Self(chars.into_iter().collect())
+    }
+}
+
+#[test]
+fn damaged_lists_are_refused_with_a_place_or_render_to_themselves() {
+    fn holds(damaged: DamagedText) -> bool {
+        let (plans, allowances) = lists::template();
+        let text = damaged.0.as_str();
+        [(text, allowances.as_str()), (plans.as_str(), text)]
+            .into_iter()
+            .all(
+                |(plans, allowances)| match ListPair::parse(plans, allowances) {
+                    Ok(pair) => {
+                        let (plans, allowances) = pair.render();
+                        ListPair::parse(&plans, &allowances) == Ok(pair)
+                    }
+                    Err(problems) => {
+                        let placed = |line: u32, column: u32| line >= 1 && column >= 1;
+                        !problems.is_empty() && problems.iter().all(|p| placed(p.line, p.column))
+                    }
+                },
+            )
+    }
+    QuickCheck::new()
+        .tests(400)
+        .quickcheck(holds as fn(DamagedText) -> bool);
+}
