--- a/crates/once/src/home/keys.rs
+++ b/crates/once/src/home/keys.rs
@@ -7,23 +7,15 @@
 use model::{ByteCount, ErrorKind, SharedClock};
 
 use super::answer::AnswerStore;
-use super::book::{BookGate, BookId, IssuerGate, KeyBook, RangeGate, Settled, floor_before};
+use super::book::{BookGate, BookId, IssuerGate, KeyBook};
 use super::entry::{KeyEntry, KeyState, short_print};
 use super::handover::StagedBook;
-use super::verdict::{
-    CloseVerdict, HandedOutcome, KeyCall, KeyRefusal, KeySettlement, KeyVerdict, RunOutcome,
-    RunTicket,
-};
+use super::verdict::{CloseVerdict, KeyCall, KeyRefusal, KeyVerdict, RunTicket};
 use crate::key::{CallKey, IssuedKey, KeyDigest};
-use crate::lease::{HolderId, KeyRange, LeaseTerm, LogStamp, TermRef, TermUpdate};
+use crate::lease::{HolderId, KeyRange, TermRef};
 use crate::print::RequestPrint;
 use crate::proof::RunProof;
 
-/// Books whose term has ended that are kept for their answers.
-const MAX_ENDED_BOOKS: usize = 2 * KeyRange::COUNT;
-/// A book taken over stays this many windows, lest a late page revive it.
-const EMPTY_BOOK_WINDOWS: u32 = 10;
-
 /// Bounds of a key home.
 #[derive(Clone, Copy, Debug)]
 pub struct HomeSettings {
@@ -152,56 +144,6 @@
         }
     }
 
-    /// Records what came of a call.
-    ///
-    /// Of a sealed book the outcome also goes to the book's next home, after
-    /// the book's pages.
-    pub fn settle(&mut self, ticket: RunTicket, outcome: RunOutcome) -> Option<HandedOutcome> {
-        if !self.apply_outcome(ticket, &outcome) {
-            return None;
-        }
-        self.pass_on(KeySettlement { ticket, outcome })
-    }
-
-    /// Takes an outcome from the home that handed the book over.
-    pub fn on_settlement(&mut self, settlement: KeySettlement) -> Option<HandedOutcome> {
-        let handed = settlement.ticket.book;
-        // A range's book goes on under the epoch of this home's own term.
-        let book = match handed {
-            BookId::Range(term) => self.current.get(&term.range).copied().map(BookId::Range),
-            BookId::Issuer(_) => Some(handed),
-        };
-        let KeySettlement { ticket, outcome } = settlement;
-        if let Some(staged) = self.staged.get_mut(&handed) {
-            let gone = staged
-                .book
-                .settle(ticket.digest, &outcome, KeyState::RunningElsewhere);
-            self.keep_answer(ticket.digest, gone, &outcome);
-            return None;
-        }
-        let book = book.filter(|id| self.books.contains_key(id))?;
-        let ticket = RunTicket { book, ..ticket };
-        let target = self.books.get_mut(&book)?;
-        let settled = target.settle(ticket.digest, &outcome, KeyState::RunningElsewhere);
-        self.keep_answer(ticket.digest, settled, &outcome);
-        settled?;
-        self.pass_on(KeySettlement { ticket, outcome })
-    }
-
-    /// Takes note that a daemon's run is over: what it began and never settled is lost.
-    pub fn on_holder_gone(&mut self, holder: HolderId) {
-        for book in self.books.values_mut() {
-            if book.predecessor == Some(holder) {
-                book.lose_elsewhere();
-            }
-        }
-        for staged in self.staged.values_mut() {
-            if staged.from == holder {
-                staged.book.lose_elsewhere();
-            }
-        }
-    }
-
     /// Closes a key for good, so that a call that has not run never will.
     pub fn close(&mut self, key: &CallKey, digest: KeyDigest) -> CloseVerdict {
         let mut call = KeyCall {
@@ -229,55 +171,10 @@
         }
     }
 
-    /// Takes a change of the leases.
-    pub fn on_term(&mut self, update: TermUpdate) {
-        match update {
-            TermUpdate::Held {
-                range,
-                term,
-                valid_until,
-            } => self.hold_term(range, term, valid_until),
-            TermUpdate::Ended(term) => self.end_term(term),
-        }
-    }
-
-    /// Forgets expired keys; `log_now` is a time that the log's clock has passed.
-    pub fn on_tick(&mut self, log_now: Option<LogStamp>) {
-        let window = self.settings.window;
-        let now = self.clock.now();
-        let uptime_ms = self.uptime().as_millis() as u64;
-        let untimed_floor = floor_before(uptime_ms, window);
-        let log_floor = log_now.map_or(0, |stamp| floor_before(stamp.0, window));
-        let mut forgot = false;
-        for book in self.books.values_mut() {
-            let floor = match &book.gate {
-                BookGate::Range(_) => log_floor,
-                BookGate::Issuer(gate) => floor_before(gate.uptime_ms(now), window),
-            };
-            forgot |= book.forget(floor, untimed_floor);
-        }
-        if forgot {
-            self.count_keys();
-            let books = &self.books;
-            self.answers.retain(|digest| {
-                books
-                    .values()
-                    .any(|book| book.entries.contains_key(&digest))
-            });
-        }
-        self.drop_books();
-    }
-
     pub(super) fn uptime(&self) -> Duration {
         self.clock.now().saturating_duration_since(self.started)
     }
 
-    pub(super) fn count_keys(&mut self) {
-        let books = self.books.values().map(|book| book.entries.len());
-        let staged = self.staged.values().map(|staged| staged.book.entries.len());
-        self.key_count = books.chain(staged).sum();
-    }
-
     fn book_of(&self, call: &KeyCall) -> Result<BookId, KeyRefusal> {
         match &call.key {
             CallKey::Issued(key) => {
@@ -368,7 +265,8 @@
     fn verdict_of(&self, entry: KeyEntry, call: &KeyCall) -> KeyVerdict {
         let refused =
             |kind, proof, detail: &str| KeyVerdict::Refused(KeyRefusal::new(kind, proof, detail));
-        if entry.print != short_print(call.print) {
+        // A key may be closed by somebody who does not know its request.
+        if entry.state != KeyState::Withdrawn && entry.print != short_print(call.print) {
             return refused(
                 ErrorKind::KeyReused,
                 RunProof::SendingNotRun,
@@ -398,108 +296,10 @@
         }
     }
 
-    fn apply_outcome(&mut self, ticket: RunTicket, outcome: &RunOutcome) -> bool {
-        let Some(book) = self.books.get_mut(&ticket.book) else {
-            return false;
-        };
-        let settled = book.settle(ticket.digest, outcome, KeyState::Running);
-        self.keep_answer(ticket.digest, settled, outcome);
-        settled.is_some()
-    }
-
-    fn keep_answer(&mut self, digest: KeyDigest, settled: Option<Settled>, outcome: &RunOutcome) {
-        match (settled, outcome) {
-            (Some(Settled::Removed), _) => self.key_count -= 1,
-            (Some(Settled::Kept), RunOutcome::Done(answer)) => {
-                self.answers.put(digest, Arc::clone(answer));
-            }
-            _ => {}
-        }
-    }
-
-    fn pass_on(&self, settlement: KeySettlement) -> Option<HandedOutcome> {
-        let to = self.books.get(&settlement.ticket.book)?.successor?;
-        Some(HandedOutcome { to, settlement })
-    }
-
     fn set_state(&mut self, ticket: RunTicket, state: KeyState) {
         let book = self.books.get_mut(&ticket.book);
         if let Some(entry) = book.and_then(|book| book.entries.get_mut(&ticket.digest)) {
             entry.state = state;
         }
     }
-
-    fn hold_term(&mut self, range: KeyRange, term: LeaseTerm, valid_until: Instant) {
-        let held = TermRef {
-            range,
-            epoch: term.epoch,
-        };
-        if let Some(book) = self.books.get_mut(&BookId::Range(held)) {
-            if let BookGate::Range(gate) = &mut book.gate {
-                let owns_after = gate.term.owns_after;
-                gate.term = LeaseTerm { owns_after, ..term };
-                gate.valid_until = valid_until;
-            }
-            return;
-        }
-        if let Some(earlier) = self.current.get(&range).copied() {
-            self.end_term(earlier);
-        }
-        let book = self
-            .inherit_book(range, term, valid_until)
-            .unwrap_or_else(|| self.fresh_book(term, valid_until));
-        self.books.insert(BookId::Range(held), book);
-        self.current.insert(range, held);
-        self.count_keys();
-    }
-
-    fn fresh_book(&self, term: LeaseTerm, valid_until: Instant) -> KeyBook {
-        let now = self.clock.now();
-        let wait = match term.owns_after {
-            Some(_) => self.settings.window * (1000 + self.settings.drift_permille) / 1000,
-            None => Duration::ZERO,
-        };
-        let gate = RangeGate {
-            term,
-            untimed_from: now + wait,
-            valid_until,
-        };
-        KeyBook::new(BookGate::Range(gate), now)
-    }
-
-    fn end_term(&mut self, ended: TermRef) {
-        if let Some(book) = self.books.get_mut(&BookId::Range(ended)) {
-            book.ended = true;
-        }
-        if self.current.get(&ended.range) == Some(&ended) {
-            self.current.remove(&ended.range);
-        }
-    }
-
-    /// Drops books that can neither run nor answer anything.
-    fn drop_books(&mut self) {
-        let me = self.me;
-        let now = self.clock.now();
-        let memory = self.settings.window * EMPTY_BOOK_WINDOWS;
-        let is_old = |opened: Instant| now.saturating_duration_since(opened) > memory;
-        self.books.retain(|id, book| match id {
-            BookId::Issuer(issuer) => {
-                *issuer == me || !book.entries.is_empty() || !is_old(book.opened)
-            }
-            BookId::Range(_) => !book.ended || !book.entries.is_empty(),
-        });
-        self.staged.retain(|_, staged| !is_old(staged.book.opened));
-        let ended = self.books.iter().filter(|(_, book)| book.ended);
-        let mut ended: Vec<BookId> = ended.map(|(id, _)| *id).collect();
-        if ended.len() > MAX_ENDED_BOOKS {
-            ended.sort_unstable_by_key(|id| match id {
-                BookId::Range(term) => term.epoch.0,
-                BookId::Issuer(_) => u64::MAX,
-            });
-            for id in &ended[..ended.len() - MAX_ENDED_BOOKS] {
-                self.books.remove(id);
-            }
-            self.count_keys();
-        }
-    }
 }
--- a/crates/once/src/home/mod.rs
+++ b/crates/once/src/home/mod.rs
@@ -10,6 +10,8 @@
 pub mod entry;
 pub mod handover;
 pub mod keys;
+mod settle;
+mod terms;
 pub mod verdict;
 
 pub use answer::{AnswerHeader, AnswerStore, StoredAnswer};
--- /dev/null
+++ b/crates/once/src/home/settle.rs
@@ -0,0 +1,86 @@
+//! What came of the calls that a home began or took over.
+
+use std::sync::Arc;
+
+use super::book::{BookId, Settled};
+use super::entry::KeyState;
+use super::keys::KeyHome;
+use super::verdict::{HandedOutcome, KeySettlement, RunOutcome, RunTicket};
+use crate::key::KeyDigest;
+use crate::lease::HolderId;
+
+impl KeyHome {
+    /// Records what came of a call.
+    ///
+    /// Of a sealed book the outcome also goes to the book's next home, after
+    /// the book's pages.
+    pub fn settle(&mut self, ticket: RunTicket, outcome: RunOutcome) -> Option<HandedOutcome> {
+        if !self.apply_outcome(ticket, &outcome) {
+            return None;
+        }
+        self.pass_on(KeySettlement { ticket, outcome })
+    }
+
+    /// Takes an outcome from the home that handed the book over.
+    pub fn on_settlement(&mut self, settlement: KeySettlement) -> Option<HandedOutcome> {
+        let handed = settlement.ticket.book;
+        // A range's book goes on under the epoch of this home's own term.
+        let book = match handed {
+            BookId::Range(term) => self.current.get(&term.range).copied().map(BookId::Range),
+            BookId::Issuer(_) => Some(handed),
+        };
+        let KeySettlement { ticket, outcome } = settlement;
+        if let Some(staged) = self.staged.get_mut(&handed) {
+            let gone = staged
+                .book
+                .settle(ticket.digest, &outcome, KeyState::RunningElsewhere);
+            self.keep_answer(ticket.digest, gone, &outcome);
+            return None;
+        }
+        let book = book.filter(|id| self.books.contains_key(id))?;
+        let ticket = RunTicket { book, ..ticket };
+        let target = self.books.get_mut(&book)?;
+        let settled = target.settle(ticket.digest, &outcome, KeyState::RunningElsewhere);
+        self.keep_answer(ticket.digest, settled, &outcome);
+        settled?;
+        self.pass_on(KeySettlement { ticket, outcome })
+    }
+
+    /// Takes note that a daemon's run is over: what it began and never settled is lost.
+    pub fn on_holder_gone(&mut self, holder: HolderId) {
+        for book in self.books.values_mut() {
+            if book.predecessor == Some(holder) {
+                book.lose_elsewhere();
+            }
+        }
+        for staged in self.staged.values_mut() {
+            if staged.from == holder {
+                staged.book.lose_elsewhere();
+            }
+        }
+    }
+
+    fn apply_outcome(&mut self, ticket: RunTicket, outcome: &RunOutcome) -> bool {
+        let Some(book) = self.books.get_mut(&ticket.book) else {
+            return false;
+        };
+        let settled = book.settle(ticket.digest, outcome, KeyState::Running);
+        self.keep_answer(ticket.digest, settled, outcome);
+        settled.is_some()
+    }
+
+    fn keep_answer(&mut self, digest: KeyDigest, settled: Option<Settled>, outcome: &RunOutcome) {
+        match (settled, outcome) {
+            (Some(Settled::Removed), _) => self.key_count -= 1,
+            (Some(Settled::Kept), RunOutcome::Done(answer)) => {
+                self.answers.put(digest, Arc::clone(answer));
+            }
+            _ => {}
+        }
+    }
+
+    fn pass_on(&self, settlement: KeySettlement) -> Option<HandedOutcome> {
+        let to = self.books.get(&settlement.ticket.book)?.successor?;
+        Some(HandedOutcome { to, settlement })
+    }
+}
--- /dev/null
+++ b/crates/once/src/lease/held.rs
@@ -0,0 +1,97 @@
+//! The terms that a keeper holds, brought up to the fold.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::keeper::{LeaseKeeper, LeaseOutput, TermUpdate};
+use super::table::FoldChange;
+use super::types::{KeyRange, LeaseTerm, TermRef};
+
+/// A term that this home holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct HeldTerm {
+    pub(super) term: LeaseTerm,
+    pub(super) valid_until: Instant,
+}
+
+impl LeaseKeeper {
+    pub(super) fn take_change(&mut self, change: FoldChange) {
+        let (serial, range) = match change {
+            FoldChange::Began {
+                range,
+                term,
+                serial,
+            } if term.holder == self.me => (serial, Some(range)),
+            FoldChange::Renewed { holder, serial } if holder == self.me => (serial, None),
+            _ => return,
+        };
+        let sent = self.sent.iter().find(|(number, _)| *number == serial);
+        let Some((_, sent)) = sent.copied() else {
+            return;
+        };
+        for (held_range, term) in self.table.held_by(self.me) {
+            if range.is_some_and(|range| range != held_range) {
+                continue;
+            }
+            let valid_until = sent + self.sure_part(term.lease());
+            let held = self.held.entry(held_range).or_insert(HeldTerm {
+                term: *term,
+                valid_until,
+            });
+            held.valid_until = held.valid_until.max(valid_until);
+        }
+    }
+
+    /// The part of a lease that has not ended even if this clock is slow.
+    fn sure_part(&self, lease: Duration) -> Duration {
+        lease * (1000 - self.settings.drift_permille) / 1000
+    }
+
+    /// Brings the held terms up to the table and tells what changed since `before`.
+    pub(super) fn update_held(
+        &mut self,
+        before: &BTreeMap<KeyRange, HeldTerm>,
+        now: Instant,
+    ) -> Vec<LeaseOutput> {
+        if !self.table.is_known() {
+            return Vec::new();
+        }
+        let mut outputs = Vec::new();
+        let vouched = std::mem::take(&mut self.held);
+        for (range, held) in before {
+            let epoch = held.term.epoch;
+            let current = self.table.term(*range);
+            if current.is_none_or(|term| term.holder != self.me || term.epoch != epoch) {
+                let ended = TermRef {
+                    range: *range,
+                    epoch,
+                };
+                outputs.push(LeaseOutput::Term(TermUpdate::Ended(ended)));
+            }
+        }
+        for (range, term) in self.table.held_by(self.me) {
+            // A term received by a release is vouched for by its first renewal.
+            let valid_until = vouched
+                .get(&range)
+                .filter(|held| held.term.epoch == term.epoch)
+                .map_or(now, |held| held.valid_until);
+            let held = HeldTerm {
+                term: *term,
+                valid_until,
+            };
+            self.held.insert(range, held);
+            if before.get(&range) == Some(&held) {
+                continue;
+            }
+            outputs.push(LeaseOutput::Term(TermUpdate::Held {
+                range,
+                term: *term,
+                valid_until,
+            }));
+            if valid_until <= now {
+                self.next_renew = now;
+            }
+        }
+        outputs
+    }
+}
--- a/crates/once/src/lease/keeper.rs
+++ b/crates/once/src/lease/keeper.rs
@@ -16,24 +16,16 @@
 use smallvec::SmallVec;
 
 use super::clock::LogClock;
-use super::record::{LeaseAction, LeaseRecord, RangeClaim};
+use super::held::HeldTerm;
 use super::roster::assign_ranges;
-use super::table::{FoldChange, LeaseTable, MAX_LEASE};
-use super::types::{HolderId, KeyRange, LeaseTerm, LogStamp, TermEpoch, TermRef};
+use super::table::LeaseTable;
+use super::types::{HolderId, KeyRange, LeaseTerm, LogStamp, TermRef};
 use super::view::LeaseView;
 
 /// Pause after a failed read or append.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Claims wait up to this long after a change of the homes.
 const CLAIM_JITTER: Duration = Duration::from_millis(300);
-/// A range that its own home leaves vacant for this long is claimed by another.
-const FALLBACK_DELAY: Duration = Duration::from_secs(3);
-/// Pause between two `Refound` records of one home.
-const REFOUND_INTERVAL: Duration = Duration::from_secs(10);
-/// Every so many renewals carry a checkpoint.
-const CHECKPOINT_EVERY: u64 = 8;
-/// Appends whose answers are awaited or were lost.
-const MAX_SENT: usize = 16;
 
 /// Times of a key home's leases.
 #[derive(Clone, Copy, Debug)]
@@ -98,38 +90,31 @@
     Ended(TermRef),
 }
 
-/// A term that this home holds.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct HeldTerm {
-    term: LeaseTerm,
-    valid_until: Instant,
-}
-
 /// Keeps the leases of one daemon.
 #[derive(Debug)]
 pub struct LeaseKeeper {
-    me: HolderId,
-    settings: LeaseSettings,
-    clock: SharedClock,
-    rng: SmallRng,
-    table: LeaseTable,
-    log_clock: LogClock,
-    homes: Vec<HolderId>,
-    wanted: Vec<HolderId>,
-    held: BTreeMap<KeyRange, HeldTerm>,
-    vacant_since: BTreeMap<KeyRange, Instant>,
-    releases: VecDeque<(SmallVec<[TermRef; 8]>, HolderId)>,
-    sent: VecDeque<(u64, Instant)>,
-    serial: u64,
-    appending: Option<u64>,
-    reading: bool,
-    caught_up: bool,
-    diverged: bool,
-    next_read: Instant,
-    next_append: Instant,
-    next_claim: Instant,
-    next_renew: Instant,
-    next_refound: Instant,
+    pub(super) me: HolderId,
+    pub(super) settings: LeaseSettings,
+    pub(super) clock: SharedClock,
+    pub(super) rng: SmallRng,
+    pub(super) table: LeaseTable,
+    pub(super) log_clock: LogClock,
+    pub(super) homes: Vec<HolderId>,
+    pub(super) wanted: Vec<HolderId>,
+    pub(super) held: BTreeMap<KeyRange, HeldTerm>,
+    pub(super) vacant_since: BTreeMap<KeyRange, Instant>,
+    pub(super) releases: VecDeque<(SmallVec<[TermRef; 8]>, HolderId)>,
+    pub(super) sent: VecDeque<(u64, Instant)>,
+    pub(super) serial: u64,
+    pub(super) appending: Option<u64>,
+    pub(super) reading: bool,
+    pub(super) caught_up: bool,
+    pub(super) diverged: bool,
+    pub(super) next_read: Instant,
+    pub(super) next_append: Instant,
+    pub(super) next_claim: Instant,
+    pub(super) next_renew: Instant,
+    pub(super) next_refound: Instant,
 }
 
 impl LeaseKeeper {
@@ -301,180 +286,4 @@
         )));
         outputs
     }
-
-    fn take_change(&mut self, change: FoldChange) {
-        let (serial, range) = match change {
-            FoldChange::Began {
-                range,
-                term,
-                serial,
-            } if term.holder == self.me => (serial, Some(range)),
-            FoldChange::Renewed { holder, serial } if holder == self.me => (serial, None),
-            _ => return,
-        };
-        let sent = self.sent.iter().find(|(number, _)| *number == serial);
-        let Some((_, sent)) = sent.copied() else {
-            return;
-        };
-        for (held_range, term) in self.table.held_by(self.me) {
-            if range.is_some_and(|range| range != held_range) {
-                continue;
-            }
-            let valid_until = sent + self.sure_part(term.lease());
-            let held = self.held.entry(held_range).or_insert(HeldTerm {
-                term: *term,
-                valid_until,
-            });
-            held.valid_until = held.valid_until.max(valid_until);
-        }
-    }
-
-    /// The part of a lease that has not ended even if this clock is slow.
-    fn sure_part(&self, lease: Duration) -> Duration {
-        lease * (1000 - self.settings.drift_permille) / 1000
-    }
-
-    /// Brings the held terms up to the table and tells what changed since `before`.
-    fn update_held(
-        &mut self,
-        before: &BTreeMap<KeyRange, HeldTerm>,
-        now: Instant,
-    ) -> Vec<LeaseOutput> {
-        if !self.table.is_known() {
-            return Vec::new();
-        }
-        let mut outputs = Vec::new();
-        let vouched = std::mem::take(&mut self.held);
-        for (range, held) in before {
-            let epoch = held.term.epoch;
-            let current = self.table.term(*range);
-            if current.is_none_or(|term| term.holder != self.me || term.epoch != epoch) {
-                let ended = TermRef {
-                    range: *range,
-                    epoch,
-                };
-                outputs.push(LeaseOutput::Term(TermUpdate::Ended(ended)));
-            }
-        }
-        for (range, term) in self.table.held_by(self.me) {
-            // A term received by a release is vouched for by its first renewal.
-            let valid_until = vouched
-                .get(&range)
-                .filter(|held| held.term.epoch == term.epoch)
-                .map_or(now, |held| held.valid_until);
-            let held = HeldTerm {
-                term: *term,
-                valid_until,
-            };
-            self.held.insert(range, held);
-            if before.get(&range) == Some(&held) {
-                continue;
-            }
-            outputs.push(LeaseOutput::Term(TermUpdate::Held {
-                range,
-                term: *term,
-                valid_until,
-            }));
-            if valid_until <= now {
-                self.next_renew = now;
-            }
-        }
-        outputs
-    }
-
-    fn next_record(&mut self, now: Instant) -> Option<LeaseOutput> {
-        if let Some((terms, successor)) = self.next_release() {
-            return Some(self.append(LeaseAction::Release { terms, successor }, now));
-        }
-        if now >= self.next_claim {
-            let claims = self.claimable(now);
-            if !claims.is_empty() {
-                self.next_claim = now + RETRY_PAUSE;
-                self.next_renew = now + self.settings.renew_interval;
-                let action = LeaseAction::Claim {
-                    claims,
-                    lease_ms: self.settings.lease.as_millis() as u32,
-                    skew_ms: self.settings.skew.as_millis() as u32,
-                };
-                return Some(self.append(action, now));
-            }
-        }
-        if now >= self.next_renew && !self.held.is_empty() {
-            self.next_renew = now + self.settings.renew_interval;
-            return Some(self.append(LeaseAction::Renew, now));
-        }
-        let may_refound = self.caught_up && !self.table.is_known() && self.is_home();
-        if may_refound && now >= self.next_refound {
-            self.next_refound = now + REFOUND_INTERVAL.min(MAX_LEASE);
-            return Some(self.append(LeaseAction::Refound, now));
-        }
-        None
-    }
-
-    /// The oldest release that has not been seen in the stream.
-    fn next_release(&mut self) -> Option<(SmallVec<[TermRef; 8]>, HolderId)> {
-        while let Some((terms, successor)) = self.releases.front().cloned() {
-            let held = |term: &TermRef| {
-                self.held
-                    .get(&term.range)
-                    .is_some_and(|held| held.term.epoch == term.epoch)
-            };
-            let terms: SmallVec<[TermRef; 8]> = terms.into_iter().filter(held).collect();
-            if !terms.is_empty() {
-                return Some((terms, successor));
-            }
-            self.releases.pop_front();
-        }
-        None
-    }
-
-    fn is_home(&self) -> bool {
-        self.homes.contains(&self.me)
-    }
-
-    fn claimable(&mut self, now: Instant) -> SmallVec<[RangeClaim; 8]> {
-        let mut claims = SmallVec::new();
-        if !self.caught_up || !self.table.is_known() || !self.is_home() {
-            return claims;
-        }
-        let log_now = self.log_clock.read(now);
-        for range in KeyRange::all() {
-            let term = self.table.term(range);
-            let lapsed = term.is_none_or(|term| log_now.is_some_and(|at| at >= term.lapses()));
-            if !lapsed {
-                self.vacant_since.remove(&range);
-                continue;
-            }
-            let since = *self.vacant_since.entry(range).or_insert(now);
-            let wanted = range.index().and_then(|index| self.wanted.get(index));
-            let abandoned = now.saturating_duration_since(since) >= FALLBACK_DELAY;
-            if wanted == Some(&self.me) || abandoned {
-                let prior = term.map_or(TermEpoch::NONE, |term| term.epoch);
-                claims.push(RangeClaim { range, prior });
-            }
-        }
-        claims
-    }
-
-    fn append(&mut self, action: LeaseAction, now: Instant) -> LeaseOutput {
-        self.serial += 1;
-        let serial = self.serial;
-        let bare_renewal = action == LeaseAction::Renew && !serial.is_multiple_of(CHECKPOINT_EVERY);
-        let checkpoint = (!bare_renewal).then(|| self.table.checkpoint()).flatten();
-        let record = LeaseRecord {
-            by: self.me,
-            serial,
-            action,
-            checkpoint,
-        };
-        if self.sent.len() == MAX_SENT {
-            self.sent.pop_front();
-        }
-        self.sent.push_back((serial, now));
-        self.appending = Some(serial);
-        LeaseOutput::Append {
-            serial,
-            body: record.encode(),
-        }
-    }
 }
--- a/crates/once/src/lease/mod.rs
+++ b/crates/once/src/lease/mod.rs
@@ -14,7 +14,9 @@
 //! clocks.
 
 pub mod clock;
+mod held;
 pub mod keeper;
+mod plan;
 pub mod record;
 pub mod roster;
 pub mod table;
--- /dev/null
+++ b/crates/once/src/lease/plan.rs
@@ -0,0 +1,117 @@
+//! What a keeper appends next: releases first, then claims, then renewals.
+
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+
+use super::keeper::{LeaseKeeper, LeaseOutput, RETRY_PAUSE};
+use super::record::{LeaseAction, LeaseRecord, RangeClaim};
+use super::table::MAX_LEASE;
+use super::types::{HolderId, KeyRange, TermEpoch, TermRef};
+
+/// A range that its own home leaves vacant for this long is claimed by another.
+const FALLBACK_DELAY: Duration = Duration::from_secs(3);
+/// Pause between two `Refound` records of one home.
+const REFOUND_INTERVAL: Duration = Duration::from_secs(10);
+/// Every so many records a renewal carries a checkpoint.
+const CHECKPOINT_EVERY: u64 = 8;
+/// Appends whose answers are awaited or were lost.
+const MAX_SENT: usize = 16;
+
+impl LeaseKeeper {
+    pub(super) fn next_record(&mut self, now: Instant) -> Option<LeaseOutput> {
+        if let Some((terms, successor)) = self.next_release() {
+            return Some(self.append(LeaseAction::Release { terms, successor }, now));
+        }
+        if now >= self.next_claim {
+            let claims = self.claimable(now);
+            if !claims.is_empty() {
+                self.next_claim = now + RETRY_PAUSE;
+                self.next_renew = now + self.settings.renew_interval;
+                let action = LeaseAction::Claim {
+                    claims,
+                    lease_ms: self.settings.lease.as_millis() as u32,
+                    skew_ms: self.settings.skew.as_millis() as u32,
+                };
+                return Some(self.append(action, now));
+            }
+        }
+        if now >= self.next_renew && !self.held.is_empty() {
+            self.next_renew = now + self.settings.renew_interval;
+            return Some(self.append(LeaseAction::Renew, now));
+        }
+        let may_refound = self.caught_up && !self.table.is_known() && self.is_home();
+        if may_refound && now >= self.next_refound {
+            self.next_refound = now + REFOUND_INTERVAL.min(MAX_LEASE);
+            return Some(self.append(LeaseAction::Refound, now));
+        }
+        None
+    }
+
+    /// The oldest release that has not been seen in the stream.
+    fn next_release(&mut self) -> Option<(SmallVec<[TermRef; 8]>, HolderId)> {
+        while let Some((terms, successor)) = self.releases.front().cloned() {
+            let held = |term: &TermRef| {
+                self.held
+                    .get(&term.range)
+                    .is_some_and(|held| held.term.epoch == term.epoch)
+            };
+            let terms: SmallVec<[TermRef; 8]> = terms.into_iter().filter(held).collect();
+            if !terms.is_empty() {
+                return Some((terms, successor));
+            }
+            self.releases.pop_front();
+        }
+        None
+    }
+
+    fn is_home(&self) -> bool {
+        self.homes.contains(&self.me)
+    }
+
+    fn claimable(&mut self, now: Instant) -> SmallVec<[RangeClaim; 8]> {
+        let mut claims = SmallVec::new();
+        if !self.caught_up || !self.table.is_known() || !self.is_home() {
+            return claims;
+        }
+        let log_now = self.log_clock.read(now);
+        for range in KeyRange::all() {
+            let term = self.table.term(range);
+            let lapsed = term.is_none_or(|term| log_now.is_some_and(|at| at >= term.lapses()));
+            if !lapsed {
+                self.vacant_since.remove(&range);
+                continue;
+            }
+            let since = *self.vacant_since.entry(range).or_insert(now);
+            let wanted = range.index().and_then(|index| self.wanted.get(index));
+            let abandoned = now.saturating_duration_since(since) >= FALLBACK_DELAY;
+            if wanted == Some(&self.me) || abandoned {
+                let prior = term.map_or(TermEpoch::NONE, |term| term.epoch);
+                claims.push(RangeClaim { range, prior });
+            }
+        }
+        claims
+    }
+
+    fn append(&mut self, action: LeaseAction, now: Instant) -> LeaseOutput {
+        self.serial += 1;
+        let serial = self.serial;
+        let bare_renewal = action == LeaseAction::Renew && !serial.is_multiple_of(CHECKPOINT_EVERY);
+        let checkpoint = (!bare_renewal).then(|| self.table.checkpoint()).flatten();
+        let record = LeaseRecord {
+            by: self.me,
+            serial,
+            action,
+            checkpoint,
+        };
+        if self.sent.len() == MAX_SENT {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((serial, now));
+        self.appending = Some(serial);
+        LeaseOutput::Append {
+            serial,
+            body: record.encode(),
+        }
+    }
+}
--- a/crates/once/tests/world/mod.rs
+++ b/crates/once/tests/world/mod.rs
@@ -180,7 +180,7 @@
     }
 
     fn wanted_homes(&self) -> Vec<HolderId> {
-        let staying = self.nodes.iter().filter(|node| node.alive && !node.leaving);
+        let staying = self.nodes.iter().filter(|node| node.is_member(self.now));
         let domain = |number: u64| -> DomainName {
             format!("fd-{}", number % 3).parse().expect("a sound name")
         };
@@ -216,6 +216,11 @@
         self.next_sending
     }
 
+    /// The node whose target the next call goes to, if all are members.
+    pub fn next_target(&self) -> usize {
+        (self.next_sending as usize + 1) % self.nodes.len()
+    }
+
     /// Sends a call and lets the world run; the answer, if one came.
     pub fn call(&mut self, proxy: usize, key: &CallKey) -> Option<CallerAnswer> {
         let sending = self.send(proxy, key);
@@ -223,6 +228,16 @@
         self.ledger.answer(sending)
     }
 
+    /// Sends calls at once and lets the world run; their answers.
+    pub fn call_all(&mut self, proxy: usize, keys: &[CallKey]) -> Vec<Option<CallerAnswer>> {
+        let sendings: Vec<u64> = keys.iter().map(|key| self.send(proxy, key)).collect();
+        self.run_ms(1500);
+        let answers = sendings
+            .into_iter()
+            .map(|sending| self.ledger.answer(sending));
+        answers.collect()
+    }
+
     /// Has a home close a key.
     pub fn close(&mut self, node: usize, key: &CallKey) -> CloseVerdict {
         let call = call_of(key);
@@ -258,7 +273,7 @@
 
     pub fn pause(&mut self, node: usize, span_ms: u64, clock_stops: bool) {
         let until = self.now + span_ms;
-        self.nodes[node].pause(until, clock_stops);
+        self.nodes[node].pause(self.now, until, clock_stops);
     }
 
     pub fn kill(&mut self, node: usize) {
--- a/crates/once/tests/world/node.rs
+++ b/crates/once/tests/world/node.rs
@@ -107,6 +107,8 @@
     pub declines: bool,
     /// How long the target takes.
     pub target_ms: u64,
+    /// The daemons that answer this one; all of them without.
+    pub reachable: Option<Vec<u64>>,
     issuer: PermitIssuer,
     purse: PermitPurse,
     flights: HashMap<u64, Flight>,
@@ -116,6 +118,7 @@
     handings: BTreeMap<BookId, Handing>,
     late: Vec<HandedOutcome>,
     peers: Vec<HolderId>,
+    paused_since: u64,
     paused_until: u64,
     clock_stopped_until: u64,
     steps: u64,
@@ -147,6 +150,8 @@
             handings: BTreeMap::new(),
             late: Vec::new(),
             peers: Vec::new(),
+            reachable: None,
+            paused_since: 0,
             paused_until: 0,
             clock_stopped_until: 0,
             steps: 0,
@@ -154,8 +159,9 @@
         }
     }
 
-    pub fn pause(&mut self, until: u64, clock_stops: bool) {
+    pub fn pause(&mut self, now: u64, until: u64, clock_stops: bool) {
         self.paused_until = until;
+        self.paused_since = now;
         if clock_stops {
             self.clock_stopped_until = until;
         }
@@ -171,6 +177,12 @@
         self.alive && now > self.paused_until
     }
 
+    /// Whether the others count on this daemon; they notice a pause after a second.
+    pub fn is_member(&self, now: u64) -> bool {
+        let silent = now <= self.paused_until && now > self.paused_since + 1000;
+        self.alive && !self.leaving && !silent
+    }
+
     pub fn take_log_requests(&mut self) -> Vec<LogRequest> {
         std::mem::take(&mut self.log_requests)
     }
@@ -184,7 +196,13 @@
     ) -> Outgoing {
         let outgoing = std::mem::take(&mut self.outbox);
         self.steps += 1;
-        self.peers = homes.to_vec();
+        let reachable = &self.reachable;
+        let sees = |home: &HolderId| {
+            reachable
+                .as_ref()
+                .is_none_or(|all| all.contains(&home.daemon.0))
+        };
+        self.peers = homes.iter().copied().filter(sees).collect();
         self.keeper.set_homes(homes.to_vec());
         let outputs = self.keeper.on_tick();
         self.take_outputs(outputs);
@@ -232,7 +250,14 @@
     }
 
     fn route_calls(&mut self, statuses: &BTreeMap<HolderId, HolderStatus>, ledger: &mut Ledger) {
-        let status_of = |id| {
+        let reachable = self.reachable.clone();
+        let status_of = |id: HolderId| {
+            if reachable
+                .as_ref()
+                .is_some_and(|all| !all.contains(&id.daemon.0))
+            {
+                return HolderStatus::Unreachable;
+            }
             statuses
                 .get(&id)
                 .copied()
@@ -450,6 +475,7 @@
             }
         }
         self.send_pages();
+        self.send_late();
         let done = self.handings.values().all(|handing| handing.whole);
         let idle = self.flights.is_empty() && self.running.is_empty() && self.late.is_empty();
         let sent = self.outbox.is_empty() && self.calls.is_empty();
