Test calls, keys and bounds on real daemons, and mend what they showed

Cause: the adapters had run only in the demo. They showed a handover that stopped at an early answer, keyed calls refused while a range moves, and bodies that broke off answered as the target's fault; mended.

--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -56,12 +56,18 @@
 
 /// Arguments of `demo`.
 #[derive(Bpaf, Clone, Debug)]
-pub struct DemoArgs {}
+pub struct DemoArgs {
+    /// Keep the system running until Enter is pressed, to try other commands
+    keep: bool,
+}
 
 /// Runs the session and stops everything again.
-pub fn run(_: &DemoArgs) -> Result<ExitCode> {
+pub fn run(args: &DemoArgs) -> Result<ExitCode> {
     let fleet = DemoFleet::start()?;
     let result = play(&fleet);
+    if args.keep && result.is_ok() {
+        fleet.wait_for_enter();
+    }
     fleet.stop();
     result?;
     println!("stopped");
@@ -208,6 +214,21 @@
         Ok(())
     }
 
+    fn wait_for_enter(&self) {
+        println!("\nIn another terminal:");
+        println!(
+            "  export QUETZAL_DAEMON={}",
+            self.daemons[0].operator_address()
+        );
+        println!("  quetzal status");
+        for daemon in &self.daemons {
+            println!("callers  http://{}", daemon.core().settings.caller_address);
+        }
+        println!("Press Enter to stop.");
+        // Without a terminal the demo stops at once.
+        drop(std::io::stdin().read_line(&mut String::new()));
+    }
+
     fn stop(self) {
         drop(self.targets);
         let force = CancellationToken::new();
--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -7,6 +7,7 @@
 
 use std::fmt;
 use std::pin::Pin;
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -57,6 +58,9 @@
     idle: Pin<Box<Sleep>>,
 }
 
+/// The error that broke a body, once one has.
+pub type BodyFault = Arc<OnceLock<KindError>>;
+
 type EndWatch = Box<dyn FnOnce(BodyEnd) + Send>;
 
 /// A body on its way.
@@ -65,6 +69,7 @@
     source: BodySource,
     bound: Option<BoundState>,
     watch: Option<EndWatch>,
+    fault: Option<BodyFault>,
     ended: bool,
 }
 
@@ -84,6 +89,7 @@
             source,
             bound: None,
             watch: None,
+            fault: None,
             ended: false,
         }
     }
@@ -130,6 +136,11 @@
         self
     }
 
+    /// Where the error that breaks this body will be found.
+    pub fn watch_fault(&mut self) -> BodyFault {
+        Arc::clone(self.fault.get_or_insert_default())
+    }
+
     /// The next bytes, or nothing at the end.
     pub async fn next(&mut self) -> Option<Result<Bytes>> {
         std::future::poll_fn(|context| self.poll_chunk(context)).await
@@ -141,14 +152,12 @@
     pub async fn read_ahead(&mut self, max_bytes: usize) -> Result<bool> {
         let mut early = BytesMut::from(&*std::mem::take(&mut self.early));
         while early.len() <= max_bytes {
-            match self.next().await {
-                Some(chunk) => early.extend_from_slice(&chunk?),
-                None => {
-                    self.source = BodySource::Whole(early.freeze());
-                    self.ended = false;
-                    return Ok(true);
-                }
-            }
+            let Some(chunk) = self.next().await else {
+                self.source = BodySource::Whole(early.freeze());
+                self.ended = false;
+                return Ok(true);
+            };
+            early.extend_from_slice(&chunk?);
         }
         self.early = early.freeze();
         Ok(false)
@@ -180,7 +189,13 @@
         let chunk = ready!(self.poll_bounded(context));
         match &chunk {
             None => self.end(BodyEnd::Whole),
-            Some(Err(_)) => self.end(BodyEnd::Broken),
+            Some(Err(error)) => {
+                if let Some(fault) = &self.fault {
+                    // Only the first error is the cause.
+                    drop(fault.set(error.clone()));
+                }
+                self.end(BodyEnd::Broken);
+            }
             Some(Ok(_)) => {}
         }
         Poll::Ready(chunk)
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -18,7 +18,7 @@
 
 use crate::answer::{AnswerMark, pass_on, refuse};
 use crate::beside::{Result, TargetAnswer};
-use crate::body::{BodyBounds, CallBody};
+use crate::body::{BodyBounds, BodyFault, CallBody};
 use crate::core::DaemonCore;
 use crate::dispatch::{Dispatch, dispatch};
 use crate::keyed::run_keyed;
@@ -100,27 +100,44 @@
         max_bytes: core.settings.numbers.max_body_bytes.into(),
         idle_timeout: core.settings.idle_timeout(),
     };
+    check_length(headers, bounds)?;
     let mut body = CallBody::from_caller(incoming, bounds);
     body.read_ahead(READ_AHEAD_BYTES).await?;
+    let fault = body.watch_fault();
     let head = build_head(call, grant, headers, body.bytes());
     core.keys.poison().check(RequestPrint(head.print))?;
-    let result = match key {
-        Some(key) => run_keyed(core, head, key, deadline, body).await,
-        None => {
-            let ticket = None;
-            dispatch(
-                core,
-                Dispatch {
-                    head,
-                    deadline,
-                    ticket,
-                },
-                body,
-            )
-            .await
-        }
+    let result = if let Some(key) = key {
+        run_keyed(core, head, key, deadline, body).await
+    } else {
+        let ticket = None;
+        let call = Dispatch {
+            head,
+            deadline,
+            ticket,
+        };
+        dispatch(core, call, body).await
     };
-    tickets.follow(result)
+    tickets.follow(result.map_err(|refusal| blame_body(refusal, &fault)))
+}
+
+/// Refuses a body that is declared too large before anything is sent.
+fn check_length(headers: &http::HeaderMap, bounds: BodyBounds) -> Result<()> {
+    let detail = format!("more than {} bytes", bounds.max_bytes);
+    let fits = content_length(headers).is_none_or(|length| length <= bounds.max_bytes);
+    Ok(model::ensure(fits, ErrorKind::BodyTooLarge, &detail)?)
+}
+
+fn content_length(headers: &http::HeaderMap) -> Option<u64> {
+    let value = headers.get(http::header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+/// Names the caller's body as the cause where it broke off; what that proves stays.
+fn blame_body(mut refusal: CallRefusal, fault: &BodyFault) -> CallRefusal {
+    if let Some(error) = fault.get() {
+        refusal.error = error.clone();
+    }
+    refusal
 }
 
 /// The key of a non-idempotent call; none for an idempotent one.
@@ -195,9 +212,8 @@
     headers: &http::HeaderMap,
     body: &[u8],
 ) -> u128 {
-    let length = headers.get(http::header::CONTENT_LENGTH);
-    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
     let customer = &grant.customer.name;
+    let length = content_length(headers);
     let mut hasher = PrintHasher::new(customer, &call.method, &call.path, length);
     hasher.update(body);
     hasher.finish().0
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -54,7 +54,7 @@
         *counts.entry(name).or_default() += amount;
         drop(counts);
         // A lost datagram loses one count and nothing else.
-        drop(self.client.count(name, amount as i64));
+        drop(self.client.count(name, amount.cast_signed()));
     }
 
     /// Counts an error by its kind.
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use model::{DaemonId, ErrorKind, KindError};
-use once::RunTicket;
+use once::{RunProof, RunTicket};
 use route::{
     AttemptFailure, CallDeadline, CallOutcome, CallResult, FailureCause, PickTicket, RetryVerdict,
 };
@@ -98,7 +98,7 @@
         Err(refusal) => refusal,
     };
     // A lost answer with an unused permit proves that nothing ran.
-    if !refusal.error.kind.answer().not_run && revoke(core, pass.permit).await {
+    if refusal.proof != RunProof::NotRun && revoke(core, pass.permit).await {
         return Err(KindError::new(ErrorKind::PeerUnavailable, refusal.error.detail).into());
     }
     Err(refusal)
@@ -120,7 +120,7 @@
 
 fn cause_of(refusal: &CallRefusal) -> FailureCause {
     let kind = refusal.error.kind;
-    if kind.answer().not_run {
+    if refusal.proof == RunProof::NotRun {
         return FailureCause::Refused(kind);
     }
     FailureCause::Lost
--- a/crates/daemon/src/key_control.rs
+++ b/crates/daemon/src/key_control.rs
@@ -165,7 +165,7 @@
     /// Takes a message of a peer.
     pub fn on_message(&mut self, from: DaemonId, message: OnceMessage) -> OnceSends {
         match message {
-            OnceMessage::View(view) => self.take_view(view),
+            OnceMessage::View(view) => self.take_view(&view),
             OnceMessage::AskView(known) => self.answer_view(from, known),
             OnceMessage::Move(change) => {
                 self.core.keys.router().on_move(change);
@@ -237,7 +237,7 @@
                     self.desk.append(JobOwner::Leases(serial), stream, body);
                 }
                 LeaseOutput::Term(update) => self.core.keys.home().on_term(update),
-                LeaseOutput::View(view) => sends.extend(self.take_view(view)),
+                LeaseOutput::View(view) => sends.extend(self.take_view(&view)),
                 LeaseOutput::Alarm(error) => log::error!("leases: {error}"),
             }
         }
@@ -256,8 +256,8 @@
     }
 
     /// Keeps a newer view and passes it on.
-    fn take_view(&mut self, view: LeaseView) -> OnceSends {
-        self.core.keys.issuer().observe(&view);
+    fn take_view(&mut self, view: &LeaseView) -> OnceSends {
+        self.core.keys.issuer().observe(view);
         if !self.core.keys.router().on_view(view.clone()) {
             return OnceSends::new();
         }
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -16,7 +16,7 @@
     RequestPrint, RunOutcome, RunProof, RunTicket, StoredAnswer,
 };
 use route::{CallDeadline, TargetLoad};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::beside::{Result, TargetAnswer};
 use crate::body::{BodyEnd, CallBody};
@@ -31,11 +31,54 @@
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time beyond the deadline for the home's refusal to arrive.
 const HOME_MARGIN: Duration = Duration::from_millis(100);
+/// Longest time for which a call is sent again while its range moves.
+const MOVE_PATIENCE: Duration = Duration::from_secs(3);
+/// Pause before a call is sent again while its range moves.
+const MOVE_PAUSE: Duration = Duration::from_millis(100);
 /// Marks an answer that was given before.
 const REPLAYED_HEADER: &str = "quetzal-replayed";
 
 /// Sends a call to the home of its key, which may be here.
+///
+/// While a range moves from one home to the next, both refuse; the call is
+/// then sent again after a short pause, as long as that is safe.
 pub async fn run_keyed(
+    core: &Arc<DaemonCore>,
+    head: CallHead,
+    key: CallKey,
+    deadline: CallDeadline,
+    body: CallBody,
+) -> Result<TargetAnswer> {
+    let give_up = core.clock.now() + MOVE_PATIENCE;
+    let mut body = body;
+    loop {
+        let spare = body.copy();
+        let sent = send_home(core, head.clone(), key.clone(), deadline, body).await;
+        let refusal = match sent {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => refusal,
+        };
+        let now = core.clock.now();
+        let in_time = now < give_up && deadline.remaining(now) > MOVE_PAUSE * 2;
+        let Some(again) = spare.filter(|_| in_time && is_moving(&refusal)) else {
+            return Err(refusal);
+        };
+        core.counters.count("keyed-sent-again");
+        body = again;
+        sleep(MOVE_PAUSE).await;
+    }
+}
+
+/// Whether the refusal may end as soon as the range has its next home.
+fn is_moving(refusal: &CallRefusal) -> bool {
+    let moving = matches!(
+        refusal.error.kind,
+        ErrorKind::Draining | ErrorKind::HomeUnavailable | ErrorKind::PeerUnavailable
+    );
+    moving && matches!(refusal.proof, RunProof::NotRun | RunProof::SendingNotRun)
+}
+
+async fn send_home(
     core: &Arc<DaemonCore>,
     mut head: CallHead,
     key: CallKey,
@@ -172,9 +215,8 @@
 
     /// Settles by what a refusal proves, which the answer then says.
     fn settle_refusal(&mut self, mut refusal: CallRefusal) -> CallRefusal {
-        if refusal.error.kind.answer().not_run {
+        if refusal.proof == RunProof::NotRun {
             self.settle(RunOutcome::NotRun);
-            refusal.proof = RunProof::NotRun;
             refusal.by_home = true;
             return refusal;
         }
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -174,7 +174,7 @@
     fn status(&self) -> Result<OperatorAnswer> {
         let (sender, receiver) = oneshot::channel();
         self.tell(ControlEvent::Status(sender))?;
-        let report = receiver.blocking_recv().map_err(|_| stopping())?;
+        let report = receiver.blocking_recv().map_err(|error| stopping(&error))?;
         OperatorAnswer::json(&report)
     }
 
@@ -206,7 +206,9 @@
     }
 
     fn tell(&self, event: ControlEvent) -> Result<()> {
-        self.events.blocking_send(event).map_err(|_| stopping())
+        self.events
+            .blocking_send(event)
+            .map_err(|error| stopping(&error))
     }
 }
 
@@ -229,6 +231,9 @@
     Ok(body)
 }
 
-fn stopping() -> KindError {
-    KindError::new(ErrorKind::Draining, "this daemon is stopping")
+fn stopping(error: &dyn std::error::Error) -> KindError {
+    KindError::new(
+        ErrorKind::Draining,
+        format!("this daemon is stopping: {error}"),
+    )
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -164,11 +164,7 @@
         let sending = sender.send(chunk?);
         timeout(core.settings.idle_timeout(), sending)
             .await
-            .map_err(stalled)??;
+            .map_err(|elapsed| KindError::new(ErrorKind::IdleTimeout, elapsed.to_string()))??;
     }
     sender.finish()
 }
-
-fn stalled(elapsed: tokio::time::error::Elapsed) -> KindError {
-    KindError::new(ErrorKind::IdleTimeout, elapsed.to_string())
-}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -9,6 +9,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
 use model::{DaemonId, DomainName, RegionName};
 use plans::lists::ListProblem;
 use plans::reader::{DocumentReader, FieldMap};
@@ -203,11 +205,11 @@
     let domain = required(reader, "domain").and_then(|value| reader.parse_string(&value, "domain"));
     let log_url = required(reader, "log_url").and_then(|value| read_url(reader, &value));
     let caller_address = required(reader, "caller_address")
-        .and_then(|value| reader.parse_string(&value, "caller_address"));
+        .and_then(|value| read_address(reader, &value, "caller_address"));
     let peer_address: Option<SocketAddr> = required(reader, "peer_address")
-        .and_then(|value| reader.parse_string(&value, "peer_address"));
+        .and_then(|value| read_address(reader, &value, "peer_address"));
     let operator_address = required(reader, "operator_address")
-        .and_then(|value| reader.parse_string(&value, "operator_address"));
+        .and_then(|value| read_address(reader, &value, "operator_address"));
 
     let name = match fields.get("name") {
         Some(value) => reader.string(value, "name").map(Box::from),
@@ -223,7 +225,7 @@
     };
     let metrics_address = fields
         .get("metrics_address")
-        .and_then(|value| reader.parse_string(value, "metrics_address"));
+        .and_then(|value| read_address(reader, value, "metrics_address"));
     let numbers = NumberSettings::read(reader, &fields);
     Some(DaemonSettings {
         name: name?,
@@ -239,25 +241,30 @@
     })
 }
 
-fn read_url(
-    reader: &mut DocumentReader<'_>,
-    value: &jsonc_parser::ast::Value<'_>,
-) -> Option<Box<str>> {
+fn read_url(reader: &mut DocumentReader<'_>, value: &Value<'_>) -> Option<Box<str>> {
     let url = reader.string(value, "log_url")?;
     if url.starts_with("http://") {
         return Some(url.into());
     }
-    reader.fail(start_of(value), "\"log_url\" must start with http://")
+    reader.fail(value.start(), "\"log_url\" must start with http://")
 }
 
-fn read_addresses(
+fn read_address(
     reader: &mut DocumentReader<'_>,
-    value: &jsonc_parser::ast::Value<'_>,
-) -> Vec<SocketAddr> {
+    value: &Value<'_>,
+    name: &str,
+) -> Option<SocketAddr> {
+    match reader.string(value, name)?.parse() {
+        Ok(address) => Some(address),
+        Err(error) => reader.fail(value.start(), format!("\"{name}\": {error}")),
+    }
+}
+
+fn read_addresses(reader: &mut DocumentReader<'_>, value: &Value<'_>) -> Vec<SocketAddr> {
     reader
         .elements(value, "peers")
         .iter()
-        .filter_map(|element| reader.parse_string(element, "peers"))
+        .filter_map(|element| read_address(reader, element, "peers"))
         .collect()
 }
 
@@ -273,12 +280,7 @@
             "\"{}\" is {number}; it must be {} to {} {}",
             row.name, row.low, row.high, row.unit
         );
-        reader.note(start_of(value), message);
+        reader.note(value.start(), message);
     }
     number
 }
-
-fn start_of(value: &jsonc_parser::ast::Value<'_>) -> usize {
-    use jsonc_parser::common::Ranged as _;
-    value.start()
-}
--- /dev/null
+++ b/crates/daemon/tests/calls.rs
@@ -0,0 +1,169 @@
+//! Calls through real daemons: bodies, deadlines, drain, rolling restart.
+
+mod fleet;
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use fleet::target::TestTarget;
+use fleet::{ALLOWANCES, Fleet, PLANS, await_true};
+use members::TargetState;
+
+fn await_targets(fleet: &Fleet, count: usize) {
+    fleet.await_all("targets", |status| {
+        let targets = status.members.iter().map(|member| member.targets.len());
+        targets.sum::<usize>() == count
+    });
+}
+
+#[test]
+fn large_bodies_arrive_whole_and_deadlines_hold() {
+    let fleet = Fleet::start(3, &["cairo-a", "cairo-b"], "");
+    let studio = TestTarget::start("studio-1", "studio", &fleet.daemons[0], Duration::ZERO);
+    let slow = TestTarget::start(
+        "catalog-1",
+        "catalog",
+        &fleet.daemons[1],
+        Duration::from_millis(900),
+    );
+    fleet.publish(PLANS, ALLOWANCES);
+    await_targets(&fleet, 2);
+
+    for proxy in 0..3 {
+        let mut response = fleet.call(proxy, "PUT", "/studio/draft", None, vec![7; 3_000_000]);
+        let text = response.body_mut().read_to_string().unwrap();
+        assert_eq!(text, "PUT /studio/draft by studio-1 3000000 bytes");
+    }
+    assert_eq!(studio.broken.load(Ordering::SeqCst), 0);
+
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let response = agent
+        .get(format!("http://{}/catalog/x", fleet.daemons[2].callers))
+        .header("quetzal-customer", "nile")
+        .header("quetzal-timeout-ms", "200")
+        .call()
+        .unwrap();
+    // It is idempotent and may have run; what matters is that the caller is told in time.
+    assert!(response.status().is_server_error());
+    drop(slow);
+}
+
+#[test]
+fn a_draining_target_gets_no_new_work_and_ends_what_it_has() {
+    let fleet = Fleet::start(3, &["cairo-a", "cairo-b"], "");
+    let leaving = TestTarget::start(
+        "catalog-1",
+        "catalog",
+        &fleet.daemons[0],
+        Duration::from_millis(300),
+    );
+    let staying = TestTarget::start("catalog-2", "catalog", &fleet.daemons[1], Duration::ZERO);
+    fleet.publish(PLANS, ALLOWANCES);
+    await_targets(&fleet, 2);
+    thread::scope(|scope| {
+        let calls: Vec<_> = (0..12)
+            .map(|index| {
+                scope.spawn({
+                    let fleet = &fleet;
+                    move || fleet.outcome(index % 3, "GET", "/catalog/a", None)
+                })
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(100));
+        leaving.announce_state(TargetState::Draining);
+        for call in calls {
+            let outcome = call.join().unwrap();
+            assert!(outcome.starts_with("200"), "{outcome}");
+        }
+    });
+    let before = leaving.ran_count();
+    for index in 0..30 {
+        let outcome = fleet.outcome(index % 3, "GET", "/catalog/b", None);
+        assert!(outcome.ends_with("by catalog-2 0 bytes"), "{outcome}");
+    }
+    assert_eq!(leaving.ran_count(), before);
+    drop(staying);
+}
+
+#[test]
+fn a_rolling_restart_under_load_fails_no_call() {
+    let mut fleet = Fleet::start(4, &["cairo-a", "cairo-b"], "");
+    // The first daemon stays as the callers' proxy; the other three are restarted in turn.
+    let targets: Vec<TestTarget> = (1..4)
+        .map(|index| {
+            let name = format!("catalog-{index}");
+            TestTarget::start(
+                &name,
+                "catalog",
+                &fleet.daemons[index],
+                Duration::from_millis(20),
+            )
+        })
+        .collect();
+    fleet.publish(PLANS, ALLOWANCES);
+    await_targets(&fleet, 3);
+    let stop = AtomicBool::new(false);
+    let answered = AtomicUsize::new(0);
+    let proxy = fleet.daemons[0].callers;
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..4)
+            .map(|_| scope.spawn(|| call_until(&stop, &answered, proxy)))
+            .collect();
+        for index in 1..4 {
+            fleet.daemons[index].terminate();
+            assert!(fleet.daemons[index].wait().success());
+            fleet.daemons[index].start();
+            await_targets(&fleet, 3);
+        }
+        stop.store(true, Ordering::SeqCst);
+        let failures: Vec<String> = callers
+            .into_iter()
+            .flat_map(|caller| caller.join().unwrap())
+            .collect();
+        assert!(
+            failures.is_empty(),
+            "{} of {answered:?}: {failures:?}",
+            failures.len()
+        );
+    });
+    println!(
+        "{} calls answered during three restarts",
+        answered.load(Ordering::SeqCst)
+    );
+    await_true("every target runs calls", || {
+        targets.iter().all(|target| target.ran_count() > 0)
+    });
+}
+
+fn call_until(
+    stop: &AtomicBool,
+    answered: &AtomicUsize,
+    proxy: std::net::SocketAddr,
+) -> Vec<String> {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let mut failures = Vec::new();
+    while !stop.load(Ordering::SeqCst) {
+        let called = agent
+            .get(format!("http://{proxy}/catalog/x"))
+            .header("quetzal-customer", "nile")
+            .call();
+        match called {
+            Ok(response) if response.status().as_u16() == 200 => {
+                answered.fetch_add(1, Ordering::SeqCst);
+            }
+            Ok(mut response) => {
+                failures.push(response.body_mut().read_to_string().unwrap_or_default());
+            }
+            Err(error) => failures.push(error.to_string()),
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    failures
+}
--- /dev/null
+++ b/crates/daemon/tests/fleet/target.rs
@@ -0,0 +1,136 @@
+//! Targets in the test's process.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use members::{TargetAnnouncement, TargetState};
+use model::{CallCount, IncarnationNumber};
+use tiny_http::{Response, Server};
+
+use super::DaemonProcess;
+
+/// Calls that a target runs at once.
+const WORKERS: usize = 10;
+
+/// A target that counts what it runs.
+pub struct TestTarget {
+    pub name: String,
+    /// `METHOD path` of each call that ran.
+    pub ran: Arc<Mutex<Vec<String>>>,
+    /// Bodies that broke off.
+    pub broken: Arc<AtomicUsize>,
+    operator: SocketAddr,
+    announcement: TargetAnnouncement,
+    server: Arc<Server>,
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl TestTarget {
+    /// A target of `service` beside `daemon`, which takes `delay` for each call.
+    pub fn start(name: &str, service: &str, daemon: &DaemonProcess, delay: Duration) -> Self {
+        let server = Arc::new(Server::http("127.0.0.1:0").unwrap());
+        let announcement = TargetAnnouncement {
+            target: name.parse().unwrap(),
+            service: service.parse().unwrap(),
+            address: server.server_addr().to_ip().unwrap(),
+            slots: CallCount(WORKERS as u32),
+            connections: CallCount(100),
+            state: TargetState::Ready,
+            load: 0.0,
+            incarnation: IncarnationNumber(1),
+        };
+        let ran = Arc::new(Mutex::new(Vec::new()));
+        let broken = Arc::new(AtomicUsize::new(0));
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut threads: Vec<JoinHandle<()>> = (0..WORKERS)
+            .map(|_| {
+                let (server, ran, broken) =
+                    (Arc::clone(&server), Arc::clone(&ran), Arc::clone(&broken));
+                let name = name.to_owned();
+                thread::spawn(move || answer(&server, &name, &ran, &broken, delay))
+            })
+            .collect();
+        let operator = daemon.operators;
+        announce(operator, &announcement);
+        let (repeated, stopping) = (announcement.clone(), Arc::clone(&stop));
+        threads.push(thread::spawn(move || {
+            let mut steps = 0;
+            while !stopping.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(20));
+                steps += 1;
+                if steps % 40 == 0 {
+                    announce(operator, &repeated);
+                }
+            }
+        }));
+        Self {
+            name: name.to_owned(),
+            ran,
+            broken,
+            operator,
+            announcement,
+            server,
+            stop,
+            threads,
+        }
+    }
+
+    pub fn ran_count(&self) -> usize {
+        self.ran.lock().unwrap().len()
+    }
+
+    /// Announces another state; heartbeats stop.
+    pub fn announce_state(&self, state: TargetState) {
+        self.stop.store(true, Ordering::SeqCst);
+        let mut announcement = self.announcement.clone();
+        announcement.state = state;
+        announce(self.operator, &announcement);
+    }
+}
+
+impl Drop for TestTarget {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        for _ in 0..WORKERS {
+            self.server.unblock();
+        }
+        for thread in self.threads.drain(..) {
+            thread.join().unwrap();
+        }
+    }
+}
+
+fn answer(
+    server: &Server,
+    name: &str,
+    ran: &Mutex<Vec<String>>,
+    broken: &AtomicUsize,
+    delay: Duration,
+) {
+    while let Ok(mut request) = server.recv() {
+        let mut body = Vec::new();
+        let length = request.body_length();
+        let read = request.as_reader().read_to_end(&mut body);
+        if read.is_err() || length.is_some_and(|length| body.len() < length) {
+            broken.fetch_add(1, Ordering::SeqCst);
+            continue;
+        }
+        thread::sleep(delay);
+        let line = format!("{} {}", request.method(), request.url());
+        ran.lock().unwrap().push(line.clone());
+        let text = format!("{line} by {name} {} bytes", body.len());
+        drop(request.respond(Response::from_string(text)));
+    }
+}
+
+/// A daemon that is just not there misses one heartbeat.
+fn announce(operator: SocketAddr, announcement: &TargetAnnouncement) {
+    let body = serde_json::to_vec(announcement).unwrap();
+    drop(ureq::post(format!("http://{operator}/v1/targets")).send(&body));
+}
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -138,7 +138,8 @@
         head: &impl Serialize,
     ) -> Result<T> {
         let exchange = self.open(address, head).await?;
-        exchange.sender.finish()?;
+        // A peer may answer and close the stream before our end of it; the answer counts.
+        drop(exchange.sender.finish());
         let (answer, _) = exchange.answer.head().await?;
         Ok(answer)
     }
