Follow demand by two averages and count settled shares

Reports on noise made the traffic, buckets of one token and learning on every change of members the wrong refusals. Keepers divide calls at once by expected use.

--- a/crates/limits/benches/shedding.rs
+++ b/crates/limits/benches/shedding.rs
@@ -1,1 +1,3 @@
+//! Placeholder head.
+
 fn main() {}
--- a/crates/limits/src/bucket.rs
+++ b/crates/limits/src/bucket.rs
@@ -8,7 +8,10 @@
 const BURST_S: f64 = 0.5;
 
 /// Least number of tokens that a bucket holds when full.
-const MIN_BURST: f64 = 1.0;
+///
+/// A bucket of one token refuses calls that come by chance close together,
+/// a third of them where demand is half of the share.
+const MIN_BURST: f64 = 3.0;
 
 /// Tokens for calls; one token for each call.
 #[derive(Clone, Copy, Debug)]
--- a/crates/limits/src/demand.rs
+++ b/crates/limits/src/demand.rs
@@ -1,9 +1,25 @@
 //! Demand of one key at one daemon: calls a second and calls at once.
+//!
+//! Two averages run side by side. The short one follows a change at once but
+//! is mostly noise when calls are few; the long one is steady. The long one
+//! counts until the short one is away from it by more than chance.
 
 use std::time::Instant;
 
-/// Time constant of the averages, in seconds.
-const AVERAGE_S: f64 = 1.0;
+/// Time constant of the short average, in seconds.
+const SHORT_S: f64 = 0.3;
+
+/// Time constant of the long average, in seconds.
+const LONG_S: f64 = 10.0;
+
+/// Standard deviations of the short average that count as a change.
+const CHANGE_DEVIATIONS: f64 = 3.0;
+
+/// Rate below which the short average's deviation is not trusted.
+const MIN_RATE: f64 = 4.0;
+
+/// Time that the long average has been running for at least, in seconds.
+const MIN_SEEN_S: f64 = 1.0;
 
 /// Weight of the latest call in the average duration.
 const DURATION_WEIGHT: f64 = 0.1;
@@ -11,10 +27,12 @@
 /// Averages over the calls that come, refused ones included.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DemandMeter {
-    rate: f64,
+    short: f64,
+    long: f64,
     calls: f64,
     refused_rate: f64,
     duration_s: f64,
+    born: Instant,
     at: Instant,
 }
 
@@ -22,10 +40,12 @@
     /// A meter without calls.
     pub(crate) fn new(now: Instant) -> Self {
         Self {
-            rate: 0.0,
+            short: 0.0,
+            long: 0.0,
             calls: 0.0,
             refused_rate: 0.0,
             duration_s: 0.0,
+            born: now,
             at: now,
         }
     }
@@ -33,21 +53,40 @@
     /// Moves the averages on to `now`, with `in_flight` calls since the last change.
     pub(crate) fn advance(&mut self, in_flight: u32, now: Instant) {
         let age = now.saturating_duration_since(self.at).as_secs_f64();
-        let kept = (-age / AVERAGE_S).exp();
-        self.rate *= kept;
+        let kept = (-age / SHORT_S).exp();
+        self.short *= kept;
         self.refused_rate *= kept;
         self.calls = f64::from(in_flight) + (self.calls - f64::from(in_flight)) * kept;
+        self.long *= (-age / LONG_S).exp();
         self.at = now;
+        self.follow_change();
+    }
+
+    /// Sets the long average to the short one once they differ by more than chance.
+    fn follow_change(&mut self) {
+        let seen = self.seen();
+        let long = self.long / seen;
+        let deviation = (long.max(MIN_RATE) / 2.0 / SHORT_S).sqrt();
+        if (self.short - long).abs() > deviation * CHANGE_DEVIATIONS {
+            self.long = self.short * seen;
+        }
+    }
+
+    /// Part of the long average's time that has been seen.
+    fn seen(&self) -> f64 {
+        let age = self.at.saturating_duration_since(self.born).as_secs_f64();
+        1.0 - (-age.max(MIN_SEEN_S) / LONG_S).exp()
     }
 
     /// Counts a call that came.
     pub(crate) fn on_call(&mut self) {
-        self.rate += 1.0 / AVERAGE_S;
+        self.short += 1.0 / SHORT_S;
+        self.long += 1.0 / LONG_S;
     }
 
     /// Counts a call that was refused for the calls at once.
     pub(crate) fn on_refused(&mut self) {
-        self.refused_rate += 1.0 / AVERAGE_S;
+        self.refused_rate += 1.0 / SHORT_S;
     }
 
     /// Counts a call that ended.
@@ -57,11 +96,22 @@
 
     /// Calls a second.
     pub(crate) fn rate(&self) -> f64 {
-        self.rate
+        self.long / self.seen()
     }
 
-    /// Calls at once, with those that the refused ones would have made.
+    /// Calls at once: what the rate and the usual duration make, or more if more are seen.
     pub(crate) fn calls(&self) -> f64 {
-        self.calls + self.refused_rate * self.duration_s
+        let usual = self.rate() * self.duration_s;
+        let seen = self.calls + self.refused_rate * self.duration_s;
+        if (seen - usual).abs() > 1.0 + usual {
+            seen
+        } else {
+            usual
+        }
+    }
+
+    /// Least change of the rate from `before` that is not chance.
+    pub(crate) fn rate_noise(before: f64) -> f64 {
+        (before.max(1.0 / LONG_S) / 2.0 / LONG_S).sqrt() * CHANGE_DEVIATIONS
     }
 }
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -241,7 +241,7 @@
 
     /// Daemons' shares that are kept here.
     pub fn kept_shares(&self) -> usize {
-        self.keeper.entries()
+        self.keeper.shares()
     }
 }
 
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -15,6 +15,7 @@
 mod demand;
 pub mod gate;
 mod keeper;
+mod kept;
 mod local;
 pub mod message;
 pub mod refusal;
--- a/crates/limits/src/local.rs
+++ b/crates/limits/src/local.rs
@@ -2,8 +2,8 @@
 //!
 //! Until the keeper has answered, a key runs on a credit of a few calls and
 //! on an equal part of the plan's rate. A report is due when a key is new,
-//! when demand has moved away from the last report and the share is nearly
-//! used up, and when the keeper's interval has passed.
+//! when demand has moved away from the last report by more than chance, when
+//! the share has shrunk, and when the keeper's interval has passed.
 
 use std::time::{Duration, Instant};
 
@@ -11,7 +11,7 @@
 
 use crate::bucket::TokenBucket;
 use crate::demand::DemandMeter;
-use crate::message::{DemandReport, GRANT_INTERVALS, LimitKey, MilliRate, PlanLimit, ShareGrant};
+use crate::message::{DemandReport, GRANT_INTERVALS, LimitKey, PlanLimit, ShareGrant, Thousandths};
 use crate::refusal::LimitRefusal;
 
 /// Time worth of the plan's rate that a new key may use before the keeper answers.
@@ -21,16 +21,16 @@
 const MAX_CREDIT: f64 = 10.0;
 
 /// Least time between two reports of one key.
-const REPORT_GAP: Duration = Duration::from_millis(100);
+const MIN_REPORT_GAP: Duration = Duration::from_millis(100);
+
+/// Part of the keeper's interval that lies at least between two reports: one in this many.
+const GAP_PART: u32 = 8;
 
 /// Time until an unanswered report is repeated.
 const REPORT_RETRY: Duration = Duration::from_millis(500);
 
-/// Part of the share above which a change of demand is reported at once.
-const NEAR_SHARE: f64 = 0.7;
-
 /// Relative change of demand that is worth a report.
-const DEMAND_CHANGE: f64 = 0.25;
+const DEMAND_CHANGE: f64 = 0.3;
 
 /// A share below this part of the one before is confirmed to the keeper.
 const CONFIRM_PART: f64 = 0.9;
@@ -51,6 +51,8 @@
     bucket: TokenBucket,
     demand: DemandMeter,
     in_flight: u32,
+    /// Sum of the fractions of calls at once not yet used.
+    fraction: f64,
     grant: Option<HeldGrant>,
     reported: Option<SentReport>,
     last_call: Instant,
@@ -81,6 +83,7 @@
             bucket: TokenBucket::new(equal_part(limit, members), credit, now),
             demand: DemandMeter::new(now),
             in_flight: 0,
+            fraction: 0.0,
             grant: None,
             reported: None,
             last_call: now,
@@ -99,7 +102,7 @@
         self.lapse(members, now);
         self.demand.advance(self.in_flight, now);
         self.demand.on_call();
-        if self.in_flight >= self.calls_allowed(members) {
+        if !self.has_place(members) {
             self.demand.on_refused();
             return Err(LimitRefusal::new(
                 ErrorKind::ConcurrencyExceeded,
@@ -134,17 +137,30 @@
         self.bucket.set_rate(equal_part(self.limit, members), now);
     }
 
-    fn calls_allowed(&self, members: usize) -> u32 {
-        if let Some(held) = &self.grant {
-            return held.grant.calls.0.min(self.limit.calls.0);
+    /// Whether one more call may run at once.
+    ///
+    /// Of the calls that come when the whole part of the share is used up, as
+    /// many are admitted as its fraction says.
+    fn has_place(&mut self, members: usize) -> bool {
+        let most = f64::from(self.limit.calls.0);
+        let part = (most / members.max(1) as f64).max(1.0);
+        let share = self.grant.map_or(part, |held| held.grant.calls.into());
+        let share = share.min(most);
+        if self.in_flight < share as u32 {
+            return true;
+        }
+        if self.in_flight > share as u32 {
+            return false;
         }
-        let part = self.limit.calls.0 / members.max(1) as u32;
-        part.max(1).min(self.limit.calls.0)
+        self.fraction += share.fract();
+        let admitted = self.fraction >= 1.0;
+        self.fraction = self.fraction.fract();
+        admitted
     }
 
     /// Puts a share into force; one that shrank is confirmed by an early report.
     pub(crate) fn on_grant(&mut self, grant: ShareGrant, now: Instant) {
-        let rate = CallRate::from(grant.rate).0.min(self.limit.rate.0);
+        let rate = f64::from(grant.rate).min(self.limit.rate.0);
         let before = self.grant.map_or(0.0, |held| held.grant.rate.0.into());
         let shrunk = f64::from(grant.rate.0) < before * CONFIRM_PART;
         self.bucket.set_rate(CallRate(rate), now);
@@ -153,7 +169,11 @@
             until: now + grant.interval() * GRANT_INTERVALS,
         });
         if let Some(reported) = &mut self.reported {
-            let wait = if shrunk { REPORT_GAP } else { grant.interval() };
+            let wait = if shrunk {
+                report_gap(grant)
+            } else {
+                grant.interval()
+            };
             reported.due = reported.at + wait;
         }
     }
@@ -190,15 +210,15 @@
     fn fill_report(&self, key: LimitKey, idle: bool) -> DemandReport {
         let shown = |value: f64| {
             let value = if idle { 0.0 } else { value.max(0.001) };
-            MilliRate::from(CallRate(value))
+            Thousandths::from(value)
         };
         DemandReport {
             key,
-            limit_rate: self.limit.rate.into(),
+            limit_rate: self.limit.rate.0.into(),
             limit_calls: self.limit.calls,
             rate: shown(self.demand.rate()),
             calls: shown(self.demand.calls()),
-            held: self.grant.map_or(MilliRate(0), |held| held.grant.rate),
+            held: self.grant.map_or(Thousandths(0), |held| held.grant.rate),
         }
     }
 
@@ -209,22 +229,20 @@
         if now >= reported.due {
             return true;
         }
-        now >= reported.at + REPORT_GAP && self.needs_more(reported)
+        let gap = self
+            .grant
+            .map_or(MIN_REPORT_GAP, |held| report_gap(held.grant));
+        now >= reported.at + gap && self.has_changed(reported)
     }
 
-    /// Whether demand grew since the report and nearly uses the share up.
-    fn needs_more(&self, reported: &SentReport) -> bool {
-        let Some(held) = &self.grant else {
-            return false;
-        };
-        let grown = |value: f64, before: f64| value > before * (1.0 + DEMAND_CHANGE);
+    /// Whether demand has changed since the report by more than chance.
+    fn has_changed(&self, reported: &SentReport) -> bool {
         let rate = self.demand.rate();
+        let noise = DemandMeter::rate_noise(reported.rate);
+        let rate_step = (reported.rate * DEMAND_CHANGE).max(noise);
+        let calls_step = (reported.calls * DEMAND_CHANGE).max(1.0);
         let calls = self.demand.calls();
-        let share = CallRate::from(held.grant.rate).0;
-        let rate_short = grown(rate, reported.rate) && rate > share * NEAR_SHARE;
-        let allowed = f64::from(held.grant.calls.0);
-        let calls_short = grown(calls, reported.calls) && calls > allowed * NEAR_SHARE;
-        rate_short || calls_short
+        (rate - reported.rate).abs() > rate_step || (calls - reported.calls).abs() > calls_step
     }
 
     /// Makes a report due at once, as after a change of keeper.
@@ -256,3 +274,8 @@
 fn equal_part(limit: PlanLimit, members: usize) -> CallRate {
     CallRate(limit.rate.0 / members.max(1) as f64)
 }
+
+/// Least time between two reports under `grant`.
+fn report_gap(grant: ShareGrant) -> Duration {
+    (grant.interval() / GAP_PART).max(MIN_REPORT_GAP)
+}
--- a/crates/limits/src/message.rs
+++ b/crates/limits/src/message.rs
@@ -48,20 +48,20 @@
     }
 }
 
-/// A rate in thousandths of a call a second.
+/// A rate or a number of calls at once, in thousandths.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
-pub struct MilliRate(pub u32);
+pub struct Thousandths(pub u32);
 
-impl From<CallRate> for MilliRate {
-    fn from(rate: CallRate) -> Self {
-        Self((rate.0 * 1e3) as u32)
+impl From<f64> for Thousandths {
+    fn from(value: f64) -> Self {
+        Self((value * 1e3) as u32)
     }
 }
 
-impl From<MilliRate> for CallRate {
-    fn from(rate: MilliRate) -> Self {
-        Self(f64::from(rate.0) / 1e3)
+impl From<Thousandths> for f64 {
+    fn from(value: Thousandths) -> Self {
+        Self::from(value.0) / 1e3
     }
 }
 
@@ -71,15 +71,15 @@
     /// The key.
     pub key: LimitKey,
     /// The plan's rate, as this daemon's configuration has it.
-    pub limit_rate: MilliRate,
+    pub limit_rate: Thousandths,
     /// The plan's calls at once.
     pub limit_calls: CallCount,
     /// Calls a second that come, refused ones included; zero gives the share back.
-    pub rate: MilliRate,
-    /// Calls at once that come, in thousandths.
-    pub calls: MilliRate,
+    pub rate: Thousandths,
+    /// Calls at once that come, likewise.
+    pub calls: Thousandths,
     /// The share of the rate that this daemon holds now.
-    pub held: MilliRate,
+    pub held: Thousandths,
 }
 
 /// A daemon's share of one key.
@@ -88,9 +88,9 @@
     /// The key.
     pub key: LimitKey,
     /// Calls a second.
-    pub rate: MilliRate,
-    /// Calls at once.
-    pub calls: CallCount,
+    pub rate: Thousandths,
+    /// Calls at once; a fraction is the share of times that one more may run.
+    pub calls: Thousandths,
     /// Milliseconds until the next report is due; the share lapses after [`GRANT_INTERVALS`].
     pub interval_ms: u32,
 }
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -3,8 +3,23 @@
 /// Part of the unused rate that is divided equally; the rest follows demand.
 const EQUAL_PART: f64 = 0.5;
 
-/// Part of the calls at once above which they are divided exactly.
-const RELAXED_PART: f64 = 0.7;
+/// Part of a limit below which demand is not held to exact shares.
+const RELAXED_PART: f64 = 0.85;
+
+/// Part of a limit that exact shares must put to use.
+const WELL_USED_PART: f64 = 0.9;
+
+/// Standard deviations of the calls at once by which their mean stays below the limit.
+const MARGIN_DEVIATIONS: f64 = 0.5;
+
+/// Most times the limit that all shares may sum to.
+const MAX_OVERCOMMIT: f64 = 32.0;
+
+/// Steps of the search for a factor.
+const FACTOR_STEPS: usize = 12;
+
+/// Calls a second beyond demand that every holder may use while demand is far below the limit.
+const HEADROOM: f64 = 0.2;
 
 /// One holder's demand among all.
 #[derive(Clone, Copy, Debug)]
@@ -32,45 +47,92 @@
     }
 }
 
-/// A holder's due part of `limit`; the parts of all holders sum to it.
+/// A holder's due part of `limit`.
+///
+/// The parts sum to the limit; well below it each has headroom beyond that
+/// for chance, which only counts if all use it at the same time.
 pub(crate) fn divide_rate(limit: f64, share: DemandShare) -> f64 {
     if share.total >= limit {
         return limit * share.part();
     }
-    share.own + (limit - share.total) * share.slack_part()
+    let due = share.own + (limit - share.total) * share.slack_part();
+    if share.total >= limit * RELAXED_PART {
+        return due;
+    }
+    (due + share.own.sqrt() + HEADROOM).min(limit)
 }
 
 /// Due calls at once of every holder, in the order of `demands`.
 ///
-/// Well below the limit each holder may hold at least one call, since most
-/// hold none; near the limit whole numbers that sum to it go to the largest
-/// parts first.
-pub(crate) fn divide_calls(limit: u32, demands: &[f64]) -> Vec<u32> {
+/// Well below the limit every holder may hold twice its demand and one more.
+/// Near it, whole numbers that sum to the limit go to the largest parts; but
+/// where many holders with little demand leave most of their calls at once
+/// unused, they get more, so that the calls expected to run sum to the limit.
+pub(crate) fn divide_calls(limit: u32, demands: &[f64]) -> Vec<f64> {
     let total: f64 = demands.iter().sum();
-    let due = |&own: &f64| {
-        let share = DemandShare {
-            own,
-            total,
-            holders: demands.len(),
-        };
-        divide_rate(f64::from(limit), share)
-    };
-    if total < f64::from(limit) * RELAXED_PART {
-        let round = |due: f64| (due.round() as u32).clamp(1, limit.max(1));
-        return demands.iter().map(due).map(round).collect();
+    let most = f64::from(limit);
+    if total < most * RELAXED_PART {
+        let newcomer = 1.0 + most / 4.0 / demands.len().max(1) as f64;
+        let due = |own: &f64| (own * 2.0 + newcomer).min(most);
+        return demands.iter().map(due).collect();
     }
-    divide_exactly(limit, &demands.iter().map(due).collect::<Vec<_>>())
+    let exact = divide_exactly(limit, demands, total);
+    if expected(&exact, demands) >= most * WELL_USED_PART {
+        return exact;
+    }
+    divide_expected(limit, demands, total)
 }
 
 /// Whole numbers that sum to `limit`, by largest remainder.
-fn divide_exactly(limit: u32, due: &[f64]) -> Vec<u32> {
-    let mut shares: Vec<u32> = due.iter().map(|due| due.floor() as u32).collect();
-    let given: u32 = shares.iter().sum();
+fn divide_exactly(limit: u32, demands: &[f64], total: f64) -> Vec<f64> {
+    let part = |own: &f64| f64::from(limit) * own / total;
+    let due: Vec<f64> = demands.iter().map(part).collect();
+    let mut shares: Vec<f64> = due.iter().map(|due| due.floor()).collect();
+    let given: f64 = shares.iter().sum();
     let mut order: Vec<usize> = (0..due.len()).collect();
     order.sort_by(|&left, &right| due[right].fract().total_cmp(&due[left].fract()));
-    let left = limit.saturating_sub(given) as usize;
+    let left = (f64::from(limit) - given).max(0.0) as usize;
     for &index in order.iter().take(left) {
-        shares[index] += 1;
+        shares[index] += 1.0;
     }
     shares
 }
+
+/// Multiples of demand by which the expected calls sum to a little less than `limit`.
+fn divide_expected(limit: u32, demands: &[f64], total: f64) -> Vec<f64> {
+    let most = f64::from(limit);
+    let wanted = most - most.sqrt() * MARGIN_DEVIATIONS;
+    let shares = |factor: f64| -> Vec<f64> {
+        let due = |own: &f64| (own * factor).min(most);
+        demands.iter().map(due).collect()
+    };
+    let mut low = most / total;
+    let mut high = low * MAX_OVERCOMMIT;
+    for _ in 0..FACTOR_STEPS {
+        let middle = f64::midpoint(low, high);
+        if expected(&shares(middle), demands) < wanted {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    shares(low)
+}
+
+/// Sum of the calls expected to run at once.
+fn expected(shares: &[f64], demands: &[f64]) -> f64 {
+    let pairs = shares.iter().zip(demands);
+    pairs.map(|(share, own)| expected_calls(*share, *own)).sum()
+}
+
+/// Calls expected to run at once where `share` may and `demand` would, by Erlang's loss formula.
+fn expected_calls(share: f64, demand: f64) -> f64 {
+    let mut blocked = 1.0;
+    for calls in 1..=share as u32 {
+        blocked = demand * blocked / (f64::from(calls) + demand * blocked);
+    }
+    let whole = demand * (1.0 - blocked);
+    let next = demand * blocked / (share.floor() + 1.0 + demand * blocked);
+    let one_more = demand * (1.0 - next);
+    whole + (one_more - whole) * share.fract()
+}
