--- a/crates/limits/benches/limits/fleet.rs
+++ b/crates/limits/benches/limits/fleet.rs
@@ -25,8 +25,8 @@
 /// Window over which admitted calls are compared with the limit.
 pub const WINDOW: Duration = Duration::from_secs(5);
 
-/// Time from which bytes are counted: customers are active, not all new.
-const BYTES_FROM: Duration = Duration::from_secs(5);
+/// First window after shares have settled.
+const SETTLED_WINDOW: usize = 2;
 
 /// Time until the membership knows of a change.
 const DETECTION: Duration = Duration::from_secs(2);
@@ -38,10 +38,13 @@
     pub admitted: u64,
     /// Largest excess over the limit in any window, as a part of the limit.
     pub overshoot: f64,
+    /// The same once shares have settled.
+    pub settled: f64,
     /// Part of the calls that an exact counter admits and this way refuses.
     pub wrongly_refused: f64,
-    /// Most calls at once, as a part of the limit.
+    /// Most calls at once, as a part of the limit, and once settled.
     pub calls_at_once: f64,
+    pub settled_calls: f64,
     /// Bytes a second and daemon, sent and received: mean and largest.
     pub bytes_mean: f64,
     pub bytes_most: f64,
@@ -52,6 +55,7 @@
     exact: Counter,
     in_flight: u32,
     most_in_flight: u32,
+    settled_in_flight: u32,
     admitted: Vec<u64>,
     exactly: Vec<u64>,
 }
@@ -93,6 +97,7 @@
             exact: Counter::new(limit, 1, start),
             in_flight: 0,
             most_in_flight: 0,
+            settled_in_flight: 0,
             admitted: vec![0; scenario.windows()],
             exactly: vec![0; scenario.windows()],
         };
@@ -120,7 +125,7 @@
             self.deliver();
             self.offer(step);
             self.tick(step);
-            if STEP * step as u32 == BYTES_FROM {
+            if STEP * step as u32 == self.scenario.bytes_from {
                 self.bytes.fill(0);
                 self.admission.call_messages = 0;
             }
@@ -189,6 +194,9 @@
             known.admitted[window] += 1;
             known.in_flight += 1;
             known.most_in_flight = known.most_in_flight.max(known.in_flight);
+            if window >= SETTLED_WINDOW {
+                known.settled_in_flight = known.settled_in_flight.max(known.in_flight);
+            }
         }
         if ticket.is_some() || exact {
             let drawn = -(1.0 - self.random.random::<f64>()).ln();
@@ -319,18 +327,23 @@
         let (mut exactly, mut missing) = (0, 0);
         for customer in &self.customers {
             let allowed = customer.limit.rate.0 * WINDOW.as_secs_f64();
-            for (&admitted, &exact) in customer.admitted.iter().zip(&customer.exactly) {
+            let windows = customer.admitted.iter().zip(&customer.exactly);
+            for (number, (&admitted, &exact)) in windows.enumerate() {
                 figures.admitted += admitted;
                 exactly += exact;
                 missing += exact.saturating_sub(admitted);
                 let over = admitted as f64 / allowed - 1.0;
                 figures.overshoot = figures.overshoot.max(over);
+                if number >= SETTLED_WINDOW {
+                    figures.settled = figures.settled.max(over);
+                }
             }
-            let at_once = f64::from(customer.most_in_flight) / f64::from(customer.limit.calls.0);
-            figures.calls_at_once = figures.calls_at_once.max(at_once);
+            let part = |calls: u32| f64::from(calls) / f64::from(customer.limit.calls.0);
+            figures.calls_at_once = figures.calls_at_once.max(part(customer.most_in_flight));
+            figures.settled_calls = figures.settled_calls.max(part(customer.settled_in_flight));
         }
         figures.wrongly_refused = missing as f64 / (exactly as f64).max(1.0);
-        let seconds = (self.scenario.time - BYTES_FROM).as_secs_f64();
+        let seconds = self.scenario.time.as_secs_f64() - self.scenario.bytes_from.as_secs_f64();
         let all: u64 = self.bytes.iter().sum();
         let central = self.admission.call_messages as f64 * (FRAME_BYTES + 20) as f64;
         let daemons = self.scenario.daemons as f64;
--- a/crates/limits/benches/limits/main.rs
+++ b/crates/limits/benches/limits/main.rs
@@ -58,15 +58,17 @@
         "offered",
         "admitted",
         "overshoot %",
+        "settled %",
         "wrongly refused %",
         "calls at once %",
+        "settled %",
         "B/s mean",
         "B/s most",
     ]);
     table
 }
 
-fn row(scenario: &Scenario, way: Way, figures: &Figures) -> [String; 9] {
+fn row(scenario: &Scenario, way: Way, figures: &Figures) -> [String; 11] {
     let percent = |part: f64| format!("{:.1}", part * 100.0);
     [
         scenario.name.to_owned(),
@@ -74,8 +76,10 @@
         figures.offered.to_string(),
         figures.admitted.to_string(),
         percent(figures.overshoot),
+        percent(figures.settled),
         percent(figures.wrongly_refused),
         percent(figures.calls_at_once),
+        percent(figures.settled_calls),
         format!("{:.0}", figures.bytes_mean),
         format!("{:.0}", figures.bytes_most),
     ]
--- a/crates/limits/benches/limits/scenario.rs
+++ b/crates/limits/benches/limits/scenario.rs
@@ -43,6 +43,8 @@
     pub load: f64,
     pub fault: Fault,
     pub time: Duration,
+    /// Time from which bytes are counted, when customers are active and not all new.
+    pub bytes_from: Duration,
     /// Bounds on the shares' figures.
     pub bound: Bound,
 }
@@ -106,6 +108,7 @@
     load: 0.8,
     fault: Fault::None,
     time: Duration::from_secs(30),
+    bytes_from: Duration::from_secs(10),
     bound: bound(0.1, 0.02, 1.0),
 };
 
@@ -204,7 +207,8 @@
         rate: 500.0,
         calls: 100,
         load: 0.8,
-        time: Duration::from_secs(20),
+        time: Duration::from_secs(40),
+        bytes_from: Duration::from_secs(20),
         ..BASE
     },
     Scenario {
@@ -214,7 +218,8 @@
         rate: 500.0,
         calls: 100,
         load: 0.8,
-        time: Duration::from_secs(20),
+        time: Duration::from_secs(40),
+        bytes_from: Duration::from_secs(20),
         ..BASE
     },
 ];
--- a/crates/limits/src/bucket.rs
+++ b/crates/limits/src/bucket.rs
@@ -5,13 +5,13 @@
 use model::CallRate;
 
 /// Seconds of its rate that a bucket holds.
-const BURST_S: f64 = 0.5;
+const BURST_S: f64 = 1.0;
 
 /// Least number of tokens that a bucket holds when full.
 ///
 /// A bucket of one token refuses calls that come by chance close together,
 /// a third of them where demand is half of the share.
-const MIN_BURST: f64 = 3.0;
+const MIN_BURST: f64 = 4.0;
 
 /// Tokens for calls; one token for each call.
 #[derive(Clone, Copy, Debug)]
--- a/crates/limits/src/demand.rs
+++ b/crates/limits/src/demand.rs
@@ -7,13 +7,13 @@
 use std::time::Instant;
 
 /// Time constant of the short average, in seconds.
-const SHORT_S: f64 = 0.3;
+const SHORT_S: f64 = 0.5;
 
 /// Time constant of the long average, in seconds.
 const LONG_S: f64 = 10.0;
 
 /// Standard deviations of the short average that count as a change.
-const CHANGE_DEVIATIONS: f64 = 3.0;
+const CHANGE_DEVIATIONS: f64 = 4.0;
 
 /// Rate below which the short average's deviation is not trusted.
 const MIN_RATE: f64 = 4.0;
@@ -21,6 +21,9 @@
 /// Time that the long average has been running for at least, in seconds.
 const MIN_SEEN_S: f64 = 1.0;
 
+/// Calls that would have come, at the average rate, before a silence means less.
+const SILENT_CALLS: f64 = 4.0;
+
 /// Weight of the latest call in the average duration.
 const DURATION_WEIGHT: f64 = 0.1;
 
@@ -31,9 +34,10 @@
     long: f64,
     calls: f64,
     refused_rate: f64,
-    duration_s: f64,
+    duration_s: Option<f64>,
     born: Instant,
     at: Instant,
+    last_call: Instant,
 }
 
 impl DemandMeter {
@@ -44,9 +48,10 @@
             long: 0.0,
             calls: 0.0,
             refused_rate: 0.0,
-            duration_s: 0.0,
+            duration_s: None,
             born: now,
             at: now,
+            last_call: now,
         }
     }
 
@@ -82,6 +87,7 @@
     pub(crate) fn on_call(&mut self) {
         self.short += 1.0 / SHORT_S;
         self.long += 1.0 / LONG_S;
+        self.last_call = self.at;
     }
 
     /// Counts a call that was refused for the calls at once.
@@ -91,18 +97,22 @@
 
     /// Counts a call that ended.
     pub(crate) fn on_ended(&mut self, duration_s: f64) {
-        self.duration_s += (duration_s - self.duration_s) * DURATION_WEIGHT;
+        let mean = self.duration_s.unwrap_or(duration_s);
+        self.duration_s = Some(mean + (duration_s - mean) * DURATION_WEIGHT);
     }
 
     /// Calls a second.
     pub(crate) fn rate(&self) -> f64 {
-        self.long / self.seen()
+        let silence = self.at.saturating_duration_since(self.last_call);
+        let most = SILENT_CALLS / silence.as_secs_f64().max(f64::MIN_POSITIVE);
+        (self.long / self.seen()).min(most)
     }
 
     /// Calls at once: what the rate and the usual duration make, or more if more are seen.
     pub(crate) fn calls(&self) -> f64 {
-        let usual = self.rate() * self.duration_s;
-        let seen = self.calls + self.refused_rate * self.duration_s;
+        let duration = self.duration_s.unwrap_or(0.0);
+        let usual = self.rate() * duration;
+        let seen = self.calls + self.refused_rate * duration;
         if (seen - usual).abs() > 1.0 + usual {
             seen
         } else {
@@ -110,6 +120,11 @@
         }
     }
 
+    /// Least change of the calls at once, from a report of `rate`, that is not chance.
+    pub(crate) fn calls_noise(&self, rate: f64) -> f64 {
+        Self::rate_noise(rate) * self.duration_s.unwrap_or(1.0)
+    }
+
     /// Least change of the rate from `before` that is not chance.
     pub(crate) fn rate_noise(before: f64) -> f64 {
         (before.max(1.0 / LONG_S) / 2.0 / LONG_S).sqrt() * CHANGE_DEVIATIONS
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -61,7 +61,7 @@
         Self {
             me,
             clock,
-            members: vec![me],
+            members: Vec::new(),
             keys: HashMap::new(),
             keeper: ShareKeeper::default(),
             fresh: Vec::new(),
@@ -77,8 +77,9 @@
         if members == self.members {
             return;
         }
-        self.members = members;
-        self.keeper.on_members(&self.members, self.clock.now());
+        let former = std::mem::replace(&mut self.members, members);
+        let now = self.clock.now();
+        self.keeper.on_members(self.me, former, &self.members, now);
         for (key, entry) in &mut self.keys {
             let keeper = key.keeper(&self.members).unwrap_or(self.me);
             if keeper != entry.keeper {
@@ -186,7 +187,9 @@
     fn keep_own(&mut self, reports: Vec<(DaemonId, DemandReport)>, now: Instant) {
         let members = self.members.len();
         for (_, report) in reports {
-            let grant = self.keeper.on_report(self.me, &report, members, now);
+            let grant = self
+                .keeper
+                .on_report(self.me, self.me, &report, members, now);
             if let Some(grant) = grant {
                 self.take_grant(grant, now);
             }
@@ -220,7 +223,7 @@
             LimitMessage::Report(reports) => {
                 let reports = reports.iter().take(MAX_ENTRIES);
                 let grants = reports.filter_map(|report| {
-                    let grant = self.keeper.on_report(from, report, members, now)?;
+                    let grant = self.keeper.on_report(self.me, from, report, members, now)?;
                     Some((from, grant))
                 });
                 group(grants.collect(), LimitMessage::Grant)
--- a/crates/limits/src/keeper.rs
+++ b/crates/limits/src/keeper.rs
@@ -37,7 +37,7 @@
 const MOVE_TIME: Duration = Duration::from_secs(3);
 
 /// Time in which such a key's shares become known, and none is raised.
-const LEARN_TIME: Duration = Duration::from_millis(300);
+const LEARN_TIME: Duration = Duration::from_secs(2);
 
 /// Grants sent unasked at each tick.
 const MAX_PUSHES: usize = 8;
@@ -48,11 +48,23 @@
     keys: HashMap<LimitKey, KeptKey>,
     shares: usize,
     moving_until: Option<Instant>,
+    /// Members before the latest change.
+    former: Vec<DaemonId>,
 }
 
 impl ShareKeeper {
-    /// Forgets daemons that left; keys that move here are learnt before any share is raised.
-    pub(crate) fn on_members(&mut self, members: &[DaemonId], now: Instant) {
+    /// Forgets daemons that left and keys that `me` no longer keeps.
+    ///
+    /// Keys that move here are learnt before any share is raised.
+    pub(crate) fn on_members(
+        &mut self,
+        me: DaemonId,
+        former: Vec<DaemonId>,
+        members: &[DaemonId],
+        now: Instant,
+    ) {
+        self.former = former;
+        self.keys.retain(|key, _| key.keeper(members) == Some(me));
         self.sweep(now, |daemon| members.binary_search(&daemon).is_ok());
         self.moving_until = Some(now + MOVE_TIME);
     }
@@ -60,6 +72,7 @@
     /// Takes a report in and answers with the share.
     pub(crate) fn on_report(
         &mut self,
+        me: DaemonId,
         from: DaemonId,
         report: &DemandReport,
         members: usize,
@@ -78,6 +91,7 @@
             now,
         };
         let moving = self.moving_until.is_some_and(|until| now < until);
+        let moving = moving && report.key.keeper(&self.former) != Some(me);
         let fresh = || KeptKey::new(moving.then(|| now + LEARN_TIME));
         let key = self.keys.entry(report.key).or_insert_with(fresh);
         let before = key.len();
--- a/crates/limits/src/local.rs
+++ b/crates/limits/src/local.rs
@@ -240,7 +240,8 @@
         let rate = self.demand.rate();
         let noise = DemandMeter::rate_noise(reported.rate);
         let rate_step = (reported.rate * DEMAND_CHANGE).max(noise);
-        let calls_step = (reported.calls * DEMAND_CHANGE).max(1.0);
+        let noise = self.demand.calls_noise(reported.rate);
+        let calls_step = (reported.calls * DEMAND_CHANGE).max(noise);
         let calls = self.demand.calls();
         (rate - reported.rate).abs() > rate_step || (calls - reported.calls).abs() > calls_step
     }
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -3,8 +3,11 @@
 /// Part of the unused rate that is divided equally; the rest follows demand.
 const EQUAL_PART: f64 = 0.5;
 
-/// Part of a limit below which demand is not held to exact shares.
-const RELAXED_PART: f64 = 0.85;
+/// Part of the rate below which demand is not held to exact shares.
+const RELAXED_RATE: f64 = 0.95;
+
+/// Part of the calls at once below which they are not divided exactly.
+const RELAXED_CALLS: f64 = 0.85;
 
 /// Part of a limit that exact shares must put to use.
 const WELL_USED_PART: f64 = 0.9;
@@ -56,7 +59,7 @@
         return limit * share.part();
     }
     let due = share.own + (limit - share.total) * share.slack_part();
-    if share.total >= limit * RELAXED_PART {
+    if share.total >= limit * RELAXED_RATE {
         return due;
     }
     (due + share.own.sqrt() + HEADROOM).min(limit)
@@ -71,7 +74,7 @@
 pub(crate) fn divide_calls(limit: u32, demands: &[f64]) -> Vec<f64> {
     let total: f64 = demands.iter().sum();
     let most = f64::from(limit);
-    if total < most * RELAXED_PART {
+    if total < most * RELAXED_CALLS {
         let newcomer = 1.0 + most / 4.0 / demands.len().max(1) as f64;
         let due = |own: &f64| (own * 2.0 + newcomer).min(most);
         return demands.iter().map(due).collect();
