--- a/crates/limits/src/keeper.rs
+++ b/crates/limits/src/keeper.rs
@@ -22,7 +22,7 @@
 const MAX_KEYS: usize = 4096;
 
 /// Bytes of a report and its answer with their framing.
-const REPORT_BYTES: f64 = 60.0;
+const REPORT_BYTES: f64 = 84.0;
 
 /// Bytes a second that a keeper's regular reports may take.
 const KEEPER_BYTES_PER_S: f64 = 600.0;
@@ -31,7 +31,7 @@
 const MIN_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Longest interval of reports.
-const MAX_INTERVAL: Duration = Duration::from_secs(60);
+const MAX_INTERVAL: Duration = Duration::from_secs(120);
 
 /// Time after a change of members in which a key that is new here may have had another keeper.
 const MOVE_TIME: Duration = Duration::from_secs(3);
@@ -40,7 +40,7 @@
 const LEARN_TIME: Duration = Duration::from_secs(2);
 
 /// Grants sent unasked at each tick.
-const MAX_PUSHES: usize = 8;
+const MAX_PUSHES: usize = 16;
 
 /// Shares of the keys that hash to this daemon.
 #[derive(Debug, Default)]
--- a/crates/limits/src/kept.rs
+++ b/crates/limits/src/kept.rs
@@ -5,7 +5,7 @@
 use model::DaemonId;
 
 use crate::message::{DemandReport, GRANT_INTERVALS, LimitKey, ShareGrant, Thousandths};
-use crate::share::{DemandShare, divide_calls, divide_rate};
+use crate::share::{DemandShare, divide_calls, divide_rate, expected};
 
 /// Daemons that may use one key; further ones are not answered.
 const MAX_HOLDERS: usize = 2048;
@@ -16,6 +16,9 @@
 /// Relative excess of a share over the due one that is worth an unasked grant.
 const PUSH_EXCESS: f64 = 1.2;
 
+/// Part of a limit above which shares that are too large are taken back unasked.
+const PRESSED_PART: f64 = 1.05;
+
 /// Calls a second that a holder is assumed to use beyond its reported demand.
 const EXTRA_USE: f64 = 0.1;
 
@@ -190,7 +193,7 @@
 
     /// Grants to holders whose share is far from what is due, at most `limit`.
     ///
-    /// A rate shrinks unasked only if another holder is short of its own.
+    /// A share shrinks unasked only while the limit is exceeded or another holder is short.
     pub(crate) fn push_grants(
         &mut self,
         name: LimitKey,
@@ -210,19 +213,24 @@
     /// Positions of holders whose share is far from what is due, the largest excess first.
     fn misplaced(&self, rule: &GrantRule) -> Vec<usize> {
         let sums = self.sums();
-        let calls = self.due_calls();
-        let due: Vec<f64> = (0..self.holders.len())
+        let rates: Vec<f64> = (0..self.holders.len())
             .map(|index| self.due_rate(index, sums))
             .collect();
+        let calls = self.due_calls();
         let is_short = |index: usize| {
             let holder = &self.holders[index];
-            holder.granted * PUSH_EXCESS < due[index] && holder.granted < holder.rate
+            holder.granted * PUSH_EXCESS < rates[index] && holder.granted < holder.rate
         };
-        let any_short = (0..self.holders.len()).any(is_short);
-        let shrinks = |index: usize| {
+        let rate_pressed = self.is_rate_exceeded() || (0..self.holders.len()).any(is_short);
+        let calls_pressed = self.are_calls_exceeded();
+        let excess = |index: usize| {
             let holder = &self.holders[index];
-            let rate = any_short && holder.granted > due[index] * PUSH_EXCESS;
-            rate || holder.granted_calls > calls[index] * PUSH_EXCESS + 1.0
+            let over = |pressed: bool, granted: f64, due: f64| {
+                let relative = granted / due.max(f64::MIN_POSITIVE);
+                if pressed { relative } else { 0.0 }
+            };
+            let rate = over(rate_pressed, holder.granted, rates[index]);
+            rate.max(over(calls_pressed, holder.granted_calls, calls[index]))
         };
         let grows = |index: usize| {
             let free = self.free_rate(index, sums);
@@ -230,12 +238,25 @@
         };
         let rested = |index: &usize| rule.now >= self.holders[*index].pushed + PUSH_GAP;
         let all = (0..self.holders.len()).filter(rested);
-        let (mut first, rest): (Vec<usize>, Vec<usize>) = all.partition(|&index| shrinks(index));
-        first.sort_by(|&left, &right| {
-            let excess = |index: usize| self.holders[index].granted - due[index];
-            excess(right).total_cmp(&excess(left))
-        });
+        let (mut first, rest): (Vec<usize>, Vec<usize>) =
+            all.partition(|&index| excess(index) > PUSH_EXCESS);
+        first.sort_by(|&left, &right| excess(right).total_cmp(&excess(left)));
         first.extend(rest.into_iter().filter(|&index| grows(index)));
         first
     }
+
+    /// Whether the shares let more calls a second through than the limit.
+    fn is_rate_exceeded(&self) -> bool {
+        let used = |holder: &ShareHolder| holder.granted.min(holder.rate);
+        let all: f64 = self.holders.iter().map(used).sum();
+        all > self.limit_rate * PRESSED_PART
+    }
+
+    /// Whether the shares let more calls at once run than the limit.
+    fn are_calls_exceeded(&self) -> bool {
+        let holders = || self.holders.iter();
+        let granted: Vec<f64> = holders().map(|holder| holder.granted_calls).collect();
+        let demands: Vec<f64> = holders().map(|holder| holder.calls).collect();
+        expected(&granted, &demands) > f64::from(self.limit_calls) * PRESSED_PART
+    }
 }
--- a/crates/limits/src/local.rs
+++ b/crates/limits/src/local.rs
@@ -32,8 +32,9 @@
 /// Relative change of demand that is worth a report.
 const DEMAND_CHANGE: f64 = 0.3;
 
-/// A share below this part of the one before is confirmed to the keeper.
-const CONFIRM_PART: f64 = 0.9;
+/// A share that shrank by this part, and by this rate, is confirmed to the keeper.
+const CONFIRM_PART: f64 = 0.2;
+const CONFIRM_RATE: f64 = 1.0;
 
 /// Time without calls after which the share is given back.
 const IDLE_TIME: Duration = Duration::from_secs(5);
@@ -161,8 +162,8 @@
     /// Puts a share into force; one that shrank is confirmed by an early report.
     pub(crate) fn on_grant(&mut self, grant: ShareGrant, now: Instant) {
         let rate = f64::from(grant.rate).min(self.limit.rate.0);
-        let before = self.grant.map_or(0.0, |held| held.grant.rate.0.into());
-        let shrunk = f64::from(grant.rate.0) < before * CONFIRM_PART;
+        let before = self.grant.map_or(0.0, |held| held.grant.rate.into());
+        let shrunk = before - rate > (before * CONFIRM_PART).max(CONFIRM_RATE);
         self.bucket.set_rate(CallRate(rate), now);
         self.grant = Some(HeldGrant {
             grant,
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -9,6 +9,15 @@
 /// Part of the calls at once below which they are not divided exactly.
 const RELAXED_CALLS: f64 = 0.85;
 
+/// Calls at once that every holder may have in any case while there is room.
+const NEWCOMER_CALLS: f64 = 2.0;
+
+/// Part of the calls at once that all holders share evenly besides.
+const NEWCOMER_PART: f64 = 0.25;
+
+/// Standard deviations above its mean that a holder's calls at once may reach.
+const CHANCE_DEVIATIONS: f64 = 3.0;
+
 /// Part of a limit that exact shares must put to use.
 const WELL_USED_PART: f64 = 0.9;
 
@@ -67,7 +76,7 @@
 
 /// Due calls at once of every holder, in the order of `demands`.
 ///
-/// Well below the limit every holder may hold twice its demand and one more.
+/// Well below the limit every holder may hold what its demand reaches by chance.
 /// Near it, whole numbers that sum to the limit go to the largest parts; but
 /// where many holders with little demand leave most of their calls at once
 /// unused, they get more, so that the calls expected to run sum to the limit.
@@ -75,8 +84,8 @@
     let total: f64 = demands.iter().sum();
     let most = f64::from(limit);
     if total < most * RELAXED_CALLS {
-        let newcomer = 1.0 + most / 4.0 / demands.len().max(1) as f64;
-        let due = |own: &f64| (own * 2.0 + newcomer).min(most);
+        let newcomer = NEWCOMER_CALLS + most * NEWCOMER_PART / demands.len().max(1) as f64;
+        let due = |own: &f64| (own + own.sqrt() * CHANCE_DEVIATIONS + newcomer).min(most);
         return demands.iter().map(due).collect();
     }
     let exact = divide_exactly(limit, demands, total);
@@ -123,7 +132,7 @@
 }
 
 /// Sum of the calls expected to run at once.
-fn expected(shares: &[f64], demands: &[f64]) -> f64 {
+pub(crate) fn expected(shares: &[f64], demands: &[f64]) -> f64 {
     let pairs = shares.iter().zip(demands);
     pairs.map(|(share, own)| expected_calls(*share, *own)).sum()
 }
