--- a/crates/spread/src/acks.rs
+++ b/crates/spread/src/acks.rs
@@ -13,6 +13,7 @@
 use smallvec::SmallVec;
 
 use crate::message::AgeMillis;
+use crate::roster::RosterView;
 
 /// Results of checking a sum.
 pub type Result<T> = model::Result<T>;
@@ -212,6 +213,7 @@
 #[derive(Debug)]
 struct ChildSum {
     sum: AckSum,
+    view: RosterView,
     heard_at: Instant,
 }
 
@@ -239,12 +241,23 @@
     }
 
     /// Takes a child's sum in the tree of `root`.
-    pub fn record(&mut self, root: DaemonId, child: DaemonId, sum: AckSum, now: Instant) {
+    pub fn record(
+        &mut self,
+        root: DaemonId,
+        child: DaemonId,
+        view: RosterView,
+        sum: AckSum,
+        now: Instant,
+    ) {
         let key = (root, child);
         if self.sums.len() >= MAX_CHILDREN && !self.sums.contains_key(&key) {
             return;
         }
-        let child = ChildSum { sum, heard_at: now };
+        let child = ChildSum {
+            sum,
+            view,
+            heard_at: now,
+        };
         let last = self.sums.get(&key).map(|last| &last.sum.versions);
         self.changed |= last != Some(&child.sum.versions);
         self.sums.insert(key, child);
@@ -258,18 +271,22 @@
 
     /// Adds the sums of `children` in the tree of `root` to `sum`.
     ///
-    /// A child that is not heard is named as silent from `since` on.
+    /// A child that is not heard is named as silent from `since` on. Only sums
+    /// over the same members count, since only then is each daemon below one
+    /// parent and counted once.
     pub fn add_up(
         &self,
         sum: &mut AckSum,
         root: DaemonId,
         children: &[DaemonId],
+        view: RosterView,
         now: Instant,
         since: Instant,
     ) {
         for child in children {
             match self.sums.get(&(root, *child)) {
-                Some(known) => sum.add(&known.sum),
+                Some(known) if known.view == view => sum.add(&known.sum),
+                Some(_) => {}
                 None => sum.add_laggard(silent(*child, now, since)),
             }
         }
--- a/crates/spread/src/fake.rs
+++ b/crates/spread/src/fake.rs
@@ -1,14 +1,15 @@
 //! A small replica for tests, benches and embedders' own tests.
 //!
 //! A record is text, `key=value`; one without `=` is refused. The state keeps
-//! the last value of each key.
+//! the last value of each key. A delta is taken for smaller than the whole
+//! state while it has fewer entries.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use feed::port::LogRecord;
 use model::{ConfigVersion, ErrorKind, KindError, LogOffset};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::replica::{FoldReport, ReplicaHead, ReplicaPort, Result, UpdateBody};
 
@@ -44,6 +45,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct FakeReplica {
     state: FakeState,
+    values_hash: u64,
     history: VecDeque<FakeEntry>,
     hashes: BTreeMap<LogOffset, u64>,
 }
@@ -59,12 +61,27 @@
         self.state.values.get(key).map(AsRef::as_ref)
     }
 
+    fn of_state(state: FakeState) -> Self {
+        let entries = state.values.iter();
+        let values_hash = entries
+            .map(|(key, value)| entry_hash(key, value))
+            .fold(0, u64::wrapping_add);
+        Self {
+            state,
+            values_hash,
+            ..Self::default()
+        }
+    }
+
     fn take(&mut self, entry: FakeEntry) {
         self.hashes.insert(self.state.next, self.hash());
         self.state.next = entry.offset.next();
         if let Some((key, value)) = &entry.change {
             self.state.version = ConfigVersion::at(entry.offset);
-            self.state.values.insert(key.clone(), value.clone());
+            let last = self.state.values.insert(key.clone(), value.clone());
+            let gone = last.map_or(0, |last| entry_hash(key, &last));
+            let gained = entry_hash(key, value);
+            self.values_hash = self.values_hash.wrapping_sub(gone).wrapping_add(gained);
         }
         self.history.push_back(entry);
         if self.history.len() > MAX_HISTORY {
@@ -100,7 +117,8 @@
     }
 
     fn hash(&self) -> u64 {
-        xxh3_64(&encode(&self.state))
+        let FakeState { next, version, .. } = self.state;
+        xxh3_64(&encode(&(next, version, self.values_hash)))
     }
 
     fn fold(&mut self, records: &[LogRecord]) -> FoldReport {
@@ -126,19 +144,17 @@
         if base.next >= self.state.next {
             return None;
         }
-        let whole = encode(&FakeUpdate::Whole(self.state.clone()));
-        let delta = self.delta_since(base).map(|delta| encode(&delta));
-        let small = delta.filter(|delta| delta.len() < whole.len());
-        Some(UpdateBody(small.unwrap_or(whole)))
+        let fewer = |entries: u64| entries < self.state.values.len() as u64;
+        let short = fewer(self.state.next.0 - base.next.0);
+        let delta = self.delta_since(base).filter(|_| short);
+        let update = delta.unwrap_or_else(|| FakeUpdate::Whole(self.state.clone()));
+        Some(UpdateBody(encode(&update)))
     }
 
     fn apply_update(&mut self, body: &UpdateBody) -> Result<bool> {
         match decode(&body.0)? {
             FakeUpdate::Whole(state) if state.next > self.state.next => {
-                *self = Self {
-                    state,
-                    ..Self::default()
-                };
+                *self = Self::of_state(state);
                 Ok(true)
             }
             FakeUpdate::Whole(_) => Ok(false),
@@ -166,14 +182,15 @@
         if state.next <= self.state.next {
             return Ok(false);
         }
-        *self = Self {
-            state,
-            ..Self::default()
-        };
+        *self = Self::of_state(state);
         Ok(true)
     }
 }
 
+fn entry_hash(key: &str, value: &str) -> u64 {
+    xxh3_64_with_seed(value.as_bytes(), xxh3_64(key.as_bytes()))
+}
+
 fn encode(value: &impl Serialize) -> Box<[u8]> {
     bincode::serde::encode_to_vec(value, bincode::config::standard())
         .expect("plain data encodes")
--- a/crates/spread/src/message.rs
+++ b/crates/spread/src/message.rs
@@ -17,6 +17,7 @@
 
 use crate::acks::{AckSum, FleetSummary};
 use crate::replica::{HeadUpdate, MAX_UPDATE_BYTES, ReplicaHead};
+use crate::roster::RosterView;
 
 /// Results of checking a message.
 pub type Result<T> = model::Result<T>;
@@ -115,6 +116,8 @@
         question: QuestionNumber,
         /// Head of the sender.
         head: ReplicaHead,
+        /// The members as the sender knows them.
+        view: RosterView,
         /// Sum over the sender and all below it.
         sum: AckSum,
     },
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use model::{ConfigVersion, DaemonId, DomainName, SharedClock};
+use model::{ConfigVersion, DaemonId, SharedClock};
 use rand::Rng;
 use rand::rngs::SmallRng;
 
@@ -27,6 +27,9 @@
 /// Time in which a reader of a better rank must have been heard.
 const RIVAL_WINDOW: Duration = Duration::from_secs(1);
 
+/// Peers without a configuration after which a daemon that starts asks the log.
+const MAX_EMPTY_ANSWERS: u32 = 3;
+
 /// The distributor of one daemon.
 #[derive(Debug)]
 pub struct SpreadNode<R> {
@@ -50,9 +53,10 @@
     pub(crate) timers: NodeTimers,
     pub(crate) empty_answers: u32,
     pub(crate) peer_heads: BTreeMap<DaemonId, ReplicaHead>,
-    pub(crate) reports: BTreeMap<DomainName, HeardReport>,
+    pub(crate) reports: BTreeMap<DaemonId, HeardReport>,
     pub(crate) fleet: KnownFleet,
     pub(crate) newest_seen: Option<NewerHead>,
+    pub(crate) contradicted_at: Option<Instant>,
     pub(crate) cached_update: Option<HeadUpdate>,
     pub(crate) beat_number: u32,
     started_at: Instant,
@@ -72,7 +76,6 @@
     pub(crate) last_ack: Option<Instant>,
     pub(crate) next_exchange: Instant,
     pub(crate) next_report: Instant,
-    lone_start: Instant,
 }
 
 /// The fleet as last heard, or as summed up here.
@@ -86,7 +89,6 @@
 /// The last report of another domain's reader.
 #[derive(Debug)]
 pub(crate) struct HeardReport {
-    pub(crate) from: DaemonId,
     pub(crate) heard_at: Instant,
     pub(crate) report: DomainReport,
 }
@@ -135,6 +137,7 @@
             reports: BTreeMap::new(),
             fleet: KnownFleet::default(),
             newest_seen: None,
+            contradicted_at: None,
             cached_update: None,
             beat_number: 0,
             started_at: now,
@@ -146,7 +149,7 @@
         }
     }
 
-    /// Takes the live members anew; call it once the first list is known, even if empty.
+    /// Takes the live members anew; nothing is read from the log before the first call.
     pub fn set_members(&mut self, members: &[SpreadMember]) {
         let now = self.clock.now();
         if !self.members_known {
@@ -156,6 +159,7 @@
         self.roster.set(members);
         let roster = &self.roster;
         self.peer_heads.retain(|id, _| roster.contains(*id));
+        self.reports.retain(|id, _| roster.contains(*id));
         for domain in self.roster.domains() {
             self.freshness.expect_domain(domain, now);
         }
@@ -262,7 +266,7 @@
 
     fn should_read(&self, now: Instant) -> bool {
         if !self.members_known {
-            return now >= self.timers.lone_start;
+            return false;
         }
         let own = self.roster.own().id;
         let rank = self.roster.rank_of(own).unwrap_or(0);
@@ -291,8 +295,8 @@
 
     /// Whether a daemon that starts has asked its peers for long enough.
     pub(crate) fn is_start_over(&self, now: Instant) -> bool {
-        let asked = self.empty_answers >= 3 || self.roster.is_alone();
-        asked || now.saturating_duration_since(self.started_at) >= self.settings.start_wait
+        self.empty_answers >= MAX_EMPTY_ANSWERS
+            || now.saturating_duration_since(self.started_at) >= self.settings.start_wait
     }
 
     /// A tag for the next read or append.
@@ -344,7 +348,6 @@
             last_ack: None,
             next_exchange: within(settings.exchange_interval / 4),
             next_report: within(settings.report_interval),
-            lone_start: within(settings.lone_start),
         }
     }
 }
--- a/crates/spread/src/peers.rs
+++ b/crates/spread/src/peers.rs
@@ -14,6 +14,9 @@
 /// Mean time between two pulls of a daemon that holds nothing yet.
 const START_PULL_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Shortest time between two alarms about a peer's contradicting state.
+const CONTRADICTION_SPACING: Duration = Duration::from_secs(10);
+
 /// Share of a starting daemon's pulls that go to its own domain.
 const START_NEAR_SHARE: f64 = 0.7;
 
@@ -43,10 +46,11 @@
                 root,
                 question,
                 head,
+                view,
                 sum,
             } => {
                 self.hear_head(from, &head, outputs, now);
-                self.acks.record(root, from, sum, now);
+                self.acks.record(root, from, view, sum, now);
                 outputs.push(self.compared(from, question, now));
             }
             SpreadMessage::Compare { question, head } => {
@@ -117,7 +121,21 @@
         if head.is_newer_than(&self.head) {
             self.note_newer(head, now);
             self.pull_from(peer, outputs, now);
-        } else if self.loaded && head.contradicts(&self.head) && head.last_record != 0 {
+        } else if self.loaded && head.contradicts(&self.head) {
+            self.tell_contradiction(peer, head, outputs, now);
+        }
+    }
+
+    fn tell_contradiction(
+        &mut self,
+        peer: DaemonId,
+        head: &ReplicaHead,
+        outputs: &mut OutputList,
+        now: Instant,
+    ) {
+        let recent = |at: Instant| now.saturating_duration_since(at) < CONTRADICTION_SPACING;
+        if !self.contradicted_at.is_some_and(recent) {
+            self.contradicted_at = Some(now);
             let alarm = SpreadAlarm::PeerContradicts {
                 peer,
                 next: head.next,
@@ -138,13 +156,18 @@
     }
 
     fn pull_from(&mut self, peer: DaemonId, outputs: &mut OutputList, now: Instant) {
-        if !self.pull.start(peer, now) {
+        if self.holds_last() || !self.pull.start(peer, now) {
             return;
         }
         let message = SpreadMessage::Pull { base: self.head };
         outputs.push(SpreadOutput::Send { to: peer, message });
     }
 
+    /// Whether the log contradicts this daemon, which then takes nothing new.
+    fn holds_last(&self) -> bool {
+        matches!(self.reader.state(), LogState::Diverged(_))
+    }
+
     fn answer_pull(
         &mut self,
         to: DaemonId,
@@ -215,8 +238,7 @@
         now: Instant,
     ) {
         self.pull.finish(from);
-        let held = matches!(self.reader.state(), LogState::Diverged(_));
-        if held || !update.target.is_newer_than(&self.head) {
+        if self.holds_last() || !update.target.is_newer_than(&self.head) {
             return;
         }
         match self.replica.apply_update(&update.body) {
--- a/crates/spread/src/roster.rs
+++ b/crates/spread/src/roster.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::message::PeerList;
@@ -46,8 +47,14 @@
     members: BTreeMap<DaemonId, SpreadMember>,
     domains: BTreeMap<DomainName, Vec<DaemonId>>,
     trees: BTreeMap<DaemonId, Vec<DaemonId>>,
+    view: RosterView,
 }
 
+/// Hash of the members of a domain and their runs; equal where the trees are.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct RosterView(pub u32);
+
 /// Trees kept; more roots than this exist only while views differ.
 const MAX_TREES: usize = 8;
 
@@ -59,6 +66,7 @@
             members: BTreeMap::new(),
             domains: BTreeMap::new(),
             trees: BTreeMap::new(),
+            view: RosterView::default(),
         };
         roster.set(&[]);
         roster
@@ -80,6 +88,21 @@
             ids.sort_by_cached_key(|id| (rank_hash(*id, RANK_SEED), *id));
         }
         self.trees.clear();
+        self.view = self.hash_domain();
+    }
+
+    /// Names the own domain's members as this daemon knows them.
+    pub fn view(&self) -> RosterView {
+        self.view
+    }
+
+    fn hash_domain(&self) -> RosterView {
+        let mut hash = RANK_SEED;
+        for id in self.ranked(&self.own.domain) {
+            let run = self.members.get(id).map_or(0, |member| member.run.0);
+            hash = rank_hash(*id, hash ^ run.rotate_left(32));
+        }
+        RosterView(hash as u32)
     }
 
     /// This daemon.
@@ -92,11 +115,6 @@
         self.members.len()
     }
 
-    /// Whether this daemon knows no other.
-    pub fn is_alone(&self) -> bool {
-        self.members.len() == 1
-    }
-
     /// Whether `id` is a member.
     pub fn contains(&self, id: DaemonId) -> bool {
         self.members.contains_key(&id)
@@ -172,8 +190,7 @@
         }
         let same_region = draw < OWN_REGION_SHARE;
         let others = self.other_domains(same_region);
-        let domain = others.choose(rng).or(None);
-        match domain {
+        match others.choose(rng) {
             Some(domain) => self.pick(self.ranked(domain), rng),
             None => self.near_peer(rng),
         }
--- a/crates/spread/src/settings.rs
+++ b/crates/spread/src/settings.rs
@@ -66,8 +66,6 @@
     pub domain_memory: Duration,
     /// How long a daemon that starts asks its peers before it reads the log.
     pub start_wait: Duration,
-    /// Longest wait for a first list of members before reading alone.
-    pub lone_start: Duration,
     /// Changes after which a snapshot is due.
     pub snapshot_changes: u64,
     /// Age of the log's newest snapshot after which the next is due; well
@@ -107,7 +105,6 @@
             outage_quorum: OutageQuorum::Every,
             domain_memory: Duration::from_secs(24 * 3600),
             start_wait: Duration::from_secs(1),
-            lone_start: Duration::from_secs(20),
             snapshot_changes: 64,
             snapshot_age: Duration::from_secs(900),
             snapshot_stagger: Duration::from_secs(15),
--- a/crates/spread/src/transfer.rs
+++ b/crates/spread/src/transfer.rs
@@ -9,14 +9,18 @@
 
 use model::DaemonId;
 
-/// Time after which an unanswered pull is given up.
-const PULL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which an unanswered pull is given up; doubles with each in a row.
+const MIN_PULL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Doublings of the timeout at most.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// The pull under way, at most one.
 #[derive(Debug, Default)]
 pub struct PullState {
     pending: Option<PendingPull>,
     not_before: Option<Instant>,
+    unanswered: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -33,16 +37,21 @@
         if busy || early {
             return false;
         }
+        if self.pending.is_some() {
+            self.unanswered = (self.unanswered + 1).min(MAX_DOUBLINGS);
+        }
         self.pending = Some(PendingPull {
             peer,
-            deadline: now + PULL_TIMEOUT,
+            deadline: now + MIN_PULL_TIMEOUT * 2_u32.pow(self.unanswered),
         });
         true
     }
 
     /// `peer` answered.
     pub fn finish(&mut self, peer: DaemonId) {
-        self.pending.take_if(|pull| pull.peer == peer);
+        if self.pending.take_if(|pull| pull.peer == peer).is_some() {
+            self.unanswered = 0;
+        }
     }
 
     /// No pull before `at`.
--- a/crates/spread/src/tree.rs
+++ b/crates/spread/src/tree.rs
@@ -1,9 +1,11 @@
 //! The trees at work: beats downwards, sums upwards, reports between readers.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use model::{DaemonId, DomainName, IncarnationNumber};
 use rand::Rng;
+use rand::seq::IndexedRandom;
 
 use crate::acks::{AckSum, FleetLaggard, FleetSummary, LagReason};
 use crate::freshness::FreshnessCase;
@@ -116,6 +118,7 @@
                 root,
                 question,
                 head: self.head,
+                view: self.roster.view(),
                 sum,
             };
             outputs.push(SpreadOutput::Send {
@@ -129,7 +132,9 @@
     fn subtree_sum(&mut self, root: DaemonId, since: Instant, now: Instant) -> AckSum {
         let mut sum = AckSum::of_one(self.in_force, self.own_lag(now));
         let children = self.roster.children(root, self.settings.fan_out);
-        self.acks.add_up(&mut sum, root, &children, now, since);
+        let view = self.roster.view();
+        self.acks
+            .add_up(&mut sum, root, &children, view, now, since);
         sum
     }
 
@@ -171,10 +176,8 @@
         self.reports
             .retain(|_, heard| now.saturating_duration_since(heard.heard_at) < REPORT_LIFETIME);
         let mut sum = self.own_sum(now);
-        for heard in self.reports.values() {
-            if let Some(other) = &heard.report.sum {
-                sum.add(other);
-            }
+        for other in self.domain_sums() {
+            sum.add(other);
         }
         let members = u32::try_from(self.roster.count()).unwrap_or(u32::MAX);
         let summary = FleetSummary { members, sum };
@@ -183,6 +186,21 @@
         self.fleet.heard_at = Some(now);
     }
 
+    /// The sum of each other domain, of the reader that hears the most.
+    fn domain_sums(&self) -> impl Iterator<Item = &AckSum> {
+        let mut sums = BTreeMap::<&DomainName, &AckSum>::new();
+        for heard in self.reports.values() {
+            let Some(sum) = &heard.report.sum else {
+                continue;
+            };
+            let best = sums.entry(&heard.report.domain).or_insert(sum);
+            if sum.reporting() > best.reporting() {
+                *best = sum;
+            }
+        }
+        sums.into_values()
+    }
+
     fn own_sum(&mut self, now: Instant) -> AckSum {
         let own = self.roster.own().id;
         let since = self.timers.last_beat.unwrap_or(now);
@@ -228,8 +246,13 @@
 
     /// A reader of `domain`: the last that reported, else one of the first in rank.
     fn reader_of(&mut self, domain: &DomainName) -> Option<DaemonId> {
-        if let Some(heard) = self.reports.get(domain) {
-            return Some(heard.from);
+        let known = self.reports.iter();
+        let readers = known
+            .filter(|(_, heard)| heard.report.domain == *domain)
+            .map(|(from, _)| *from)
+            .collect::<PeerList>();
+        if let Some(reader) = readers.choose(&mut self.rng) {
+            return Some(*reader);
         }
         let ranked = self.roster.ranked(domain);
         let place = self.rng.random_range(0..self.settings.readers.max(1));
@@ -261,12 +284,10 @@
         }
         if report.sum.is_some() {
             let heard = HeardReport {
-                from,
                 heard_at: now,
                 report,
             };
-            let domain = heard.report.domain.clone();
-            self.reports.insert(domain, heard);
+            self.reports.insert(from, heard);
         }
     }
 }
--- /dev/null
+++ b/crates/spread/tests/harness/actor.rs
@@ -0,0 +1,136 @@
+//! What the harness runs: the distributor, or another way of distribution.
+
+use std::time::Duration;
+
+use feed::port::{ReadAnswer, Result as LogResult};
+use model::{ConfigVersion, DaemonId, FakeClock, LogOffset};
+use quetzal_spread::{
+    FakeReplica, LogAppend, LogRead, LogTag, SpreadMember, SpreadMessage, SpreadNode, SpreadOutput,
+    SpreadSettings,
+};
+use rand::rngs::SmallRng;
+use serde::{Serialize, de::DeserializeOwned};
+
+/// What an actor asks for.
+pub enum Effect<M> {
+    Send { to: DaemonId, message: M },
+    Read(LogRead),
+    Append(LogAppend),
+    Applied(ConfigVersion),
+    Told(String),
+}
+
+/// A daemon of the harness.
+pub trait FleetActor {
+    type Message: Clone + Serialize + DeserializeOwned;
+
+    fn tick(&mut self) -> Vec<Effect<Self::Message>>;
+    fn message(&mut self, from: DaemonId, message: Self::Message) -> Vec<Effect<Self::Message>>;
+    fn log_answer(
+        &mut self,
+        tag: LogTag,
+        answer: LogResult<ReadAnswer>,
+    ) -> Vec<Effect<Self::Message>>;
+    fn set_members(&mut self, members: &[SpreadMember]);
+
+    fn append_answer(
+        &mut self,
+        _tag: LogTag,
+        _answer: LogResult<LogOffset>,
+    ) -> Vec<Effect<Self::Message>> {
+        Vec::new()
+    }
+
+    fn in_force(&mut self, _version: ConfigVersion) {}
+
+    /// Whether it reads the log.
+    fn reads(&self) -> bool;
+
+    /// Age of its proof that it is current, if it has such.
+    fn proof_age(&self) -> Option<Duration> {
+        None
+    }
+
+    fn encode(message: &Self::Message) -> Vec<u8> {
+        bincode::serde::encode_to_vec(message, bincode::config::standard()).expect("encodes")
+    }
+
+    fn decode(body: &[u8]) -> Self::Message {
+        bincode::serde::decode_from_slice(body, bincode::config::standard())
+            .expect("decodes")
+            .0
+    }
+}
+
+/// The distributor under test.
+pub type Node = SpreadNode<FakeReplica>;
+
+impl FleetActor for Node {
+    type Message = SpreadMessage;
+
+    fn tick(&mut self) -> Vec<Effect<SpreadMessage>> {
+        effects(self.on_tick())
+    }
+
+    fn message(&mut self, from: DaemonId, message: SpreadMessage) -> Vec<Effect<SpreadMessage>> {
+        effects(self.on_peer_message(from, message))
+    }
+
+    fn log_answer(
+        &mut self,
+        tag: LogTag,
+        answer: LogResult<ReadAnswer>,
+    ) -> Vec<Effect<SpreadMessage>> {
+        effects(self.on_log_answer(tag, answer))
+    }
+
+    fn append_answer(
+        &mut self,
+        tag: LogTag,
+        answer: LogResult<LogOffset>,
+    ) -> Vec<Effect<SpreadMessage>> {
+        effects(self.on_append_answer(tag, &answer))
+    }
+
+    fn set_members(&mut self, members: &[SpreadMember]) {
+        Self::set_members(self, members);
+    }
+
+    fn reads(&self) -> bool {
+        self.is_reading()
+    }
+
+    fn proof_age(&self) -> Option<Duration> {
+        self.freshness().proof_age
+    }
+
+    fn in_force(&mut self, version: ConfigVersion) {
+        self.on_in_force(version);
+    }
+}
+
+fn effects(outputs: Vec<SpreadOutput>) -> Vec<Effect<SpreadMessage>> {
+    outputs
+        .into_iter()
+        .map(|output| match output {
+            SpreadOutput::Send { to, message } => Effect::Send { to, message },
+            SpreadOutput::ReadLog(read) => Effect::Read(read),
+            SpreadOutput::Append(append) => Effect::Append(append),
+            SpreadOutput::Applied(version) => Effect::Applied(version),
+            SpreadOutput::Alarm(alarm) => Effect::Told(alarm.to_string()),
+        })
+        .collect()
+}
+
+/// Makes distributors with these settings.
+pub fn nodes(settings: SpreadSettings) -> super::Factory<Node> {
+    Box::new(move |clock: &FakeClock, rng: SmallRng, member| {
+        SpreadNode::new(
+            settings.clone(),
+            clock.shared(),
+            rng,
+            FakeReplica::new(),
+            member.clone(),
+        )
+    })
+}
--- /dev/null
+++ b/crates/spread/tests/harness/mod.rs
@@ -0,0 +1,509 @@
+//! Daemons wired by in-memory queues with delay and loss, under a fake clock.
+//!
+//! Shared by tests, benches and the example. There is no model of machines:
+//! a message takes the delay between two domains or is lost, and the log is a
+//! list of records with faults that can be switched on.
+
+#![allow(dead_code, reason = "each user of the harness needs a part of it")]
+
+pub mod actor;
+pub mod log;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::{Duration, Instant};
+
+use actor::{Effect, FleetActor};
+use feed::port::{ReadAnswer, Result as LogResult};
+use log::FakeLog;
+use model::{
+    ConfigVersion, DaemonId, DomainName, FakeClock, IncarnationNumber, LogOffset, RegionName,
+};
+use quetzal_spread::{LogAppend, LogRead, LogTag, SpreadMember};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Bytes that h2 and the length prefix add to a message.
+pub const FRAME_BYTES: u64 = 13;
+
+/// Bytes of one read of the log, question and answer without records.
+pub const READ_BYTES: u64 = 300;
+
+/// Time between two ticks of a daemon.
+pub const TICK: Duration = Duration::from_millis(100);
+
+/// One-way delays between daemons, and to the log.
+const SAME_DOMAIN: Duration = Duration::from_micros(500);
+const SAME_REGION: Duration = Duration::from_micros(1500);
+const OTHER_REGION: Duration = Duration::from_millis(30);
+const LOG_DELAY: Duration = Duration::from_millis(2);
+
+/// Shape and faults of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetShape {
+    /// Daemons.
+    pub daemons: usize,
+    /// Failure domains.
+    pub domains: usize,
+    /// The first this many domains are in the first region.
+    pub first_region: usize,
+    /// Share of messages that are lost.
+    pub loss: f64,
+    /// Share of messages that arrive twice.
+    pub duplication: f64,
+    /// Longest extra delay of a message; reorders what crosses.
+    pub jitter: Duration,
+    /// Time after which the others learn of a crash or return.
+    pub detection: Duration,
+    /// Seed of everything random.
+    pub seed: u64,
+}
+
+impl FleetShape {
+    /// Daemons over the domains and regions of the target size.
+    pub fn sized(daemons: usize, seed: u64) -> Self {
+        let (domains, first_region) = match daemons {
+            0..=12 => (3, 3),
+            13..=14 => (4, 4),
+            _ => (5, 3),
+        };
+        Self {
+            daemons,
+            domains,
+            first_region,
+            loss: 0.01,
+            duplication: 0.0,
+            jitter: Duration::from_micros(500),
+            detection: Duration::from_secs(6),
+            seed,
+        }
+    }
+}
+
+/// One daemon's place in the fleet.
+pub struct FleetSlot<A> {
+    pub member: SpreadMember,
+    pub region: usize,
+    pub actor: Option<A>,
+    pub cut: bool,
+    pub applied: ConfigVersion,
+    pub applied_at: Duration,
+    pub sent: u64,
+    pub received: u64,
+    pub reads: u64,
+}
+
+enum Event<M> {
+    Tick(usize, IncarnationNumber),
+    Deliver { from: usize, to: usize, message: M },
+    Read(usize, IncarnationNumber, LogRead),
+    ReadDone(usize, IncarnationNumber, LogTag, LogResult<ReadAnswer>),
+    Append(usize, IncarnationNumber, LogAppend),
+    AppendDone(usize, IncarnationNumber, LogTag, LogResult<LogOffset>),
+    PollEnd(u64),
+    Members,
+}
+
+struct Queued<M> {
+    at: Duration,
+    number: u64,
+    event: Event<M>,
+}
+
+impl<M> PartialEq for Queued<M> {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl<M> Eq for Queued<M> {}
+
+impl<M> PartialOrd for Queued<M> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<M> Ord for Queued<M> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// Makes the actor of a member.
+pub type Factory<A> = Box<dyn Fn(&FakeClock, SmallRng, &SpreadMember) -> A>;
+
+/// What a fleet tells of one event, for golden sessions.
+pub type Watcher = Box<dyn FnMut(Duration, usize, &str)>;
+
+/// A fleet of actors.
+pub struct Fleet<A: FleetActor> {
+    pub shape: FleetShape,
+    pub clock: FakeClock,
+    pub rng: SmallRng,
+    pub slots: Vec<FleetSlot<A>>,
+    pub log: FakeLog,
+    pub watcher: Option<Watcher>,
+    /// The regions do not reach one another, nor the second the log.
+    pub regions_cut: bool,
+    /// Wall time inside actors and the calls made.
+    pub spent: Duration,
+    pub calls: u64,
+    pub messages: u64,
+    queue: BinaryHeap<Reverse<Queued<A::Message>>>,
+    number: u64,
+    factory: Factory<A>,
+    ids: BTreeMap<DaemonId, usize>,
+}
+
+impl<A: FleetActor> Fleet<A> {
+    /// A fleet whose daemons start within `spread` of one another.
+    pub fn new(shape: FleetShape, spread: Duration, factory: Factory<A>) -> Self {
+        let clock = FakeClock::new();
+        let rng = SmallRng::seed_from_u64(shape.seed);
+        let slots = (0..shape.daemons)
+            .map(|place| slot(&shape, place))
+            .collect::<Vec<_>>();
+        let ids = slots
+            .iter()
+            .enumerate()
+            .map(|(place, slot)| (slot.member.id, place))
+            .collect();
+        let mut fleet = Self {
+            shape,
+            clock,
+            rng,
+            slots,
+            log: FakeLog::new(),
+            watcher: None,
+            regions_cut: false,
+            spent: Duration::ZERO,
+            calls: 0,
+            messages: 0,
+            queue: BinaryHeap::new(),
+            number: 0,
+            factory,
+            ids,
+        };
+        for place in 0..fleet.slots.len() {
+            fleet.start(place, spread);
+        }
+        fleet.announce_members();
+        fleet
+    }
+
+    /// Time since the fleet began.
+    pub fn now(&self) -> Duration {
+        self.clock.elapsed()
+    }
+
+    /// Starts a daemon anew; its first tick lies within `spread`.
+    pub fn start(&mut self, place: usize, spread: Duration) {
+        let slot = &mut self.slots[place];
+        slot.member.run.0 += 1;
+        slot.applied = ConfigVersion::NONE;
+        let rng = SmallRng::seed_from_u64(self.rng.random());
+        let actor = (self.factory)(&self.clock, rng, &slot.member);
+        slot.actor = Some(actor);
+        let run = slot.member.run;
+        let delay = spread.mul_f64(self.rng.random::<f64>());
+        self.push(delay, Event::Tick(place, run));
+    }
+
+    /// Stops a daemon at once; the others learn of it later.
+    pub fn kill(&mut self, place: usize) {
+        self.slots[place].actor = None;
+        self.push(self.shape.detection, Event::Members);
+    }
+
+    /// Tells all live daemons the live members now.
+    pub fn announce_members(&mut self) {
+        let members = self.live_members();
+        for slot in &mut self.slots {
+            if let Some(actor) = slot.actor.as_mut().filter(|_| !slot.cut) {
+                actor.set_members(&members);
+            }
+        }
+    }
+
+    fn live_members(&self) -> Vec<SpreadMember> {
+        self.slots
+            .iter()
+            .filter(|slot| slot.actor.is_some())
+            .map(|slot| slot.member.clone())
+            .collect()
+    }
+
+    /// Schedules an announcement of the members after the detection time.
+    pub fn announce_later(&mut self) {
+        self.push(self.shape.detection, Event::Members);
+    }
+
+    /// Appends an operator's record and tells its version.
+    pub fn publish(&mut self, text: &str) -> ConfigVersion {
+        let at = model::ClockPort::wall(&self.clock);
+        let offset = self.log.append("config", text.as_bytes(), at);
+        self.wake_polls();
+        ConfigVersion::at(offset)
+    }
+
+    /// Runs until `until` after the beginning.
+    pub fn run_until(&mut self, until: Duration) {
+        while let Some(Reverse(next)) = self.queue.peek() {
+            if next.at > until {
+                break;
+            }
+            let Some(Reverse(next)) = self.queue.pop() else {
+                break;
+            };
+            self.clock
+                .advance(next.at.saturating_sub(self.clock.elapsed()));
+            self.handle(next.event);
+        }
+        self.clock
+            .advance(until.saturating_sub(self.clock.elapsed()));
+    }
+
+    /// Runs for `span`.
+    pub fn run_for(&mut self, span: Duration) {
+        self.run_until(self.now() + span);
+    }
+
+    /// Runs until `version` is in force on all live daemons; the times it took, sorted.
+    pub fn converge(&mut self, version: ConfigVersion, limit: Duration) -> Vec<Duration> {
+        let start = self.now();
+        while self.now() < start + limit && self.lagging(version) > 0 {
+            self.run_for(Duration::from_millis(20));
+        }
+        let mut times = self
+            .slots
+            .iter()
+            .filter(|slot| slot.actor.is_some() && slot.applied >= version)
+            .map(|slot| slot.applied_at.saturating_sub(start))
+            .collect::<Vec<_>>();
+        times.sort_unstable();
+        times
+    }
+
+    /// Live daemons on which `version` is not in force.
+    pub fn lagging(&self, version: ConfigVersion) -> usize {
+        self.slots
+            .iter()
+            .filter(|slot| slot.actor.is_some() && slot.applied < version)
+            .count()
+    }
+
+    /// Live daemons.
+    pub fn live(&self) -> usize {
+        self.slots
+            .iter()
+            .filter(|slot| slot.actor.is_some())
+            .count()
+    }
+
+    /// Begins to count bytes and log use anew.
+    pub fn reset_counts(&mut self) {
+        for slot in &mut self.slots {
+            (slot.sent, slot.received, slot.reads) = (0, 0, 0);
+        }
+        self.log.reset_counts();
+        (self.spent, self.calls, self.messages) = (Duration::ZERO, 0, 0);
+    }
+
+    fn handle(&mut self, event: Event<A::Message>) {
+        match event {
+            Event::Tick(place, run) if self.is_run(place, run) => {
+                self.call(place, FleetActor::tick);
+                self.push(TICK, Event::Tick(place, run));
+            }
+            Event::Deliver { from, to, message } => {
+                let sender = self.slots[from].member.id;
+                if self.slots[to].actor.is_some() && !self.is_cut(from, to) {
+                    self.call(to, |actor| actor.message(sender, message));
+                }
+            }
+            Event::Read(place, run, read) => self.read_log(place, run, &read),
+            Event::ReadDone(place, run, tag, answer)
+                if self.is_run(place, run) && !self.slots[place].cut =>
+            {
+                self.call(place, |actor| actor.log_answer(tag, answer));
+            }
+            Event::Append(place, run, append) => self.append_log(place, run, &append),
+            Event::AppendDone(place, run, tag, answer) if self.is_run(place, run) => {
+                self.call(place, |actor| actor.append_answer(tag, answer));
+            }
+            Event::PollEnd(poll) => {
+                let ended = self.log.end_poll(poll);
+                self.answer_polls(ended);
+            }
+            Event::Members => self.announce_members(),
+            Event::Tick(..) | Event::ReadDone(..) | Event::AppendDone(..) => {}
+        }
+    }
+
+    fn is_run(&self, place: usize, run: IncarnationNumber) -> bool {
+        let slot = &self.slots[place];
+        slot.actor.is_some() && slot.member.run == run
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (&self.slots[from], &self.slots[to]);
+        from.cut || to.cut || self.regions_cut && from.region != to.region
+    }
+
+    fn call(&mut self, place: usize, work: impl FnOnce(&mut A) -> Vec<Effect<A::Message>>) {
+        let Some(actor) = self.slots[place].actor.as_mut() else {
+            return;
+        };
+        let begun = Instant::now();
+        let effects = work(actor);
+        self.spent += begun.elapsed();
+        self.calls += 1;
+        for effect in effects {
+            self.carry_out(place, effect);
+        }
+    }
+
+    fn carry_out(&mut self, place: usize, effect: Effect<A::Message>) {
+        let run = self.slots[place].member.run;
+        match effect {
+            Effect::Send { to, message } => self.send(place, to, message),
+            Effect::Read(read) => {
+                self.slots[place].reads += 1;
+                self.push(LOG_DELAY, Event::Read(place, run, read));
+            }
+            Effect::Append(append) => self.push(LOG_DELAY, Event::Append(place, run, append)),
+            Effect::Applied(version) => self.note_applied(place, version),
+            Effect::Told(line) => self.tell(place, &line),
+        }
+    }
+
+    fn note_applied(&mut self, place: usize, version: ConfigVersion) {
+        let now = self.now();
+        let slot = &mut self.slots[place];
+        assert!(version >= slot.applied, "daemon {place} went back");
+        (slot.applied, slot.applied_at) = (version, now);
+        if let Some(actor) = slot.actor.as_mut() {
+            actor.in_force(version);
+        }
+        self.tell(place, &format!("applied {version}"));
+    }
+
+    fn tell(&mut self, place: usize, line: &str) {
+        let now = self.now();
+        if let Some(watcher) = self.watcher.as_mut() {
+            watcher(now, place, line);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: DaemonId, message: A::Message) {
+        let Some(to) = self.ids.get(&to).copied() else {
+            return;
+        };
+        let body = A::encode(&message);
+        let bytes = body.len() as u64 + FRAME_BYTES;
+        self.messages += 1;
+        self.slots[from].sent += bytes;
+        if self.is_cut(from, to) || self.rng.random_bool(self.shape.loss) {
+            return;
+        }
+        self.slots[to].received += bytes;
+        let message = A::decode(&body);
+        if self.rng.random_bool(self.shape.duplication) {
+            let delay = self.delay(from, to);
+            let message = message.clone();
+            self.push(delay, Event::Deliver { from, to, message });
+        }
+        let delay = self.delay(from, to);
+        self.push(delay, Event::Deliver { from, to, message });
+    }
+
+    fn delay(&mut self, from: usize, to: usize) -> Duration {
+        let jitter = self.shape.jitter.mul_f64(self.rng.random::<f64>());
+        let (from, to) = (&self.slots[from], &self.slots[to]);
+        let base = if from.member.domain == to.member.domain {
+            SAME_DOMAIN
+        } else if from.region == to.region {
+            SAME_REGION
+        } else {
+            OTHER_REGION
+        };
+        base + jitter
+    }
+
+    fn read_log(&mut self, place: usize, run: IncarnationNumber, read: &LogRead) {
+        if self.log_is_beyond(place) {
+            return;
+        }
+        let now = self.now();
+        match self.log.read(place, run, read, now) {
+            log::ReadOutcome::Answer(answer) => {
+                self.push(LOG_DELAY, Event::ReadDone(place, run, read.tag, answer));
+            }
+            log::ReadOutcome::Wait(poll) => self.push(read.wait, Event::PollEnd(poll)),
+        }
+    }
+
+    /// The log stands in the first region.
+    fn log_is_beyond(&self, place: usize) -> bool {
+        let slot = &self.slots[place];
+        slot.cut || self.regions_cut && slot.region != 0
+    }
+
+    fn append_log(&mut self, place: usize, run: IncarnationNumber, append: &LogAppend) {
+        if self.log_is_beyond(place) {
+            return;
+        }
+        let at = model::ClockPort::wall(&self.clock);
+        let now = self.now();
+        let answer = self
+            .log
+            .try_append(append.stream.as_str(), &append.body, at, now);
+        self.wake_polls();
+        self.push(LOG_DELAY, Event::AppendDone(place, run, append.tag, answer));
+    }
+
+    fn wake_polls(&mut self) {
+        let woken = self.log.wake_polls();
+        self.answer_polls(woken);
+    }
+
+    fn answer_polls(&mut self, polls: impl IntoIterator<Item = log::EndedPoll>) {
+        for poll in polls {
+            let event = Event::ReadDone(poll.place, poll.run, poll.tag, poll.answer);
+            self.push(LOG_DELAY, event);
+        }
+    }
+
+    fn push(&mut self, delay: Duration, event: Event<A::Message>) {
+        self.number += 1;
+        self.queue.push(Reverse(Queued {
+            at: self.clock.elapsed() + delay,
+            number: self.number,
+            event,
+        }));
+    }
+}
+
+fn slot<A>(shape: &FleetShape, place: usize) -> FleetSlot<A> {
+    let domain = place % shape.domains;
+    let region = usize::from(domain >= shape.first_region);
+    let domain_name: DomainName = format!("domain-{}", domain + 1).parse().expect("sound");
+    let region_name: RegionName = format!("region-{}", region + 1).parse().expect("sound");
+    FleetSlot {
+        member: SpreadMember {
+            id: DaemonId(place as u64 + 1),
+            domain: domain_name,
+            region: region_name,
+            run: IncarnationNumber(0),
+        },
+        region,
+        actor: None,
+        cut: false,
+        applied: ConfigVersion::NONE,
+        applied_at: Duration::ZERO,
+        sent: 0,
+        received: 0,
+        reads: 0,
+    }
+}
