--- a/crates/members/src/node.rs
+++ b/crates/members/src/node.rs
@@ -35,15 +35,15 @@
 /// Members told of news in one tick.
 const GOSSIP_FANOUT: usize = 3;
 /// Bytes a second of updates that one daemon passes on.
-const GOSSIP_RATE: u32 = 4_000;
+const GOSSIP_RATE: u32 = 3_000;
 /// Bytes of updates passed on at once after a quiet time.
-const GOSSIP_BURST: u32 = 12_000;
+const GOSSIP_BURST: u32 = 9_000;
 /// Bytes of updates in one message made for gossip.
 const GOSSIP_BYTES: usize = 1_200;
 /// Time between attempts to contact daemons named by the log or the settings.
 const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
 /// Daemons contacted in one attempt.
-const CONTACT_COUNT: usize = 6;
+const CONTACT_COUNT: usize = 12;
 /// Members told at once when this daemon leaves.
 const LEAVE_FANOUT: usize = 8;
 /// Ticks between looks for tombstones that have expired.
--- a/crates/members/src/queue.rs
+++ b/crates/members/src/queue.rs
@@ -14,7 +14,7 @@
 use crate::message::{MemberUpdate, encoded_len};
 
 /// Queue length beyond which updates are passed on fewer times.
-const CROWDED_LEN: usize = 48;
+const CROWDED_LEN: usize = 32;
 /// Least number of times that an accusation is passed on.
 const MIN_TRANSMITS: u32 = 4;
 
--- a/crates/members/src/sync.rs
+++ b/crates/members/src/sync.rs
@@ -28,9 +28,11 @@
 /// Least time between exchanges that one daemon begins.
 pub const SYNC_INTERVAL: Duration = Duration::from_secs(10);
 /// The same, while the last exchange brought many records.
-const CATCH_UP_INTERVAL: Duration = Duration::from_secs(1);
+const CATCH_UP_INTERVAL: Duration = Duration::from_secs(2);
+/// The same, while the last offer has no answer.
+const RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Bytes a second of records that one daemon serves.
-const SERVE_RATE: u32 = 4_000;
+const SERVE_RATE: u32 = 6_000;
 /// Bytes of records served at once after a quiet time.
 const SERVE_BURST: u32 = 32_000;
 /// Bytes that may be served below which an offer is left to others.
@@ -67,7 +69,7 @@
         if now < self.sync.next_at || view == self.view_hash() {
             return;
         }
-        self.sync.next_at = now + SYNC_INTERVAL.mul_f64(self.rng.random_range(0.8..1.2));
+        self.sync.next_at = now + RETRY_INTERVAL.mul_f64(self.rng.random_range(0.5..1.5));
         self.counts.syncs += 1;
         let buckets = view_buckets(&self.own, &self.table).to_vec();
         self.send_to(
@@ -110,6 +112,8 @@
         theirs: &ViewSummary,
         outputs: &mut Vec<MemberOutput>,
     ) {
+        let now = self.clock.now();
+        self.sync.next_at = now + SYNC_INTERVAL.mul_f64(self.rng.random_range(0.8..1.2));
         let ours = self.summary(theirs.differing);
         if ours.missing_in(theirs) > FEW_RECORDS {
             self.catch_up();
