Keep comments when lists change, find the way on after a lost log, measure

Cause: pull and publish must not lose an operator's comments; a rebase needs a reader that looks for it; the cost of the fold was unknown.

--- /dev/null
+++ b/crates/plans/benches/fold.rs
@@ -0,0 +1,302 @@
+//! Bytes and time of a change, a snapshot and a delta at the target's size.
+//!
+//! Bounds come from the stated target: a daemon has 10 KB a second for
+//! control and a change is in force within 15 s, so a snapshot must fit into
+//! 15 s of that budget, and a change and its records must take a small part.
+
+use std::fmt::Write;
+use std::process::ExitCode;
+use std::time::{Duration, Instant, SystemTime};
+
+use comfy_table::Table;
+use model::{ChangeId, LogOffset};
+use quetzal_plans::{
+    ChangeMeta, ChangeRecord, ChangeVerdict, ConfigRecord, ConfigReplica, ConfigState, EntryEdit,
+    EntryName, EntryValue, ListPair, RouteTable, StateSnapshot, StateUpdate,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const SERVICES: usize = 35;
+const CUSTOMERS: usize = 500;
+const PLANS: usize = 5;
+const CHANGES_PER_DAY: usize = 250;
+const DAYS: usize = 4;
+const CONTROL_BYTES_PER_S: usize = 10_000;
+const CONVERGENCE_S: usize = 15;
+/// Daemons that one daemon passes an update on to.
+const FAN_OUT: usize = 4;
+
+/// Runs `work` some times and tells the mean time.
+fn mean_time<T>(runs: u32, mut work: impl FnMut() -> T) -> Duration {
+    let start = Instant::now();
+    for _ in 0..runs {
+        std::hint::black_box(work());
+    }
+    start.elapsed() / runs
+}
+
+/// Lists of the target's size.
+fn target_lists() -> ListPair {
+    let key = "5e884898da28047151d0e56f8dc6292773603d0d6aabbdd62a11ef721d1542d8";
+    let mut customers = String::new();
+    for index in 0..CUSTOMERS {
+        let comma = if index == 0 { "" } else { "," };
+        let plan = index % PLANS;
+        write!(
+            customers,
+            "{comma}\"customer-{index:04}\": {{ \"plan\": \"plan-{plan}\", \"key_sha256\": \"{key}\" }}"
+        )
+        .expect("writing to a string never fails");
+    }
+    let services: Vec<String> = (0..SERVICES)
+        .map(|index| {
+            format!(
+                "\"service-{index:02}\": {{ \"path\": \"/service-{index:02}\", \"timeout_ms\": 2000, \
+                 \"kind\": \"booking\", \"methods\": {{ \"GET\": {{ \"idempotent\": true }}, \
+                 \"POST\": {{ \"idempotent\": false }} }} }}"
+            )
+        })
+        .collect();
+    let allowances: Vec<String> = (0..SERVICES)
+        .map(|index| {
+            format!(
+                "\"service-{index:02}\": {{ \"methods\": [\"GET\", \"POST\"], \"rate_per_s\": 50, \
+                 \"calls_at_once\": 20 }}"
+            )
+        })
+        .collect();
+    let allowances = allowances.join(",");
+    let plans: Vec<String> = (0..PLANS)
+        .map(|index| format!("\"plan-{index}\": {{ {allowances} }}"))
+        .collect();
+    let plans_text = format!("{{ \"customers\": {{ {customers} }} }}");
+    let allowances_text = format!(
+        "{{ \"services\": {{ {} }}, \"plans\": {{ {} }} }}",
+        services.join(","),
+        plans.join(",")
+    );
+    ListPair::parse(&plans_text, &allowances_text).expect("the lists are valid")
+}
+
+/// One to three edits such as operators make in a day.
+fn random_edits(lists: &ListPair, rng: &mut SmallRng) -> Vec<EntryEdit> {
+    let entries: Vec<(EntryName, EntryValue)> = lists.entries().into_iter().collect();
+    let mut edits: Vec<EntryEdit> = Vec::new();
+    for _ in 0..rng.random_range(1..=3) {
+        let (entry, mut value) = entries[rng.random_range(0..entries.len())].clone();
+        match &mut value {
+            EntryValue::Customer(customer) => {
+                let plan = format!("plan-{}", rng.random_range(0..PLANS));
+                customer.plan = plan.parse().expect("a sound name");
+            }
+            EntryValue::Service(rule) => rule.timeout_ms = rng.random_range(100..10_000),
+            EntryValue::Allowance(allowance) => allowance.rate_per_s = rng.random_range(1..500),
+        }
+        let after = Some(value);
+        if edits.iter().all(|edit| edit.entry != entry) {
+            edits.push(EntryEdit { entry, after });
+        }
+    }
+    edits
+}
+
+fn meta(rng: &mut SmallRng) -> ChangeMeta {
+    ChangeMeta {
+        id: random_id(rng),
+        author: "mona@nilewave".parse().expect("a sound name"),
+        note: "launch of the spring campaign".into(),
+    }
+}
+
+fn random_id(rng: &mut SmallRng) -> ChangeId {
+    let text = format!("{:032x}", rng.random::<u128>());
+    text.parse().expect("32 hexadecimal digits are an id")
+}
+
+/// A log of some days of changes, the replica that folded it, and the times.
+struct FoldRun {
+    records: Vec<ConfigRecord>,
+    replica: ConfigReplica,
+    fold_time: Duration,
+    day_sizes: Vec<usize>,
+}
+
+fn run_days(lists: &ListPair) -> FoldRun {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut run = FoldRun {
+        records: Vec::new(),
+        replica: ConfigReplica::new(),
+        fold_time: Duration::ZERO,
+        day_sizes: Vec::new(),
+    };
+    let base = run.replica.state().base();
+    let first = ChangeRecord::between(run.replica.state(), base, lists, meta(&mut rng));
+    append(&mut run, &first.expect("valid lists"));
+    run.day_sizes
+        .push(run.replica.snapshot_bytes().expect("sound").len());
+    for _ in 0..DAYS {
+        for _ in 0..CHANGES_PER_DAY {
+            let edits = random_edits(run.replica.state().lists(), &mut rng);
+            let base = run.replica.state().base();
+            append(&mut run, &ChangeRecord::new(base, edits, meta(&mut rng)));
+        }
+        run.day_sizes
+            .push(run.replica.snapshot_bytes().expect("sound").len());
+    }
+    run
+}
+
+fn append(run: &mut FoldRun, change: &ChangeRecord) {
+    let record = ConfigRecord {
+        offset: LogOffset(run.records.len() as u64),
+        at: SystemTime::UNIX_EPOCH,
+        body: change.encode().expect("a bounded change").into(),
+    };
+    run.records.push(record.clone());
+    let start = Instant::now();
+    let verdict = run.replica.fold(record).expect("the next record");
+    run.fold_time += start.elapsed();
+    assert!(matches!(verdict, ChangeVerdict::Accepted { .. }));
+}
+
+/// A bound, what was counted, and whether it holds.
+struct BoundRow {
+    what: &'static str,
+    found: usize,
+    most: usize,
+}
+
+fn main() -> ExitCode {
+    let lists = target_lists();
+    let mut run = run_days(&lists);
+    let changes = run.records.len() - 1;
+    let change_bytes: usize = run.records[1..]
+        .iter()
+        .map(|record| record.body.len())
+        .sum();
+    let change_bytes = change_bytes / changes;
+    let state = run.replica.state().clone();
+    let snapshot = StateSnapshot::of(&state).encode().expect("a bounded state");
+
+    print_costs(&run, &state, &snapshot, changes, change_bytes);
+    let crossover = print_updates(&mut run);
+    let (plans_text, allowances_text) = state.lists().render();
+    let whole_bytes = plans_text.len() + allowances_text.len();
+
+    let budget = CONTROL_BYTES_PER_S * CONVERGENCE_S;
+    let bounds = [
+        BoundRow {
+            what: "snapshot bytes, in 15 s of the control budget",
+            found: snapshot.len(),
+            most: budget,
+        },
+        BoundRow {
+            what: "bytes of a change passed on, in 1 s of the control budget",
+            found: change_bytes * FAN_OUT,
+            most: CONTROL_BYTES_PER_S,
+        },
+        BoundRow {
+            what: "bytes of a change, against 1/20 of whole lists",
+            found: change_bytes,
+            most: whole_bytes / 20,
+        },
+        BoundRow {
+            what: "snapshot bytes after 4 days against 2, a bounded past",
+            found: run.day_sizes[4],
+            most: run.day_sizes[3] + run.day_sizes[3] / 20,
+        },
+        BoundRow {
+            what: "changes behind up to which a snapshot is sent all the same",
+            found: 25_usize.saturating_sub(crossover),
+            most: 0,
+        },
+    ];
+    judge(&bounds)
+}
+
+fn print_costs(
+    run: &FoldRun,
+    state: &ConfigState,
+    snapshot: &[u8],
+    changes: usize,
+    change_bytes: usize,
+) {
+    let first = &run.records[0];
+    let mut next = state.clone();
+    let clone = mean_time(50, || state.clone());
+    let build = mean_time(50, || RouteTable::build(state));
+    let encode = mean_time(50, || StateSnapshot::of(state).encode());
+    let decode = mean_time(50, || StateSnapshot::decode(snapshot));
+    let first_fold = mean_time(10, || ConfigState::new().apply(first));
+    let ignored = mean_time(1000, || next.apply(first));
+    let mut table = Table::new();
+    table.set_header(["part", "bytes", "time"]);
+    let mut row = |what: &str, bytes: Option<usize>, time: Duration| {
+        let bytes = bytes.map_or(String::new(), |bytes| bytes.to_string());
+        table.add_row([what.to_owned(), bytes, format!("{time:.1?}")]);
+    };
+    let mean = run.fold_time / (changes as u32 + 1);
+    row("fold one change (mean)", Some(change_bytes), mean);
+    row("fold the first lists", Some(first.body.len()), first_fold);
+    row("skip a record folded before", None, ignored);
+    row("copy the state", None, clone);
+    row("build the route table", None, build);
+    row("encode a snapshot", Some(snapshot.len()), encode);
+    row("decode and check a snapshot", Some(snapshot.len()), decode);
+    for (day, bytes) in run.day_sizes.iter().enumerate() {
+        let what = format!("snapshot after {} changes", day * CHANGES_PER_DAY);
+        row(&what, Some(*bytes), Duration::ZERO);
+    }
+    println!("{SERVICES} services, {CUSTOMERS} customers, {PLANS} plans\n{table}");
+}
+
+/// Prints what a daemon some changes behind is sent; tells up to where that is a delta.
+fn print_updates(run: &mut FoldRun) -> usize {
+    let mut table = Table::new();
+    table.set_header(["changes behind", "delta bytes", "snapshot bytes", "sent"]);
+    let mut crossover = 0;
+    let total = run.records.len();
+    for behind in [1, 2, 5, 10, 25, 50, 100, 200, 250, 400] {
+        let mut base = ConfigState::new();
+        for record in &run.records[..total - behind] {
+            base.apply(record).expect("the next record");
+        }
+        let base = base.head();
+        let delta = run.replica.delta_since(&base).map(|delta| delta.size());
+        let snapshot = run.replica.snapshot_bytes().expect("a bounded state").len();
+        let update = run.replica.update_for(&base).expect("a bounded state");
+        let is_delta = matches!(update, Some(StateUpdate::Delta(_)));
+        if is_delta {
+            crossover = behind;
+        }
+        let delta = delta.map_or("not kept".to_owned(), |bytes| bytes.to_string());
+        let sent = if is_delta { "delta" } else { "snapshot" };
+        table.add_row([
+            behind.to_string(),
+            delta,
+            snapshot.to_string(),
+            sent.to_owned(),
+        ]);
+    }
+    println!("{table}");
+    crossover
+}
+
+fn judge(bounds: &[BoundRow]) -> ExitCode {
+    let mut table = Table::new();
+    table.set_header(["bound", "found", "most", ""]);
+    let mut held = true;
+    for bound in bounds {
+        let holds = bound.found <= bound.most;
+        held &= holds;
+        let (found, most) = (bound.found.to_string(), bound.most.to_string());
+        let mark = if holds { "held" } else { "EXCEEDED" };
+        table.add_row([bound.what.to_owned(), found, most, mark.to_owned()]);
+    }
+    println!("{table}");
+    if held {
+        return ExitCode::SUCCESS;
+    }
+    ExitCode::FAILURE
+}
--- a/crates/plans/src/history.rs
+++ b/crates/plans/src/history.rs
@@ -48,16 +48,15 @@
     pub hash: StateHash,
 }
 
-/// A change id that was judged.
+/// A change id that was refused.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-struct KnownChange {
+struct RefusedId {
     id: ChangeId,
     folded: ConfigVersion,
-    outcome: KnownOutcome,
 }
 
 /// What was decided when a change id first came.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum KnownOutcome {
     /// It made this version.
     Accepted(ConfigVersion),
@@ -87,7 +86,7 @@
     /// Lowest base against which a change can be judged.
     floor: ConfigVersion,
     recent: VecDeque<AcceptedChange>,
-    known: VecDeque<KnownChange>,
+    refused: VecDeque<RefusedId>,
     verdicts: VecDeque<VerdictEntry>,
 }
 
@@ -129,8 +128,12 @@
 
     /// What was decided when the change id first came, within the window.
     pub fn known_outcome(&self, id: ChangeId) -> Option<KnownOutcome> {
-        let found = self.known.iter().find(|known| known.id == id);
-        found.map(|known| known.outcome)
+        let accepted = self.recent.iter().find(|change| change.id == id);
+        if let Some(change) = accepted {
+            return Some(KnownOutcome::Accepted(change.version));
+        }
+        let refused = self.refused.iter().any(|refused| refused.id == id);
+        refused.then_some(KnownOutcome::Refused)
     }
 
     /// The first verdict on a change id, while remembered.
@@ -149,16 +152,9 @@
         folded: ConfigVersion,
         verdict: &ChangeVerdict,
     ) {
-        let outcome = match verdict {
-            ChangeVerdict::Accepted { version } => KnownOutcome::Accepted(*version),
-            _ => KnownOutcome::Refused,
-        };
-        let known = KnownChange {
-            id,
-            folded,
-            outcome,
-        };
-        self.known.push_back(known);
+        if matches!(verdict, ChangeVerdict::Refused(_)) {
+            self.refused.push_back(RefusedId { id, folded });
+        }
         let verdict = verdict.clone();
         self.verdicts.push_back(VerdictEntry { id, verdict });
         if self.verdicts.len() > RECENT_VERDICTS {
@@ -175,12 +171,9 @@
     pub fn prune(&mut self, folded: ConfigVersion) {
         let start = version_number(folded).saturating_sub(CHANGE_WINDOW);
         let is_past = |version| version_number(version) < start;
-        while self
-            .known
-            .front()
-            .is_some_and(|known| is_past(known.folded))
-        {
-            self.known.pop_front();
+        let oldest_refused = |history: &Self| history.refused.front().map(|refused| refused.folded);
+        while oldest_refused(self).is_some_and(is_past) {
+            self.refused.pop_front();
         }
         let mut edits: usize = self.recent.iter().map(|change| change.before.len()).sum();
         while let Some(oldest) = self.recent.front() {
@@ -295,7 +288,7 @@
         let versions = || self.recent.iter().map(|change| change.version);
         let window = CHANGE_WINDOW as usize + 1;
         self.recent.len() <= window
-            && self.known.len() <= window
+            && self.refused.len() <= window
             && self.verdicts.len() <= RECENT_VERDICTS
             && edits <= MAX_RECENT_EDITS
             && versions().is_sorted()
--- a/crates/plans/src/lists.rs
+++ b/crates/plans/src/lists.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use sha2::{Digest, Sha256};
 
-use crate::{check, parse, render};
+use crate::{check, parse, render, rewrite};
 
 /// File that holds the customers and their plans.
 pub const PLANS_FILE: &str = "plans.jsonc";
@@ -251,6 +251,11 @@
         (render::render_plans(self), render::render_allowances(self))
     }
 
+    /// The given texts changed to read as this pair, with their comments and layout kept.
+    pub fn rewrite(&self, plans_text: &str, allowances_text: &str) -> (String, String) {
+        rewrite::rewrite_texts(plans_text, allowances_text, self)
+    }
+
     /// Fails with the first fault of the pair as a whole, of kind `ListInvalid`.
     pub fn validate(&self) -> model::Result<()> {
         match check::find_faults(self).into_iter().next() {
--- /dev/null
+++ b/crates/plans/src/rewrite.rs
@@ -0,0 +1,100 @@
+//! Bringing the text of the lists up to date without losing its comments.
+//!
+//! Only the values that differ are written anew; order, layout and comments
+//! of everything else stay as their author left them.
+
+use jsonc_parser::ParseOptions;
+use jsonc_parser::cst::{CstInputValue, CstNode, CstObject, CstRootNode};
+use jsonc_parser::parse_to_serde_value;
+use serde_json::{Map, Value};
+
+use crate::lists::ListPair;
+
+/// Field that may be left out, and the value that it then has.
+const DEFAULT_FIELD: (&str, &str) = ("kind", "report");
+
+/// Texts that read as `wanted`, as near to the given ones as possible.
+pub fn rewrite_texts(plans: &str, allowances: &str, wanted: &ListPair) -> (String, String) {
+    let rewritten = rewrite(plans, &wanted.plans).zip(rewrite(allowances, &wanted.allowances));
+    let sound = |(plans, allowances): &(String, String)| {
+        ListPair::parse(plans, allowances).as_ref() == Ok(wanted)
+    };
+    rewritten.filter(sound).unwrap_or_else(|| wanted.render())
+}
+
+fn rewrite(text: &str, wanted: &impl serde::Serialize) -> Option<String> {
+    let root = CstRootNode::parse(text, &ParseOptions::default()).ok()?;
+    let Value::Object(fields) = serde_json::to_value(wanted).ok()? else {
+        return None;
+    };
+    merge_object(&root.object_value()?, &fields);
+    Some(root.to_string())
+}
+
+/// Gives `object` the fields of `wanted` and no others.
+fn merge_object(object: &CstObject, wanted: &Map<String, Value>) {
+    for property in object.properties() {
+        let name = property.name().and_then(|name| name.decoded_value().ok());
+        let kept = name.is_some_and(|name| wanted.get(&name).is_some_and(|value| !value.is_null()));
+        if !kept {
+            property.remove();
+        }
+    }
+    for (name, value) in wanted {
+        merge_field(object, name, value);
+    }
+}
+
+fn merge_field(object: &CstObject, name: &str, wanted: &Value) {
+    let Some(property) = object.get(name) else {
+        if !wanted.is_null() && !is_default(name, wanted) {
+            object.append(name, input_value(wanted));
+        }
+        return;
+    };
+    let inner = property.object_value();
+    if let (Some(inner), Value::Object(fields)) = (inner, wanted) {
+        merge_object(&inner, fields);
+        return;
+    }
+    let same = property
+        .value()
+        .is_some_and(|value| reads_as(&value, wanted));
+    if !same {
+        property.set_value(input_value(wanted));
+    }
+}
+
+fn is_default(name: &str, wanted: &Value) -> bool {
+    (name, wanted.as_str()) == (DEFAULT_FIELD.0, Some(DEFAULT_FIELD.1))
+}
+
+/// Whether `node` holds `wanted`; names in a list may stand in any order.
+fn reads_as(node: &CstNode, wanted: &Value) -> bool {
+    let found = parse_to_serde_value(&node.to_string(), &ParseOptions::default());
+    let Ok(Some(found)) = found else {
+        return false;
+    };
+    match (&found, wanted) {
+        (Value::Array(found), Value::Array(wanted)) => {
+            let contains = |value| found.contains(value);
+            found.len() == wanted.len() && wanted.iter().all(contains)
+        }
+        _ => found == *wanted,
+    }
+}
+
+fn input_value(value: &Value) -> CstInputValue {
+    match value {
+        Value::Null => CstInputValue::Null,
+        Value::Bool(value) => CstInputValue::Bool(*value),
+        Value::Number(value) => CstInputValue::Number(value.to_string()),
+        Value::String(value) => CstInputValue::String(value.clone()),
+        Value::Array(values) => CstInputValue::Array(values.iter().map(input_value).collect()),
+        Value::Object(fields) => {
+            let fields = fields.iter().filter(|(_, value)| !value.is_null());
+            let fields = fields.map(|(name, value)| (name.clone(), input_value(value)));
+            CstInputValue::Object(fields.collect())
+        }
+    }
+}
--- a/crates/plans/tests/invariants.rs
+++ b/crates/plans/tests/invariants.rs
@@ -14,7 +14,7 @@
 use model::{ChangeId, ConfigVersion, LogOffset};
 use quetzal_plans::{
     ChangeRecord, ChangeVerdict, ConfigReplica, ConfigState, EntryEdit, EntryName, EntryValue,
-    RebaseRecord, RouteTable, StateHead, StateUpdate, StreamRecord,
+    LogRecovery, RebaseRecord, RouteTable, StateHead, StateUpdate, StreamRecord,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use support::{LogStub, change, hold_plan, meta, set_rate, template_log, template_pair};
@@ -389,7 +389,17 @@
         let meta = meta(9000, "hala", "log lost");
         let rebase = RebaseRecord::new(other_log.state().base(), version, lists, meta);
         other_log.append(&StreamRecord::Rebase(rebase).encode().unwrap());
-        let rebased = other_log.state();
+        let mut recovery = LogRecovery::new(held.head(), LogOffset(0));
+        let records = other_log.records.iter();
+        let mut found: Vec<_> = records
+            .map(|record| recovery.fold(record).unwrap())
+            .collect();
+        let Some(Some(rebased)) = found.pop() else {
+            return TestResult::error("did not find the rebase");
+        };
+        if found.iter().any(Option::is_some) {
+            return TestResult::error("found a state before the rebase");
+        }
         holder.take_state(rebased.clone()).unwrap();
         let kept = rebased.lists() == held.lists() && *holder.state() == rebased;
         TestResult::from_bool(noticed && kept && rebased.version() == version)
--- a/crates/plans/tests/lists.rs
+++ b/crates/plans/tests/lists.rs
@@ -112,6 +112,34 @@
     insta::assert_snapshot!(problems("{ \"customers\": {", "// nothing\n"));
 }
 
+#[test]
+fn a_rewrite_keeps_comments_and_layout() {
+    let (plans, allowances) = lists::template();
+    let mut pair = template_pair();
+    pair.set_entry(&support::set_rate("gold", "deals", 75));
+    pair.set_entry(&support::hold_plan("agency-salma", None));
+    pair.set_entry(&support::hold_plan("agency-zeinab", Some("silver")));
+    pair.set_entry(&quetzal_plans::EntryEdit {
+        entry: support::allowance("silver", "deals"),
+        after: None,
+    });
+    let (new_plans, new_allowances) = pair.rewrite(&plans, &allowances);
+    assert_eq!(ListPair::parse(&new_plans, &new_allowances).unwrap(), pair);
+    let diff = |old: &str, new: &str| {
+        let diff = similar::TextDiff::from_lines(old, new);
+        diff.unified_diff().context_radius(1).to_string()
+    };
+    insta::assert_snapshot!(diff(&plans, &new_plans) + &diff(&allowances, &new_allowances));
+    let (same_plans, same_allowances) = template_pair().rewrite(&plans, &allowances);
+    assert_eq!((same_plans, same_allowances), (plans, allowances));
+}
+
+#[test]
+fn a_rewrite_of_broken_texts_is_the_rendered_pair() {
+    let pair = template_pair();
+    assert_eq!(pair.rewrite("{", "[]"), pair.render());
+}
+
 /// Text near the format: the template with a piece cut out or doubled.
 #[derive(Clone, Debug)]
 struct DamagedText(String);
--- a/crates/plans/tests/sessions.rs
+++ b/crates/plans/tests/sessions.rs
@@ -7,7 +7,8 @@
 use model::{ConfigVersion, LogOffset};
 use quetzal_plans::change::RULES_VERSION;
 use quetzal_plans::{
-    ChangeRecord, ChangeVerdict, ConfigState, ListPair, RebaseRecord, RulesRecord, StreamRecord,
+    ChangeRecord, ChangeVerdict, ConfigState, ListPair, LogRecovery, RebaseRecord, RulesRecord,
+    StreamRecord,
 };
 use support::{
     LogStub, change, first_change, hold_plan, meta, service, set_rate, template_log, template_pair,
@@ -277,8 +278,17 @@
         vec![set_rate("gold", "deals", 7)],
     );
     session.append("mona publishes", &next);
-    let restarted = ConfigState::from_rebase(&session.log.records[4]).unwrap();
-    assert_eq!(restarted.version(), ConfigVersion::at(LogOffset(100)));
+    let mut recovery = LogRecovery::new(old.state().head(), LogOffset(2));
+    let records = session.log.records[2..].iter();
+    let found: Vec<_> = records
+        .map(|record| recovery.fold(record).unwrap())
+        .collect();
+    let started: Vec<bool> = found.iter().map(Option::is_some).collect();
+    session.say(&format!(
+        "a reader that misses the first two records: {started:?}"
+    ));
+    let last = found.last().unwrap().as_ref().unwrap();
+    assert_eq!(last, &session.state);
     insta::assert_snapshot!(session.text);
 }
 
