Pass over rebases that do not reach the version held

A reader that begins inside a log took the first rebase it met, also one that the whole log had refused; now only one past the version held counts.

--- a/crates/plans/src/recovery.rs
+++ b/crates/plans/src/recovery.rs
@@ -56,19 +56,16 @@
                 state.apply(record)?;
             }
             // The start of the log has expired: only a rebase is a place to begin.
-            None => self.candidate = ConfigState::from_rebase(record).ok(),
+            None => {
+                let started = ConfigState::from_rebase(record).ok();
+                self.candidate = started.filter(|state| is_past_loss(state, &self.held));
+            }
         }
         self.next = record.offset.next();
-        let found = self
-            .candidate
-            .as_ref()
-            .filter(|state| self.is_past_loss(state));
+        let candidate = self.candidate.as_ref();
+        let found = candidate.filter(|state| is_past_loss(state, &self.held));
         Ok(found.cloned())
     }
-
-    fn is_past_loss(&self, state: &ConfigState) -> bool {
-        state.origin().version > self.held.folded
-    }
 }
 
 /// Whether a rebase moved the version past the state held.
