--- /dev/null
+++ b/crates/daemon/src/core.rs
@@ -0,0 +1,232 @@
+//! What the parts of one daemon share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use limits::{LimitGate, LoadShedder};
+use model::{CallCount, DaemonId, ErrorKind, IncarnationNumber, KindError, SharedClock};
+use once::HolderId;
+use once::home::HandedOutcome;
+use plans::{ConfigState, RouteTable};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use route::{PickerConfig, RetryPolicy, TargetPicker};
+use serde::de::DeserializeOwned;
+use smallvec::SmallVec;
+use spread::{FreshnessCase, FreshnessReport};
+use tokio_util::task::TaskTracker;
+use wire::{PeerPool, WireLimits};
+
+use crate::beside::BesideDesk;
+use crate::body::BodyBounds;
+use crate::counters::{CounterBoard, Result};
+use crate::key_control::{OnceMessage, send_settlement};
+use crate::key_desk::{KeyDesk, RunBook};
+use crate::peer::{ControlAck, ControlBatch, ControlMessage, PeerRequest};
+use crate::settings::DaemonSettings;
+
+/// Time for the next home to take an outcome.
+const SETTLEMENT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Where each live member listens for peers.
+pub type AddressBook = HashMap<DaemonId, SocketAddr>;
+
+/// State shared by the tasks of one daemon.
+#[derive(Debug)]
+pub struct DaemonCore {
+    /// Settings.
+    pub settings: DaemonSettings,
+    /// The daemon.
+    pub id: DaemonId,
+    /// This run of it.
+    pub incarnation: IncarnationNumber,
+    /// The clock.
+    pub clock: SharedClock,
+    /// The configuration in force, once there is one.
+    pub table: ArcSwapOption<RouteTable>,
+    /// The state that the table was built from, for operators.
+    pub state: ArcSwapOption<ConfigState>,
+    /// How current the configuration is.
+    pub freshness: ArcSwap<FreshnessReport>,
+    /// Where members are reached.
+    pub addresses: ArcSwap<AddressBook>,
+    /// Targets beside this daemon.
+    pub beside: BesideDesk,
+    /// Keys, permits and poison requests.
+    pub keys: Arc<KeyDesk>,
+    /// Runs of live members.
+    pub runs: ArcSwap<RunBook>,
+    /// Connections to peers.
+    pub pool: PeerPool,
+    /// Counters.
+    pub counters: CounterBoard,
+    /// Tasks that are joined at the end.
+    pub tasks: TaskTracker,
+    picker: Mutex<TargetPicker>,
+    retries: Mutex<RetryPolicy>,
+    limits: Mutex<LimitGate>,
+    shedder: Mutex<LoadShedder>,
+    draining: AtomicBool,
+    open_calls: AtomicUsize,
+}
+
+impl DaemonCore {
+    /// The state of a daemon that starts.
+    pub fn new(settings: DaemonSettings, clock: SharedClock) -> Result<Self> {
+        let id = settings.daemon_id();
+        let incarnation = incarnation_now(&clock);
+        let me = HolderId {
+            daemon: id,
+            incarnation,
+        };
+        let keys = Arc::new(KeyDesk::new(me, &clock));
+        let tasks = TaskTracker::new();
+        let picker_config = PickerConfig {
+            domain: settings.domain.clone(),
+            region: SmallVec::new(),
+        };
+        let random = || SmallRng::from_rng(&mut rand::rng());
+        let absent = FreshnessReport {
+            case: FreshnessCase::Absent,
+            proof_age: None,
+            outage_age: None,
+        };
+        let queue = CallCount(settings.numbers.queue_calls);
+        let answer_bounds = BodyBounds {
+            max_bytes: u64::MAX,
+            idle_timeout: settings.idle_timeout(),
+        };
+        let wire_limits = WireLimits {
+            max_connections: settings.numbers.peer_connections as usize,
+            ..WireLimits::default()
+        };
+        Ok(Self {
+            id,
+            incarnation,
+            table: ArcSwapOption::empty(),
+            state: ArcSwapOption::empty(),
+            freshness: ArcSwap::from_pointee(absent),
+            addresses: ArcSwap::default(),
+            beside: BesideDesk::new(
+                queue,
+                answer_bounds,
+                Arc::clone(&keys),
+                tasks.clone(),
+                Arc::clone(&clock),
+            ),
+            keys,
+            runs: ArcSwap::default(),
+            pool: PeerPool::new(wire_limits),
+            counters: CounterBoard::open(settings.metrics_address)?,
+            tasks,
+            picker: Mutex::new(TargetPicker::new(
+                picker_config,
+                Arc::clone(&clock),
+                random(),
+            )),
+            retries: Mutex::new(RetryPolicy::new()),
+            limits: Mutex::new(LimitGate::new(id, Arc::clone(&clock))),
+            shedder: Mutex::new(LoadShedder::new(Arc::clone(&clock), random())),
+            draining: AtomicBool::new(false),
+            open_calls: AtomicUsize::new(0),
+            settings,
+            clock,
+        })
+    }
+
+    /// Asks another daemon and waits for its answer.
+    ///
+    /// Kinds: `PeerUnavailable`, `OutcomeUnknown`, `FrameInvalid`, `FrameTooLarge`.
+    pub async fn ask<T: DeserializeOwned>(
+        &self,
+        daemon: DaemonId,
+        request: &PeerRequest,
+        patience: Duration,
+    ) -> model::Result<T> {
+        let address = self.addresses.load().get(&daemon).copied();
+        let address = address
+            .ok_or_else(|| KindError::new(ErrorKind::PeerUnavailable, "the daemon has left"))?;
+        let asking = tokio::time::timeout(patience, self.pool.ask(address, request));
+        asking.await.unwrap_or_else(|elapsed| {
+            let detail = format!("{address}: {elapsed}");
+            Err(KindError::new(ErrorKind::OutcomeUnknown, detail))
+        })
+    }
+
+    /// Sends an outcome to the home that took its book over.
+    pub fn hand_settlement(self: &Arc<Self>, handed: HandedOutcome) {
+        let core = Arc::clone(self);
+        self.tasks.spawn(async move {
+            let (to, message) = send_settlement(handed);
+            if let Err(error) = core.send_control(to, &message).await {
+                core.counters.count_error(error.kind);
+            }
+        });
+    }
+
+    async fn send_control(&self, to: DaemonId, message: &OnceMessage) -> model::Result<()> {
+        let batch = ControlBatch {
+            from: self.id,
+            address: self.settings.peer_address,
+            messages: vec![ControlMessage::Once(wire::encode_message(message)?)],
+        };
+        let request = PeerRequest::Control(batch);
+        let _: ControlAck = self.ask(to, &request, SETTLEMENT_TIMEOUT).await?;
+        Ok(())
+    }
+
+    /// Choice of targets.
+    pub fn picker(&self) -> MutexGuard<'_, TargetPicker> {
+        self.picker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Retries and their budgets.
+    pub fn retries(&self) -> MutexGuard<'_, RetryPolicy> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Limits of the plans.
+    pub fn limits(&self) -> MutexGuard<'_, LimitGate> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Shedding under overload.
+    pub fn shedder(&self) -> MutexGuard<'_, LoadShedder> {
+        self.shedder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether this daemon takes no new calls.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Counts a caller's call that begins; it ends with [`DaemonCore::close_call`].
+    pub fn open_call(&self) {
+        self.open_calls.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Counts a call that ended.
+    pub fn close_call(&self) {
+        self.open_calls.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    /// Whether no caller's call is in progress.
+    pub fn is_quiet(&self) -> bool {
+        self.open_calls.load(Ordering::Acquire) == 0
+    }
+
+    /// Takes no new calls from now on.
+    pub fn start_draining(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+}
+
+/// A number above that of any earlier run: the wall time in milliseconds.
+fn incarnation_now(clock: &SharedClock) -> IncarnationNumber {
+    let since = clock.wall().duration_since(std::time::UNIX_EPOCH);
+    IncarnationNumber(since.unwrap_or_default().as_millis() as u64)
+}
--- /dev/null
+++ b/crates/members/src/sync.rs
@@ -0,0 +1,267 @@
+//! Exchange of summaries between two members whose views differ.
+//!
+//! Gossip reaches nearly everybody; this finds what it missed, and it is how
+//! a daemon that starts, or a region that was cut off, catches up. Members
+//! are spread over buckets; an offer carries a hash of each, and only the
+//! buckets that differ are compared member by member. A daemon serves
+//! records at a bounded rate and leaves the rest to others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use model::DaemonId;
+use rand::Rng;
+use rand::seq::SliceRandom;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::digest::{MemberRecord, MemberStamp};
+use crate::message::{
+    BUCKET_COUNT, BULK_BYTES, MemberUpdate, MessageBody, ViewSummary, encoded_len,
+};
+use crate::node::{MemberNode, MemberOutput, accusation_of};
+use crate::queue::ByteBucket;
+use crate::table::{MemberEntry, MemberState, MemberTable, bucket_of, entry_hash};
+
+/// Records in one exchange that are few enough to pass on as news.
+pub const FEW_RECORDS: usize = 8;
+/// Least time between exchanges that one daemon begins.
+pub const SYNC_INTERVAL: Duration = Duration::from_secs(10);
+/// The same, while the last exchange brought many records.
+const CATCH_UP_INTERVAL: Duration = Duration::from_secs(1);
+/// Bytes a second of records that one daemon serves.
+const SERVE_RATE: u32 = 4_000;
+/// Bytes of records served at once after a quiet time.
+const SERVE_BURST: u32 = 32_000;
+/// Bytes that may be served below which an offer is left to others.
+const MIN_SERVED: usize = 2_000;
+/// Most members listed in one summary.
+const MAX_SUMMARY: usize = 2048;
+
+/// When exchanges may begin and how much may be served.
+#[derive(Debug)]
+pub struct SyncState {
+    next_at: Instant,
+    served: ByteBucket,
+}
+
+impl SyncState {
+    /// Ready to begin an exchange at `now`.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            next_at: now,
+            served: ByteBucket::new(SERVE_RATE, SERVE_BURST, now),
+        }
+    }
+}
+
+impl MemberNode {
+    /// Begins an exchange if the views differ and the last one is long enough ago.
+    pub(crate) fn compare_views(
+        &mut self,
+        from: DaemonId,
+        view: u64,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        let now = self.clock.now();
+        if now < self.sync.next_at || view == self.view_hash() {
+            return;
+        }
+        self.sync.next_at = now + SYNC_INTERVAL.mul_f64(self.rng.random_range(0.8..1.2));
+        self.counts.syncs += 1;
+        let buckets = view_buckets(&self.own, &self.table).to_vec();
+        self.send_to(
+            from,
+            MessageBody::SyncOffer { buckets },
+            Vec::new(),
+            outputs,
+        );
+    }
+
+    /// Answers an offer with the members of the buckets that differ.
+    pub(crate) fn on_sync_offer(
+        &mut self,
+        from: DaemonId,
+        address: SocketAddr,
+        theirs: &[u32],
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        let now = self.clock.now();
+        if self.sync.served.available(now) < MIN_SERVED {
+            return;
+        }
+        let ours = view_buckets(&self.own, &self.table);
+        let differing = (0..BUCKET_COUNT)
+            .filter(|bucket| theirs.get(*bucket) != Some(&ours[*bucket]))
+            .fold(0, |bits, bucket| bits | 1 << bucket);
+        if differing != 0 {
+            let summary = self.summary(differing);
+            self.sync.served.spend(encoded_len(&summary));
+            let body = MessageBody::SyncSummary { summary };
+            self.send_at(from, address, body, Vec::new(), outputs);
+        }
+    }
+
+    /// Sends what the summary lacks, and a summary in return.
+    pub(crate) fn on_sync_summary(
+        &mut self,
+        from: DaemonId,
+        address: SocketAddr,
+        theirs: &ViewSummary,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        let ours = self.summary(theirs.differing);
+        if ours.missing_in(theirs) > FEW_RECORDS {
+            self.catch_up();
+        }
+        let updates = self.lacking_in(theirs);
+        self.serve(from, address, Some(ours), updates, outputs);
+    }
+
+    pub(crate) fn on_sync_records(
+        &mut self,
+        from: DaemonId,
+        address: SocketAddr,
+        updates: &[MemberUpdate],
+        theirs: Option<&ViewSummary>,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        if updates.len() > FEW_RECORDS {
+            self.catch_up();
+        }
+        if let Some(theirs) = theirs {
+            let updates = self.lacking_in(theirs);
+            self.serve(from, address, None, updates, outputs);
+        }
+    }
+
+    /// Sends `updates` in messages of bounded size, as far as the rate allows.
+    fn serve(
+        &mut self,
+        to: DaemonId,
+        address: SocketAddr,
+        mut summary: Option<ViewSummary>,
+        mut updates: Vec<MemberUpdate>,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        let now = self.clock.now();
+        let mut room = self.sync.served.available(now);
+        // When not all can be served, each daemon serves others.
+        updates.shuffle(&mut self.rng);
+        let mut batch = Vec::new();
+        let mut batch_bytes = 0;
+        for update in updates {
+            let bytes = encoded_len(&update);
+            if bytes > room {
+                break;
+            }
+            if batch_bytes + bytes > BULK_BYTES {
+                let full = std::mem::take(&mut batch);
+                self.send_records(to, address, summary.take(), full, outputs);
+                batch_bytes = 0;
+            }
+            room -= bytes;
+            batch_bytes += bytes;
+            self.sync.served.spend(bytes);
+            batch.push(update);
+        }
+        if !batch.is_empty() || summary.is_some() {
+            self.send_records(to, address, summary, batch, outputs);
+        }
+    }
+
+    fn send_records(
+        &self,
+        to: DaemonId,
+        address: SocketAddr,
+        summary: Option<ViewSummary>,
+        updates: Vec<MemberUpdate>,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        let body = MessageBody::SyncRecords { summary };
+        let message = self.message(self.table.get(to).is_none(), body, updates);
+        outputs.push(MemberOutput::Send {
+            to,
+            address,
+            message,
+        });
+    }
+
+    fn catch_up(&mut self) {
+        let soon = self.clock.now() + CATCH_UP_INTERVAL.mul_f64(self.rng.random_range(0.5..1.5));
+        self.sync.next_at = self.sync.next_at.min(soon);
+    }
+
+    /// The live members in the buckets `differing`.
+    fn summary(&self, differing: u64) -> ViewSummary {
+        let mut hashes: Vec<u32> = self
+            .live_records(differing)
+            .map(|record| entry_hash(record.id, record.stamp))
+            .take(MAX_SUMMARY)
+            .collect();
+        hashes.sort_unstable();
+        ViewSummary { differing, hashes }
+    }
+
+    /// What the sender of a summary does not know: records, and ends of members that it lists.
+    fn lacking_in(&self, theirs: &ViewSummary) -> Vec<MemberUpdate> {
+        let records = self
+            .live_records(theirs.differing)
+            .filter(|record| !theirs.holds(record.id, record.stamp))
+            .map(|record| MemberUpdate::Alive(Arc::clone(record)));
+        let ends = self
+            .table
+            .iter()
+            .filter(|entry| theirs.holds(entry.record.id, entry.stamp()))
+            .filter_map(end_of);
+        records.chain(ends).collect()
+    }
+
+    fn live_records(&self, differing: u64) -> impl Iterator<Item = &Arc<MemberRecord>> {
+        let live = self.table.live().map(|entry| &entry.record);
+        live.chain(std::iter::once(&self.own))
+            .filter(move |record| differing >> bucket_of(record.id) & 1 == 1)
+    }
+}
+
+impl ViewSummary {
+    fn holds(&self, id: DaemonId, stamp: MemberStamp) -> bool {
+        self.hashes.binary_search(&entry_hash(id, stamp)).is_ok()
+    }
+
+    /// How many of `theirs` are missing here.
+    fn missing_in(&self, theirs: &Self) -> usize {
+        theirs
+            .hashes
+            .iter()
+            .filter(|hash| self.hashes.binary_search(hash).is_err())
+            .count()
+    }
+}
+
+/// The update that tells that a member is dead or has left.
+fn end_of(entry: &MemberEntry) -> Option<MemberUpdate> {
+    match entry.state {
+        MemberState::Alive | MemberState::Suspect => None,
+        MemberState::Dead => accusation_of(entry),
+        MemberState::Left => Some(MemberUpdate::Left {
+            id: entry.record.id,
+            stamp: entry.stamp(),
+        }),
+    }
+}
+
+/// Hash of a view, the daemon itself included.
+pub(crate) fn view_hash(own: &MemberRecord, table: &MemberTable) -> u64 {
+    let mut bytes = [0; 4 * BUCKET_COUNT];
+    for (chunk, bucket) in bytes.chunks_exact_mut(4).zip(view_buckets(own, table)) {
+        chunk.copy_from_slice(&bucket.to_le_bytes());
+    }
+    xxh3_64(&bytes)
+}
+
+fn view_buckets(own: &MemberRecord, table: &MemberTable) -> [u32; BUCKET_COUNT] {
+    let mut buckets = *table.buckets();
+    buckets[bucket_of(own.id)] ^= entry_hash(own.id, own.stamp);
+    buckets
+}
--- a/crates/plans/src/recovery.rs
+++ b/crates/plans/src/recovery.rs
@@ -51,15 +51,12 @@
         if record.offset != self.next {
             return Ok(None);
         }
-        match &mut self.candidate {
-            Some(state) => {
-                state.apply(record)?;
-            }
+        if let Some(state) = &mut self.candidate {
+            state.apply(record)?;
+        } else {
             // The start of the log has expired: only a rebase is a place to begin.
-            None => {
-                let started = ConfigState::from_rebase(record).ok();
-                self.candidate = started.filter(|state| is_past_loss(state, &self.held));
-            }
+            let started = ConfigState::from_rebase(record).ok();
+            self.candidate = started.filter(|state| is_past_loss(state, &self.held));
         }
         self.next = record.offset.next();
         let candidate = self.candidate.as_ref();
--- a/crates/plans/src/state.rs
+++ b/crates/plans/src/state.rs
@@ -10,7 +10,7 @@
 mod continuity;
 mod judge;
 
-use model::{ChangeId, ConfigVersion, ErrorKind, KindError, LogOffset};
+use model::{ChangeId, ConfigVersion, ErrorKind, KindError, LogOffset, ensure};
 use serde::{Deserialize, Serialize};
 
 use crate::change::{ChangeMeta, ChangeRecord, RebaseRecord, StreamRecord};
@@ -215,13 +215,18 @@
 
     /// A state that begins with a rebase, for a log whose earlier records are gone.
     ///
-    /// Only for a reader that found no snapshot: it cannot tell whether the
-    /// rebase was refused because of an earlier record. Fails with `ChangeRefused`.
+    /// Only for a reader that found no snapshot. Fails with `ChangeRefused`
+    /// unless the rebase follows at once upon its base: else a record in
+    /// between, which this reader may not know, could have led to its refusal.
     pub fn from_rebase(record: &ConfigRecord) -> Result<Self> {
         let StreamRecord::Rebase(rebase) = StreamRecord::decode(&record.body)? else {
             let detail = "the record is no rebase";
             return Err(KindError::new(ErrorKind::ChangeRefused, detail));
         };
+        let follows = version_number(rebase.base) == record.offset.0;
+        let forward = rebase.version > ConfigVersion::at(record.offset);
+        let detail = "the rebase does not follow at once upon its base";
+        ensure(follows && forward, ErrorKind::ChangeRefused, detail)?;
         rebase.lists.validate()?;
         let mut state = Self::new();
         let id = rebase.id;
--- a/crates/plans/tests/sessions.rs
+++ b/crates/plans/tests/sessions.rs
@@ -263,9 +263,9 @@
     };
     let low = rebase(21, session.state.base(), 1);
     let stale = rebase(22, ConfigVersion::NONE, 100);
-    let right = rebase(23, session.state.base(), 100);
     session.append("a rebase that moves no version forward", &low);
     session.append("a rebase that does not know of mona's change", &stale);
+    let right = rebase(23, session.state.base(), 100);
     session.append("a rebase", &right);
     session.append("the same rebase, its answer lost", &right);
     let taken = held.take_state(session.state.clone());
