Read any FromStr type in settings again

Narrowing DocumentReader::parse_string to KindError broke the daemon's settings, which read socket addresses with it. Names of the lists have parse_typed now.

--- a/crates/plans/src/parse.rs
+++ b/crates/plans/src/parse.rs
@@ -104,11 +104,11 @@
         let key = fields.get("key_sha256");
         let key_sha256 = match key {
             None => None,
-            Some(value) => Some(self.reader.parse_string(value, "key_sha256")?),
+            Some(value) => Some(self.reader.parse_typed(value, "key_sha256")?),
         };
         let (name, plan) = (name?, plan?);
         self.remember(FaultPlace::CustomerPlan(name.clone()), plan);
-        let plan = self.reader.parse_string(plan, "plan")?;
+        let plan = self.reader.parse_typed(plan, "plan")?;
         Some((name, CustomerPlan { plan, key_sha256 }))
     }
 
@@ -155,7 +155,7 @@
         let methods = self.reader.required(&fields, "methods", &what, owner);
         let kind = match fields.get("kind") {
             None => Some(CallKind::default()),
-            Some(value) => self.reader.parse_string(value, "kind"),
+            Some(value) => self.reader.parse_typed(value, "kind"),
         };
         let path = path.and_then(|value| {
             self.remember(FaultPlace::ServicePath(name.clone()), value);
@@ -270,7 +270,7 @@
         self.remember(place, value);
         let mut names = BTreeSet::new();
         for element in self.reader.elements(value, "methods") {
-            let name: Option<MethodName> = self.reader.parse_string(element, "methods");
+            let name: Option<MethodName> = self.reader.parse_typed(element, "methods");
             let Some(name) = name else { continue };
             let (plan, service) = (plan.clone(), service.clone());
             let place = FaultPlace::AllowanceMethod(plan, service, name.clone());
--- a/crates/plans/src/reader.rs
+++ b/crates/plans/src/reader.rs
@@ -5,6 +5,7 @@
 //! of the lists, so settings files are read with it too.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Display;
 use std::str::FromStr;
 
 use jsonc_parser::ast::{Object, ObjectProp, Value};
@@ -182,13 +183,36 @@
 
     /// The value as text that is read further.
     pub fn parse_string<T>(&mut self, value: &Value<'_>, field: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        self.parse_with(value, field, |text| {
+            text.parse()
+                .map_err(|error: T::Err| error.to_string().into())
+        })
+    }
+
+    /// The value as a typed name or the like, whose errors tell their detail only.
+    pub fn parse_typed<T>(&mut self, value: &Value<'_>, field: &str) -> Option<T>
     where
         T: FromStr<Err = KindError>,
     {
+        self.parse_with(value, field, |text| {
+            text.parse().map_err(|error: KindError| error.detail)
+        })
+    }
+
+    fn parse_with<T>(
+        &mut self,
+        value: &Value<'_>,
+        field: &str,
+        parse: impl Fn(&str) -> Result<T, Box<str>>,
+    ) -> Option<T> {
         let text = self.string(value, field)?;
-        match text.parse() {
+        match parse(text) {
             Ok(parsed) => Some(parsed),
-            Err(error) => self.fail(value.start(), error.detail),
+            Err(message) => self.fail(value.start(), message),
         }
     }
 
