Publish from a folder without taking back what others changed

Cause: after publishing, the folder's base moved past changes of others that its lists lacked, so the next publish would have reverted them in silence; pull could only overwrite. Versions in JSON differed by one from those shown. Change: publish brings the folder to the accepted version; pull merges, keeps own edits and comments, and asks about entries that both changed; diff shows values and whether publishing would be refused; a change bound to be refused is not appended; an append that only met the rate says so, an unknown outcome names the change to publish again; history, undo and check print more, with JSON. ConfigVersion is text in JSON.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use daemon::status::StatusReport;
 use feed::{HttpLog, SharedLog};
-use model::{ChangeId, ErrorKind, KindError};
+use model::{ChangeId, ConfigVersion, ErrorKind, KindError};
 use plans::{ChangeVerdict, ConfigState, StateSnapshot};
 use serde::de::DeserializeOwned;
 use ureq::Agent;
@@ -16,6 +17,10 @@
 
 /// Time for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for a daemon to reach a version that others have.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between two questions to a daemon that is behind.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(100);
 /// Largest answer in bytes.
 const MAX_ANSWER_BYTES: u64 = 64 << 20;
 
@@ -55,6 +60,26 @@
         }
     }
 
+    /// The accepted configuration, not older than `version`.
+    ///
+    /// Kinds: those of [`Self::state`]; `ConfigStale` if the daemon stays behind.
+    pub fn state_from(&self, version: ConfigVersion) -> Result<ConfigState> {
+        let started = Instant::now();
+        loop {
+            let state = self.state()?;
+            if state.base() >= version {
+                return Ok(state);
+            }
+            if started.elapsed() > CATCH_UP_TIMEOUT {
+                let (daemon, base) = (self.daemon, state.base());
+                let detail =
+                    format!("daemon {daemon} is at {base}, before {version}; ask another one");
+                return Err(KindError::new(ErrorKind::ConfigStale, detail));
+            }
+            thread::sleep(CATCH_UP_INTERVAL);
+        }
+    }
+
     /// The verdict on a change, once the daemon has folded it.
     pub fn outcome(&self, change: ChangeId) -> Result<Option<ChangeVerdict>> {
         self.get(&format!("/v1/outcome/{change}"))?.read_json_body()
--- a/crates/cli/src/cmd/check.rs
+++ b/crates/cli/src/cmd/check.rs
@@ -3,10 +3,11 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use plans::ListPair;
 use serde_json::json;
 
 use crate::config::Result;
-use crate::folder::{FolderArgs, folder_args, read_lists};
+use crate::folder::{FolderArgs, FolderContent, faulty, folder_args, read_folder};
 use crate::output::print_json;
 
 /// Arguments of `check`.
@@ -18,16 +19,39 @@
     folder: FolderArgs,
 }
 
-/// Reads both lists and counts what they hold.
+/// Tells every mistake, or counts what the lists hold.
 pub fn run(args: &CheckArgs) -> Result<ExitCode> {
-    let lists = read_lists(&args.folder.dir)?;
+    match read_folder(&args.folder.dir)? {
+        FolderContent::Sound(folder) => {
+            show_counts(&folder.lists, args.json)?;
+            Ok(ExitCode::SUCCESS)
+        }
+        FolderContent::Faulty(problems) => {
+            if args.json {
+                print_json(&json!({ "problems": problems }))?;
+            } else {
+                for problem in &problems {
+                    eprintln!("{problem}");
+                }
+            }
+            Err(faulty(&problems))
+        }
+    }
+}
+
+fn show_counts(lists: &ListPair, json: bool) -> Result<()> {
     let customers = lists.plans.customers.len();
     let services = lists.allowances.services.len();
     let plans = lists.allowances.plans.len();
-    if args.json {
-        print_json(&json!({"customers": customers, "services": services, "plans": plans}))?;
-    } else {
-        println!("in order: {customers} customers, {plans} plans, {services} services");
+    if json {
+        let counts = json!({
+            "problems": [],
+            "customers": customers,
+            "services": services,
+            "plans": plans,
+        });
+        return print_json(&counts);
     }
-    Ok(ExitCode::SUCCESS)
+    println!("in order: {customers} customers, {plans} plans, {services} services");
+    Ok(())
 }
--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -13,7 +13,7 @@
 use bpaf::Bpaf;
 use daemon::settings::NumberSettings;
 use daemon::{DaemonSettings, RunningDaemon};
-use feed::{HttpLog, LogServer, LogSettings, MemoryLog, SharedLog, serve};
+use feed::{LogServer, LogSettings, MemoryLog, serve};
 use model::{ChangeId, ConfigVersion, ErrorKind, KindError, SystemClock};
 use plans::{ChangeMeta, ChangeRecord, ListPair};
 use tokio_util::sync::CancellationToken;
@@ -22,7 +22,7 @@
 use crate::client::DaemonClient;
 use crate::config::{DaemonArgs, Result};
 use crate::demo_target::DemoTarget;
-use crate::follow::{append_change, await_force, await_verdict};
+use crate::follow::{await_force, publish_change};
 
 const DAEMON_COUNT: usize = 4;
 const DOMAINS: [&str; 2] = ["cairo-a", "cairo-b"];
@@ -173,11 +173,9 @@
             note: note.into(),
         };
         let record = ChangeRecord::between(&state, base, lists, meta)?;
-        let log: SharedLog = Arc::new(HttpLog::new(&format!("http://{}", self.log_address())));
-        append_change(&log, &record.encode()?)?;
-        let version = await_verdict(&self.client, record.id)?;
+        let (appended, version) = publish_change(&self.client, &record)?;
         println!("publish  {note}, by {author} upon version {base}");
-        let report = await_force(&self.client, record.id, version, FORCE_TIMEOUT, |_| {})?;
+        let report = await_force(&self.client, appended, version, FORCE_TIMEOUT, |_| {})?;
         println!("         {}", report.line());
         Ok(version)
     }
--- a/crates/cli/src/cmd/diff.rs
+++ b/crates/cli/src/cmd/diff.rs
@@ -1,12 +1,20 @@
 //! quetzal diff DIR: shows what publishing the folder would change.
+//!
+//! Exit codes: 0 it would be accepted as things stand, 5 it would be refused.
 
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use model::{ChangeId, ConfigVersion};
+use plans::entry::diff_entry;
+use plans::{ChangeMeta, ChangeRecord, ChangeRefusal, ConfigState, EntryEdit, ListPair};
+use serde::Serialize;
+use uuid::Uuid;
 
 use crate::client::DaemonClient;
 use crate::config::{DaemonArgs, Result, daemon_args};
-use crate::folder::{FolderArgs, folder_args, read_base, read_lists};
+use crate::folder::{FolderArgs, ListFolder, folder_args};
+use crate::follow::show_refusal;
 use crate::output::print_json;
 
 /// Arguments of `diff`.
@@ -20,30 +28,70 @@
     folder: FolderArgs,
 }
 
-/// Compares the folder with the lists that it was made from.
+/// What publishing would do.
+#[derive(Serialize)]
+struct DiffReport {
+    /// The version from which the folder was made.
+    base: ConfigVersion,
+    /// The version in force.
+    version: ConfigVersion,
+    edits: Vec<EntryEdit>,
+    /// Why it would be refused.
+    refusal: Option<ChangeRefusal>,
+}
+
+/// Compares the folder with the lists from which it was made.
 pub fn run(args: &DiffArgs) -> Result<ExitCode> {
-    let wanted = read_lists(&args.folder.dir)?;
-    let state = DaemonClient::new(&args.daemon).state()?;
-    let base = read_base(&args.folder.dir)?;
-    let edits = state.lists_at(base)?.edits_to(&wanted);
+    let folder = ListFolder::open(&args.folder.dir)?;
+    let state = DaemonClient::new(&args.daemon).state_from(folder.base)?;
+    let before = state.lists_at(folder.base)?;
+    let edits = before.edits_to(&folder.lists);
+    let report = DiffReport {
+        base: folder.base,
+        version: state.version(),
+        refusal: predict(&state, folder.base, &edits)?,
+        edits,
+    };
     if args.json {
-        print_json(&edits)?;
-        return Ok(ExitCode::SUCCESS);
+        print_json(&report)?;
+    } else {
+        print_edits(&report, &before);
     }
-    println!(
-        "upon version {base}; version {} is in force",
-        state.version()
-    );
-    for edit in &edits {
-        let verb = if edit.after.is_some() {
-            "set"
-        } else {
-            "remove"
-        };
-        println!("{verb} {}", edit.entry);
+    let Some(refusal) = &report.refusal else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    if args.json {
+        return Ok(ExitCode::from(refusal.kind.answer().exit_code));
     }
+    Err(show_refusal(refusal))
+}
+
+/// The refusal that the edits would meet now.
+fn predict(
+    state: &ConfigState,
+    base: ConfigVersion,
+    edits: &[EntryEdit],
+) -> Result<Option<ChangeRefusal>> {
     if edits.is_empty() {
-        println!("nothing would change");
+        return Ok(None);
+    }
+    let meta = ChangeMeta {
+        id: ChangeId(Uuid::nil()),
+        author: "diff".parse()?,
+        note: "".into(),
+    };
+    Ok(state.preview(&ChangeRecord::new(base, edits.to_vec(), meta)))
+}
+
+fn print_edits(report: &DiffReport, before: &ListPair) {
+    let (base, version) = (report.base, report.version);
+    println!("made from version {base}; version {version} is in force");
+    for edit in &report.edits {
+        let held = before.entry(&edit.entry);
+        let text = diff_entry(&edit.entry, held.as_ref(), edit.after.as_ref());
+        print!("{text}");
+    }
+    if report.edits.is_empty() {
+        println!("nothing to publish");
     }
-    Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/cmd/history.rs
+++ b/crates/cli/src/cmd/history.rs
@@ -3,44 +3,95 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use model::{AuthorName, ChangeId, ConfigVersion};
+use plans::{AcceptedChange, ConfigState};
+use serde::Serialize;
 
 use crate::client::DaemonClient;
 use crate::config::{DaemonArgs, Result, daemon_args};
 use crate::output::print_json;
 
+/// Entries named on one line.
+const MAX_NAMED: usize = 3;
+
 /// Arguments of `history`.
 #[derive(Bpaf, Clone, Debug)]
 pub struct HistoryArgs {
     #[bpaf(external(daemon_args))]
     daemon: DaemonArgs,
+    /// Changes to list
+    #[bpaf(short('n'), long, argument("COUNT"), fallback(20), display_fallback)]
+    limit: usize,
     /// Show what each change did
-    #[bpaf(short('p'))]
+    #[bpaf(short('p'), long)]
     patch: bool,
     /// Print JSON
     json: bool,
 }
 
+/// An accepted change.
+#[derive(Serialize)]
+struct HistoryRow {
+    version: ConfigVersion,
+    change: ChangeId,
+    at: String,
+    author: AuthorName,
+    note: Box<str>,
+    entries: Vec<String>,
+    /// What the change did, if asked for.
+    diff: Option<String>,
+}
+
+impl HistoryRow {
+    fn new(state: &ConfigState, change: &AcceptedChange, patch: bool) -> Self {
+        let entries = change.before.iter().map(|edit| edit.entry.to_string());
+        let diff = patch.then(|| state.diff_of(change.version).unwrap_or_default());
+        Self {
+            version: change.version,
+            change: change.id,
+            at: humantime::format_rfc3339_seconds(change.at).to_string(),
+            author: change.author.clone(),
+            note: change.note.clone(),
+            entries: entries.collect(),
+            diff,
+        }
+    }
+
+    fn print(&self) {
+        let version = self.version.to_string();
+        let (at, author, note) = (&self.at, &self.author, &self.note);
+        println!("{version:>6}  {at}  {author}  {note}");
+        if let Some(diff) = &self.diff {
+            for line in diff.lines() {
+                println!("        {line}");
+            }
+            return;
+        }
+        for entry in self.entries.iter().take(MAX_NAMED) {
+            println!("        {entry}");
+        }
+        if self.entries.len() > MAX_NAMED {
+            println!("        and {} more", self.entries.len() - MAX_NAMED);
+        }
+    }
+}
+
 /// Prints the changes, newest first.
 pub fn run(args: &HistoryArgs) -> Result<ExitCode> {
     let state = DaemonClient::new(&args.daemon).state()?;
+    let changes = state.history().rev().take(args.limit);
+    let rows: Vec<HistoryRow> = changes
+        .map(|change| HistoryRow::new(&state, change, args.patch))
+        .collect();
     if args.json {
-        let changes: Vec<_> = state.history().rev().collect();
-        print_json(&changes)?;
+        print_json(&rows)?;
         return Ok(ExitCode::SUCCESS);
     }
-    for change in state.history().rev() {
-        let at = humantime::format_rfc3339_seconds(change.at);
-        println!(
-            "{:>6}  {at}  {}  {}",
-            change.version.to_string(),
-            change.author,
-            change.note
-        );
-        if args.patch {
-            for line in state.diff_of(change.version).unwrap_or_default().lines() {
-                println!("        {line}");
-            }
-        }
+    for row in &rows {
+        row.print();
+    }
+    if rows.is_empty() {
+        println!("nothing was published yet");
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/cmd/init.rs
+++ b/crates/cli/src/cmd/init.rs
@@ -24,9 +24,8 @@
     }
     let (plans, allowances) = plans::lists::template();
     write_texts(dir, &plans, &allowances)?;
-    println!(
-        "wrote plans.jsonc and allowances.jsonc to {}",
-        dir.display()
-    );
+    let dir = dir.display();
+    println!("wrote plans.jsonc and allowances.jsonc to {dir}");
+    println!("edit them, then: quetzal check {dir} && quetzal publish {dir}");
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/cmd/publish.rs
+++ b/crates/cli/src/cmd/publish.rs
@@ -2,20 +2,22 @@
 //! are in force.
 //!
 //! Exit codes: 0 in force everywhere, 2 mistakes in the lists, 5 refused,
-//! 6 accepted but not yet everywhere, 7 unknown whether accepted.
+//! 6 accepted but not yet everywhere, 7 unknown whether accepted, 8 the log
+//! service took nothing.
 
 use std::process::ExitCode;
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use model::ChangeId;
+use model::{ChangeId, ConfigVersion};
 use plans::{ChangeMeta, ChangeRecord};
+use serde_json::json;
 use uuid::Uuid;
 
 use crate::client::DaemonClient;
 use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
-use crate::folder::{FolderArgs, folder_args, read_base, read_lists, write_base};
-use crate::follow::{FollowReport, append_change, await_force, await_verdict};
+use crate::folder::{FolderArgs, ListFolder, folder_args};
+use crate::follow::{await_force, publish_change, show_refusal};
 use crate::output::print_json;
 
 /// Arguments of `publish`.
@@ -39,51 +41,53 @@
 
 /// Publishes and follows.
 pub fn run(args: &PublishArgs) -> Result<ExitCode> {
-    let dir = &args.folder.dir;
-    let wanted = read_lists(dir)?;
+    let folder = ListFolder::open(&args.folder.dir)?;
     let client = DaemonClient::new(&args.daemon);
-    let state = client.state()?;
-    let base = read_base(dir)?;
+    let state = client.state_from(folder.base)?;
     let meta = ChangeMeta {
         id: args.change.unwrap_or_else(|| ChangeId(Uuid::now_v7())),
         author: args.author.author()?,
         note: args.author.note.as_str().into(),
     };
-    let author = meta.author.clone();
-    let record = ChangeRecord::between(&state, base, &wanted, meta)?;
-    if record.edits.is_empty() {
-        println!(
-            "nothing to publish: version {} holds it already",
-            state.version()
-        );
-        return Ok(ExitCode::SUCCESS);
+    let change = ChangeRecord::between(&state, folder.base, &folder.lists, meta)?;
+    if change.edits.is_empty() {
+        return say_nothing_to_do(state.version(), args.json);
+    }
+    // What is bound to be refused need not use up the log.
+    if let Some(refusal) = state.preview(&change) {
+        return Err(show_refusal(&refusal));
     }
     if !args.json {
-        println!("change {} by {author} upon version {base}", record.id);
+        let (id, author, base) = (change.id, &change.author, folder.base);
+        println!("change {id} by {author} upon version {base}");
     }
-    append_change(&client.log()?, &record.encode()?)?;
-    let version = await_verdict(&client, record.id)?;
-    write_base(dir, version)?;
+    let (appended, version) = publish_change(&client, &change)?;
+    catch_up(&client, &folder, version)?;
     let wait = Duration::from_secs(args.wait);
-    let report = await_force(&client, record.id, version, wait, |report| {
+    let report = await_force(&client, appended, version, wait, |report| {
         if !args.json {
             println!("{}", report.line());
         }
     })?;
-    show(&report, args.json)?;
+    report.show(args.json)?;
     Ok(report.exit_code())
 }
 
-/// Prints how far a change got.
-pub fn show(report: &FollowReport, json: bool) -> Result<()> {
+/// Brings the folder to the accepted version, with what others changed before it.
+///
+/// Without this the next change would be made upon lists that lack the others'
+/// changes, and take them back.
+fn catch_up(client: &DaemonClient, folder: &ListFolder, version: ConfigVersion) -> Result<()> {
+    let state = client.state_from(version)?;
+    let lists = state.lists_at(version)?;
+    folder.update(&lists, version)
+}
+
+fn say_nothing_to_do(version: ConfigVersion, json: bool) -> Result<ExitCode> {
     if json {
-        return print_json(report);
-    }
-    println!("{}", report.line());
-    if !report.is_everywhere() {
-        for line in &report.lagging {
-            println!("  {line}");
-        }
+        print_json(&json!({ "version": version, "edits": 0 }))?;
+    } else {
+        println!("nothing to publish; version {version} is in force");
     }
-    Ok(())
+    Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/cmd/pull.rs
+++ b/crates/cli/src/cmd/pull.rs
@@ -1,40 +1,112 @@
-//! quetzal pull DIR: fetches the accepted lists.
+//! quetzal pull DIR: brings what was accepted into the folder.
+//!
+//! Edits of the folder that were not published stay, and so do its comments.
+//! Where the folder and another author changed one entry, nothing is written
+//! until the operator says whose value it shall be.
+//!
+//! Exit codes: 0 the folder is up to date, 5 entries were changed by both.
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
 use model::{ErrorKind, KindError};
+use plans::merge::{EntryClash, ListMerge, merge_lists};
+use plans::{ConfigState, EntryEdit, ListPair};
 
 use crate::client::DaemonClient;
 use crate::config::{DaemonArgs, Result, daemon_args};
-use crate::folder::{FolderArgs, folder_args, has_lists, read_base, read_lists, write_lists};
+use crate::folder::{FolderArgs, ListFolder, create_lists, folder_args, has_lists};
 
 /// Arguments of `pull`.
 #[derive(Bpaf, Clone, Debug)]
 pub struct PullArgs {
     #[bpaf(external(daemon_args))]
     daemon: DaemonArgs,
-    /// Overwrite edits in the folder that were not published
-    force: bool,
+    #[bpaf(external(clash_choice), optional)]
+    choice: Option<ClashChoice>,
     #[bpaf(external(folder_args))]
     folder: FolderArgs,
 }
 
-/// Writes the accepted lists, unless that would lose edits.
+/// Whose value an entry gets that both changed.
+#[derive(Bpaf, Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClashChoice {
+    /// Keep the folder's value of entries that others changed too
+    Mine,
+    /// Take the accepted value of entries that the folder changed too
+    Theirs,
+    /// Take the accepted lists whole; edits that were not published are lost
+    Force,
+}
+
+/// Merges the accepted lists into the folder.
 pub fn run(args: &PullArgs) -> Result<ExitCode> {
     let dir = &args.folder.dir;
     let state = DaemonClient::new(&args.daemon).state()?;
-    if has_lists(dir) && !args.force {
-        let base = read_base(dir)?;
-        let kept = state
-            .lists_at(base)
-            .is_ok_and(|lists| read_lists(dir).is_ok_and(|found| found == lists));
-        if !kept {
-            let detail = "the folder holds edits that were not published; use --force to lose them";
-            return Err(KindError::new(ErrorKind::RequestInvalid, detail));
-        }
-    }
-    write_lists(dir, state.lists(), state.base())?;
+    if state.version().offset().is_none() {
+        let detail = "nothing was published yet; begin with quetzal init DIR";
+        return Err(KindError::new(ErrorKind::ConfigAbsent, detail));
+    }
+    if !has_lists(dir) || args.choice == Some(ClashChoice::Force) {
+        create_lists(dir, state.lists(), state.base())?;
+        return Ok(finish(dir, &state));
+    }
+    let folder = ListFolder::open(dir)?;
+    let merge = merge_folder(&folder, &state)?;
+    if args.choice.is_none() && !merge.clashes.is_empty() {
+        return Err(show_clashes(&merge.clashes));
+    }
+    let lists = settle(&merge, args.choice);
+    folder.update(&lists, state.base())?;
+    for edit in &merge.taken {
+        println!("took {}", edit.entry);
+    }
+    for edit in state.lists().edits_to(&lists) {
+        println!("not published: {}", edit.entry);
+    }
+    Ok(finish(dir, &state))
+}
+
+/// Merges by the lists from which the folder was made, as far as they are remembered.
+fn merge_folder(folder: &ListFolder, state: &ConfigState) -> Result<ListMerge> {
+    let base = if folder.lists == *state.lists() {
+        state.lists().clone()
+    } else {
+        state.lists_at(folder.base).map_err(|error| {
+            let advice = "--force takes the accepted lists and loses the folder's edits";
+            KindError::new(error.kind, format!("{}; {advice}", error.detail))
+        })?
+    };
+    Ok(merge_lists(&base, &folder.lists, state.lists()))
+}
+
+/// The merged lists with the chosen values for clashes.
+fn settle(merge: &ListMerge, choice: Option<ClashChoice>) -> ListPair {
+    let mut lists = merge.lists.clone();
+    if choice != Some(ClashChoice::Theirs) {
+        return lists;
+    }
+    for clash in &merge.clashes {
+        lists.set_entry(&EntryEdit {
+            entry: clash.entry.clone(),
+            after: clash.accepted.clone(),
+        });
+    }
+    lists
+}
+
+fn show_clashes(clashes: &[EntryClash]) -> KindError {
+    eprintln!("accepted (-) and in the folder (+):");
+    for clash in clashes {
+        eprint!("{}", clash.diff());
+    }
+    let count = clashes.len();
+    let detail = format!("{count} entries were changed by both; pull with --mine or --theirs");
+    KindError::new(ErrorKind::ChangeConflict, detail)
+}
+
+fn finish(dir: &Path, state: &ConfigState) -> ExitCode {
     println!("version {} is in {}", state.version(), dir.display());
-    Ok(ExitCode::SUCCESS)
+    ExitCode::SUCCESS
 }
--- a/crates/cli/src/cmd/undo.rs
+++ b/crates/cli/src/cmd/undo.rs
@@ -1,4 +1,7 @@
 //! quetzal undo VERSION: takes one accepted version back, as a new version.
+//!
+//! Refused if another change of the same entries came since. Exit codes are
+//! those of `publish`.
 
 use std::process::ExitCode;
 use std::time::Duration;
@@ -9,9 +12,8 @@
 use uuid::Uuid;
 
 use crate::client::DaemonClient;
-use crate::cmd::publish::show;
 use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
-use crate::follow::{append_change, await_force, await_verdict};
+use crate::follow::{await_force, publish_change, show_refusal};
 
 /// Arguments of `undo`.
 #[derive(Bpaf, Clone, Debug)]
@@ -23,6 +25,9 @@
     /// Seconds to wait until the change is in force everywhere
     #[bpaf(argument("SECONDS"), fallback(15), display_fallback)]
     wait: u64,
+    /// Identity of an undo whose outcome is unknown, to publish it again
+    #[bpaf(argument("ID"), optional)]
+    change: Option<ChangeId>,
     /// Print JSON
     json: bool,
     /// Version to take back
@@ -33,21 +38,29 @@
 /// Publishes the change that takes the version back.
 pub fn run(args: &UndoArgs) -> Result<ExitCode> {
     let client = DaemonClient::new(&args.daemon);
-    let state = client.state()?;
+    let state = client.state_from(args.version)?;
     let note = match args.author.note.as_str() {
         "" => format!("undo of version {}", args.version),
         note => note.to_owned(),
     };
     let meta = ChangeMeta {
-        id: ChangeId(Uuid::now_v7()),
+        id: args.change.unwrap_or_else(|| ChangeId(Uuid::now_v7())),
         author: args.author.author()?,
         note: note.into(),
     };
-    let record = state.undo(args.version, meta)?;
-    append_change(&client.log()?, &record.encode()?)?;
-    let version = await_verdict(&client, record.id)?;
+    let change = state.undo(args.version, meta)?;
+    if let Some(refusal) = state.preview(&change) {
+        return Err(show_refusal(&refusal));
+    }
+    if !args.json {
+        println!("change {} by {}: {}", change.id, change.author, change.note);
+        for edit in &change.edits {
+            println!("  {}", edit.entry);
+        }
+    }
+    let (appended, version) = publish_change(&client, &change)?;
     let wait = Duration::from_secs(args.wait);
-    let report = await_force(&client, record.id, version, wait, |_| {})?;
-    show(&report, args.json)?;
+    let report = await_force(&client, appended, version, wait, |_| {})?;
+    report.show(args.json)?;
     Ok(report.exit_code())
 }
--- a/crates/cli/src/folder.rs
+++ b/crates/cli/src/folder.rs
@@ -1,16 +1,20 @@
-//! The folder with the two lists and the version that they were pulled at.
+//! The folder with the two lists and the version that they were made from.
+//!
+//! Files are replaced whole, by renaming, and the version is written last: a
+//! command that dies in between leaves lists that are newer than their
+//! version, and publishing those changes nothing twice.
 
 use std::fs;
 use std::path::{Path, PathBuf};
 
 use bpaf::Bpaf;
 use model::{ConfigVersion, ErrorKind, KindError};
-use plans::ListPair;
 use plans::lists::{ALLOWANCES_FILE, PLANS_FILE};
+use plans::{ListPair, ListProblem};
 
 use crate::config::Result;
 
-/// File that remembers the version that the lists were last equal to.
+/// File that names the version from which the lists were made.
 const BASE_FILE: &str = ".quetzal-base";
 
 /// The folder with the two lists.
@@ -21,21 +25,85 @@
     pub dir: PathBuf,
 }
 
-/// Reads both lists; prints every mistake and fails if there is one.
-pub fn read_lists(dir: &Path) -> Result<ListPair> {
-    let plans = read(&dir.join(PLANS_FILE))?;
-    let allowances = read(&dir.join(ALLOWANCES_FILE))?;
-    ListPair::parse(&plans, &allowances).map_err(|problems| {
-        for problem in &problems {
-            eprintln!("{problem}");
+/// A folder as it was read.
+#[derive(Clone, Debug)]
+pub struct ListFolder {
+    /// The lists.
+    pub lists: ListPair,
+    /// The version from which they were made.
+    pub base: ConfigVersion,
+    dir: PathBuf,
+    plans_text: String,
+    allowances_text: String,
+}
+
+/// What reading a folder found.
+#[derive(Clone, Debug)]
+pub enum FolderContent {
+    /// Both lists are in order.
+    Sound(Box<ListFolder>),
+    /// Every mistake.
+    Faulty(Vec<ListProblem>),
+}
+
+impl ListFolder {
+    /// Reads both lists; prints every mistake and fails if there is one.
+    pub fn open(dir: &Path) -> Result<Self> {
+        match read_folder(dir)? {
+            FolderContent::Sound(folder) => Ok(*folder),
+            FolderContent::Faulty(problems) => {
+                for problem in &problems {
+                    eprintln!("{problem}");
+                }
+                Err(faulty(&problems))
+            }
         }
-        let count = problems.len();
-        KindError::new(ErrorKind::ListInvalid, format!("{count} mistakes"))
-    })
+    }
+
+    /// Changes the files to hold `lists`, keeping their comments.
+    pub fn update(&self, lists: &ListPair, base: ConfigVersion) -> Result<()> {
+        let (plans, allowances) = lists.rewrite(&self.plans_text, &self.allowances_text);
+        if plans != self.plans_text || allowances != self.allowances_text {
+            write_texts(&self.dir, &plans, &allowances)?;
+        }
+        write_base(&self.dir, base)
+    }
+}
+
+/// Reads both lists and the version from which they were made.
+pub fn read_folder(dir: &Path) -> Result<FolderContent> {
+    let plans_text = read(&dir.join(PLANS_FILE))?;
+    let allowances_text = read(&dir.join(ALLOWANCES_FILE))?;
+    let base = read_base(dir)?;
+    let lists = match ListPair::parse(&plans_text, &allowances_text) {
+        Ok(lists) => lists,
+        Err(problems) => return Ok(FolderContent::Faulty(problems)),
+    };
+    Ok(FolderContent::Sound(Box::new(ListFolder {
+        lists,
+        base,
+        dir: dir.to_owned(),
+        plans_text,
+        allowances_text,
+    })))
+}
+
+/// The error for lists with mistakes.
+pub fn faulty(problems: &[ListProblem]) -> KindError {
+    let detail = match problems.len() {
+        1 => "1 mistake in the lists".to_owned(),
+        count => format!("{count} mistakes in the lists"),
+    };
+    KindError::new(ErrorKind::ListInvalid, detail)
+}
+
+/// Whether the folder holds one of the lists already.
+pub fn has_lists(dir: &Path) -> bool {
+    dir.join(PLANS_FILE).exists() || dir.join(ALLOWANCES_FILE).exists()
 }
 
-/// Writes both lists and remembers the version that they are equal to.
-pub fn write_lists(dir: &Path, lists: &ListPair, base: ConfigVersion) -> Result<()> {
+/// Makes the folder with lists that equal the version `base`.
+pub fn create_lists(dir: &Path, lists: &ListPair, base: ConfigVersion) -> Result<()> {
     let (plans, allowances) = lists.render();
     write_texts(dir, &plans, &allowances)?;
     write_base(dir, base)
@@ -48,22 +116,24 @@
     write(&dir.join(ALLOWANCES_FILE), allowances)
 }
 
-/// Whether the folder holds one of the lists already.
-pub fn has_lists(dir: &Path) -> bool {
-    dir.join(PLANS_FILE).exists() || dir.join(ALLOWANCES_FILE).exists()
-}
-
-/// The version that the lists were last equal to; none for a new folder.
-pub fn read_base(dir: &Path) -> Result<ConfigVersion> {
+/// The version from which the lists were made; none for a new folder.
+fn read_base(dir: &Path) -> Result<ConfigVersion> {
     let file = dir.join(BASE_FILE);
     if !file.exists() {
         return Ok(ConfigVersion::NONE);
     }
-    read(&file)?.trim().parse()
+    let text = read(&file)?;
+    text.trim().parse().map_err(|error: KindError| {
+        let detail = format!(
+            "{}: {}; pull again with --force",
+            file.display(),
+            error.detail
+        );
+        KindError::new(ErrorKind::LocalFailed, detail)
+    })
 }
 
-/// Remembers the version that the lists are equal to.
-pub fn write_base(dir: &Path, base: ConfigVersion) -> Result<()> {
+fn write_base(dir: &Path, base: ConfigVersion) -> Result<()> {
     write(&dir.join(BASE_FILE), &format!("{base}\n"))
 }
 
@@ -71,13 +141,14 @@
     fs::read_to_string(file).map_err(|error| failed(file, &error))
 }
 
+/// Replaces a file whole.
 fn write(file: &Path, text: &str) -> Result<()> {
-    fs::write(file, text).map_err(|error| failed(file, &error))
+    let draft = file.with_extension("quetzal-draft");
+    fs::write(&draft, text).map_err(|error| failed(&draft, &error))?;
+    fs::rename(&draft, file).map_err(|error| failed(file, &error))
 }
 
 fn failed(file: &Path, error: &std::io::Error) -> KindError {
-    KindError::new(
-        ErrorKind::LocalFailed,
-        format!("{}: {error}", file.display()),
-    )
+    let detail = format!("{}: {error}", file.display());
+    KindError::new(ErrorKind::LocalFailed, detail)
 }
--- a/crates/cli/src/follow.rs
+++ b/crates/cli/src/follow.rs
@@ -6,16 +6,17 @@
 
 use feed::SharedLog;
 use model::{ChangeId, ConfigVersion, ErrorKind, KindError};
-use plans::{ChangeRefusal, ChangeVerdict};
+use plans::{ChangeRecord, ChangeRefusal, ChangeVerdict};
 use serde::Serialize;
 
 use crate::client::DaemonClient;
 use crate::config::Result;
+use crate::output::print_json;
 
 /// Stream of the operators' changes.
 const CONFIG_STREAM: &str = "config";
 /// Tries of an append whose answer does not come; the change counts once.
-const APPEND_TRIES: u32 = 4;
+const APPEND_TRIES: u32 = 5;
 /// Time between two questions to the daemon.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two lines of progress.
@@ -62,24 +63,76 @@
             self.version, self.in_force, self.proxies
         )
     }
+
+    /// Prints how far the change got.
+    pub fn show(&self, json: bool) -> Result<()> {
+        if json {
+            return print_json(self);
+        }
+        println!("{}", self.line());
+        for line in &self.lagging {
+            println!("  {line}");
+        }
+        Ok(())
+    }
+}
+
+/// A change that was appended.
+#[derive(Clone, Copy, Debug)]
+pub struct AppendedChange {
+    /// The change.
+    pub id: ChangeId,
+    /// When its append began.
+    pub since: Instant,
+}
+
+/// Appends a change and waits for its verdict.
+///
+/// Kinds: those of a refusal; `ChangeUnknown`, `LogOverRate`, `RequestInvalid`.
+pub fn publish_change(
+    client: &DaemonClient,
+    change: &ChangeRecord,
+) -> Result<(AppendedChange, ConfigVersion)> {
+    let appended = AppendedChange {
+        id: change.id,
+        since: Instant::now(),
+    };
+    append_change(&client.log()?, &change.encode()?)
+        .and_then(|()| await_verdict(client, change.id))
+        .map(|version| (appended, version))
+        .map_err(|error| name_change(error, change.id))
+}
+
+/// Tells how to publish a change again whose outcome is unknown.
+fn name_change(error: KindError, id: ChangeId) -> KindError {
+    if error.kind != ErrorKind::ChangeUnknown {
+        return error;
+    }
+    let detail = format!("{}; publish again with --change {id}", error.detail);
+    KindError::new(error.kind, detail)
 }
 
 /// Appends a change; an answer that is lost is asked for again.
 ///
-/// Kinds: `ChangeUnknown`, `LogOverRate`.
+/// Kinds: `ChangeUnknown`, `LogOverRate` (nothing was appended), `RequestInvalid`.
 pub fn append_change(log: &SharedLog, body: &[u8]) -> Result<()> {
     let stream = CONFIG_STREAM.parse()?;
-    let mut last = None;
+    let mut lost = None;
+    let mut refused = None;
     for attempt in 0..APPEND_TRIES {
         match log.append(&stream, body) {
             Ok(_) => return Ok(()),
             Err(error) if error.kind == ErrorKind::RequestInvalid => return Err(error),
-            Err(error) => last = Some(error),
+            Err(error) if error.kind == ErrorKind::LogOverRate => refused = Some(error),
+            Err(error) => lost = Some(error),
         }
         thread::sleep(POLL_INTERVAL * 2_u32.pow(attempt + 1));
     }
-    let detail = last.map_or_else(String::new, |error| error.to_string());
-    Err(KindError::new(ErrorKind::ChangeUnknown, detail))
+    match (lost, refused) {
+        (Some(error), _) => Err(KindError::new(ErrorKind::ChangeUnknown, error.to_string())),
+        (None, Some(error)) => Err(error),
+        (None, None) => Ok(()),
+    }
 }
 
 /// Waits for the verdict on an appended change.
@@ -87,62 +140,71 @@
 /// Kinds: `ChangeConflict`, `ChangeRefused`, `ListInvalid`, `ChangeUnknown`.
 pub fn await_verdict(client: &DaemonClient, change: ChangeId) -> Result<ConfigVersion> {
     let started = Instant::now();
-    loop {
+    while started.elapsed() < VERDICT_TIMEOUT {
         match client.outcome(change) {
             Ok(Some(
                 ChangeVerdict::Accepted { version } | ChangeVerdict::Repeated { of: version },
-            )) => {
-                return Ok(version);
-            }
+            )) => return Ok(version),
             Ok(Some(ChangeVerdict::Refused(refusal))) => return Err(show_refusal(&refusal)),
-            Ok(Some(ChangeVerdict::Ignored) | None) | Err(_) => {}
-        }
-        if started.elapsed() > VERDICT_TIMEOUT {
-            let detail = format!("change {change} was appended but not judged yet");
-            return Err(KindError::new(ErrorKind::ChangeUnknown, detail));
+            // The daemon may be away for a moment, or not have read the change yet.
+            Ok(Some(ChangeVerdict::Ignored) | None) | Err(_) => thread::sleep(POLL_INTERVAL),
         }
-        thread::sleep(POLL_INTERVAL);
     }
+    let detail = "the change was appended, but the daemon has not judged it yet";
+    Err(KindError::new(ErrorKind::ChangeUnknown, detail))
 }
 
 /// Follows a version until it is in force on every proxy or `wait` is over.
 pub fn await_force(
     client: &DaemonClient,
-    change: ChangeId,
+    change: AppendedChange,
     version: ConfigVersion,
     wait: Duration,
     progress: impl Fn(&FollowReport),
 ) -> Result<FollowReport> {
-    let started = Instant::now();
-    let mut shown = started;
+    let mut shown = change.since;
     loop {
-        let status = client.status()?;
-        let report = FollowReport {
-            change,
-            version,
-            in_force: status.fleet.in_force(version),
-            proxies: status.fleet.members,
-            elapsed_ms: started.elapsed().as_millis() as u64,
-            lagging: status.fleet.lagging_lines(version),
-        };
-        if report.is_everywhere() || started.elapsed() > wait {
-            return Ok(report);
-        }
-        if shown.elapsed() > PROGRESS_INTERVAL {
-            shown = Instant::now();
-            progress(&report);
+        let asked = report_force(client, change, version);
+        let over = change.since.elapsed() > wait;
+        match asked {
+            Ok(report) if report.is_everywhere() || over => return Ok(report),
+            Ok(report) if shown.elapsed() > PROGRESS_INTERVAL => {
+                shown = Instant::now();
+                progress(&report);
+            }
+            // The change is accepted; a daemon that is away for a moment takes nothing back.
+            Err(error) if over => {
+                let detail = format!("version {version} is accepted; {error}");
+                return Err(KindError::new(ErrorKind::NotEverywhere, detail));
+            }
+            Ok(_) | Err(_) => {}
         }
         thread::sleep(POLL_INTERVAL);
     }
 }
 
-fn show_refusal(refusal: &ChangeRefusal) -> KindError {
+fn report_force(
+    client: &DaemonClient,
+    change: AppendedChange,
+    version: ConfigVersion,
+) -> Result<FollowReport> {
+    let fleet = client.status()?.fleet;
+    Ok(FollowReport {
+        change: change.id,
+        version,
+        in_force: fleet.in_force(version),
+        proxies: fleet.members,
+        elapsed_ms: change.since.elapsed().as_millis() as u64,
+        lagging: fleet.lagging_lines(version),
+    })
+}
+
+/// Prints the other author's change; gives the error that tells the reason.
+pub fn show_refusal(refusal: &ChangeRefusal) -> KindError {
     if let Some(conflict) = &refusal.conflict {
-        eprintln!(
-            "{} changed the same entry in version {}:",
-            conflict.author, conflict.version
-        );
-        eprintln!("{}", conflict.diff);
+        let (author, version) = (&conflict.author, conflict.version);
+        eprintln!("{author} changed the same in version {version}:");
+        eprintln!("{}", conflict.diff.trim_end());
     }
     KindError::new(refusal.kind, refusal.reason.clone())
 }
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use derive_more::{AsRef, Deref, Display, From, FromStr, Into};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
 use crate::error::{ErrorKind, KindError};
 
@@ -172,11 +172,9 @@
 
 /// The version of a configuration: the offset of the change that made it.
 ///
-/// Ordered; [`ConfigVersion::NONE`], before any change, is the lowest.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
-#[serde(transparent)]
+/// Ordered; [`ConfigVersion::NONE`], before any change, is the lowest. In JSON
+/// it is the text that operators see.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ConfigVersion(u64);
 
 impl ConfigVersion {
@@ -203,6 +201,25 @@
     }
 }
 
+impl Serialize for ConfigVersion {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        self.0.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for ConfigVersion {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return Deserialize::deserialize(deserializer).map(Self);
+        }
+        let text = Box::<str>::deserialize(deserializer)?;
+        text.parse().map_err(de::Error::custom)
+    }
+}
+
 impl FromStr for ConfigVersion {
     type Err = KindError;
 
--- a/crates/plans/src/change.rs
+++ b/crates/plans/src/change.rs
@@ -11,7 +11,7 @@
 use model::{AuthorName, ChangeId, ConfigVersion, ErrorKind, KindError, ensure};
 use serde::{Deserialize, Serialize};
 
-use crate::entry::{EntryEdit, EntryName, EntryValue};
+use crate::entry::EntryEdit;
 use crate::lists::ListPair;
 use crate::state::ConfigState;
 
@@ -49,7 +49,6 @@
     /// Who publishes.
     pub author: AuthorName,
     /// The last record that the author had seen.
-    #[serde(with = "version_text")]
     pub base: ConfigVersion,
     /// Why, in one line.
     pub note: Box<str>,
@@ -68,10 +67,8 @@
     /// Who publishes.
     pub author: AuthorName,
     /// The last record of this log that the author had seen.
-    #[serde(with = "version_text")]
     pub base: ConfigVersion,
     /// The version that the record makes; above every version known to any daemon.
-    #[serde(with = "version_text")]
     pub version: ConfigVersion,
     /// Why, in one line.
     pub note: Box<str>,
@@ -284,35 +281,3 @@
 fn refused(detail: String) -> KindError {
     KindError::new(ErrorKind::ChangeRefused, detail)
 }
-
-/// Versions in JSON, written as operators see them.
-mod version_text {
-    use model::ConfigVersion;
-    use serde::{Deserialize, Deserializer, Serializer, de};
-
-    #[allow(
-        clippy::trivially_copy_pass_by_ref,
-        reason = "serde passes the field by reference"
-    )]
-    pub fn serialize<S: Serializer>(
-        version: &ConfigVersion,
-        serializer: S,
-    ) -> Result<S::Ok, S::Error> {
-        serializer.collect_str(version)
-    }
-
-    pub fn deserialize<'de, D: Deserializer<'de>>(
-        deserializer: D,
-    ) -> Result<ConfigVersion, D::Error> {
-        let text = Box::<str>::deserialize(deserializer)?;
-        text.parse().map_err(de::Error::custom)
-    }
-}
-
-/// Values of the entries named by edits, for callers that build them by hand.
-pub fn edit(entry: EntryName, after: impl Into<Option<EntryValue>>) -> EntryEdit {
-    EntryEdit {
-        entry,
-        after: after.into(),
-    }
-}
--- a/crates/plans/src/lib.rs
+++ b/crates/plans/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod head;
 pub mod history;
 pub mod lists;
+pub mod merge;
 mod parse;
 pub mod reader;
 pub mod recovery;
--- a/crates/plans/src/lists.rs
+++ b/crates/plans/src/lists.rs
@@ -26,7 +26,7 @@
 pub type Result<T> = std::result::Result<T, Vec<ListProblem>>;
 
 /// One mistake in a list.
-#[derive(Clone, Debug, Display, Eq, Error, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Display, Eq, Error, Ord, PartialEq, PartialOrd, Serialize)]
 #[display("{file}:{line}:{column}: {message}")]
 pub struct ListProblem {
     /// Name of the file.
--- a/crates/plans/src/state/judge.rs
+++ b/crates/plans/src/state/judge.rs
@@ -52,6 +52,17 @@
         Ok((Some(id), decision))
     }
 
+    /// The refusal that a change would meet if nothing came before it.
+    pub fn preview(&self, change: &ChangeRecord) -> Option<ChangeRefusal> {
+        if self.history.known_outcome(change.id).is_some() {
+            return None;
+        }
+        match self.judge_change(change.clone()) {
+            RecordDecision::Refuse(refusal) => Some(refusal),
+            _ => None,
+        }
+    }
+
     /// Reads a record under the rules permitted so far, whatever this release knows.
     fn decode(&self, body: &[u8]) -> Result<StreamRecord> {
         let rules = StreamRecord::rules_of(body)?;
--- a/crates/plans/tests/sessions.rs
+++ b/crates/plans/tests/sessions.rs
@@ -6,6 +6,7 @@
 
 use model::{ConfigVersion, LogOffset};
 use quetzal_plans::change::RULES_VERSION;
+use quetzal_plans::merge::merge_lists;
 use quetzal_plans::{
     ChangeRecord, ChangeVerdict, ConfigState, ListPair, LogRecovery, RebaseRecord, RulesRecord,
     StreamRecord,
@@ -226,6 +227,37 @@
     assert_eq!(rate, set_rate("gold", "deals", 80).after);
 }
 
+#[test]
+fn a_folder_takes_what_others_changed_and_keeps_its_edits() {
+    let base = template_pair();
+    let with = |edits: &[quetzal_plans::EntryEdit]| {
+        let mut lists = base.clone();
+        for edit in edits {
+            lists.set_entry(edit);
+        }
+        lists
+    };
+    let rate = |rate| set_rate("gold", "deals", rate);
+    let own_edits = [
+        rate(60),
+        hold_plan("agency-new", Some("gold")),
+        set_rate("gold", "studio", 9),
+    ];
+    let other_edits = [
+        rate(80),
+        hold_plan("agency-tarek", None),
+        set_rate("gold", "studio", 9),
+    ];
+    let merge = merge_lists(&base, &with(&own_edits), &with(&other_edits));
+    assert_eq!(merge.taken, [hold_plan("agency-tarek", None)]);
+    assert_eq!(merge.kept, [hold_plan("agency-new", Some("gold"))]);
+    let clashes: Vec<_> = merge.clashes.iter().map(|clash| &clash.entry).collect();
+    assert_eq!(clashes, [&rate(0).entry]);
+    assert_eq!(merge.lists.entry(&rate(0).entry), rate(60).after);
+    let unchanged = merge_lists(&base, &base, &with(&other_edits));
+    assert_eq!(unchanged.lists, with(&other_edits));
+}
+
 #[test]
 fn a_rebase_goes_on_with_a_log_that_began_anew() {
     let mut old = template_log();
