--- a/crates/once/src/home/book.rs
+++ b/crates/once/src/home/book.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use model::ErrorKind;
+use model::{ByteCount, ErrorKind};
 use serde::{Deserialize, Serialize};
 
 use super::entry::{KeyEntry, KeyState};
@@ -206,6 +206,14 @@
         Some(Settled::Kept)
     }
 
+    /// Memory of the table of keys.
+    pub fn memory(&self) -> ByteCount {
+        // A table of power-of-two size, filled to 7/8, with a control byte a slot.
+        let slots = (self.entries.capacity() * 8).div_ceil(7);
+        let slot = size_of::<(KeyDigest, KeyEntry)>() + 1;
+        ByteCount((slots * slot) as u64)
+    }
+
     /// Raises the floor by `window` behind the clock and forgets what lies below it.
     ///
     /// `untimed_floor` is the arrival below which keys without a time go.
--- a/crates/once/src/home/keys.rs
+++ b/crates/once/src/home/keys.rs
@@ -36,7 +36,7 @@
         Self {
             window: Duration::from_secs(300),
             max_keys: 114_688,
-            answer_budget: ByteCount(8 << 20),
+            answer_budget: ByteCount(4 << 20),
             largest_answer: ByteCount(64 << 10),
             drift_permille: 5,
         }
@@ -52,6 +52,8 @@
     pub running: usize,
     /// Memory of the answers held.
     pub answers: ByteCount,
+    /// Memory of the tables of keys.
+    pub tables: ByteCount,
 }
 
 /// Decides which calls with a key run.
@@ -118,6 +120,7 @@
                 .filter(|entry| entry.state == KeyState::Running)
                 .count(),
             answers: self.answers.held(),
+            tables: self.books.values().map(KeyBook::memory).sum(),
         }
     }
 
@@ -251,7 +254,7 @@
     }
 
     /// What a term that this home once held knows about a key.
-    fn earlier_entry(&self, call: &KeyCall) -> Option<KeyEntry> {
+    pub(super) fn earlier_entry(&self, call: &KeyCall) -> Option<KeyEntry> {
         let CallKey::Caller(_) = &call.key else {
             return None;
         };
@@ -262,7 +265,7 @@
             .find_map(|(_, book)| book.entries.get(&call.digest).copied())
     }
 
-    fn verdict_of(&self, entry: KeyEntry, call: &KeyCall) -> KeyVerdict {
+    pub(super) fn verdict_of(&self, entry: KeyEntry, call: &KeyCall) -> KeyVerdict {
         let refused =
             |kind, proof, detail: &str| KeyVerdict::Refused(KeyRefusal::new(kind, proof, detail));
         // A key may be closed by somebody who does not know its request.
--- a/crates/once/src/home/mod.rs
+++ b/crates/once/src/home/mod.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod handover;
 pub mod keys;
+mod recall;
 mod settle;
 mod terms;
 pub mod verdict;
--- /dev/null
+++ b/crates/once/src/home/recall.rs
@@ -0,0 +1,56 @@
+//! What a home still knows of keys whose range has passed to another home.
+//!
+//! A home that was paused or cut off loses its ranges but not its memory. The
+//! new home cannot judge keys of earlier terms and answers `KeyUnknown`; before
+//! that it asks the other homes. One that held the term owns the key for good:
+//! it knows the first answer, or can promise that the call never runs.
+
+use super::book::{BookGate, BookId, KeyBook, seconds};
+use super::entry::{KeyEntry, KeyState, short_print};
+use super::keys::KeyHome;
+use super::verdict::{KeyCall, KeyVerdict};
+use crate::key::CallKey;
+use crate::lease::LogStamp;
+
+impl KeyHome {
+    /// What this home knows for certain about a caller's key; never [`KeyVerdict::Run`].
+    ///
+    /// A key that it alone could have run and did not is withdrawn, so that the
+    /// caller may go on with a fresh key.
+    pub fn recall(&mut self, call: &KeyCall) -> Option<KeyVerdict> {
+        let CallKey::Caller(key) = &call.key else {
+            return None;
+        };
+        if let Some(entry) = self.earlier_entry(call) {
+            return Some(self.verdict_of(entry, call));
+        }
+        let time = key.time()?;
+        let range = call.digest.range();
+        let ended = self.books.iter_mut().find(|(id, book)| {
+            matches!(id, BookId::Range(term) if term.range == range) && owned_for_good(book, time)
+        });
+        let (_, book) = ended?;
+        if self.key_count >= self.settings.max_keys {
+            return None;
+        }
+        let entry = KeyEntry {
+            print: short_print(call.print),
+            born_s: seconds(time),
+            status: 0,
+            state: KeyState::Withdrawn,
+            timed: true,
+        };
+        book.entries.insert(call.digest, entry);
+        self.key_count += 1;
+        Some(self.verdict_of(entry, call))
+    }
+}
+
+/// Whether the book, whose term has ended, was the only one that could run keys of `time`.
+fn owned_for_good(book: &KeyBook, time: LogStamp) -> bool {
+    let BookGate::Range(gate) = &book.gate else {
+        return false;
+    };
+    let kept = seconds(time) >= book.floor_s;
+    book.ended && book.successor.is_none() && kept && gate.term.owns(time)
+}
--- a/crates/once/src/permit/issuer.rs
+++ b/crates/once/src/permit/issuer.rs
@@ -70,6 +70,7 @@
     clock: SharedClock,
     permits: HashMap<u64, IssuedPermit>,
     order: VecDeque<u64>,
+    young: VecDeque<u64>,
     unused: HashMap<HolderId, u32>,
     fences: [TermEpoch; KeyRange::COUNT],
     next_number: u64,
@@ -84,6 +85,7 @@
             clock,
             permits: HashMap::new(),
             order: VecDeque::new(),
+            young: VecDeque::new(),
             unused: HashMap::new(),
             fences: [TermEpoch::NONE; KeyRange::COUNT],
             next_number: 0,
@@ -93,6 +95,7 @@
     /// Issues permits, fewer than asked for where the bounds are reached.
     pub fn grant(&mut self, request: &PermitRequest) -> PermitGrant {
         let now = self.clock.now();
+        self.expire(now);
         self.forget(now);
         let room = self.settings.max_permits - self.permits.len();
         let unused = self.unused.entry(request.home).or_default();
@@ -111,6 +114,7 @@
             };
             self.permits.insert(*number, permit);
             self.order.push_back(*number);
+            self.young.push_back(*number);
         }
         PermitGrant {
             issuer: self.me,
@@ -210,7 +214,27 @@
         }
     }
 
-    /// Forgets permits past their memory, and their homes' counts with the last one.
+    /// Revokes unused permits past their lifetime, so that they no longer count.
+    fn expire(&mut self, now: Instant) {
+        while let Some(number) = self.young.front().copied() {
+            let permit = self.permits.get_mut(&number);
+            let Some(permit) = permit else {
+                self.young.pop_front();
+                continue;
+            };
+            if now.saturating_duration_since(permit.issued) < self.settings.lifetime {
+                break;
+            }
+            self.young.pop_front();
+            if permit.state == PermitState::Unused {
+                permit.state = PermitState::Revoked;
+                let home = permit.home;
+                self.count_used(home);
+            }
+        }
+    }
+
+    /// Forgets permits past their memory, and homes without unused ones.
     fn forget(&mut self, now: Instant) {
         while let Some(number) = self.order.front().copied() {
             let permit = self.permits.get(&number).copied();
@@ -222,9 +246,6 @@
             }
             self.order.pop_front();
             self.permits.remove(&number);
-            if let Some(permit) = permit.filter(|permit| permit.state == PermitState::Unused) {
-                self.count_used(permit.home);
-            }
         }
         self.unused.retain(|_, unused| *unused > 0);
     }
--- a/crates/once/src/poison/mod.rs
+++ b/crates/once/src/poison/mod.rs
@@ -9,7 +9,9 @@
 //! to that: a request that has lately run to its end is never a suspect; a
 //! suspect that runs to its end is cleared, and the other daemons are told;
 //! and two suspects of one crash never run at one target at the same time, so
-//! that a second crash points at one of them only.
+//! that a second crash points at one of them only. Where two suspects were in
+//! flight at both targets all the same, both are stopped for a short time and
+//! then run apart, until one ends well or crashes a target alone.
 
 mod flight;
 mod watch;
--- a/crates/once/src/poison/watch.rs
+++ b/crates/once/src/poison/watch.rs
@@ -25,6 +25,8 @@
 pub struct PoisonSettings {
     /// How long a suspect or stopped request is remembered after its last crash.
     pub memory: Duration,
+    /// How long two suspects are stopped that share both crashes.
+    pub doubt: Duration,
     /// Most requests remembered.
     pub max_requests: usize,
 }
@@ -33,6 +35,7 @@
     fn default() -> Self {
         Self {
             memory: Duration::from_secs(600),
+            doubt: Duration::from_secs(30),
             max_requests: 1024,
         }
     }
@@ -60,11 +63,17 @@
 struct SuspectRow {
     crashes: SmallVec<[CrashId; 2]>,
     last: Instant,
+    /// Another suspect shares both crashes, so one of them is innocent.
+    doubtful: bool,
 }
 
 impl SuspectRow {
-    fn is_stopped(&self) -> bool {
-        self.crashes.len() >= MAX_CRASHES
+    fn is_convicted(&self) -> bool {
+        self.crashes.len() >= MAX_CRASHES && !self.doubtful
+    }
+
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.last)
     }
 }
 
@@ -95,7 +104,7 @@
     /// Whether a request may go on to any target; for proxies and homes.
     pub fn check(&self, print: RequestPrint) -> Result<()> {
         match self.rows.get(&print) {
-            Some(row) if row.is_stopped() && !self.is_expired(row) => Err(KindError::new(
+            Some(row) if self.is_stopped(row) => Err(KindError::new(
                 ErrorKind::PoisonRequest,
                 format!("the request was in flight when {MAX_CRASHES} targets crashed"),
             )),
@@ -124,7 +133,7 @@
         }
         self.flights.note_finished(print);
         let row = self.rows.get(&print)?;
-        if row.is_stopped() {
+        if row.is_convicted() {
             return None;
         }
         self.rows.remove(&print);
@@ -163,7 +172,7 @@
             PoisonMessage::Cleared(cleared) => {
                 let row = self.rows.get(&cleared.print);
                 // Two crashes outweigh a request that ended well elsewhere.
-                if row.is_some_and(|row| !row.is_stopped()) {
+                if row.is_some_and(|row| !row.is_convicted()) {
                     self.rows.remove(&cleared.print);
                 }
                 Vec::new()
@@ -175,14 +184,13 @@
     pub fn on_tick(&mut self) {
         let now = self.clock.now();
         let memory = self.settings.memory;
-        self.rows
-            .retain(|_, row| now.saturating_duration_since(row.last) < memory);
+        self.rows.retain(|_, row| row.age(now) < memory);
     }
 
     /// What is remembered.
     pub fn counts(&self) -> PoisonCounts {
         let live = self.rows.values().filter(|row| !self.is_expired(row));
-        let stopped = live.clone().filter(|row| row.is_stopped()).count();
+        let stopped = live.clone().filter(|row| self.is_stopped(row)).count();
         PoisonCounts {
             suspects: live.count() - stopped,
             stopped,
@@ -230,13 +238,16 @@
             let row = self.rows.entry(*print).or_insert_with(|| SuspectRow {
                 crashes: SmallVec::new(),
                 last: now,
+                doubtful: false,
             });
-            if row.is_stopped() || row.crashes.contains(&report.crash) {
+            if row.is_convicted() || row.crashes.contains(&report.crash) {
                 continue;
             }
-            row.crashes.push(report.crash);
             row.last = now;
-            if row.is_stopped() {
+            row.crashes.push(report.crash);
+            row.crashes.truncate(MAX_CRASHES);
+            if row.crashes.len() >= MAX_CRASHES {
+                row.doubtful = report.suspects.len() > 1;
                 outputs.push(PoisonOutput::Stopped(*print));
             }
         }
@@ -247,7 +258,8 @@
     fn clear_finished(&mut self, report: &CrashReport) -> Vec<PoisonOutput> {
         let mut outputs = Vec::new();
         for print in report.suspects.iter().copied() {
-            let suspected = self.rows.get(&print).is_some_and(|row| !row.is_stopped());
+            let row = self.rows.get(&print);
+            let suspected = row.is_some_and(|row| !row.is_convicted());
             if suspected && self.flights.has_finished(print) {
                 self.rows.remove(&print);
                 let cleared = SuspectCleared { print };
@@ -265,15 +277,24 @@
         let oldest = self
             .rows
             .iter()
-            .min_by_key(|(_, row)| (row.is_stopped(), row.last))
+            .min_by_key(|(_, row)| (row.is_convicted(), row.last))
             .map(|(print, _)| *print);
         if let Some(oldest) = oldest {
             self.rows.remove(&oldest);
         }
     }
 
+    fn is_stopped(&self, row: &SuspectRow) -> bool {
+        let age = row.age(self.clock.now());
+        let span = if row.doubtful {
+            self.settings.doubt
+        } else {
+            self.settings.memory
+        };
+        row.crashes.len() >= MAX_CRASHES && age < span
+    }
+
     fn is_expired(&self, row: &SuspectRow) -> bool {
-        let age = self.clock.now().saturating_duration_since(row.last);
-        age >= self.settings.memory
+        row.age(self.clock.now()) >= self.settings.memory
     }
 }
--- /dev/null
+++ b/crates/once/tests/homes.rs
@@ -0,0 +1,361 @@
+//! What one home remembers, forgets and hands over.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{ByteCount, CustomerName, DaemonId, ErrorKind, FakeClock, IncarnationNumber};
+use quetzal_once::home::HandoverPage;
+use quetzal_once::lease::{HolderRow, KeyRange, LeaseTerm, LeaseView, LogStamp, TermEpoch};
+use quetzal_once::{
+    BookId, CallKey, HolderId, HolderStatus, HomeAnswer, HomeSettings, IssuerMove, KeyCall,
+    KeyDigest, KeyHome, KeyRouter, KeyVerdict, PrintHasher, RequestPrint, RunOutcome, RunProof,
+    RunTicket, StageAnswer, StoredAnswer, TermUpdate,
+};
+use quickcheck::quickcheck;
+
+fn holder(daemon: u64) -> HolderId {
+    HolderId {
+        daemon: DaemonId(daemon),
+        incarnation: IncarnationNumber(1),
+    }
+}
+
+fn customer(name: &str) -> CustomerName {
+    name.parse().expect("a sound name")
+}
+
+fn home(clock: &FakeClock, daemon: u64, settings: HomeSettings) -> KeyHome {
+    KeyHome::new(holder(daemon), settings, clock.shared())
+}
+
+fn call(key: CallKey, print: u128) -> KeyCall {
+    KeyCall {
+        digest: KeyDigest::of(&customer("agency"), &key),
+        key,
+        print: RequestPrint(print),
+    }
+}
+
+fn issued_call(home: &mut KeyHome) -> KeyCall {
+    call(CallKey::Issued(home.issue().expect("a key")), 1)
+}
+
+fn begin(home: &mut KeyHome, call: &KeyCall) -> RunTicket {
+    match home.begin(call) {
+        KeyVerdict::Run(ticket) => ticket,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn answer(bytes: usize) -> RunOutcome {
+    RunOutcome::Done(Arc::new(StoredAnswer {
+        status: 201,
+        headers: Box::default(),
+        body: vec![7; bytes].into(),
+    }))
+}
+
+fn refusal(verdict: &KeyVerdict) -> Option<(ErrorKind, RunProof)> {
+    match verdict {
+        KeyVerdict::Refused(refusal) => Some((refusal.error.kind, refusal.proof)),
+        _ => None,
+    }
+}
+
+#[test]
+fn key_stands_for_one_request() {
+    let clock = FakeClock::new();
+    let mut home = home(&clock, 1, HomeSettings::default());
+    let mut call = issued_call(&mut home);
+    let ticket = begin(&mut home, &call);
+    assert_eq!(home.begin(&call), KeyVerdict::Running);
+    home.settle(ticket, answer(10));
+    assert!(matches!(home.begin(&call), KeyVerdict::Finished(_)));
+    call.print = RequestPrint(2);
+    let expected = (ErrorKind::KeyReused, RunProof::SendingNotRun);
+    assert_eq!(refusal(&home.begin(&call)), Some(expected));
+}
+
+#[test]
+fn call_that_did_not_run_may_be_sent_again() {
+    let clock = FakeClock::new();
+    let mut home = home(&clock, 1, HomeSettings::default());
+    let call = issued_call(&mut home);
+    let ticket = begin(&mut home, &call);
+    home.settle(ticket, RunOutcome::NotRun);
+    let ticket = begin(&mut home, &call);
+    // A second report about the first dispatch changes nothing.
+    home.settle(ticket, RunOutcome::Lost);
+    home.settle(ticket, RunOutcome::NotRun);
+    let expected = (ErrorKind::OutcomeUnknown, RunProof::MayHaveRun);
+    assert_eq!(refusal(&home.begin(&call)), Some(expected));
+}
+
+#[test]
+fn full_home_refuses_and_forgets_nothing_early() {
+    let clock = FakeClock::new();
+    let settings = HomeSettings {
+        max_keys: 100,
+        ..HomeSettings::default()
+    };
+    let mut home = home(&clock, 1, settings);
+    let calls: Vec<KeyCall> = (0..100).map(|_| issued_call(&mut home)).collect();
+    for call in &calls {
+        let ticket = begin(&mut home, call);
+        home.settle(ticket, answer(10));
+    }
+    let late = issued_call(&mut home);
+    let full = Some((ErrorKind::HomeFull, RunProof::NotRun));
+    assert_eq!(refusal(&home.begin(&late)), full);
+    clock.advance(settings.window.saturating_sub(Duration::from_secs(1)));
+    home.on_tick(None);
+    assert_eq!(refusal(&home.begin(&late)), full);
+    let first = home.begin(&calls[0]);
+    assert!(matches!(first, KeyVerdict::Finished(_)));
+    clock.advance(Duration::from_secs(2));
+    home.on_tick(None);
+    let expired = Some((ErrorKind::KeyUnknown, RunProof::MayHaveRun));
+    assert_eq!(refusal(&home.begin(&calls[0])), expired);
+    assert_eq!(home.counts().keys, 0);
+    assert_eq!(home.counts().answers, ByteCount(0));
+    let fresh = issued_call(&mut home);
+    begin(&mut home, &fresh);
+}
+
+#[test]
+fn answers_go_before_the_memory_of_the_call() {
+    let clock = FakeClock::new();
+    let settings = HomeSettings {
+        answer_budget: ByteCount(10_000),
+        largest_answer: ByteCount(2000),
+        ..HomeSettings::default()
+    };
+    let mut home = home(&clock, 1, settings);
+    let calls: Vec<KeyCall> = (0..20).map(|_| issued_call(&mut home)).collect();
+    for call in &calls {
+        let ticket = begin(&mut home, call);
+        home.settle(ticket, answer(1000));
+        assert!(home.counts().answers <= settings.answer_budget);
+    }
+    let gone = Some((ErrorKind::AnswerForgotten, RunProof::Done));
+    assert_eq!(refusal(&home.begin(&calls[0])), gone);
+    assert!(matches!(home.begin(&calls[19]), KeyVerdict::Finished(_)));
+    let large = issued_call(&mut home);
+    let ticket = begin(&mut home, &large);
+    home.settle(ticket, answer(5000));
+    assert_eq!(refusal(&home.begin(&large)), gone);
+}
+
+#[test]
+fn key_that_was_never_issued_is_refused() {
+    let clock = FakeClock::new();
+    let mut home = home(&clock, 1, HomeSettings::default());
+    let mut key = home.issue().expect("a key");
+    key.serial += 1;
+    let invalid = Some((ErrorKind::RequestInvalid, RunProof::NotRun));
+    assert_eq!(
+        refusal(&home.begin(&call(CallKey::Issued(key), 1))),
+        invalid
+    );
+}
+
+#[test]
+fn equal_keys_of_two_customers_never_meet() {
+    let key: CallKey = "order-1".parse().expect("a key");
+    let digest = |name| KeyDigest::of(&customer(name), &key);
+    assert_ne!(digest("agency"), digest("rival"));
+    let upper: CallKey = "01890A5D-AC96-774B-BCCE-B302099A8057"
+        .parse()
+        .expect("a key");
+    let lower: CallKey = "\"01890a5d-ac96-774b-bcce-b302099a8057\""
+        .parse()
+        .expect("a key");
+    assert_eq!(upper, lower);
+    for text in ["", "two words", "qk1-1-2-3", "qk1-0000000000000001-1-1-01"] {
+        assert!(text.parse::<CallKey>().is_err(), "{text}");
+    }
+}
+
+#[test]
+fn fingerprint_covers_route_and_the_body_in_pieces() {
+    let hasher = |path| PrintHasher::new(&customer("agency"), "POST", path, Some(9));
+    let mut whole = hasher("/payouts");
+    whole.update(b"amount=10");
+    let mut pieces = hasher("/payouts");
+    pieces.update(b"amount");
+    pieces.update(b"=10");
+    assert_eq!(whole.finish(), pieces.finish());
+    let mut other = hasher("/payouts");
+    other.update(b"amount=11");
+    assert_ne!(whole.finish(), other.finish());
+    assert_ne!(hasher("/payouts").finish(), hasher("/bookings").finish());
+}
+
+/// Hands the issuer's book over; the pages whose numbers `lose` names are lost once.
+fn hand_over(from: &mut KeyHome, to: &mut KeyHome, lose: &[u32]) -> Vec<HandoverPage> {
+    let book = BookId::Issuer(holder(1));
+    let pages = from.seal(book, holder(2)).expect("the book is held");
+    let mut lose = lose.to_vec();
+    let mut number = 0;
+    loop {
+        let page = pages[number as usize].clone();
+        if let Some(index) = lose.iter().position(|lost| *lost == number) {
+            lose.remove(index);
+            // What comes instead is out of order.
+            let later = pages.get(number as usize + 1).unwrap_or(&page).clone();
+            let answer = to.stage(holder(1), later).expect("a sound page");
+            assert_eq!(answer, StageAnswer::Next(number));
+            continue;
+        }
+        match to.stage(holder(1), page).expect("a sound page") {
+            StageAnswer::Next(next) => number = next,
+            StageAnswer::Whole => return pages,
+        }
+    }
+}
+
+#[test]
+fn handed_book_keeps_every_key_and_late_pages_revive_nothing() {
+    let clock = FakeClock::new();
+    let mut old = home(&clock, 1, HomeSettings::default());
+    let mut new = home(&clock, 2, HomeSettings::default());
+    clock.advance(Duration::from_secs(60));
+    let done: Vec<KeyCall> = (0..1500).map(|_| issued_call(&mut old)).collect();
+    for call in &done {
+        let ticket = begin(&mut old, call);
+        old.settle(ticket, answer(10));
+    }
+    let unused = issued_call(&mut old);
+    let running = issued_call(&mut old);
+    let ticket = begin(&mut old, &running);
+    let pages = hand_over(&mut old, &mut new, &[0, 1]);
+    assert!(pages.len() > 2);
+    let draining = Some((ErrorKind::Draining, RunProof::SendingNotRun));
+    assert_eq!(refusal(&old.begin(&unused)), draining);
+    assert!(old.issue().is_none());
+    let answered = |verdict| matches!(verdict, KeyVerdict::Finished(_));
+    assert!(done.iter().all(|call| answered(new.begin(call))));
+    assert_eq!(new.begin(&running), KeyVerdict::Running);
+    let handed = old.settle(ticket, answer(10)).expect("the book was handed");
+    assert_eq!(handed.to, holder(2));
+    assert!(new.on_settlement(handed.settlement).is_none());
+    assert!(answered(new.begin(&running)));
+    let ticket = begin(&mut new, &unused);
+    new.settle(ticket, answer(10));
+    for page in pages {
+        assert_eq!(new.stage(holder(1), page), Ok(StageAnswer::Whole));
+    }
+    assert!(answered(new.begin(&unused)));
+    assert!(old.seal(BookId::Issuer(holder(1)), holder(3)).is_err());
+}
+
+#[test]
+fn handed_call_whose_home_died_is_lost() {
+    let clock = FakeClock::new();
+    let mut old = home(&clock, 1, HomeSettings::default());
+    let mut new = home(&clock, 2, HomeSettings::default());
+    let running = issued_call(&mut old);
+    begin(&mut old, &running);
+    hand_over(&mut old, &mut new, &[]);
+    new.on_holder_gone(holder(1));
+    let lost = Some((ErrorKind::OutcomeUnknown, RunProof::MayHaveRun));
+    assert_eq!(refusal(&new.begin(&running)), lost);
+}
+
+#[test]
+fn handed_book_of_a_term_that_did_not_follow_is_not_used() {
+    let clock = FakeClock::new();
+    let mut new = home(&clock, 2, HomeSettings::default());
+    let key: CallKey = "order-1".parse().expect("a key");
+    let order = call(key, 1);
+    let range = order.digest.range();
+    let term = |epoch, prior, owns_after| TermUpdate::Held {
+        range,
+        term: LeaseTerm {
+            holder: holder(2),
+            epoch: TermEpoch(epoch),
+            prior: TermEpoch(prior),
+            begun: LogStamp(0),
+            renewed: LogStamp(0),
+            lease_ms: 8000,
+            skew_ms: 2000,
+            owns_after,
+        },
+        valid_until: model::ClockPort::now(&clock) + Duration::from_secs(8),
+    };
+    let mut old = home(&clock, 1, HomeSettings::default());
+    old.on_term(term(3, 0, None));
+    begin(&mut old, &order);
+    let book = *old.books_to_hand().first().expect("the range's book");
+    for page in old.seal(book, holder(2)).expect("the book is held") {
+        assert_eq!(new.stage(holder(1), page), Ok(StageAnswer::Whole));
+    }
+    new.on_term(term(9, 5, Some(LogStamp(9))));
+    let unknown = Some((ErrorKind::KeyUnknown, RunProof::MayHaveRun));
+    assert_eq!(refusal(&new.begin(&order)), unknown);
+}
+
+#[test]
+fn router_follows_leases_and_moved_issuers() {
+    let clock = FakeClock::new();
+    let mut router = KeyRouter::new(holder(9), Duration::from_secs(300), clock.shared());
+    let key: CallKey = "order-1".parse().expect("a key");
+    let digest = call(key.clone(), 1).digest;
+    let home_of =
+        |router: &KeyRouter, key: &CallKey, status| router.home_of(key, digest, move |_| status);
+    let refused = |answer| match answer {
+        HomeAnswer::Refused(refusal) => Some((refusal.error.kind, refusal.proof)),
+        _ => None,
+    };
+    let unavailable = Some((ErrorKind::HomeUnavailable, RunProof::SendingNotRun));
+    let unknown = home_of(&router, &key, HolderStatus::Present);
+    assert_eq!(refused(unknown), unavailable);
+    let rows = KeyRange::all().map(|range| HolderRow {
+        range,
+        holder: holder(3),
+        epoch: TermEpoch(1),
+    });
+    let view = LeaseView {
+        next: model::LogOffset(5),
+        rows: rows.collect(),
+    };
+    assert!(router.on_view(view.clone()));
+    assert!(!router.on_view(view));
+    let remote = home_of(&router, &key, HolderStatus::Present);
+    assert_eq!(remote, HomeAnswer::Remote(holder(3)));
+    let silent = home_of(&router, &key, HolderStatus::Unreachable);
+    assert_eq!(refused(silent), unavailable);
+
+    let mut other = home(&clock, 1, HomeSettings::default());
+    let issued = CallKey::Issued(other.issue().expect("a key"));
+    let gone = home_of(&router, &issued, HolderStatus::Gone);
+    let closed = Some((ErrorKind::KeyClosed, RunProof::MayHaveRun));
+    assert_eq!(refused(gone), closed);
+    for (issuer, successor) in [(1, 2), (2, 9)] {
+        assert!(router.on_move(IssuerMove {
+            issuer: holder(issuer),
+            successor: holder(successor),
+        }));
+    }
+    let local = home_of(&router, &issued, HolderStatus::Gone);
+    assert_eq!(local, HomeAnswer::Local);
+}
+
+quickcheck! {
+    fn issued_keys_survive_their_text(daemon: u64, run: u64, born_ms: u64, serial: u64) -> bool {
+        let key = CallKey::Issued(quetzal_once::IssuedKey {
+            issuer: HolderId {
+                daemon: DaemonId(daemon),
+                incarnation: IncarnationNumber(run),
+            },
+            born_ms,
+            serial,
+        });
+        key.to_string().parse() == Ok(key)
+    }
+
+    fn any_text_is_a_key_or_an_error(text: String) -> bool {
+        text.parse::<CallKey>().is_ok_and(|key| key.to_string().len() <= 128)
+            || text.parse::<CallKey>().is_err()
+    }
+}
--- /dev/null
+++ b/crates/once/tests/leases.rs
@@ -0,0 +1,221 @@
+//! The fold over the lease stream.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, SystemTime};
+
+use feed::port::LogRecord;
+use model::{DaemonId, IncarnationNumber, LogOffset};
+use quetzal_once::HolderId;
+use quetzal_once::lease::table::MAX_LEASE;
+use quetzal_once::lease::{
+    KeyRange, LeaseAction, LeaseRecord, LeaseTable, LogStamp, RangeClaim, TermEpoch, TermRef,
+    assign_ranges,
+};
+use quickcheck::{Gen, QuickCheck, quickcheck};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const RANGE: KeyRange = KeyRange(5);
+
+fn holder(daemon: u64) -> HolderId {
+    HolderId {
+        daemon: DaemonId(daemon),
+        incarnation: IncarnationNumber(1),
+    }
+}
+
+fn entry(offset: u64, at_ms: u64, record: &LeaseRecord) -> LogRecord {
+    LogRecord {
+        offset: LogOffset(offset),
+        at: SystemTime::UNIX_EPOCH + Duration::from_millis(at_ms),
+        body: record.encode(),
+    }
+}
+
+fn record(by: u64, action: LeaseAction) -> LeaseRecord {
+    LeaseRecord {
+        by: holder(by),
+        serial: 1,
+        action,
+        checkpoint: None,
+    }
+}
+
+fn claim(prior: u64) -> LeaseAction {
+    LeaseAction::Claim {
+        claims: [RangeClaim {
+            range: RANGE,
+            prior: TermEpoch(prior),
+        }]
+        .into_iter()
+        .collect(),
+        lease_ms: 8000,
+        skew_ms: 2000,
+    }
+}
+
+fn release(epoch: TermEpoch, successor: u64) -> LeaseAction {
+    let term = TermRef {
+        range: RANGE,
+        epoch,
+    };
+    LeaseAction::Release {
+        terms: [term].into_iter().collect(),
+        successor: holder(successor),
+    }
+}
+
+fn holder_after(records: &[(u64, u64, LeaseAction)]) -> Option<HolderId> {
+    let mut table = LeaseTable::starting_at(LogOffset(0));
+    for (offset, (at, by, action)) in records.iter().enumerate() {
+        table.fold(&entry(offset as u64, *at, &record(*by, action.clone())));
+    }
+    table.term(RANGE).map(|term| term.holder)
+}
+
+#[test]
+fn claim_counts_only_a_full_lease_after_the_last_renewal() {
+    let first = (1000, 1, claim(0));
+    let renewal = (5000, 1, LeaseAction::Renew);
+    let early = (12_999, 2, claim(1));
+    let due = (13_000, 2, claim(1));
+    let history = [first.clone(), renewal.clone(), early];
+    assert_eq!(holder_after(&history), Some(holder(1)));
+    assert_eq!(holder_after(&[first, renewal, due]), Some(holder(2)));
+}
+
+#[test]
+fn claim_must_name_the_term_that_it_replaces() {
+    let history = [(1000, 1, claim(0)), (20_000, 2, claim(0))];
+    assert_eq!(holder_after(&history), Some(holder(1)));
+}
+
+#[test]
+fn superseded_holder_renews_nothing() {
+    let history = [
+        (1000, 1, claim(0)),
+        (9000, 2, claim(1)),
+        (16_000, 1, LeaseAction::Renew),
+        (17_000, 3, claim(2)),
+    ];
+    assert_eq!(holder_after(&history), Some(holder(3)));
+}
+
+#[test]
+fn stream_is_founded_anew_only_after_a_longest_lease_of_silence() {
+    let silence = MAX_LEASE.as_millis() as u64;
+    let history = |gap: u64, between: Option<LeaseAction>| {
+        let mut records = vec![(1000, 1, claim(0)), (2000, 9, LeaseAction::Refound)];
+        records.extend(between.map(|action| (2500, 1, action)));
+        records.push((2000 + gap, 9, LeaseAction::Refound));
+        holder_after(&records)
+    };
+    assert_eq!(history(silence - 1, None), Some(holder(1)));
+    assert_eq!(history(silence, Some(LeaseAction::Renew)), Some(holder(1)));
+    assert_eq!(history(silence, None), None);
+}
+
+#[test]
+fn unreadable_record_changes_nothing() {
+    let mut table = LeaseTable::starting_at(LogOffset(0));
+    let mut broken = entry(0, 1000, &record(1, claim(0)));
+    broken.body = broken.body[..broken.body.len() - 1].into();
+    assert!(table.fold(&broken).is_empty());
+    assert_eq!(table.next(), LogOffset(1));
+    broken.body = [0xff; 40].into();
+    broken.offset = LogOffset(1);
+    assert!(table.fold(&broken).is_empty());
+    assert!(table.term(RANGE).is_none());
+}
+
+/// A stream of plausible and implausible records, each with its table before it.
+fn random_stream(seed: u64) -> Vec<LogRecord> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut table = LeaseTable::starting_at(LogOffset(0));
+    let mut at = 1000;
+    let mut stream = Vec::new();
+    for offset in 0..200 {
+        at += rng.random_range(0..6000);
+        let current = table.term(RANGE).map_or(TermEpoch::NONE, |term| term.epoch);
+        let guess = current
+            .0
+            .saturating_sub(rng.random_range(0..2) * rng.random_range(0..9));
+        let action = match rng.random_range(0..12) {
+            0..=4 => claim(guess),
+            5..=8 => LeaseAction::Renew,
+            9 | 10 => release(TermEpoch(guess), rng.random_range(0..4)),
+            _ => LeaseAction::Refound,
+        };
+        let mut record = record(rng.random_range(0..4), action);
+        let carries = !matches!(record.action, LeaseAction::Refound) && rng.random_range(0..5) == 0;
+        record.checkpoint = carries.then(|| table.checkpoint()).flatten();
+        let entry = entry(offset, at, &record);
+        table.fold(&entry);
+        stream.push(entry);
+    }
+    stream
+}
+
+/// Each term's owned times over the whole stream, as (after, until).
+fn owned_times(stream: &[LogRecord]) -> BTreeMap<TermEpoch, (LogStamp, LogStamp)> {
+    let mut table = LeaseTable::starting_at(LogOffset(0));
+    let mut owned = BTreeMap::new();
+    for entry in stream {
+        table.fold(entry);
+        if let Some(term) = table.term(RANGE) {
+            let after = term.owns_after.unwrap_or_default();
+            owned.insert(term.epoch, (after, term.owned_until()));
+        }
+    }
+    owned
+}
+
+#[test]
+fn terms_of_a_range_own_disjoint_times() {
+    fn holds(seed: u64) -> bool {
+        let owned = owned_times(&random_stream(seed));
+        let times: Vec<_> = owned.values().collect();
+        owned.len() > 3 && times.windows(2).all(|pair| pair[0].1 <= pair[1].0)
+    }
+    QuickCheck::new()
+        .tests(300)
+        .rng(Gen::from_size_and_seed(100, 4))
+        .quickcheck(holds as fn(u64) -> bool);
+}
+
+quickcheck! {
+    fn reader_in_mid_stream_agrees_with_the_others_once_it_knows(seed: u64, start: u8) -> bool {
+        let stream = random_stream(seed);
+        let start = usize::from(start) % stream.len();
+        let mut whole = LeaseTable::starting_at(LogOffset(0));
+        let mut late = LeaseTable::starting_at(LogOffset(start as u64));
+        stream.iter().enumerate().all(|(index, entry)| {
+            whole.fold(entry);
+            if index >= start {
+                late.fold(entry);
+            }
+            !late.is_known() || late.term(RANGE) == whole.term(RANGE)
+        })
+    }
+
+    fn every_range_has_a_home_and_no_home_more_than_its_share(count: u8) -> bool {
+        let homes: Vec<HolderId> = (0..u64::from(count)).map(holder).collect();
+        let assigned = assign_ranges(&homes);
+        let share = KeyRange::COUNT.div_ceil(homes.len().max(1));
+        let load = |home: &HolderId| assigned.iter().filter(|held| *held == home).count();
+        homes.is_empty() || (assigned.len() == KeyRange::COUNT && homes.iter().all(|home| load(home) <= share))
+    }
+}
+
+#[test]
+fn home_that_leaves_moves_few_ranges_of_others() {
+    let homes: Vec<HolderId> = (0..10).map(holder).collect();
+    let before = assign_ranges(&homes);
+    let after = assign_ranges(&homes[1..]);
+    let moved = before
+        .iter()
+        .zip(&after)
+        .filter(|(before, after)| **before != homes[0] && before != after)
+        .count();
+    assert!(moved <= KeyRange::COUNT / 6, "{moved}");
+}
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/model/at_most_once.rs
@@ -1,12 +1,10 @@
 //! Whatever fails: no call runs twice, and "not run" is true.
 
-mod world;
+use crate::once::CallKey;
 
-use once::CallKey;
-use quetzal_once as once;
+use crate::world::{WINDOW, World};
 use quickcheck::{Gen, QuickCheck};
 use rand::Rng;
-use world::{WINDOW, World};
 
 /// A key that callers send again, and since when.
 struct LiveKey {
--- a/crates/once/tests/failures.rs
+++ b/crates/once/tests/model/failures.rs
@@ -1,17 +1,15 @@
 //! One test for each failure that at most once must survive.
 
-mod world;
-
+use crate::once::home::CloseVerdict;
+use crate::once::{CallKey, RunProof};
 use model::ErrorKind;
-use once::home::CloseVerdict;
-use once::{CallKey, RunProof};
-use quetzal_once as once;
-use world::{CallerAnswer, World};
+
+use crate::world::{CallerAnswer, World};
 
 const NODES: usize = 5;
 
 fn runs(world: &World, key: &CallKey) -> u32 {
-    let digest = world::call_of(key).digest;
+    let digest = crate::world::call_of(key).digest;
     world.ledger.runs.get(&digest).copied().unwrap_or_default()
 }
 
@@ -41,7 +39,7 @@
     let (key, home) = warm_key(&mut world);
     let sending = world.send(home, &key);
     // One step: the home has decided, its dispatch has not left.
-    world.run_ms(world::STEP_MS);
+    world.run_ms(crate::world::STEP_MS);
     world.pause(home, 3500, false);
     world.run_ms(6000);
     assert_eq!(runs(&world, &key), 0);
@@ -295,7 +293,7 @@
     let views = world
         .nodes
         .iter()
-        .map(|node| node.router.view().rows.clone());
+        .map(|node| node.router.view().rows.to_vec());
     let views: Vec<_> = views.collect();
     assert!(views.iter().all(|rows| *rows == views[0]));
 }
--- /dev/null
+++ b/crates/once/tests/model/sessions.rs
@@ -0,0 +1,199 @@
+//! Golden sessions: what callers see in the failures that operators ask about.
+
+use std::fmt::Write;
+
+use crate::once::home::CloseVerdict;
+use crate::once::poison::{PoisonMessage, PoisonOutput, PoisonSettings, PoisonWatch};
+use crate::once::{CallKey, HolderId, RequestPrint};
+use model::{DaemonId, FakeClock, IncarnationNumber};
+
+use crate::world::{CallerAnswer, World};
+
+/// A session as text.
+struct Session {
+    world: World,
+    start: u64,
+    text: String,
+}
+
+impl Session {
+    fn new(seed: u64) -> Self {
+        let world = World::settled(seed, 5);
+        let start = world.now;
+        Self {
+            world,
+            start,
+            text: String::new(),
+        }
+    }
+
+    fn note(&mut self, line: &str) {
+        let seconds = (self.world.now - self.start) as f64 / 1000.0;
+        writeln!(self.text, "{seconds:7.2} s  {line}").expect("text grows");
+    }
+
+    fn call(&mut self, what: &str, proxy: usize, key: &CallKey) {
+        self.note(&format!("caller   {what} through proxy {proxy}"));
+        let answer = self.world.call(proxy, key);
+        self.tell(answer);
+    }
+
+    fn tell(&mut self, answer: Option<CallerAnswer>) {
+        let line = match answer {
+            None => "no answer; the caller gives up".to_owned(),
+            Some(CallerAnswer::Running) => "409 key-running (may-have-run)".to_owned(),
+            Some(CallerAnswer::Answered(answer)) => {
+                let body = String::from_utf8_lossy(&answer.body);
+                format!("{} {body:?} (done)", answer.status)
+            }
+            Some(CallerAnswer::Refused(refusal)) => {
+                let row = refusal.error.kind.answer();
+                let detail = &refusal.error.detail;
+                format!("{} {} ({}): {detail}", row.status, row.name, refusal.proof)
+            }
+        };
+        self.note(&format!("answer   {line}"));
+    }
+
+    fn tally(&mut self, key: &CallKey) {
+        let digest = crate::world::call_of(key).digest;
+        let runs = self.world.ledger.runs.get(&digest).copied();
+        self.note(&format!(
+            "truth    the call ran {} times",
+            runs.unwrap_or_default()
+        ));
+    }
+}
+
+#[test]
+fn doubled_payout() {
+    let mut session = Session::new(21);
+    let key = session.world.timed_key(0);
+    session.call("sends the payout", 1, &key);
+    session.call("sends it again", 3, &key);
+    session.tally(&key);
+
+    let lost = session.world.timed_key(0);
+    session.note("fault    the targets run calls, their answers get lost");
+    for node in &mut session.world.nodes {
+        node.loses_answers = true;
+    }
+    session.call("sends another payout", 2, &lost);
+    session.call("sends it again", 0, &lost);
+    session.world.run_ms(4000);
+    session.call("sends it again", 4, &lost);
+    session.tally(&lost);
+
+    let home = session.world.home_of(0, &lost).expect("a home");
+    let verdict = session.world.close(home, &lost);
+    assert_eq!(verdict, CloseVerdict::MayHaveRun);
+    session.note("staff    closes the key: it may have run; the service's records tell");
+    insta::assert_snapshot!(session.text);
+}
+
+#[test]
+fn paused_lease_holder() {
+    let mut session = Session::new(22);
+    let warm = session.world.timed_key(0);
+    let home = session.world.home_of(0, &warm).expect("a home");
+    session.call("sends payout A", home, &warm);
+    let late = loop {
+        let key = session.world.timed_key(0);
+        if session.world.home_of(0, &key) == Some(home) {
+            break key;
+        }
+    };
+    session.note(&format!("caller   sends payout B to its home {home}"));
+    let sending = session.world.send(home, &late);
+    session.world.run_ms(crate::world::STEP_MS);
+    session.note(&format!(
+        "fault    home {home} is paused after its check, before its dispatch"
+    ));
+    session.world.pause(home, 5000, false);
+    session.world.run_ms(4500);
+    let proxy = (home + 1) % 5;
+    let successor = session.world.home_of(proxy, &late).expect("a home");
+    session.note(&format!("log      home {successor} claimed the range"));
+    session.call("sends payout B again", proxy, &late);
+    let answer = session.world.ledger.answer(sending);
+    session.note("fault    the paused home has woken and dispatched payout B");
+    session.tell(answer);
+    session.tally(&late);
+    let fresh = loop {
+        let key = session.world.timed_key(0);
+        if session.world.home_of(proxy, &key) == Some(successor) {
+            break key;
+        }
+    };
+    session.call("sends payout C with a fresh key", proxy, &fresh);
+    session.tally(&fresh);
+    session.call("sends payout A again", proxy, &warm);
+    session.tally(&warm);
+    insta::assert_snapshot!(session.text);
+}
+
+#[test]
+fn poison_request() {
+    let clock = FakeClock::new();
+    let watch = |daemon| {
+        let me = HolderId {
+            daemon: DaemonId(daemon),
+            incarnation: IncarnationNumber(1),
+        };
+        PoisonWatch::new(me, PoisonSettings::default(), clock.shared())
+    };
+    let mut watches: Vec<PoisonWatch> = (0..4).map(watch).collect();
+    let mut text = String::new();
+    let crash = |watches: &mut [PoisonWatch], target: usize, text: &mut String| {
+        let outputs = watches[target].on_target_crashed();
+        for output in outputs {
+            let PoisonOutput::Tell(message) = output else {
+                writeln!(text, "daemon {target}: stops the request").expect("text grows");
+                continue;
+            };
+            if let PoisonMessage::Crash(report) = &message {
+                let prints: Vec<String> = report.suspects.iter().map(short).collect();
+                let suspects = prints.join(", ");
+                writeln!(text, "daemon {target}: target crashed; suspects {suspects}")
+                    .expect("text grows");
+            }
+            for (index, watch) in watches.iter_mut().enumerate() {
+                if index != target {
+                    watch.on_message(&message);
+                }
+            }
+        }
+    };
+    let start = |watches: &mut [PoisonWatch], target: usize, print: u128, text: &mut String| {
+        let print = RequestPrint(print);
+        let said = match watches[target].start(print) {
+            Ok(()) => "runs".to_owned(),
+            Err(error) => format!("refused, {error}"),
+        };
+        writeln!(text, "daemon {target}: request {} {said}", short(&print)).expect("text grows");
+    };
+    let (poison, upload, listing) = (0xbad, 0x5afe, 0x115);
+    start(&mut watches, 0, listing, &mut text);
+    watches[0].finish(RequestPrint(listing), true);
+    for print in [listing, upload, poison] {
+        start(&mut watches, 0, print, &mut text);
+    }
+    crash(&mut watches, 0, &mut text);
+    for print in [poison, upload] {
+        start(&mut watches, 1, print, &mut text);
+    }
+    start(&mut watches, 2, upload, &mut text);
+    crash(&mut watches, 1, &mut text);
+    for target in 0..4 {
+        start(&mut watches, target, poison, &mut text);
+    }
+    start(&mut watches, 3, listing, &mut text);
+    clock.advance(PoisonSettings::default().memory);
+    text.push_str("ten minutes later\n");
+    start(&mut watches, 3, poison, &mut text);
+    insta::assert_snapshot!(text);
+}
+
+fn short(print: &RequestPrint) -> String {
+    format!("{:x}", print.0)
+}
--- a/crates/once/tests/world/ledger.rs
+++ b/crates/once/tests/model/world/ledger.rs
@@ -3,11 +3,10 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
+use crate::once::home::CloseVerdict;
+use crate::once::key::KeyDigest;
+use crate::once::{KeyCall, KeyRefusal, RunProof, StoredAnswer};
 use model::ErrorKind;
-use once::home::CloseVerdict;
-use once::key::KeyDigest;
-use once::{KeyCall, KeyRefusal, RunProof, StoredAnswer};
-use quetzal_once as once;
 
 /// What a caller is told.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/once/tests/world/log.rs
+++ b/crates/once/tests/model/world/log.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, SystemTime};
 
+use crate::once::HolderId;
 use feed::port::{LogRecord, ReadAnswer, RecordBatch};
-use once::HolderId;
 
 use model::LogOffset;
-use quetzal_once as once;
+
 use rand::Rng;
 use rand::rngs::SmallRng;
 
--- a/crates/once/tests/world/mod.rs
+++ b/crates/once/tests/model/world/mod.rs
@@ -12,13 +12,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::once::home::CloseVerdict;
+use crate::once::key::{CallKey, KeyDigest};
+use crate::once::lease::{LeaseSettings, pick_homes};
+use crate::once::{
+    HolderId, HolderStatus, HomeSettings, IssuedKey, IssuerMove, KeyCall, RequestPrint,
+};
 use model::{CustomerName, DaemonId, DomainName, IncarnationNumber};
-use once::home::CloseVerdict;
-use once::key::{CallKey, KeyDigest};
-use once::lease::{LeaseSettings, pick_homes};
-use once::{HolderId, HolderStatus, HomeSettings, IssuedKey, IssuerMove, KeyCall, RequestPrint};
 
-use quetzal_once as once;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
--- a/crates/once/tests/world/node.rs
+++ b/crates/once/tests/model/world/node.rs
@@ -4,19 +4,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use model::{ClockPort, ErrorKind, FakeClock};
-use once::home::{BookId, HandedOutcome, KeySettlement};
-use once::lease::{LeaseKeeper, LeaseOutput, LeaseView, TermRef};
-use once::permit::{
+use crate::once::home::{BookId, HandedOutcome, KeySettlement};
+use crate::once::lease::{LeaseKeeper, LeaseOutput, LeaseView, TermRef};
+use crate::once::permit::{
     DispatchPass, DispatchPermit, PermitGrant, PermitIssuer, PermitPurse, PermitRequest,
     PermitSettings, RevokeAnswer,
 };
-use once::{
+use crate::once::{
     HandoverPage, HolderId, HolderStatus, HomeAnswer, IssuerMove, KeyCall, KeyHome, KeyRefusal,
     KeyRouter, KeyVerdict, RunOutcome, RunProof, RunTicket, StageAnswer, StoredAnswer,
 };
+use model::{ClockPort, ErrorKind, FakeClock};
 
-use quetzal_once as once;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use smallvec::SmallVec;
@@ -27,6 +26,8 @@
 
 /// A home gives up waiting for a target's answer or a permit.
 const DISPATCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// A home waits this long for what other homes know of a key.
+const RECALL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// What daemons send each other.
 #[derive(Clone, Debug)]
@@ -67,6 +68,14 @@
         answer: StageAnswer,
     },
     Settled(KeySettlement),
+    Recall {
+        sending: u64,
+        call: KeyCall,
+    },
+    Recalled {
+        sending: u64,
+        answer: CallerAnswer,
+    },
     View(LeaseView),
 }
 
@@ -91,6 +100,10 @@
 
 type Outgoing = Vec<(HolderId, Message)>;
 
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "faults are switched one by one"
+)]
 pub struct Node {
     pub id: HolderId,
     pub alive: bool,
@@ -112,6 +125,7 @@
     issuer: PermitIssuer,
     purse: PermitPurse,
     flights: HashMap<u64, Flight>,
+    recalls: HashMap<u64, (HolderId, KeyRefusal, Instant)>,
     running: Vec<(Instant, HolderId, u64, Arc<StoredAnswer>)>,
     outbox: Outgoing,
     log_requests: Vec<LogRequest>,
@@ -144,6 +158,7 @@
             issuer: PermitIssuer::new(id, PermitSettings::default(), shared()),
             purse: PermitPurse::new(id, shared()),
             flights: HashMap::new(),
+            recalls: HashMap::new(),
             running: Vec::new(),
             outbox: Vec::new(),
             log_requests: Vec::new(),
@@ -212,6 +227,7 @@
         self.route_calls(statuses, ledger);
         self.end_runs();
         self.check_flights(ledger);
+        self.check_recalls(ledger);
         if self.leaving {
             self.hand_over();
         }
@@ -285,7 +301,7 @@
                 return self.tell(proxy, sending, CallerAnswer::Answered(answer), ledger);
             }
             KeyVerdict::Refused(refusal) => {
-                return self.tell(proxy, sending, CallerAnswer::Refused(refusal), ledger);
+                return self.refuse(proxy, sending, call, refusal, ledger);
             }
         };
         let targets = self.peers.len().max(1);
@@ -303,6 +319,38 @@
         self.dispatch(sending);
     }
 
+    /// Refuses, after the other homes were asked about a key of an earlier term.
+    fn refuse(
+        &mut self,
+        proxy: HolderId,
+        sending: u64,
+        call: &KeyCall,
+        refusal: KeyRefusal,
+        ledger: &mut Ledger,
+    ) {
+        if refusal.error.kind != ErrorKind::KeyUnknown {
+            return self.tell(proxy, sending, CallerAnswer::Refused(refusal), ledger);
+        }
+        for peer in self.peers.iter().filter(|peer| **peer != self.id) {
+            let call = call.clone();
+            self.outbox.push((*peer, Message::Recall { sending, call }));
+        }
+        let since = self.clock.now();
+        self.recalls.insert(sending, (proxy, refusal, since));
+    }
+
+    fn check_recalls(&mut self, ledger: &mut Ledger) {
+        let now = self.clock.now();
+        let late = |_: &u64, recall: &mut (HolderId, KeyRefusal, Instant)| {
+            now.saturating_duration_since(recall.2) > RECALL_TIMEOUT
+        };
+        let mut expired: Vec<_> = self.recalls.extract_if(late).collect();
+        expired.sort_by_key(|(sending, _)| *sending);
+        for (sending, (proxy, refusal, _)) in expired {
+            self.tell(proxy, sending, CallerAnswer::Refused(refusal), ledger);
+        }
+    }
+
     fn dispatch(&mut self, sending: u64) {
         let Some(flight) = self.flights.get_mut(&sending) else {
             return;
@@ -340,7 +388,7 @@
                 // Nothing was sent without a permit.
                 None => self.end(sending, RunOutcome::NotRun, ledger),
                 Some(_) if age > DISPATCH_TIMEOUT * 2 => {
-                    self.end(sending, RunOutcome::Lost, ledger)
+                    self.end(sending, RunOutcome::Lost, ledger);
                 }
                 Some(permit) if age > DISPATCH_TIMEOUT && !flight.revoking => {
                     let target = flight.target;
@@ -426,6 +474,21 @@
                 self.late.extend(handed);
                 self.send_late();
             }
+            Message::Recall { sending, call } => {
+                let answer = match self.home.recall(&call) {
+                    Some(KeyVerdict::Finished(answer)) => CallerAnswer::Answered(answer),
+                    Some(KeyVerdict::Running) => CallerAnswer::Running,
+                    Some(KeyVerdict::Refused(refusal)) => CallerAnswer::Refused(refusal),
+                    Some(KeyVerdict::Run(_)) | None => return,
+                };
+                self.outbox
+                    .push((from, Message::Recalled { sending, answer }));
+            }
+            Message::Recalled { sending, answer } => {
+                if let Some((proxy, _, _)) = self.recalls.remove(&sending) {
+                    self.tell(proxy, sending, answer, ledger);
+                }
+            }
             Message::View(view) => {
                 self.issuer.observe(&view);
                 self.router.on_view(view);
--- /dev/null
+++ b/crates/once/tests/permits.rs
@@ -0,0 +1,162 @@
+//! Permits: single use, short life, fenced.
+
+use std::time::Duration;
+
+use model::{ClockPort, DaemonId, ErrorKind, FakeClock, IncarnationNumber};
+use quetzal_once::HolderId;
+use quetzal_once::lease::{HolderRow, KeyRange, LeaseView, TermEpoch, TermRef};
+use quetzal_once::permit::{
+    DispatchPass, DispatchPermit, PermitIssuer, PermitPurse, PermitRequest, PermitSettings,
+    RevokeAnswer,
+};
+
+const HOME: HolderId = holder(1, 1);
+const TARGET: HolderId = holder(2, 1);
+
+const fn holder(daemon: u64, incarnation: u64) -> HolderId {
+    HolderId {
+        daemon: DaemonId(daemon),
+        incarnation: IncarnationNumber(incarnation),
+    }
+}
+
+fn issuer(clock: &FakeClock) -> PermitIssuer {
+    PermitIssuer::new(TARGET, PermitSettings::default(), clock.shared())
+}
+
+fn take(issuer: &mut PermitIssuer) -> DispatchPermit {
+    let grant = issuer.grant(&PermitRequest {
+        home: HOME,
+        issuer: TARGET.daemon,
+        count: 1,
+    });
+    DispatchPermit {
+        issuer: grant.issuer,
+        number: grant.numbers[0],
+    }
+}
+
+fn pass(permit: DispatchPermit, epoch: u64) -> DispatchPass {
+    DispatchPass {
+        permit,
+        home: HOME,
+        term: Some(TermRef {
+            range: KeyRange(3),
+            epoch: TermEpoch(epoch),
+        }),
+    }
+}
+
+fn refused(issuer: &mut PermitIssuer, pass: &DispatchPass) -> bool {
+    issuer
+        .redeem(pass)
+        .is_err_and(|error| error.kind == ErrorKind::PermitInvalid)
+}
+
+#[test]
+fn permit_starts_one_call() {
+    let clock = FakeClock::new();
+    let mut issuer = issuer(&clock);
+    let pass = pass(take(&mut issuer), 7);
+    assert!(issuer.redeem(&pass).is_ok());
+    assert!(refused(&mut issuer, &pass));
+    assert_eq!(issuer.revoke(pass.permit), RevokeAnswer::Used);
+}
+
+#[test]
+fn old_permit_is_refused_and_proven_unused() {
+    let clock = FakeClock::new();
+    let mut issuer = issuer(&clock);
+    let pass = pass(take(&mut issuer), 7);
+    clock.advance(PermitSettings::default().lifetime);
+    assert!(refused(&mut issuer, &pass));
+    assert_eq!(issuer.revoke(pass.permit), RevokeAnswer::NeverUsed);
+}
+
+#[test]
+fn revoked_permit_starts_nothing() {
+    let clock = FakeClock::new();
+    let mut issuer = issuer(&clock);
+    let pass = pass(take(&mut issuer), 7);
+    assert_eq!(issuer.revoke(pass.permit), RevokeAnswer::NeverUsed);
+    assert!(refused(&mut issuer, &pass));
+}
+
+#[test]
+fn earlier_term_is_fenced_by_calls_and_by_views() {
+    let clock = FakeClock::new();
+    let mut issuer = issuer(&clock);
+    let later = pass(take(&mut issuer), 8);
+    assert!(issuer.redeem(&later).is_ok());
+    let earlier = pass(take(&mut issuer), 7);
+    assert!(refused(&mut issuer, &earlier));
+    let row = HolderRow {
+        range: KeyRange(3),
+        holder: HOME,
+        epoch: TermEpoch(9),
+    };
+    let view = LeaseView {
+        rows: [row].into(),
+        ..LeaseView::default()
+    };
+    issuer.observe(&view);
+    let later = pass(take(&mut issuer), 8);
+    assert!(refused(&mut issuer, &later));
+}
+
+#[test]
+fn permit_of_an_earlier_run_or_another_home_is_refused() {
+    let clock = FakeClock::new();
+    let mut issuer = issuer(&clock);
+    let mut pass = pass(take(&mut issuer), 7);
+    pass.home = holder(1, 2);
+    assert!(refused(&mut issuer, &pass));
+    let restarted = holder(2, 2);
+    let mut issuer = PermitIssuer::new(restarted, PermitSettings::default(), clock.shared());
+    pass.home = HOME;
+    assert!(refused(&mut issuer, &pass));
+    // What the earlier run did with it is not known.
+    assert_eq!(issuer.revoke(pass.permit), RevokeAnswer::Unknown);
+}
+
+#[test]
+fn homes_cannot_hoard_permits() {
+    let clock = FakeClock::new();
+    let settings = PermitSettings::default();
+    let mut issuer = issuer(&clock);
+    let request = PermitRequest {
+        home: HOME,
+        issuer: TARGET.daemon,
+        count: u8::MAX,
+    };
+    let granted: usize = (0..20).map(|_| issuer.grant(&request).numbers.len()).sum();
+    assert_eq!(granted, settings.max_unused as usize);
+    clock.advance(settings.lifetime);
+    assert!(!issuer.grant(&request).numbers.is_empty());
+    clock.advance(settings.memory);
+    assert!(!issuer.grant(&request).numbers.is_empty());
+    assert!(issuer.remembered() <= settings.max_unused as usize);
+}
+
+#[test]
+fn purse_fetches_ahead_and_drops_what_grows_old() {
+    let clock = FakeClock::new();
+    let mut issuer = issuer(&clock);
+    let mut purse = PermitPurse::new(HOME, clock.shared());
+    let mut misses = 0;
+    for _ in 0..2000 {
+        clock.advance(Duration::from_millis(10));
+        match purse.take(TARGET.daemon) {
+            Some(permit) => assert!(issuer.redeem(&pass(permit, 7)).is_ok()),
+            None => misses += 1,
+        }
+        if let Some(request) = purse.wants(TARGET.daemon) {
+            let grant = issuer.grant(&request);
+            purse.on_grant(&grant, clock.now());
+        }
+    }
+    assert!(misses <= 2, "{misses}");
+    assert!(purse.held() > 0);
+    clock.advance(PermitSettings::default().lifetime);
+    assert!(purse.take(TARGET.daemon).is_none());
+}
