Let issued keys go without permits; state the late arrival that untimed keys allow

Cause: with 720 homes few permits would be used before they grow old, so each call with an issued key would pay a round trip for one.

Change: a pass without a permit is honoured for issued keys only, whose one home nobody supersedes.

--- a/crates/once/src/permit/issuer.rs
+++ b/crates/once/src/permit/issuer.rs
@@ -5,7 +5,6 @@
 
 use model::{ErrorKind, KindError, SharedClock};
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
 
 use super::{DispatchPass, DispatchPermit, MAX_GRANT, PermitGrant, PermitRequest};
 use crate::lease::{HolderId, KeyRange, LeaseView, TermEpoch, TermRef};
@@ -104,21 +103,22 @@
             .min(allowed.into())
             .min(room as u64);
         *unused += count as u32;
-        let numbers: SmallVec<[u64; 8]> = (self.next_number..self.next_number + count).collect();
+        let first = self.next_number;
         self.next_number += count;
-        for number in &numbers {
+        for number in first..self.next_number {
             let permit = IssuedPermit {
                 home: request.home,
                 issued: now,
                 state: PermitState::Unused,
             };
-            self.permits.insert(*number, permit);
-            self.order.push_back(*number);
-            self.young.push_back(*number);
+            self.permits.insert(number, permit);
+            self.order.push_back(number);
+            self.young.push_back(number);
         }
         PermitGrant {
             issuer: self.me,
-            numbers,
+            first,
+            count: count as u8,
             lifetime_ms: self.settings.lifetime.as_millis() as u32,
         }
     }
@@ -144,8 +144,15 @@
             self.check_fence(term)?;
             self.raise_fence(term);
         }
+        let Some(permit) = pass.permit else {
+            return model::ensure(
+                pass.term.is_none(),
+                ErrorKind::PermitInvalid,
+                "a caller's key needs a permit",
+            );
+        };
         let lifetime = self.settings.lifetime;
-        let permit = self.permit(pass.permit).ok_or_else(|| invalid("unknown"))?;
+        let permit = self.permit(permit).ok_or_else(|| invalid("unknown"))?;
         if permit.home != pass.home {
             return Err(invalid("another home's"));
         }
--- a/crates/once/src/permit/mod.rs
+++ b/crates/once/src/permit/mod.rs
@@ -6,6 +6,10 @@
 //! one that is young, unused and not from a fenced term. Permits are fetched
 //! ahead, so a call in the steady state pays no round trip for one.
 //!
+//! An issued key may go without a permit: no other home ever judges it, the
+//! deadline bounds how late it starts, and with hundreds of homes few permits
+//! would be used before they grow old.
+//!
 //! A home that lost the answer to a dispatch can revoke its permit: if it was
 //! never used, the call is proven not to have run.
 
@@ -17,7 +21,6 @@
 
 use model::DaemonId;
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
 
 use crate::lease::{HolderId, TermRef};
 
@@ -49,8 +52,10 @@
 pub struct PermitGrant {
     /// The daemon run that issued them.
     pub issuer: HolderId,
-    /// The permits' numbers.
-    pub numbers: SmallVec<[u64; 8]>,
+    /// Number of the first permit; the others follow.
+    pub first: u64,
+    /// How many there are.
+    pub count: u8,
     /// Milliseconds for which the issuer honours them.
     pub lifetime_ms: u32,
 }
@@ -58,8 +63,8 @@
 /// Comes with a dispatched call.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct DispatchPass {
-    /// The permit that the call uses up.
-    pub permit: DispatchPermit,
+    /// The permit that the call uses up; a call with an issued key may go without.
+    pub permit: Option<DispatchPermit>,
     /// The home that sends the call.
     pub home: HolderId,
     /// The term under which the call was begun; none for an issued key.
--- a/crates/once/src/permit/purse.rs
+++ b/crates/once/src/permit/purse.rs
@@ -89,10 +89,10 @@
         let good_until = asked + lifetime * (WAY_PART - 1) / WAY_PART;
         let purse = self.purse(grant.issuer.daemon, now);
         purse.asked = None;
-        for number in grant.numbers.iter().take(MAX_GRANT.into()) {
+        for number in 0..grant.count.min(MAX_GRANT) {
             let permit = DispatchPermit {
                 issuer: grant.issuer,
-                number: *number,
+                number: grant.first.saturating_add(number.into()),
             };
             purse.permits.push_back((permit, good_until));
         }
