--- a/crates/once/src/permit/issuer.rs
+++ b/crates/once/src/permit/issuer.rs
@@ -5,7 +5,6 @@
 
 use model::{ErrorKind, KindError, SharedClock};
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
 
 use super::{DispatchPass, DispatchPermit, MAX_GRANT, PermitGrant, PermitRequest};
 use crate::lease::{HolderId, KeyRange, LeaseView, TermEpoch, TermRef};
@@ -70,6 +69,7 @@
     clock: SharedClock,
     permits: HashMap<u64, IssuedPermit>,
     order: VecDeque<u64>,
+    young: VecDeque<u64>,
     unused: HashMap<HolderId, u32>,
     fences: [TermEpoch; KeyRange::COUNT],
     next_number: u64,
@@ -84,6 +84,7 @@
             clock,
             permits: HashMap::new(),
             order: VecDeque::new(),
+            young: VecDeque::new(),
             unused: HashMap::new(),
             fences: [TermEpoch::NONE; KeyRange::COUNT],
             next_number: 0,
@@ -93,6 +94,7 @@
     /// Issues permits, fewer than asked for where the bounds are reached.
     pub fn grant(&mut self, request: &PermitRequest) -> PermitGrant {
         let now = self.clock.now();
+        self.expire(now);
         self.forget(now);
         let room = self.settings.max_permits - self.permits.len();
         let unused = self.unused.entry(request.home).or_default();
@@ -101,20 +103,22 @@
             .min(allowed.into())
             .min(room as u64);
         *unused += count as u32;
-        let numbers: SmallVec<[u64; 8]> = (self.next_number..self.next_number + count).collect();
+        let first = self.next_number;
         self.next_number += count;
-        for number in &numbers {
+        for number in first..self.next_number {
             let permit = IssuedPermit {
                 home: request.home,
                 issued: now,
                 state: PermitState::Unused,
             };
-            self.permits.insert(*number, permit);
-            self.order.push_back(*number);
+            self.permits.insert(number, permit);
+            self.order.push_back(number);
+            self.young.push_back(number);
         }
         PermitGrant {
             issuer: self.me,
-            numbers,
+            first,
+            count: count as u8,
             lifetime_ms: self.settings.lifetime.as_millis() as u32,
         }
     }
@@ -140,8 +144,15 @@
             self.check_fence(term)?;
             self.raise_fence(term);
         }
+        let Some(permit) = pass.permit else {
+            return model::ensure(
+                pass.term.is_none(),
+                ErrorKind::PermitInvalid,
+                "a caller's key needs a permit",
+            );
+        };
         let lifetime = self.settings.lifetime;
-        let permit = self.permit(pass.permit).ok_or_else(|| invalid("unknown"))?;
+        let permit = self.permit(permit).ok_or_else(|| invalid("unknown"))?;
         if permit.home != pass.home {
             return Err(invalid("another home's"));
         }
@@ -210,7 +221,27 @@
         }
     }
 
-    /// Forgets permits past their memory, and their homes' counts with the last one.
+    /// Revokes unused permits past their lifetime, so that they no longer count.
+    fn expire(&mut self, now: Instant) {
+        while let Some(number) = self.young.front().copied() {
+            let permit = self.permits.get_mut(&number);
+            let Some(permit) = permit else {
+                self.young.pop_front();
+                continue;
+            };
+            if now.saturating_duration_since(permit.issued) < self.settings.lifetime {
+                break;
+            }
+            self.young.pop_front();
+            if permit.state == PermitState::Unused {
+                permit.state = PermitState::Revoked;
+                let home = permit.home;
+                self.count_used(home);
+            }
+        }
+    }
+
+    /// Forgets permits past their memory, and homes without unused ones.
     fn forget(&mut self, now: Instant) {
         while let Some(number) = self.order.front().copied() {
             let permit = self.permits.get(&number).copied();
@@ -222,9 +253,6 @@
             }
             self.order.pop_front();
             self.permits.remove(&number);
-            if let Some(permit) = permit.filter(|permit| permit.state == PermitState::Unused) {
-                self.count_used(permit.home);
-            }
         }
         self.unused.retain(|_, unused| *unused > 0);
     }
--- a/crates/once/tests/world/node.rs
+++ b/crates/once/tests/model/world/node.rs
@@ -4,19 +4,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use model::{ClockPort, ErrorKind, FakeClock};
-use once::home::{BookId, HandedOutcome, KeySettlement};
-use once::lease::{LeaseKeeper, LeaseOutput, LeaseView, TermRef};
-use once::permit::{
+use crate::once::home::{BookId, HandedOutcome, KeySettlement};
+use crate::once::lease::{LeaseKeeper, LeaseOutput, LeaseView, TermRef};
+use crate::once::permit::{
     DispatchPass, DispatchPermit, PermitGrant, PermitIssuer, PermitPurse, PermitRequest,
     PermitSettings, RevokeAnswer,
 };
-use once::{
+use crate::once::{
     HandoverPage, HolderId, HolderStatus, HomeAnswer, IssuerMove, KeyCall, KeyHome, KeyRefusal,
     KeyRouter, KeyVerdict, RunOutcome, RunProof, RunTicket, StageAnswer, StoredAnswer,
 };
+use model::{ClockPort, ErrorKind, FakeClock};
 
-use quetzal_once as once;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use smallvec::SmallVec;
@@ -27,6 +26,10 @@
 
 /// A home gives up waiting for a target's answer or a permit.
 const DISPATCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// A call starts no later than this after a proxy took it.
+pub const CALL_DEADLINE: Duration = Duration::from_secs(3);
+/// A home waits this long for what other homes know of a key.
+const RECALL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// What daemons send each other.
 #[derive(Clone, Debug)]
@@ -67,6 +70,14 @@
         answer: StageAnswer,
     },
     Settled(KeySettlement),
+    Recall {
+        sending: u64,
+        call: KeyCall,
+    },
+    Recalled {
+        sending: u64,
+        answer: CallerAnswer,
+    },
     View(LeaseView),
 }
 
@@ -76,6 +87,7 @@
     proxy: HolderId,
     target: HolderId,
     permit: Option<DispatchPermit>,
+    sent: bool,
     revoking: bool,
     since: Instant,
 }
@@ -91,6 +103,10 @@
 
 type Outgoing = Vec<(HolderId, Message)>;
 
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "faults are switched one by one"
+)]
 pub struct Node {
     pub id: HolderId,
     pub alive: bool,
@@ -99,7 +115,7 @@
     pub home: KeyHome,
     pub keeper: LeaseKeeper,
     pub router: KeyRouter,
-    pub calls: Vec<(u64, KeyCall)>,
+    pub calls: Vec<(u64, KeyCall, Instant)>,
     pub new_moves: Vec<IssuerMove>,
     /// The target runs calls but its answers get lost.
     pub loses_answers: bool,
@@ -112,6 +128,7 @@
     issuer: PermitIssuer,
     purse: PermitPurse,
     flights: HashMap<u64, Flight>,
+    recalls: HashMap<u64, (HolderId, KeyRefusal, Instant)>,
     running: Vec<(Instant, HolderId, u64, Arc<StoredAnswer>)>,
     outbox: Outgoing,
     log_requests: Vec<LogRequest>,
@@ -144,6 +161,7 @@
             issuer: PermitIssuer::new(id, PermitSettings::default(), shared()),
             purse: PermitPurse::new(id, shared()),
             flights: HashMap::new(),
+            recalls: HashMap::new(),
             running: Vec::new(),
             outbox: Vec::new(),
             log_requests: Vec::new(),
@@ -212,6 +230,7 @@
         self.route_calls(statuses, ledger);
         self.end_runs();
         self.check_flights(ledger);
+        self.check_recalls(ledger);
         if self.leaving {
             self.hand_over();
         }
@@ -263,7 +282,12 @@
                 .copied()
                 .unwrap_or(HolderStatus::Unreachable)
         };
-        for (sending, call) in std::mem::take(&mut self.calls) {
+        let now = self.clock.now();
+        for (sending, call, since) in std::mem::take(&mut self.calls) {
+            // A proxy that was paused drops what is past its deadline.
+            if now.saturating_duration_since(since) > CALL_DEADLINE {
+                continue;
+            }
             match self.router.home_of(&call.key, call.digest, status_of) {
                 HomeAnswer::Local => self.begin(self.id, sending, &call, ledger),
                 HomeAnswer::Remote(home) => {
@@ -285,7 +309,7 @@
                 return self.tell(proxy, sending, CallerAnswer::Answered(answer), ledger);
             }
             KeyVerdict::Refused(refusal) => {
-                return self.tell(proxy, sending, CallerAnswer::Refused(refusal), ledger);
+                return self.refuse(proxy, sending, call, refusal, ledger);
             }
         };
         let targets = self.peers.len().max(1);
@@ -296,6 +320,7 @@
             proxy,
             target,
             permit: None,
+            sent: false,
             revoking: false,
             since: self.clock.now(),
         };
@@ -303,15 +328,49 @@
         self.dispatch(sending);
     }
 
+    /// Refuses, after the other homes were asked about a key of an earlier term.
+    fn refuse(
+        &mut self,
+        proxy: HolderId,
+        sending: u64,
+        call: &KeyCall,
+        refusal: KeyRefusal,
+        ledger: &mut Ledger,
+    ) {
+        if refusal.error.kind != ErrorKind::KeyUnknown {
+            return self.tell(proxy, sending, CallerAnswer::Refused(refusal), ledger);
+        }
+        for peer in self.peers.iter().filter(|peer| **peer != self.id) {
+            let call = call.clone();
+            self.outbox.push((*peer, Message::Recall { sending, call }));
+        }
+        let since = self.clock.now();
+        self.recalls.insert(sending, (proxy, refusal, since));
+    }
+
+    fn check_recalls(&mut self, ledger: &mut Ledger) {
+        let now = self.clock.now();
+        let late = |_: &u64, recall: &mut (HolderId, KeyRefusal, Instant)| {
+            now.saturating_duration_since(recall.2) > RECALL_TIMEOUT
+        };
+        let mut expired: Vec<_> = self.recalls.extract_if(late).collect();
+        expired.sort_by_key(|(sending, _)| *sending);
+        for (sending, (proxy, refusal, _)) in expired {
+            self.tell(proxy, sending, CallerAnswer::Refused(refusal), ledger);
+        }
+    }
+
     fn dispatch(&mut self, sending: u64) {
         let Some(flight) = self.flights.get_mut(&sending) else {
             return;
         };
         let target = flight.target;
+        let needs_permit = flight.ticket.term().is_some();
         flight.permit = self.purse.take(target.daemon);
-        if let Some(permit) = flight.permit {
+        flight.sent = flight.permit.is_some() || !needs_permit;
+        if flight.sent {
             let pass = DispatchPass {
-                permit,
+                permit: flight.permit,
                 home: self.id,
                 term: flight.ticket.term(),
             };
@@ -336,11 +395,16 @@
             let flight = &self.flights[&sending];
             let age = now.saturating_duration_since(flight.since);
             match flight.permit {
+                None if flight.sent => {
+                    if age > DISPATCH_TIMEOUT {
+                        self.end(sending, RunOutcome::Lost, ledger);
+                    }
+                }
                 None if age < DISPATCH_TIMEOUT => self.dispatch(sending),
                 // Nothing was sent without a permit.
                 None => self.end(sending, RunOutcome::NotRun, ledger),
                 Some(_) if age > DISPATCH_TIMEOUT * 2 => {
-                    self.end(sending, RunOutcome::Lost, ledger)
+                    self.end(sending, RunOutcome::Lost, ledger);
                 }
                 Some(permit) if age > DISPATCH_TIMEOUT && !flight.revoking => {
                     let target = flight.target;
@@ -426,6 +490,21 @@
                 self.late.extend(handed);
                 self.send_late();
             }
+            Message::Recall { sending, call } => {
+                let answer = match self.home.recall(&call) {
+                    Some(KeyVerdict::Finished(answer)) => CallerAnswer::Answered(answer),
+                    Some(KeyVerdict::Running) => CallerAnswer::Running,
+                    Some(KeyVerdict::Refused(refusal)) => CallerAnswer::Refused(refusal),
+                    Some(KeyVerdict::Run(_)) | None => return,
+                };
+                self.outbox
+                    .push((from, Message::Recalled { sending, answer }));
+            }
+            Message::Recalled { sending, answer } => {
+                if let Some((proxy, _, _)) = self.recalls.remove(&sending) {
+                    self.tell(proxy, sending, answer, ledger);
+                }
+            }
             Message::View(view) => {
                 self.issuer.observe(&view);
                 self.router.on_view(view);
