Ask earlier homes about a key before it is refused as unknown

Cause: a home that was paused or cut off loses its ranges but not its memory; its finished keys were refused by the new home. Change: the new home asks the other homes in turn; issued keys go without a permit. The tests wait until every daemon can prove its configuration.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -58,6 +58,8 @@
     pub beside: BesideDesk,
     /// Keys, permits and poison requests.
     pub keys: Arc<KeyDesk>,
+    /// Daemons that are homes of callers' keys.
+    pub homes: ArcSwap<Vec<HolderId>>,
     /// Runs of live members.
     pub runs: ArcSwap<RunBook>,
     /// Connections to peers.
@@ -119,6 +121,7 @@
                 Arc::clone(&clock),
             ),
             keys,
+            homes: ArcSwap::default(),
             runs: ArcSwap::default(),
             pool: PeerPool::new(wire_limits),
             counters: CounterBoard::open(settings.metrics_address)?,
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -98,7 +98,10 @@
         Err(refusal) => refusal,
     };
     // A lost answer with an unused permit proves that nothing ran.
-    if refusal.proof != RunProof::NotRun && revoke(core, pass.permit).await {
+    let lost = refusal.proof != RunProof::NotRun;
+    if let Some(permit) = pass.permit.filter(|_| lost)
+        && revoke(core, permit).await
+    {
         return Err(KindError::new(ErrorKind::PeerUnavailable, refusal.error.detail).into());
     }
     Err(refusal)
--- a/crates/daemon/src/key_control.rs
+++ b/crates/daemon/src/key_control.rs
@@ -107,6 +107,7 @@
         };
         let homes = pick_homes(&able);
         self.is_home = homes.contains(&me);
+        self.core.homes.store(Arc::new(homes.clone()));
         self.keeper.set_homes(homes);
     }
 
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -23,7 +23,7 @@
 use crate::core::DaemonCore;
 use crate::dispatch::{Dispatch, dispatch};
 use crate::forward::send_there;
-use crate::peer::{CallHead, CallRefusal, HeaderPair, PeerRequest, ResponseHead};
+use crate::peer::{CallHead, CallRefusal, HeaderPair, PeerRequest, RecallAnswer, ResponseHead};
 
 /// Largest answer that is remembered, in bytes.
 const MAX_REMEMBERED_BYTES: usize = 60 << 10;
@@ -35,6 +35,8 @@
 const MOVE_PATIENCE: Duration = Duration::from_secs(3);
 /// Pause before a call is sent again while its range moves.
 const MOVE_PAUSE: Duration = Duration::from_millis(100);
+/// Time for an earlier home to tell what it remembers.
+const RECALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Marks an answer that was given before.
 const REPLAYED_HEADER: &str = "quetzal-replayed";
 
@@ -124,18 +126,60 @@
     let verdict = core.keys.home().begin(&call);
     match verdict {
         KeyVerdict::Run(ticket) => run_begun(core, head, deadline, body, ticket).await,
-        KeyVerdict::Running => Err(CallRefusal {
-            proof: RunProof::MayHaveRun,
-            ..KindError::new(ErrorKind::KeyRunning, "the call with this key is running").into()
-        }),
+        KeyVerdict::Running => Err(running()),
         KeyVerdict::Finished(answer) => {
             core.counters.count("keyed-replayed");
             Ok(replay(&answer))
         }
+        KeyVerdict::Refused(refusal) if refusal.error.kind == ErrorKind::KeyUnknown => {
+            recall_elsewhere(core, &call)
+                .await
+                .unwrap_or_else(|| Err(refuse(refusal)))
+        }
         KeyVerdict::Refused(refusal) => Err(refuse(refusal)),
     }
 }
 
+/// What an earlier home of the key remembers about it, if one can tell.
+async fn recall_elsewhere(core: &Arc<DaemonCore>, call: &KeyCall) -> Option<Result<TargetAnswer>> {
+    core.counters.count("keyed-recalls");
+    let request = PeerRequest::Recall(Box::new(call.clone()));
+    for home in core.homes.load().iter() {
+        if *home == core.keys.me {
+            continue;
+        }
+        let asked = core.ask::<Option<RecallAnswer>>(home.daemon, &request, RECALL_TIMEOUT);
+        match asked.await {
+            Ok(Some(RecallAnswer::Finished(answer))) => return Some(Ok(replay(&answer))),
+            Ok(Some(RecallAnswer::Running)) => return Some(Err(running())),
+            Ok(Some(RecallAnswer::Refused(refusal))) => return Some(Err(refuse(refusal))),
+            Ok(None) => {}
+            Err(error) => core.counters.count_error(error.kind),
+        }
+    }
+    None
+}
+
+/// What this daemon, as an earlier home, remembers about a key.
+pub fn recall_here(core: &DaemonCore, call: &KeyCall) -> Option<RecallAnswer> {
+    let verdict = core.keys.home().recall(call)?;
+    match verdict {
+        KeyVerdict::Finished(answer) => Some(RecallAnswer::Finished(answer)),
+        KeyVerdict::Running => Some(RecallAnswer::Running),
+        KeyVerdict::Refused(refusal) => Some(RecallAnswer::Refused(refusal)),
+        // An earlier home never begins a call.
+        KeyVerdict::Run(_) => None,
+    }
+}
+
+fn running() -> CallRefusal {
+    CallRefusal {
+        proof: RunProof::MayHaveRun,
+        by_home: true,
+        ..KindError::new(ErrorKind::KeyRunning, "the call with this key is running").into()
+    }
+}
+
 /// Runs a begun call in a task of its own, which goes on if the caller leaves.
 async fn run_begun(
     core: &Arc<DaemonCore>,
@@ -240,6 +284,20 @@
     daemon: DaemonId,
     ticket: RunTicket,
 ) -> model::Result<DispatchPass> {
+    let term = ticket.term();
+    let permit = match term {
+        // No other home ever judges an issued key, so it needs no permit.
+        None => None,
+        Some(_) => Some(take_permit(core, daemon).await?),
+    };
+    Ok(DispatchPass {
+        permit,
+        home: core.keys.me,
+        term,
+    })
+}
+
+async fn take_permit(core: &Arc<DaemonCore>, daemon: DaemonId) -> model::Result<DispatchPermit> {
     let held = core.keys.purse().take(daemon);
     let permit = match held {
         Some(permit) => permit,
@@ -255,11 +313,7 @@
             }
         });
     }
-    Ok(DispatchPass {
-        permit,
-        home: core.keys.me,
-        term: ticket.term(),
-    })
+    Ok(permit)
 }
 
 async fn fetch_permit(core: &Arc<DaemonCore>, daemon: DaemonId) -> model::Result<DispatchPermit> {
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -1,6 +1,7 @@
 //! What daemons say to one another over one exchange.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -9,7 +10,9 @@
 };
 use once::home::HandoverPage;
 use once::permit::PermitRequest;
-use once::{CallKey, DispatchPass, DispatchPermit, HolderId, RunProof};
+use once::{
+    CallKey, DispatchPass, DispatchPermit, HolderId, KeyCall, KeyRefusal, RunProof, StoredAnswer,
+};
 use route::{RetryMark, TargetLoad};
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +37,8 @@
     Permits(PermitRequest),
     /// Makes a permit unusable; answered with what that proves.
     Revoke(DispatchPermit),
+    /// Asks an earlier home about a key; answered with an optional [`RecallAnswer`].
+    Recall(Box<KeyCall>),
     /// A page of a key book; answered with a result of [`once::StageAnswer`].
     Stage {
         /// The home that leaves.
@@ -43,6 +48,17 @@
     },
 }
 
+/// What an earlier home of a key remembers about it.
+#[derive(Debug, Deserialize, Serialize)]
+pub enum RecallAnswer {
+    /// The call ran; this was its answer.
+    Finished(Arc<StoredAnswer>),
+    /// The call is running.
+    Running,
+    /// The call will not run, with what that proves.
+    Refused(KeyRefusal),
+}
+
 /// Messages of the control areas from one daemon, each encoded by its area.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct ControlBatch {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -14,7 +14,7 @@
 use crate::body::CallBody;
 use crate::control::ControlEvent;
 use crate::core::DaemonCore;
-use crate::keyed::run_at_home;
+use crate::keyed::{recall_here, run_at_home};
 use crate::peer::{CallAnswer, CallHead, ControlAck, PeerRequest};
 
 /// Largest answer head in bytes.
@@ -78,6 +78,10 @@
             let answer = core.keys.issuer().revoke(permit);
             responder.answer_whole(&answer).await
         }
+        PeerRequest::Recall(call) => {
+            let answer = recall_here(core, &call);
+            responder.answer_whole(&answer).await
+        }
         PeerRequest::Stage { from, page } => {
             let answer = core.keys.home().stage(from, *page);
             responder.answer_whole(&answer).await
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -161,7 +161,9 @@
             .unwrap();
         let version = ConfigVersion::at(offset);
         let started = Instant::now();
-        self.await_all("version in force", |status| status.version >= version);
+        self.await_all("version in force", |status| {
+            status.version >= version && &*status.freshness == "current"
+        });
         println!(
             "version {version} in force everywhere in {:?}",
             started.elapsed()
