Run the operators' commands as whole sessions, show changes a field a line

Cause: the commands were only tried by hand; a diff of a small entry took ten lines; a pipe that closed early made the command panic.

--- a/crates/cli/src/cmd/check.rs
+++ b/crates/cli/src/cmd/check.rs
@@ -8,10 +8,11 @@
 
 use crate::config::Result;
 use crate::folder::{FolderArgs, FolderContent, faulty, folder_args, read_folder};
-use crate::output::print_json;
+use crate::output::{outln, print_json};
 
 /// Arguments of `check`.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct CheckArgs {
     /// Print JSON
     json: bool,
@@ -52,6 +53,6 @@
         });
         return print_json(&counts);
     }
-    println!("in order: {customers} customers, {plans} plans, {services} services");
+    outln!("in order: {customers} customers, {plans} plans, {services} services");
     Ok(())
 }
--- a/crates/cli/src/cmd/diff.rs
+++ b/crates/cli/src/cmd/diff.rs
@@ -15,10 +15,11 @@
 use crate::config::{DaemonArgs, Result, daemon_args};
 use crate::folder::{FolderArgs, ListFolder, folder_args};
 use crate::follow::show_refusal;
-use crate::output::print_json;
+use crate::output::{outln, print_json};
 
 /// Arguments of `diff`.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct DiffArgs {
     #[bpaf(external(daemon_args))]
     daemon: DaemonArgs,
@@ -85,13 +86,13 @@
 
 fn print_edits(report: &DiffReport, before: &ListPair) {
     let (base, version) = (report.base, report.version);
-    println!("made from version {base}; version {version} is in force");
+    outln!("made from version {base}; version {version} is in force");
     for edit in &report.edits {
         let held = before.entry(&edit.entry);
         let text = diff_entry(&edit.entry, held.as_ref(), edit.after.as_ref());
-        print!("{text}");
+        outln!("{}", text.trim_end());
     }
     if report.edits.is_empty() {
-        println!("nothing to publish");
+        outln!("nothing to publish");
     }
 }
--- a/crates/cli/src/cmd/history.rs
+++ b/crates/cli/src/cmd/history.rs
@@ -9,13 +9,14 @@
 
 use crate::client::DaemonClient;
 use crate::config::{DaemonArgs, Result, daemon_args};
-use crate::output::print_json;
+use crate::output::{outln, print_json};
 
 /// Entries named on one line.
 const MAX_NAMED: usize = 3;
 
 /// Arguments of `history`.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct HistoryArgs {
     #[bpaf(external(daemon_args))]
     daemon: DaemonArgs,
@@ -60,18 +61,18 @@
     fn print(&self) {
         let version = self.version.to_string();
         let (at, author, note) = (&self.at, &self.author, &self.note);
-        println!("{version:>6}  {at}  {author}  {note}");
+        outln!("{version:>6}  {at}  {author}  {note}");
         if let Some(diff) = &self.diff {
             for line in diff.lines() {
-                println!("        {line}");
+                outln!("        {line}");
             }
             return;
         }
         for entry in self.entries.iter().take(MAX_NAMED) {
-            println!("        {entry}");
+            outln!("        {entry}");
         }
         if self.entries.len() > MAX_NAMED {
-            println!("        and {} more", self.entries.len() - MAX_NAMED);
+            outln!("        and {} more", self.entries.len() - MAX_NAMED);
         }
     }
 }
@@ -91,7 +92,7 @@
         row.print();
     }
     if rows.is_empty() {
-        println!("nothing was published yet");
+        outln!("nothing was published yet");
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/cmd/init.rs
+++ b/crates/cli/src/cmd/init.rs
@@ -7,9 +7,11 @@
 
 use crate::config::Result;
 use crate::folder::{FolderArgs, folder_args, has_lists, write_texts};
+use crate::output::outln;
 
 /// Arguments of `init`.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct InitArgs {
     #[bpaf(external(folder_args))]
     folder: FolderArgs,
@@ -20,12 +22,12 @@
     let dir = &args.folder.dir;
     if has_lists(dir) {
         let detail = format!("{} holds lists already", dir.display());
-        return Err(KindError::new(ErrorKind::RequestInvalid, detail));
+        return Err(KindError::new(ErrorKind::LocalFailed, detail));
     }
     let (plans, allowances) = plans::lists::template();
     write_texts(dir, &plans, &allowances)?;
     let dir = dir.display();
-    println!("wrote plans.jsonc and allowances.jsonc to {dir}");
-    println!("edit them, then: quetzal check {dir} && quetzal publish {dir}");
+    outln!("wrote plans.jsonc and allowances.jsonc to {dir}");
+    outln!("edit them, then: quetzal check {dir} && quetzal publish {dir}");
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -34,28 +34,34 @@
     #[bpaf(command)]
     Demo(#[bpaf(external(demo::demo_args))] demo::DemoArgs),
     /// Write a commented pair of lists to start from
-    #[bpaf(command)]
+    #[bpaf(command, footer("Example: quetzal init lists"))]
     Init(#[bpaf(external(init::init_args))] init::InitArgs),
     /// Check the two lists without publishing
-    #[bpaf(command)]
+    #[bpaf(command, footer("Example: quetzal check lists"))]
     Check(#[bpaf(external(check::check_args))] check::CheckArgs),
     /// Show what publishing would change
-    #[bpaf(command)]
+    #[bpaf(command, footer("Example: quetzal diff lists"))]
     Diff(#[bpaf(external(diff::diff_args))] diff::DiffArgs),
     /// Publish the two lists and follow them until they are in force
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer("Example: quetzal publish lists -m \"gold may book more\"")
+    )]
     Publish(#[bpaf(external(publish::publish_args))] publish::PublishArgs),
-    /// Fetch the accepted lists
-    #[bpaf(command)]
+    /// Bring what was accepted into the folder
+    #[bpaf(
+        command,
+        footer("Example: quetzal pull lists; quetzal pull lists --theirs")
+    )]
     Pull(#[bpaf(external(pull::pull_args))] pull::PullArgs),
     /// Take one version back
-    #[bpaf(command)]
+    #[bpaf(command, footer("Example: quetzal undo 418"))]
     Undo(#[bpaf(external(undo::undo_args))] undo::UndoArgs),
     /// List the accepted changes
-    #[bpaf(command)]
+    #[bpaf(command, footer("Example: quetzal history -n 5 --patch"))]
     History(#[bpaf(external(history::history_args))] history::HistoryArgs),
     /// Show which version is in force where, and what is wrong
-    #[bpaf(command)]
+    #[bpaf(command, footer("Example: quetzal status; quetzal status --json"))]
     Status(#[bpaf(external(status::status_args))] status::StatusArgs),
     /// Run the log service's stand-in
     #[bpaf(command)]
--- a/crates/cli/src/cmd/publish.rs
+++ b/crates/cli/src/cmd/publish.rs
@@ -18,10 +18,11 @@
 use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
 use crate::folder::{FolderArgs, ListFolder, folder_args};
 use crate::follow::{await_force, publish_change, show_refusal};
-use crate::output::print_json;
+use crate::output::{outln, print_json};
 
 /// Arguments of `publish`.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct PublishArgs {
     #[bpaf(external(daemon_args))]
     daemon: DaemonArgs,
@@ -59,14 +60,14 @@
     }
     if !args.json {
         let (id, author, base) = (change.id, &change.author, folder.base);
-        println!("change {id} by {author} upon version {base}");
+        outln!("change {id} by {author} upon version {base}");
     }
     let (appended, version) = publish_change(&client, &change)?;
     catch_up(&client, &folder, version)?;
     let wait = Duration::from_secs(args.wait);
     let report = await_force(&client, appended, version, wait, |report| {
         if !args.json {
-            println!("{}", report.line());
+            outln!("{}", report.line());
         }
     })?;
     report.show(args.json)?;
@@ -87,7 +88,7 @@
     if json {
         print_json(&json!({ "version": version, "edits": 0 }))?;
     } else {
-        println!("nothing to publish; version {version} is in force");
+        outln!("nothing to publish; version {version} is in force");
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/cmd/pull.rs
+++ b/crates/cli/src/cmd/pull.rs
@@ -17,9 +17,11 @@
 use crate::client::DaemonClient;
 use crate::config::{DaemonArgs, Result, daemon_args};
 use crate::folder::{FolderArgs, ListFolder, create_lists, folder_args, has_lists};
+use crate::output::outln;
 
 /// Arguments of `pull`.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct PullArgs {
     #[bpaf(external(daemon_args))]
     daemon: DaemonArgs,
@@ -60,10 +62,10 @@
     let lists = settle(&merge, args.choice);
     folder.update(&lists, state.base())?;
     for edit in &merge.taken {
-        println!("took {}", edit.entry);
+        outln!("took {}", edit.entry);
     }
     for edit in state.lists().edits_to(&lists) {
-        println!("not published: {}", edit.entry);
+        outln!("not published: {}", edit.entry);
     }
     Ok(finish(dir, &state))
 }
@@ -102,11 +104,16 @@
         eprint!("{}", clash.diff());
     }
     let count = clashes.len();
-    let detail = format!("{count} entries were changed by both; pull with --mine or --theirs");
+    let entries = if count == 1 {
+        "entry was"
+    } else {
+        "entries were"
+    };
+    let detail = format!("{count} {entries} changed by both; pull with --mine or --theirs");
     KindError::new(ErrorKind::ChangeConflict, detail)
 }
 
 fn finish(dir: &Path, state: &ConfigState) -> ExitCode {
-    println!("version {} is in {}", state.version(), dir.display());
+    outln!("version {} is in {}", state.version(), dir.display());
     ExitCode::SUCCESS
 }
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -10,13 +10,14 @@
 
 use crate::client::DaemonClient;
 use crate::config::{DaemonArgs, Result, daemon_args};
-use crate::output::print_json;
+use crate::output::{outln, print_json};
 
 /// Members listed before the rest is only counted.
 const MAX_ROWS: usize = 40;
 
 /// Arguments of `status`.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct StatusArgs {
     #[bpaf(external(daemon_args))]
     daemon: DaemonArgs,
@@ -37,23 +38,26 @@
 }
 
 fn print_fleet(status: &StatusReport) {
-    println!(
+    outln!(
         "daemon   {} in {}, version {}, configuration {}",
-        status.name, status.domain, status.version, status.freshness
+        status.name,
+        status.domain,
+        status.version,
+        status.freshness
     );
     match &status.log {
-        Some(log) => println!("log      {} is {log}", status.log_url),
-        None => println!("log      {} is read by other daemons", status.log_url),
+        Some(log) => outln!("log      {} is {log}", status.log_url),
+        None => outln!("log      {} is read by other daemons", status.log_url),
     }
     let fleet = &status.fleet;
-    println!(
+    outln!(
         "fleet    version {} in force on {} of {} proxies",
         status.version,
         fleet.in_force(status.version),
         fleet.members
     );
     for line in fleet.lagging_lines(status.version) {
-        println!("lagging  {line}");
+        outln!("lagging  {line}");
     }
 }
 
@@ -79,8 +83,8 @@
             &targets.join(", "),
         ]);
     }
-    println!("{table}");
+    outln!("{table}");
     if members.len() > MAX_ROWS {
-        println!("and {} more; see --json", members.len() - MAX_ROWS);
+        outln!("and {} more; see --json", members.len() - MAX_ROWS);
     }
 }
--- a/crates/cli/src/cmd/undo.rs
+++ b/crates/cli/src/cmd/undo.rs
@@ -14,9 +14,11 @@
 use crate::client::DaemonClient;
 use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
 use crate::follow::{await_force, publish_change, show_refusal};
+use crate::output::outln;
 
 /// Arguments of `undo`.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct UndoArgs {
     #[bpaf(external(daemon_args))]
     daemon: DaemonArgs,
@@ -38,7 +40,7 @@
 /// Publishes the change that takes the version back.
 pub fn run(args: &UndoArgs) -> Result<ExitCode> {
     let client = DaemonClient::new(&args.daemon);
-    let state = client.state_from(args.version)?;
+    let state = client.state()?;
     let note = match args.author.note.as_str() {
         "" => format!("undo of version {}", args.version),
         note => note.to_owned(),
@@ -53,9 +55,9 @@
         return Err(show_refusal(&refusal));
     }
     if !args.json {
-        println!("change {} by {}: {}", change.id, change.author, change.note);
+        outln!("change {} by {}: {}", change.id, change.author, change.note);
         for edit in &change.edits {
-            println!("  {}", edit.entry);
+            outln!("  {}", edit.entry);
         }
     }
     let (appended, version) = publish_change(&client, &change)?;
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -31,7 +31,7 @@
     #[bpaf(argument("NAME"), env("USER"), optional)]
     author: Option<String>,
     /// Why, in one line
-    #[bpaf(short('m'), argument("TEXT"), fallback(String::new()))]
+    #[bpaf(short('m'), long, argument("TEXT"), fallback(String::new()))]
     pub note: String,
 }
 
--- a/crates/cli/src/follow.rs
+++ b/crates/cli/src/follow.rs
@@ -11,7 +11,7 @@
 
 use crate::client::DaemonClient;
 use crate::config::Result;
-use crate::output::print_json;
+use crate::output::{outln, print_json};
 
 /// Stream of the operators' changes.
 const CONFIG_STREAM: &str = "config";
@@ -69,9 +69,9 @@
         if json {
             return print_json(self);
         }
-        println!("{}", self.line());
+        outln!("{}", self.line());
         for line in &self.lagging {
-            println!("  {line}");
+            outln!("  {line}");
         }
         Ok(())
     }
@@ -203,7 +203,7 @@
 pub fn show_refusal(refusal: &ChangeRefusal) -> KindError {
     if let Some(conflict) = &refusal.conflict {
         let (author, version) = (&conflict.author, conflict.version);
-        eprintln!("{author} changed the same in version {version}:");
+        eprintln!("changed by {author} in version {version}:");
         eprintln!("{}", conflict.diff.trim_end());
     }
     KindError::new(refusal.kind, refusal.reason.clone())
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,14 +1,35 @@
 //! Printing facts as text or JSON.
 
+use std::fmt;
+use std::io::{self, Write};
+use std::process;
+
 use model::{ErrorKind, KindError};
 use serde::Serialize;
 
 use crate::config::Result;
 
+/// Prints a line to standard output, like `println!`, but ends quietly when
+/// nobody reads on, as with `quetzal history | head`.
+macro_rules! outln {
+    ($($arguments:tt)*) => {
+        $crate::output::print_line(format_args!($($arguments)*))
+    };
+}
+pub(crate) use outln;
+
+/// Prints one line; ends the process if standard output is closed.
+pub fn print_line(line: fmt::Arguments<'_>) {
+    let mut stdout = io::stdout().lock();
+    if writeln!(stdout, "{line}").is_err() {
+        process::exit(0);
+    }
+}
+
 /// Prints `facts` as one JSON document.
 pub fn print_json(facts: &impl Serialize) -> Result<()> {
     let text = serde_json::to_string_pretty(facts)
         .map_err(|error| KindError::new(ErrorKind::LocalFailed, error.to_string()))?;
-    println!("{text}");
+    outln!("{text}");
     Ok(())
 }
--- /dev/null
+++ b/crates/cli/tests/publishing.rs
@@ -0,0 +1,243 @@
+//! Sessions of operators with the real command.
+
+mod support;
+
+use std::process::Stdio;
+
+use feed::LogFaults;
+use support::TestBed;
+
+/// Runs each command line and gives the whole session.
+fn play(bed: &TestBed, lines: &[&str]) -> String {
+    let sessions = lines.iter().map(|line| {
+        let arguments: Vec<&str> = line.split(' ').collect();
+        bed.session(&arguments)
+    });
+    sessions.collect()
+}
+
+#[test]
+fn lists_are_checked_without_a_daemon() {
+    let bed = TestBed::offline();
+    let mut text = play(
+        &bed,
+        &[
+            "init lists",
+            "init lists",
+            "check lists",
+            "check lists --json",
+        ],
+    );
+    bed.edit("lists/plans.jsonc", "\"silver\"", "\"silber\"");
+    bed.edit(
+        "lists/allowances.jsonc",
+        "\"rate_per_s\": 20,",
+        "\"rate_per_s\": 0,",
+    );
+    text += &play(
+        &bed,
+        &[
+            "check lists",
+            "check lists --json",
+            "publish lists",
+            "check nowhere",
+        ],
+    );
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn a_change_is_published_and_undone() {
+    let bed = TestBed::start();
+    let mut text = play(&bed, &["pull lists", "history", "init lists", "diff lists"]);
+    text += &play(
+        &bed,
+        &["publish lists -m first", "publish lists", "diff lists"],
+    );
+    let before = bed.read("lists/allowances.jsonc");
+    bed.edit(
+        "lists/allowances.jsonc",
+        "\"rate_per_s\": 200",
+        "\"rate_per_s\": 250",
+    );
+    text += &play(
+        &bed,
+        &[
+            "diff lists",
+            "publish lists -m more --author omar",
+            "history",
+            "history -p -n 1",
+        ],
+    );
+    text += &play(
+        &bed,
+        &[
+            "undo 1",
+            "undo 1",
+            "undo 9",
+            "diff lists",
+            "pull lists",
+            "diff lists",
+        ],
+    );
+    insta::assert_snapshot!(text);
+    assert_eq!(bed.read("lists/allowances.jsonc"), before);
+    assert!(before.contains("// Longest time for one call."));
+}
+
+#[test]
+fn operators_race() {
+    let bed = TestBed::start();
+    play(&bed, &["init a", "publish a"]);
+    bed.copy_dir("a", "b");
+    bed.copy_dir("a", "c");
+    bed.edit(
+        "a/allowances.jsonc",
+        "\"rate_per_s\": 200",
+        "\"rate_per_s\": 250",
+    );
+    bed.edit(
+        "b/plans.jsonc",
+        "\"agency-tarek\": { \"plan\": \"silver\" }",
+        "\"agency-tarek\": { \"plan\": \"gold\" }",
+    );
+    bed.edit(
+        "c/allowances.jsonc",
+        "\"rate_per_s\": 200",
+        "\"rate_per_s\": 300",
+    );
+    bed.edit(
+        "c/allowances.jsonc",
+        "\"rate_per_s\": 10,",
+        "\"rate_per_s\": 11,",
+    );
+    let mut text = play(
+        &bed,
+        &["publish a --author mona", "publish b --author omar"],
+    );
+    text += &play(
+        &bed,
+        &[
+            "diff c",
+            "publish c --author hala",
+            "pull c",
+            "pull c --theirs",
+        ],
+    );
+    text += &play(
+        &bed,
+        &["diff c", "publish c --author hala", "pull a", "pull b"],
+    );
+    insta::assert_snapshot!(text);
+    let lists = ["a", "b", "c"].map(|dir| bed.read(&format!("{dir}/allowances.jsonc")));
+    assert!(lists.iter().all(|list| *list == lists[0]));
+    assert!(lists[0].contains("\"rate_per_s\": 250") && lists[0].contains("\"rate_per_s\": 11,"));
+}
+
+#[test]
+fn publishing_takes_back_nothing_that_others_published() {
+    let bed = TestBed::start();
+    play(&bed, &["init a", "publish a"]);
+    bed.copy_dir("a", "b");
+    bed.edit(
+        "a/allowances.jsonc",
+        "\"rate_per_s\": 200",
+        "\"rate_per_s\": 250",
+    );
+    bed.edit(
+        "b/allowances.jsonc",
+        "\"rate_per_s\": 10,",
+        "\"rate_per_s\": 11,",
+    );
+    play(&bed, &["publish a", "publish b"]);
+    bed.edit(
+        "b/allowances.jsonc",
+        "\"rate_per_s\": 11,",
+        "\"rate_per_s\": 12,",
+    );
+    let diff = bed.json(&["diff", "b", "--json"]);
+    assert_eq!(diff["edits"].as_array().unwrap().len(), 1);
+    let report = bed.json(&["publish", "b", "--json"]);
+    assert_eq!(report["version"], "3");
+    assert_eq!(report["in_force"], 1);
+    play(&bed, &["pull fresh"]);
+    let fresh = bed.read("fresh/allowances.jsonc");
+    assert!(fresh.contains("\"rate_per_s\": 250") && fresh.contains("\"rate_per_s\": 12,"));
+}
+
+#[test]
+fn a_lost_answer_counts_once() {
+    let bed = TestBed::start();
+    play(&bed, &["init lists"]);
+    bed.set_faults(LogFaults {
+        lost_answers: 1,
+        ..LogFaults::default()
+    });
+    let text = play(&bed, &["publish lists -m first", "history"]);
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn an_outage_leaves_the_outcome_unknown_and_the_change_repeatable() {
+    let bed = TestBed::start();
+    play(&bed, &["init lists"]);
+    bed.set_faults(LogFaults {
+        outage: true,
+        ..LogFaults::default()
+    });
+    let failed = bed.run(&["publish", "lists"]);
+    assert_eq!(failed.status.code(), Some(7));
+    let errors = String::from_utf8(failed.stderr).unwrap();
+    let id = errors
+        .split("--change ")
+        .nth(1)
+        .unwrap()
+        .lines()
+        .next()
+        .unwrap();
+    bed.set_faults(LogFaults::default());
+    for _ in 0..2 {
+        let again = bed.run(&["publish", "lists", "--change", id, "--json"]);
+        assert_eq!(again.status.code(), Some(0));
+    }
+    assert_eq!(
+        bed.json(&["history", "--json"]).as_array().unwrap().len(),
+        1
+    );
+}
+
+#[test]
+fn a_daemon_that_does_not_answer_is_named() {
+    let bed = TestBed::offline();
+    play(&bed, &["init lists"]);
+    for line in [
+        "publish lists",
+        "diff lists",
+        "pull lists",
+        "history",
+        "status",
+        "undo 1",
+    ] {
+        let arguments: Vec<&str> = line.split(' ').collect();
+        let output = bed.run(&arguments);
+        assert_eq!(output.status.code(), Some(10), "{line}");
+        let errors = String::from_utf8(output.stderr).unwrap();
+        assert!(errors.contains("127.0.0.1:1"), "{errors}");
+    }
+}
+
+#[test]
+fn a_reader_that_leaves_ends_the_command_quietly() {
+    let bed = TestBed::offline();
+    play(&bed, &["init lists"]);
+    let mut child = bed
+        .command(&["check", "lists", "--json"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    let output = child.wait_with_output().unwrap();
+    assert_eq!(output.status.code(), Some(0));
+    assert!(output.stderr.is_empty());
+}
--- /dev/null
+++ b/crates/cli/tests/support/mod.rs
@@ -0,0 +1,184 @@
+//! A log, a daemon and the real command in a scratch folder.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use daemon::settings::NumberSettings;
+use daemon::{DaemonSettings, RunningDaemon};
+use feed::{LogFaults, LogServer, LogSettings, MemoryLog, serve};
+use model::SystemClock;
+use tempfile::TempDir;
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait for the daemon to be in order.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Everything that a test runs; stops when dropped.
+pub struct TestBed {
+    pub scratch: TempDir,
+    log: Option<(Arc<MemoryLog>, LogServer)>,
+    daemon: Option<RunningDaemon>,
+}
+
+impl TestBed {
+    /// A scratch folder only.
+    pub fn offline() -> Self {
+        Self {
+            scratch: tempfile::tempdir().unwrap(),
+            log: None,
+            daemon: None,
+        }
+    }
+
+    /// A log and one daemon that reads it.
+    pub fn start() -> Self {
+        let settings = LogSettings::default();
+        let memory = Arc::new(MemoryLog::new(settings, SystemClock::shared()));
+        let server = serve(&memory, any_port()).unwrap();
+        let url = format!("http://{}", server.address());
+        let daemon = RunningDaemon::start(daemon_settings(&url)).unwrap();
+        let bed = Self {
+            log: Some((memory, server)),
+            daemon: Some(daemon),
+            scratch: tempfile::tempdir().unwrap(),
+        };
+        bed.await_status();
+        bed
+    }
+
+    /// Waits until the daemon counts itself.
+    fn await_status(&self) {
+        let started = Instant::now();
+        while started.elapsed() < START_TIMEOUT {
+            let status = self.run(&["status", "--json"]);
+            let text = String::from_utf8_lossy(&status.stdout).into_owned();
+            let report: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+            if report["fleet"]["members"] == 1 {
+                return;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        panic!("the daemon did not come up");
+    }
+
+    pub fn set_faults(&self, faults: LogFaults) {
+        let (memory, _) = self.log.as_ref().unwrap();
+        memory.set_faults(faults);
+    }
+
+    /// The command, to be run in the scratch folder.
+    pub fn command(&self, arguments: &[&str]) -> Command {
+        let operator = self.daemon.as_ref().map(RunningDaemon::operator_address);
+        let operator = operator.unwrap_or_else(unused_port);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_quetzal"));
+        command
+            .args(arguments)
+            .current_dir(self.scratch.path())
+            .env_clear()
+            .env("USER", "mona")
+            .env("QUETZAL_DAEMON", operator.to_string());
+        command
+    }
+
+    /// Runs the command in the scratch folder.
+    pub fn run(&self, arguments: &[&str]) -> Output {
+        self.command(arguments).output().unwrap()
+    }
+
+    /// Runs the command; gives its line, exit code and output, without what differs each time.
+    pub fn session(&self, arguments: &[&str]) -> String {
+        let output = self.run(arguments);
+        let code = output.status.code().unwrap();
+        let text = String::from_utf8(output.stdout).unwrap();
+        let errors = String::from_utf8(output.stderr).unwrap();
+        let line = arguments.join(" ");
+        hide_varying(&format!(
+            "$ quetzal {line}\n{text}{errors}[exit {code}]\n\n"
+        ))
+    }
+
+    pub fn json(&self, arguments: &[&str]) -> serde_json::Value {
+        let output = self.run(arguments);
+        serde_json::from_slice(&output.stdout).unwrap()
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.scratch.path().join(name)
+    }
+
+    pub fn read(&self, name: &str) -> String {
+        fs::read_to_string(self.path(name)).unwrap()
+    }
+
+    /// Changes a file as an operator would.
+    pub fn edit(&self, name: &str, from: &str, to: &str) {
+        let text = self.read(name);
+        assert!(text.contains(from), "{name} lacks {from}");
+        fs::write(self.path(name), text.replace(from, to)).unwrap();
+    }
+
+    pub fn copy_dir(&self, from: &str, to: &str) {
+        fs::create_dir(self.path(to)).unwrap();
+        for entry in fs::read_dir(self.path(from)).unwrap() {
+            let entry = entry.unwrap();
+            fs::copy(entry.path(), self.path(to).join(entry.file_name())).unwrap();
+        }
+    }
+}
+
+impl Drop for TestBed {
+    fn drop(&mut self) {
+        let force = CancellationToken::new();
+        // Nobody is left to learn of a drain.
+        force.cancel();
+        if let Some(daemon) = self.daemon.take() {
+            daemon.stop(&force);
+        }
+    }
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// An address at which nobody answers.
+fn unused_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn daemon_settings(log_url: &str) -> DaemonSettings {
+    DaemonSettings {
+        name: "daemon-1".into(),
+        domain: "cairo-a".parse().unwrap(),
+        region: "cairo".parse().unwrap(),
+        log_url: log_url.into(),
+        caller_address: any_port(),
+        peer_address: any_port(),
+        operator_address: any_port(),
+        peers: Vec::new(),
+        metrics_address: None,
+        numbers: NumberSettings::default(),
+    }
+}
+
+/// Replaces change ids, times and ports.
+fn hide_varying(text: &str) -> String {
+    let words = text.split_inclusive([' ', '\n', ';']).map(|word| {
+        let (bare, end) = word.split_at(word.trim_end_matches([' ', '\n', ';']).len());
+        let hidden = match bare {
+            bare if bare.len() == 36 && bare.matches('-').count() == 4 => "CHANGE",
+            bare if bare.len() == 20 && bare.ends_with('Z') && bare.contains('T') => "TIME",
+            bare if bare.parse::<f32>().is_ok() && bare.contains('.') => "SECONDS",
+            bare => bare,
+        };
+        format!("{hidden}{end}")
+    });
+    words.collect()
+}
--- a/crates/plans/src/entry.rs
+++ b/crates/plans/src/entry.rs
@@ -11,7 +11,7 @@
 use similar::TextDiff;
 
 use crate::lists::{CustomerPlan, ListPair, PlanAllowance, ServiceRule};
-use crate::render::pretty;
+use crate::render::field_lines;
 
 /// Which entry.
 #[derive(Clone, Debug, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -178,22 +178,19 @@
 ) -> String {
     let (before, after) = (value_text(before), value_text(after));
     let diff = TextDiff::from_lines(&before, &after);
-    let mut text = format!("{entry}:\n");
-    for change in diff.iter_all_changes() {
-        text.push_str("  ");
-        text.push_str(&change.tag().to_string());
-        text.push_str(&change.to_string());
-    }
-    text
+    let lines = diff.iter_all_changes();
+    let lines: Vec<String> = lines
+        .map(|line| format!("  {} {}", line.tag(), line.value()))
+        .collect();
+    format!("{entry}:\n{}", lines.concat())
 }
 
-/// The value as lines of JSON; nothing for an entry that is not there.
+/// The value, a field a line; nothing for an entry that is not there.
 fn value_text(value: Option<&EntryValue>) -> String {
-    let text = match value {
-        None => return String::new(),
-        Some(EntryValue::Customer(customer)) => pretty(customer),
-        Some(EntryValue::Service(rule)) => pretty(rule),
-        Some(EntryValue::Allowance(allowance)) => pretty(allowance),
-    };
-    text + "\n"
+    match value {
+        None => String::new(),
+        Some(EntryValue::Customer(customer)) => field_lines(customer),
+        Some(EntryValue::Service(rule)) => field_lines(rule),
+        Some(EntryValue::Allowance(allowance)) => field_lines(allowance),
+    }
 }
--- a/crates/plans/src/render.rs
+++ b/crates/plans/src/render.rs
@@ -87,13 +87,15 @@
         .expect("writing to a string never fails");
 }
 
-/// `value` as indented JSON without its empty fields, for diffs.
-pub fn pretty(value: &impl Serialize) -> String {
-    let mut value = serde_json::to_value(value).expect("entries have text keys");
-    if let Some(fields) = value.as_object_mut() {
-        fields.retain(|_, field| !field.is_null());
-    }
-    format!("{value:#}")
+/// The fields of `value`, one a line, without the empty ones; for diffs.
+pub fn field_lines(value: &impl Serialize) -> String {
+    let value = serde_json::to_value(value).expect("entries have text keys");
+    let fields = value.as_object().into_iter().flatten();
+    let filled = fields.filter(|(_, field)| !field.is_null());
+    let lines: Vec<String> = filled
+        .map(|(name, field)| format!("{name}: {field}\n"))
+        .collect();
+    lines.concat()
 }
 
 /// A commented pair of texts to start from.
