--- a/crates/plans/benches/fold.rs
+++ b/crates/plans/benches/fold.rs
@@ -36,11 +36,11 @@
     start.elapsed() / runs
 }
 
-/// Lists of the target's size.
-fn target_lists() -> ListPair {
+/// Lists with this many customers.
+fn lists_of(customer_count: usize) -> ListPair {
     let key = "5e884898da28047151d0e56f8dc6292773603d0d6aabbdd62a11ef721d1542d8";
     let mut customers = String::new();
-    for index in 0..CUSTOMERS {
+    for index in 0..customer_count {
         let comma = if index == 0 { "" } else { "," };
         let plan = index % PLANS;
         write!(
@@ -168,7 +168,7 @@
 }
 
 fn main() -> ExitCode {
-    let lists = target_lists();
+    let lists = lists_of(CUSTOMERS);
     let mut run = run_days(&lists);
     let changes = run.records.len() - 1;
     let change_bytes: usize = run.records[1..]
@@ -181,6 +181,7 @@
 
     print_costs(&run, &state, &snapshot, changes, change_bytes);
     let crossover = print_updates(&mut run);
+    print_slopes();
     let (plans_text, allowances_text) = state.lists().render();
     let whole_bytes = plans_text.len() + allowances_text.len();
 
@@ -283,6 +284,65 @@
     crossover
 }
 
+/// Prints how bytes, time and memory grow with the customers.
+fn print_slopes() {
+    let mut table = Table::new();
+    table.set_header([
+        "customers",
+        "snapshot bytes",
+        "build table",
+        "state and table in memory",
+    ]);
+    for customers in [100, 500, 1000, 2000] {
+        let run = first_version(&lists_of(customers));
+        let snapshot = StateSnapshot::of(&run).encode().expect("a bounded state");
+        let build = mean_time(20, || RouteTable::build(&run));
+        let memory = memory_of(|| (run.clone(), RouteTable::build(&run)));
+        let memory = memory.map_or("unknown".to_owned(), |bytes| format!("{} KB", bytes / 1024));
+        let build = format!("{build:.1?}");
+        table.add_row([
+            customers.to_string(),
+            snapshot.len().to_string(),
+            build,
+            memory,
+        ]);
+    }
+    println!("{SERVICES} services, {PLANS} plans, one version\n{table}");
+}
+
+fn first_version(lists: &ListPair) -> ConfigState {
+    let mut state = ConfigState::new();
+    let mut rng = SmallRng::seed_from_u64(7);
+    let base = state.base();
+    let change = ChangeRecord::between(&state, base, lists, meta(&mut rng));
+    let body = change.and_then(|change| change.encode());
+    let record = ConfigRecord {
+        offset: LogOffset(0),
+        at: SystemTime::UNIX_EPOCH,
+        body: body.expect("a bounded change").into(),
+    };
+    let verdict = state.apply(&record).expect("the first record");
+    assert!(matches!(verdict, ChangeVerdict::Accepted { .. }));
+    state
+}
+
+/// Resident memory that one of `make`'s results takes, where the system tells.
+fn memory_of<T>(make: impl Fn() -> T) -> Option<usize> {
+    const COPIES: usize = 40;
+    let before = resident_bytes()?;
+    let copies: Vec<T> = (0..COPIES).map(|_| make()).collect();
+    let after = resident_bytes()?;
+    drop(copies);
+    Some(after.saturating_sub(before) / COPIES)
+}
+
+fn resident_bytes() -> Option<usize> {
+    const PAGE_BYTES: usize = 4096;
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: usize = text.split(' ').nth(1)?.parse().ok()?;
+    Some(pages * PAGE_BYTES)
+}
+
 fn judge(bounds: &[BoundRow]) -> ExitCode {
     let mut table = Table::new();
     table.set_header(["bound", "found", "most", ""]);
--- a/crates/plans/src/check.rs
+++ b/crates/plans/src/check.rs
@@ -19,6 +19,10 @@
 pub const MAX_PLANS: usize = 256;
 /// Most methods of a service.
 pub const MAX_METHODS: usize = 16;
+/// Longest name of a method, in bytes.
+pub const MAX_METHOD_BYTES: usize = 16;
+/// Largest encoding of both lists, in bytes; leaves room for the past in a snapshot.
+pub const MAX_LIST_BYTES: usize = 1 << 20;
 /// Longest path of a service, in bytes.
 pub const MAX_PATH_BYTES: usize = 128;
 /// Timeouts in milliseconds.
@@ -74,6 +78,7 @@
 pub fn find_faults(pair: &ListPair) -> Vec<ListFault> {
     let mut faults = Vec::new();
     check_sizes(pair, &mut faults);
+    check_bytes(pair, &mut faults);
     check_customers(pair, &mut faults);
     for (name, rule) in &pair.allowances.services {
         check_service(name, rule, &mut faults);
@@ -128,6 +133,16 @@
     }
 }
 
+/// Checks that the lists fit into a snapshot.
+fn check_bytes(pair: &ListPair, faults: &mut Vec<ListFault>) {
+    let encoded = bincode::serde::encode_to_vec(pair, bincode::config::standard());
+    let bytes = encoded.map_or(usize::MAX, |encoded| encoded.len());
+    if bytes > MAX_LIST_BYTES {
+        let message = format!("the lists take {bytes} bytes; at most {MAX_LIST_BYTES} are allowed");
+        push(faults, FaultPlace::Plans, message);
+    }
+}
+
 fn check_customers(pair: &ListPair, faults: &mut Vec<ListFault>) {
     for (customer, entry) in &pair.plans.customers {
         if pair.allowances.plans.contains_key(&entry.plan) {
@@ -158,8 +173,10 @@
         push(faults, FaultPlace::ServiceMethods(name.clone()), message);
     }
     for method in rule.methods.keys() {
-        if !method.bytes().all(|byte| byte.is_ascii_uppercase()) {
-            let message = format!("method \"{method}\" must be written in capital letters");
+        let capital = method.bytes().all(|byte| byte.is_ascii_uppercase());
+        if !capital || method.len() > MAX_METHOD_BYTES {
+            let message =
+                format!("method \"{method}\" must be 1 to {MAX_METHOD_BYTES} capital letters");
             let place = FaultPlace::ServiceMethod(name.clone(), method.clone());
             push(faults, place, message);
         }
--- a/crates/plans/src/history.rs
+++ b/crates/plans/src/history.rs
@@ -25,7 +25,7 @@
 /// Records after its base within which a change must be appended.
 pub const CHANGE_WINDOW: u64 = 512;
 /// Most edits remembered over all accepted changes.
-pub const MAX_RECENT_EDITS: usize = 4096;
+pub const MAX_RECENT_EDITS: usize = 2048;
 /// Verdicts remembered with their reasons.
 pub const RECENT_VERDICTS: usize = 32;
 
--- a/crates/plans/src/snapshot.rs
+++ b/crates/plans/src/snapshot.rs
@@ -14,8 +14,8 @@
 /// Results of reading and writing snapshots; kind `SnapshotInvalid`.
 pub type Result<T> = model::Result<T>;
 
-/// Largest snapshot, in bytes.
-pub const MAX_SNAPSHOT_BYTES: usize = 8 << 20;
+/// Largest snapshot, in bytes; no state reached by folding takes more.
+pub const MAX_SNAPSHOT_BYTES: usize = 4 << 20;
 
 /// Names the encoding; another release's is not read.
 const FORMAT: &[u8; 4] = b"QZS1";
--- a/crates/plans/tests/sessions.rs
+++ b/crates/plans/tests/sessions.rs
@@ -5,6 +5,7 @@
 use std::fmt::Write;
 
 use model::{ConfigVersion, LogOffset};
+use quetzal_plans::StateSnapshot;
 use quetzal_plans::change::RULES_VERSION;
 use quetzal_plans::merge::merge_lists;
 use quetzal_plans::{
@@ -419,6 +420,45 @@
     }
 }
 
+/// The lists of the template and services as large as the rules allow.
+fn large_lists(timeout_ms: u32) -> ListPair {
+    let mut pair = template_pair();
+    let name = "deals".parse().unwrap();
+    let mut rule = pair.allowances.services[&name].clone();
+    rule.timeout_ms = timeout_ms;
+    let letters = (b'A'..=b'P').map(char::from);
+    let method = rule.methods.values().next().copied().unwrap();
+    rule.methods = letters
+        .map(|letter| (letter.to_string().repeat(16).parse().unwrap(), method))
+        .collect();
+    for index in 0..250 {
+        let service = format!("{index:064}");
+        rule.path = format!("/{index:0127}").into();
+        pair.allowances
+            .services
+            .insert(service.parse().unwrap(), rule.clone());
+    }
+    pair
+}
+
+#[test]
+fn the_largest_state_still_fits_a_snapshot() {
+    let mut log = template_log();
+    let mut state = log.state();
+    for number in 1..12 {
+        let wanted = large_lists(number as u32);
+        let meta = meta(number, &"m".repeat(64), &"n".repeat(256));
+        let change = ChangeRecord::between(&state, state.base(), &wanted, meta).unwrap();
+        let verdict = state.apply(&log.append(&change.encode().unwrap())).unwrap();
+        assert!(matches!(verdict, ChangeVerdict::Accepted { .. }));
+    }
+    let remembered: usize = state.history().map(|change| change.before.len()).sum();
+    assert!((1900..=2048).contains(&remembered), "{remembered}");
+    let bytes = StateSnapshot::of(&state).encode().unwrap();
+    assert!(bytes.len() < quetzal_plans::snapshot::MAX_SNAPSHOT_BYTES / 2);
+    assert_eq!(StateSnapshot::decode(&bytes).unwrap().into_state(), state);
+}
+
 #[test]
 fn refused_records_alone_never_block_publishing() {
     let mut log = template_log();
