Check by random histories that daemons hold prefixes of the log

Cause: never back, never in part, all alike, and convergence once all is well must hold under loss, duplication, reordering, crash, outage and expiry. Change: quickcheck over histories of eleven kinds of steps on nine daemons; reports between readers every 3 s, sooner when the sum changed.

--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::acks::{AckTable, FleetSummary};
+use crate::acks::{AckSum, AckTable, FleetSummary};
 use crate::beats::RootTable;
 use crate::freshness::{FreshnessCase, FreshnessReport, FreshnessTracker};
 use crate::message::{DomainReport, LogTag, OutputList, SpreadAlarm, SpreadMessage, SpreadOutput};
@@ -76,6 +76,7 @@
     pub(crate) last_ack: Option<Instant>,
     pub(crate) next_exchange: Instant,
     pub(crate) next_report: Instant,
+    pub(crate) last_report: Option<Instant>,
 }
 
 /// The fleet as last heard, or as summed up here.
@@ -84,6 +85,7 @@
     pub(crate) summary: FleetSummary,
     pub(crate) heard_at: Option<Instant>,
     pub(crate) changed: bool,
+    pub(crate) reported: AckSum,
 }
 
 /// The last report of another domain's reader.
@@ -348,6 +350,7 @@
             last_ack: None,
             next_exchange: within(settings.exchange_interval / 4),
             next_report: within(settings.report_interval),
+            last_report: None,
         }
     }
 }
--- a/crates/spread/src/roster.rs
+++ b/crates/spread/src/roster.rs
@@ -74,11 +74,15 @@
 
     /// Takes the members anew; this daemon always counts.
     pub fn set(&mut self, members: &[SpreadMember]) {
-        self.members = members
-            .iter()
+        let others = members.iter().filter(|member| member.id != self.own.id);
+        let members = others
+            .chain(std::iter::once(&self.own))
             .map(|member| (member.id, member.clone()))
             .collect();
-        self.members.insert(self.own.id, self.own.clone());
+        if self.members == members {
+            return;
+        }
+        self.members = members;
         self.domains.clear();
         for member in self.members.values() {
             let domain = self.domains.entry(member.domain.clone()).or_default();
--- a/crates/spread/src/settings.rs
+++ b/crates/spread/src/settings.rs
@@ -32,11 +32,11 @@
     pub beat_interval: Duration,
     /// Time between two acknowledgements to a parent, if nothing changes.
     pub ack_interval: Duration,
-    /// Shortest time between two acknowledgements to a parent.
+    /// Shortest time between two acknowledgements or reports.
     pub ack_spacing: Duration,
     /// Mean time between two comparisons with a random peer.
     pub exchange_interval: Duration,
-    /// Time between two reports to the readers of another domain.
+    /// Time between two reports to the readers of another domain, if nothing changes.
     pub report_interval: Duration,
     /// Silence of all readers after which the next in rank reads.
     pub takeover_after: Duration,
@@ -90,7 +90,7 @@
             ack_interval: Duration::from_secs(1),
             ack_spacing: Duration::from_millis(200),
             exchange_interval: Duration::from_secs(2),
-            report_interval: Duration::from_secs(1),
+            report_interval: Duration::from_secs(3),
             takeover_after: Duration::from_millis(1100),
             takeover_stagger: Duration::from_millis(150),
             poll_wait: Duration::from_secs(1),
--- a/crates/spread/src/tree.rs
+++ b/crates/spread/src/tree.rs
@@ -23,8 +23,11 @@
 /// Shortest time between two beats.
 const BEAT_SPACING: Duration = Duration::from_millis(200);
 
+/// Time after which a changed sum is reported again, in case it was lost.
+const REPEAT_AFTER: Duration = Duration::from_millis(500);
+
 /// Age at which a domain's report no longer counts.
-const REPORT_LIFETIME: Duration = Duration::from_secs(5);
+const REPORT_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Time for which a daemon may know a newer head before it counts as lagging.
 const BEHIND_GRACE: Duration = Duration::from_secs(1);
@@ -220,12 +223,24 @@
         }
     }
 
-    /// Reports to one reader of each other domain.
+    /// Reports to one reader of each other domain when due, or soon when the sum changed.
     pub(crate) fn tick_reports(&mut self, outputs: &mut OutputList, now: Instant) {
-        if now < self.timers.next_report {
+        let sum = self.own_sum(now);
+        let spacing = self.settings.ack_spacing;
+        let recent = |at: Instant| now.saturating_duration_since(at) < spacing;
+        let spaced = !self.timers.last_report.is_some_and(recent);
+        let early = sum.versions != self.fleet.reported.versions && spaced;
+        if now < self.timers.next_report && !early {
             return;
         }
-        self.timers.next_report = now + self.jittered(self.settings.report_interval);
+        self.fleet.reported = sum;
+        self.timers.last_report = Some(now);
+        let interval = if early {
+            REPEAT_AFTER
+        } else {
+            self.settings.report_interval
+        };
+        self.timers.next_report = now + self.jittered(interval);
         let own = self.roster.own().domain.clone();
         let domains = self.roster.domains().filter(|domain| **domain != own);
         let domains = domains.cloned().collect::<Vec<_>>();
--- a/crates/spread/tests/harness/actor.rs
+++ b/crates/spread/tests/harness/actor.rs
@@ -46,6 +46,11 @@
     /// Whether it reads the log.
     fn reads(&self) -> bool;
 
+    /// Whether it shows `version` as in force everywhere.
+    fn shows(&self, _version: ConfigVersion) -> bool {
+        false
+    }
+
     /// Age of its proof that it is current, if it has such.
     fn proof_age(&self) -> Option<Duration> {
         None
@@ -100,6 +105,11 @@
         self.is_reading()
     }
 
+    fn shows(&self, version: ConfigVersion) -> bool {
+        let summary = self.fleet_summary();
+        summary.is_some_and(|(summary, _)| summary.is_everywhere(version))
+    }
+
     fn proof_age(&self) -> Option<Duration> {
         self.freshness().proof_age
     }
--- /dev/null
+++ b/crates/spread/tests/invariants.rs
@@ -0,0 +1,213 @@
+//! Properties that hold whatever the network, the log and the daemons do.
+
+mod harness;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use feed::port::LogRecord;
+use harness::actor::{Node, nodes};
+use harness::{Fleet, FleetShape};
+use model::LogOffset;
+use quetzal_spread::{FakeReplica, ReplicaPort, SpreadSettings};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const DAEMONS: usize = 9;
+
+/// One step of a random history.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Publish(u8),
+    PublishRefused,
+    Kill(usize),
+    Restart(usize),
+    RestartAll,
+    LogDown(bool),
+    LoseAnswers(bool),
+    ExpireConfig(u8),
+    CutRegions(bool),
+    Cut(usize, bool),
+    Wait(u16),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(gen_: &mut Gen) -> Self {
+        let place = usize::arbitrary(gen_) % DAEMONS;
+        let flag = bool::arbitrary(gen_);
+        match u8::arbitrary(gen_) % 14 {
+            0..=3 => Self::Publish(u8::arbitrary(gen_) % 8),
+            4 => Self::PublishRefused,
+            5 => Self::Kill(place),
+            6 => Self::Restart(place),
+            7 => Self::RestartAll,
+            8 => Self::LogDown(flag),
+            9 => Self::LoseAnswers(flag),
+            10 => Self::ExpireConfig(u8::arbitrary(gen_) % 4),
+            11 => Self::CutRegions(flag),
+            12 => Self::Cut(place, flag),
+            _ => Self::Wait(u16::arbitrary(gen_) % 4000),
+        }
+    }
+}
+
+/// A random history with its seed.
+#[derive(Clone, Debug)]
+struct History {
+    seed: u64,
+    steps: Vec<Step>,
+}
+
+impl Arbitrary for History {
+    fn arbitrary(gen_: &mut Gen) -> Self {
+        Self {
+            seed: u64::arbitrary(gen_),
+            steps: Vec::arbitrary(gen_),
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let seed = self.seed;
+        Box::new(self.steps.shrink().map(move |steps| Self { seed, steps }))
+    }
+}
+
+/// What every daemon must hold at each offset.
+#[derive(Default)]
+struct Reference {
+    replica: FakeReplica,
+    hashes: BTreeMap<LogOffset, u64>,
+}
+
+impl Reference {
+    fn follow(&mut self, records: &[LogRecord]) {
+        self.hashes
+            .insert(self.replica.next_offset(), self.replica.hash());
+        for record in records {
+            if record.offset == self.replica.next_offset() {
+                self.replica.fold(std::slice::from_ref(record));
+                self.hashes
+                    .insert(self.replica.next_offset(), self.replica.hash());
+            }
+        }
+    }
+
+    /// Every daemon holds a prefix of the log, whole; none knows of more.
+    fn check(&self, fleet: &Fleet<Node>) {
+        for slot in &fleet.slots {
+            let Some(node) = &slot.actor else { continue };
+            let head = node.head();
+            assert_eq!(self.hashes.get(&head.next), Some(&head.state_hash));
+            if let Some((summary, _)) = node.fleet_summary() {
+                let known = summary.sum.versions.iter().map(|count| count.version).max();
+                assert!(known.unwrap_or_default() <= self.replica.version());
+            }
+        }
+    }
+}
+
+fn shape(seed: u64) -> FleetShape {
+    FleetShape {
+        domains: 3,
+        first_region: 2,
+        loss: 0.1,
+        duplication: 0.1,
+        jitter: Duration::from_millis(300),
+        detection: Duration::from_secs(2),
+        ..FleetShape::sized(DAEMONS, seed)
+    }
+}
+
+fn settings() -> SpreadSettings {
+    SpreadSettings {
+        snapshot_changes: 3,
+        snapshot_age: Duration::from_secs(20),
+        snapshot_stagger: Duration::from_secs(1),
+        ..SpreadSettings::default()
+    }
+}
+
+fn act(fleet: &mut Fleet<Node>, step: Step) {
+    match step {
+        Step::Publish(key) if !fleet.log.down => {
+            let text = format!("key-{key}={}", fleet.now().as_millis());
+            fleet.publish(&text);
+        }
+        Step::PublishRefused if !fleet.log.down => {
+            fleet.publish("no change");
+        }
+        Step::Publish(_) | Step::PublishRefused => {}
+        Step::Kill(place) => fleet.kill(place),
+        Step::Restart(place) => restart(fleet, place),
+        Step::RestartAll => (0..DAEMONS).for_each(|place| restart(fleet, place)),
+        Step::LogDown(down) => fleet.log.down = down,
+        Step::LoseAnswers(lost) => fleet.log.lose_answers = lost,
+        Step::ExpireConfig(keep) => expire_covered(fleet, keep),
+        Step::CutRegions(cut) => fleet.regions_cut = cut,
+        Step::Cut(place, cut) => fleet.slots[place].cut = cut,
+        Step::Wait(millis) => fleet.run_for(Duration::from_millis(u64::from(millis))),
+    }
+}
+
+fn restart(fleet: &mut Fleet<Node>, place: usize) {
+    fleet.start(place, Duration::from_millis(500));
+    fleet.announce_members();
+}
+
+/// Expires records that a snapshot in the log or a live daemon covers.
+fn expire_covered(fleet: &mut Fleet<Node>, keep: u8) {
+    let covered = newest_snapshot(fleet).0;
+    let stream = fleet.log.stream("config");
+    let covered = (covered.saturating_sub(stream.first)) as usize;
+    let keep = stream.records.len().saturating_sub(covered) + usize::from(keep);
+    stream.expire(keep);
+}
+
+fn newest_snapshot(fleet: &mut Fleet<Node>) -> LogOffset {
+    let records = &fleet.log.stream("snapshots").records;
+    records.last().map_or(LogOffset(0), |record| {
+        let snapshot = quetzal_spread::SnapshotRecord::decode(&record.body);
+        snapshot.expect("written whole").head.next
+    })
+}
+
+fn run(history: &History) {
+    let factory = nodes(settings());
+    let mut fleet = Fleet::new(shape(history.seed), Duration::from_secs(1), factory);
+    let mut reference = Reference::default();
+    for step in &history.steps {
+        act(&mut fleet, *step);
+        reference.follow(&fleet.log.stream("config").records);
+        fleet.run_for(Duration::from_millis(250));
+        reference.check(&fleet);
+    }
+    heal(&mut fleet);
+    let version = fleet.publish("last=1");
+    reference.follow(&fleet.log.stream("config").records);
+    fleet.converge(version, Duration::from_secs(60));
+    reference.check(&fleet);
+    assert_eq!(fleet.lagging(version), 0, "not all daemons follow");
+}
+
+fn heal(fleet: &mut Fleet<Node>) {
+    fleet.log.down = false;
+    fleet.log.lose_answers = false;
+    fleet.regions_cut = false;
+    for place in 0..DAEMONS {
+        fleet.slots[place].cut = false;
+        if fleet.slots[place].actor.is_none() {
+            restart(fleet, place);
+        }
+    }
+    fleet.announce_members();
+}
+
+#[test]
+fn daemons_hold_prefixes_of_the_log_and_follow_it_once_all_is_well() {
+    fn holds(history: History) -> bool {
+        run(&history);
+        true
+    }
+    QuickCheck::new()
+        .tests(150)
+        .quickcheck(holds as fn(History) -> bool);
+}
