members: only accusers that hear nothing declare deaths

Cause: at 720 with a slow domain link accusations outran refutations. Change: accusers declare, others follow; useful accusers only; urgent rounds bounded; framing counts against the gossip rate.

--- a/crates/members/src/node.rs
+++ b/crates/members/src/node.rs
@@ -38,7 +38,13 @@
 /// Bytes a second of updates that one daemon passes on.
 const GOSSIP_RATE: u32 = 3_000;
 /// Bytes of updates passed on at once after a quiet time.
-const GOSSIP_BURST: u32 = 9_000;
+const GOSSIP_BURST: u32 = 30_000;
+/// Rounds of gossip a second between ticks.
+const URGENT_RATE: u32 = 4;
+/// Rounds of gossip at once between ticks.
+const URGENT_BURST: u32 = 8;
+/// Bytes of framing for which a message made for gossip counts besides its updates.
+const GOSSIP_OVERHEAD: usize = 100;
 /// Bytes of updates in one message made for gossip.
 const GOSSIP_BYTES: usize = 1_200;
 /// Time between attempts to contact daemons named by the log or the settings.
@@ -140,6 +146,7 @@
     pub(crate) plan: WatchPlan,
     pub(crate) queue: UpdateQueue,
     pub(crate) gossip_bytes: ByteBucket,
+    pub(crate) urgent_rounds: ByteBucket,
     pub(crate) probes: ProbeList,
     pub(crate) turns: ProbeTurns,
     pub(crate) slow: SlowLinks,
@@ -178,6 +185,7 @@
             plan: WatchPlan::default(),
             queue: UpdateQueue::default(),
             gossip_bytes: ByteBucket::new(GOSSIP_RATE, GOSSIP_BURST, now),
+            urgent_rounds: ByteBucket::new(URGENT_RATE, URGENT_BURST, now),
             probes: ProbeList::default(),
             turns: ProbeTurns::new(now, &mut rng),
             slow: SlowLinks::default(),
@@ -370,7 +378,8 @@
             return effect;
         }
         if spread {
-            self.queue.push(update.clone(), self.table.live_count());
+            self.queue
+                .push(update.clone(), self.spread_for(update, effect));
         }
         if let Some(change) = self.change_for(update.id(), effect) {
             outputs.push(MemberOutput::Changed(change));
@@ -455,6 +464,17 @@
         MemberUpdate::Alive(Arc::clone(&self.own))
     }
 
+    /// How many members an update is to reach by gossip: loads alone may miss some.
+    fn spread_for(&self, update: &MemberUpdate, effect: UpdateEffect) -> usize {
+        let load_only =
+            matches!(update, MemberUpdate::Heartbeat(_)) && effect == UpdateEffect::Renewed;
+        if load_only {
+            0
+        } else {
+            self.table.live_count()
+        }
+    }
+
     fn take_updates(&mut self, room: usize) -> Vec<MemberUpdate> {
         if self.queue.is_empty() {
             return Vec::new();
@@ -483,6 +503,14 @@
         }
     }
 
+    /// Passes news on without waiting for the next tick, a bounded number of times a second.
+    pub(crate) fn gossip_urgently(&mut self, now: Instant, outputs: &mut Vec<MemberOutput>) {
+        if self.urgent_rounds.available(now) > 0 {
+            self.urgent_rounds.spend(1);
+            self.gossip(now, outputs);
+        }
+    }
+
     /// Passes news on to a few random members.
     pub(crate) fn gossip(&mut self, now: Instant, outputs: &mut Vec<MemberOutput>) {
         for id in self.random_peers(GOSSIP_FANOUT) {
@@ -495,6 +523,7 @@
                 break;
             }
             let address = entry.profile().peer_address;
+            self.gossip_bytes.spend(GOSSIP_OVERHEAD);
             let message = self.message(false, MessageBody::Gossip, updates);
             outputs.push(MemberOutput::Send {
                 to: id,
--- a/crates/members/src/prober.rs
+++ b/crates/members/src/prober.rs
@@ -98,7 +98,7 @@
 
     /// Declares suspects dead whose time to refute has run out.
     pub(crate) fn declare_deaths(&mut self, now: Instant, outputs: &mut Vec<MemberOutput>) {
-        let expired = expired_suspects(&self.own.profile, &self.table, self.health, now);
+        let expired = expired_suspects(&self.own, &self.table, self.health, now);
         for id in expired {
             let Some(entry) = self.table.get(id) else {
                 continue;
@@ -244,7 +244,10 @@
             stamp,
             by: self.own.id,
         };
-        self.learn(&update, true, outputs);
+        if self.learn(&update, true, outputs).is_news() {
+            // The accused is told at once, and an answer now stops the declaration.
+            self.probe(probe.subject, probe.kind, None, outputs);
+        }
     }
 }
 
--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -21,13 +21,14 @@
         }
         let synced = matches!(message.body, MessageBody::SyncRecords { .. });
         let few = message.updates.len() <= FEW_RECORDS;
+        let now = self.clock.now();
+        self.table.note_heard(from, now);
         let mut urgent = false;
         for update in &message.updates {
             urgent |= self.on_update(update, synced, few || !synced, &mut outputs);
         }
-        if urgent && !self.queue.is_crowded() {
-            let now = self.clock.now();
-            self.gossip(now, &mut outputs);
+        if urgent {
+            self.gossip_urgently(now, &mut outputs);
         }
         let wants_record = message.wants_record;
         let address = message.address;
--- a/crates/members/src/suspicion.rs
+++ b/crates/members/src/suspicion.rs
@@ -1,16 +1,21 @@
 //! When a suspicion becomes a death.
 //!
-//! A suspect has time to refute. The time is short when several members in
-//! different failure domains got no answer, long when one alone says so. If
-//! most of a failure domain looks lost, a slow link is as likely a cause as a
-//! loss; then no time is long enough without accusers from two other domains.
+//! A suspect has time to refute. The time is short when several members got
+//! no answer, long when one alone says so. If much of a failure domain looks
+//! lost, a slow link is as likely a cause as a loss: the time is longest, and
+//! nobody is declared dead without accusers from two other domains.
+//!
+//! Only accusers declare, and only while they themselves hear nothing: an
+//! answer that is late, or a refutation still on its way through a crowd of
+//! other news, so costs no member its place. The others follow the accusers,
+//! or declare after a much longer time should all accusers have died.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use model::{DaemonId, DomainName};
 
-use crate::digest::MemberProfile;
+use crate::digest::{MemberProfile, MemberRecord};
 use crate::health::LocalHealth;
 use crate::table::{MemberEntry, MemberState, MemberTable};
 
@@ -20,6 +25,8 @@
 pub const LONE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time to refute while much of a failure domain looks lost.
 pub const WIDE_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time after which a member declares a death that it has not looked into itself.
+pub const FALLBACK_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long a death counts as part of the loss of a domain.
 const LOSS_WINDOW: Duration = Duration::from_secs(60);
 /// Accusers, and domains of accusers, that confirm.
@@ -41,7 +48,7 @@
 
 /// The suspects whose time to refute has run out.
 pub fn expired_suspects(
-    own: &MemberProfile,
+    own: &MemberRecord,
     table: &MemberTable,
     health: LocalHealth,
     now: Instant,
@@ -52,7 +59,7 @@
     let suspects = table
         .live()
         .filter(|entry| entry.state == MemberState::Suspect);
-    let counts = count_domains(own, table, now);
+    let counts = count_domains(&own.profile, table, now);
     suspects
         .filter(|entry| is_expired(entry, own, table, &counts, health, now))
         .map(|entry| entry.record.id)
@@ -61,7 +68,7 @@
 
 fn is_expired(
     entry: &MemberEntry,
-    own: &MemberProfile,
+    own: &MemberRecord,
     table: &MemberTable,
     counts: &BTreeMap<&DomainName, DomainCount>,
     health: LocalHealth,
@@ -69,15 +76,18 @@
 ) -> bool {
     let domain = &entry.profile().domain;
     let wide = counts.get(domain).is_some_and(|count| count.is_wide_loss());
-    let timeout = match (wide, entry.accusers.len() >= CONFIRMING) {
-        (true, _) => WIDE_TIMEOUT,
-        (false, true) => CONFIRMED_TIMEOUT,
-        (false, false) => LONE_TIMEOUT,
+    let looked = entry.accusers.contains(&own.id);
+    let timeout = match (looked, wide, entry.accusers.len() >= CONFIRMING) {
+        (false, _, _) => FALLBACK_TIMEOUT,
+        (true, true, _) => WIDE_TIMEOUT,
+        (true, false, true) => CONFIRMED_TIMEOUT,
+        (true, false, false) => LONE_TIMEOUT,
     };
-    if now.duration_since(entry.since) < health.stretch(timeout) {
+    let silent_since = entry.heard_at.unwrap_or(entry.since);
+    if now.duration_since(silent_since) < health.stretch(timeout) {
         return false;
     }
-    !wide || accusing_domains(entry, own, table) >= needed_domains(domain, counts)
+    !wide || accusing_domains(entry, &own.profile, table) >= needed_domains(domain, counts)
 }
 
 /// Domains other than the suspect's from which it was accused.
--- a/crates/members/src/table.rs
+++ b/crates/members/src/table.rs
@@ -23,7 +23,7 @@
 /// How long a dead or left member is remembered.
 pub const TOMBSTONE_RETENTION: Duration = Duration::from_secs(3 * 3600);
 /// Most accusers remembered for one suspicion.
-pub const MAX_ACCUSERS: usize = 6;
+pub const MAX_ACCUSERS: usize = 4;
 
 /// What is held of a member.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -58,6 +58,8 @@
     pub state: MemberState,
     /// When the state was entered, on this daemon's clock.
     pub since: Instant,
+    /// When this daemon last had a message from it while suspect.
+    pub heard_at: Option<Instant>,
     /// Who did not get an answer from it.
     pub accusers: SmallVec<[DaemonId; MAX_ACCUSERS]>,
 }
@@ -189,6 +191,15 @@
         }
     }
 
+    /// Notes a message from a member, which proves that a suspect lives.
+    pub fn note_heard(&mut self, id: DaemonId, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(&id)
+            && entry.state == MemberState::Suspect
+        {
+            entry.heard_at = Some(now);
+        }
+    }
+
     /// Forgets tombstones whose time has passed.
     pub fn expire(&mut self, now: Instant) {
         self.entries.retain(|_, entry| {
@@ -243,6 +254,7 @@
         let mut entry = entry.clone();
         entry.state = MemberState::Suspect;
         entry.since = now;
+        entry.heard_at = None;
         entry.accusers = SmallVec::from_slice(&[by]);
         self.set_entry(entry);
         UpdateEffect::StateChanged {
@@ -278,16 +290,30 @@
     }
 
     fn note_accuser(&mut self, id: DaemonId, by: DaemonId) -> UpdateEffect {
+        if !self.is_useful_accuser(id, by) {
+            return UpdateEffect::Known;
+        }
         let Some(entry) = self.entries.get_mut(&id) else {
             return UpdateEffect::Known;
         };
-        if entry.accusers.contains(&by) || entry.accusers.len() >= MAX_ACCUSERS {
-            return UpdateEffect::Known;
-        }
         entry.accusers.push(by);
         UpdateEffect::Accused
     }
 
+    /// Whether `by` confirms a suspicion: as the second, or from a domain not heard yet.
+    fn is_useful_accuser(&self, id: DaemonId, by: DaemonId) -> bool {
+        let Some(entry) = self.get(id) else {
+            return false;
+        };
+        let accusers = &entry.accusers;
+        if accusers.contains(&by) || accusers.len() >= MAX_ACCUSERS {
+            return false;
+        }
+        let domain = self.domain(by);
+        let heard = |other: &DaemonId| self.domain(*other) == domain;
+        accusers.len() < 2 || !accusers.iter().any(heard)
+    }
+
     fn set_entry(&mut self, entry: MemberEntry) {
         self.count_entry(&entry, 1);
         let live = entry.state.is_live();
@@ -343,6 +369,7 @@
         record: Arc::clone(record),
         state: MemberState::Alive,
         since: now,
+        heard_at: None,
         accusers: SmallVec::new(),
     }
 }
