Judge a publication by the stream, ask several daemons

Cause: the verdict hung on one daemon, which may be cut off or die; a log that was down or had lost records was found only after appending.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -1,7 +1,8 @@
-//! Questions to a daemon's operator interface.
+//! Questions to the operator interface of daemons.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -13,7 +14,7 @@
 use ureq::Agent;
 use ureq::http::Response;
 
-use crate::config::{DaemonArgs, Result};
+use crate::config::{DaemonArgs, DaemonList, Result};
 
 /// Time for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -24,23 +25,26 @@
 /// Largest answer in bytes.
 const MAX_ANSWER_BYTES: u64 = 64 << 20;
 
-/// A client of one daemon.
+/// A client of whichever daemon answers.
 #[derive(Clone, Debug)]
 pub struct DaemonClient {
-    daemon: SocketAddr,
+    daemons: DaemonList,
+    /// Place of the daemon that answered last.
+    answering: Arc<AtomicUsize>,
     log: Option<Box<str>>,
     agent: Agent,
 }
 
 impl DaemonClient {
-    /// A client of the daemon that the arguments name.
+    /// A client of the daemons that the arguments name.
     pub fn new(args: &DaemonArgs) -> Self {
         let config = Agent::config_builder()
             .http_status_as_error(false)
             .timeout_global(Some(ANSWER_TIMEOUT))
             .build();
         Self {
-            daemon: args.daemon,
+            daemons: args.daemon.clone(),
+            answering: Arc::default(),
             log: args.log.as_deref().map(Box::from),
             agent: config.into(),
         }
@@ -71,9 +75,8 @@
                 return Ok(state);
             }
             if started.elapsed() > CATCH_UP_TIMEOUT {
-                let (daemon, base) = (self.daemon, state.base());
-                let detail =
-                    format!("daemon {daemon} is at {base}, before {version}; ask another one");
+                let base = state.base();
+                let detail = format!("the daemon is at {base}, before {version}; ask another one");
                 return Err(KindError::new(ErrorKind::ConfigStale, detail));
             }
             thread::sleep(CATCH_UP_INTERVAL);
@@ -94,13 +97,33 @@
         Ok(Arc::new(HttpLog::new(&url)))
     }
 
+    /// Asks the daemon that answered last, then the others in turn.
     fn get(&self, path: &str) -> Result<ClientAnswer> {
-        let url = format!("http://{}{path}", self.daemon);
-        let response = self.agent.get(url).call().map_err(|error| {
-            let detail = format!("daemon {}: {error}", self.daemon);
-            KindError::new(ErrorKind::PeerUnavailable, detail)
-        })?;
-        Ok(ClientAnswer(response))
+        let daemons = self.daemons.addresses();
+        let first = self.answering.load(Ordering::Relaxed);
+        let mut failures = Vec::new();
+        for step in 0..daemons.len() {
+            let place = (first + step) % daemons.len();
+            match self.ask(daemons[place], path) {
+                Ok(answer) => {
+                    self.answering.store(place, Ordering::Relaxed);
+                    return Ok(answer);
+                }
+                Err(failure) => failures.push(failure),
+            }
+        }
+        Err(KindError::new(
+            ErrorKind::PeerUnavailable,
+            failures.join("; "),
+        ))
+    }
+
+    fn ask(&self, daemon: SocketAddr, path: &str) -> std::result::Result<ClientAnswer, String> {
+        let url = format!("http://{daemon}{path}");
+        let response = self.agent.get(url).call();
+        response
+            .map(ClientAnswer)
+            .map_err(|error| format!("daemon {daemon}: {error}"))
     }
 }
 
--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -22,7 +22,8 @@
 use crate::client::DaemonClient;
 use crate::config::{DaemonArgs, Result};
 use crate::demo_target::DemoTarget;
-use crate::follow::{await_force, publish_change};
+use crate::follow::await_force;
+use crate::publication::ConfigLog;
 
 const DAEMON_COUNT: usize = 4;
 const DOMAINS: [&str; 2] = ["cairo-a", "cairo-b"];
@@ -129,7 +130,7 @@
             })
             .collect();
         let client = DaemonClient::new(&DaemonArgs {
-            daemon: daemons[0].operator_address(),
+            daemon: daemons[0].operator_address().into(),
             log: Some(url),
         });
         Ok(Self {
@@ -172,18 +173,18 @@
         lists: &ListPair,
         note: &str,
     ) -> Result<ConfigVersion> {
-        let state = self.client.state()?;
+        let log = ConfigLog::open(&self.client, base)?;
         let meta = ChangeMeta {
             id: ChangeId(Uuid::now_v7()),
             author: author.parse()?,
             note: note.into(),
         };
-        let record = ChangeRecord::between(&state, base, lists, meta)?;
-        let (appended, version) = publish_change(&self.client, &record)?;
+        let record = ChangeRecord::between(log.state(), base, lists, meta)?;
+        let publication = log.publish(&record)?;
         println!("publish  {note}, by {author} upon version {base}");
-        let report = await_force(&self.client, appended, version, FORCE_TIMEOUT, |_| {})?;
+        let report = await_force(&self.client, &publication, FORCE_TIMEOUT, |_| {})?;
         println!("         {}", report.line());
-        Ok(version)
+        Ok(publication.version)
     }
 
     /// Calls through the daemon that has no target beside it.
--- a/crates/cli/src/cmd/diff.rs
+++ b/crates/cli/src/cmd/diff.rs
@@ -14,8 +14,8 @@
 use crate::client::DaemonClient;
 use crate::config::{DaemonArgs, Result, daemon_args};
 use crate::folder::{FolderArgs, ListFolder, folder_args};
-use crate::follow::show_refusal;
 use crate::output::{outln, print_json};
+use crate::publication::show_refusal;
 
 /// Arguments of `diff`.
 #[derive(Bpaf, Clone, Debug)]
--- a/crates/cli/src/cmd/publish.rs
+++ b/crates/cli/src/cmd/publish.rs
@@ -17,8 +17,9 @@
 use crate::client::DaemonClient;
 use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
 use crate::folder::{FolderArgs, ListFolder, folder_args};
-use crate::follow::{await_force, publish_change, show_refusal};
+use crate::follow::await_force;
 use crate::output::{outln, print_json};
+use crate::publication::{ConfigLog, Publication, show_refusal};
 
 /// Arguments of `publish`.
 #[derive(Bpaf, Clone, Debug)]
@@ -44,13 +45,14 @@
 pub fn run(args: &PublishArgs) -> Result<ExitCode> {
     let folder = ListFolder::open(&args.folder.dir)?;
     let client = DaemonClient::new(&args.daemon);
-    let state = client.state_from(folder.base)?;
+    let log = ConfigLog::open(&client, folder.base)?;
+    let state = log.state();
     let meta = ChangeMeta {
         id: args.change.unwrap_or_else(|| ChangeId(Uuid::now_v7())),
         author: args.author.author()?,
         note: args.author.note.as_str().into(),
     };
-    let change = ChangeRecord::between(&state, folder.base, &folder.lists, meta)?;
+    let change = ChangeRecord::between(state, folder.base, &folder.lists, meta)?;
     if change.edits.is_empty() {
         return say_nothing_to_do(state.version(), args.json);
     }
@@ -62,10 +64,10 @@
         let (id, author, base) = (change.id, &change.author, folder.base);
         outln!("change {id} by {author} upon version {base}");
     }
-    let (appended, version) = publish_change(&client, &change)?;
-    catch_up(&client, &folder, version)?;
+    let publication = log.publish(&change)?;
+    catch_up(&folder, &publication)?;
     let wait = Duration::from_secs(args.wait);
-    let report = await_force(&client, appended, version, wait, |report| {
+    let report = await_force(&client, &publication, wait, |report| {
         if !args.json {
             outln!("{}", report.line());
         }
@@ -78,9 +80,9 @@
 ///
 /// Without this the next change would be made upon lists that lack the others'
 /// changes, and take them back.
-fn catch_up(client: &DaemonClient, folder: &ListFolder, version: ConfigVersion) -> Result<()> {
-    let state = client.state_from(version)?;
-    let lists = state.lists_at(version)?;
+fn catch_up(folder: &ListFolder, publication: &Publication) -> Result<()> {
+    let version = publication.version;
+    let lists = publication.state.lists_at(version)?;
     folder.update(&lists, version)
 }
 
--- a/crates/cli/src/cmd/undo.rs
+++ b/crates/cli/src/cmd/undo.rs
@@ -13,8 +13,9 @@
 
 use crate::client::DaemonClient;
 use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
-use crate::follow::{await_force, publish_change, show_refusal};
+use crate::follow::await_force;
 use crate::output::outln;
+use crate::publication::{ConfigLog, show_refusal};
 
 /// Arguments of `undo`.
 #[derive(Bpaf, Clone, Debug)]
@@ -40,7 +41,8 @@
 /// Publishes the change that takes the version back.
 pub fn run(args: &UndoArgs) -> Result<ExitCode> {
     let client = DaemonClient::new(&args.daemon);
-    let state = client.state()?;
+    let log = ConfigLog::open(&client, ConfigVersion::NONE)?;
+    let state = log.state();
     let note = match args.author.note.as_str() {
         "" => format!("undo of version {}", args.version),
         note => note.to_owned(),
@@ -60,9 +62,9 @@
             outln!("  {}", edit.entry);
         }
     }
-    let (appended, version) = publish_change(&client, &change)?;
+    let publication = log.publish(&change)?;
     let wait = Duration::from_secs(args.wait);
-    let report = await_force(&client, appended, version, wait, |_| {})?;
+    let report = await_force(&client, &publication, wait, |_| {})?;
     report.show(args.json)?;
     Ok(report.exit_code())
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod folder;
 mod follow;
 mod output;
+mod publication;
 
 fn main() -> ExitCode {
     let command = cmd::command().run();
