--- a/crates/spread/benches/convergence.rs
+++ b/crates/spread/benches/convergence.rs
@@ -119,6 +119,10 @@
             broken.push(format!("{} daemons, {:?}: {what}", row.size, row.incident));
         }
     };
+    let (nearly_all, all) = match (row.size, row.incident) {
+        (0..=14, Incident::None) => (2_000, 5_000),
+        _ => (15_000, 15_000),
+    };
     check(row.reached == row.live, "not in force on all");
     let traffic = &row.traffic;
     if row.incident == Incident::None {
@@ -127,6 +131,8 @@
             traffic.max_bytes <= MAX_BYTES,
             "most control bytes of a daemon",
         );
+        let shown = row.shown.map_or(u128::MAX, |shown| shown.as_millis());
+        check(shown <= all, "shown as in force everywhere");
         let proof_age = traffic.proof_age.unwrap_or_default();
         check(proof_age < MAX_PROOF_AGE, "age of the proof of freshness");
     }
@@ -134,10 +140,6 @@
         traffic.peak <= MAX_PEAK,
         "requests to the log in one second",
     );
-    let (nearly_all, all) = match (row.size, row.incident) {
-        (0..=14, Incident::None) => (2_000, 5_000),
-        _ => (15_000, 15_000),
-    };
     check(row.millis(0.99) <= nearly_all, "99% in force");
     check(row.millis(1.0) <= all, "all in force");
     if let Some(takeover) = row.takeover {
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -98,7 +98,9 @@
     pub(crate) summary: FleetSummary,
     pub(crate) heard_at: Option<Instant>,
     pub(crate) changed: bool,
+    pub(crate) repeats: u32,
     pub(crate) reported: AckSum,
+    pub(crate) report_again: bool,
     pub(crate) readers: BTreeMap<DomainName, ReaderList>,
 }
 
--- a/crates/spread/src/settings.rs
+++ b/crates/spread/src/settings.rs
@@ -32,7 +32,7 @@
     pub beat_interval: Duration,
     /// Time between two acknowledgements to a parent, if nothing changes.
     pub ack_interval: Duration,
-    /// Shortest time between two acknowledgements or reports.
+    /// Shortest time between two acknowledgements to a parent.
     pub ack_spacing: Duration,
     /// Mean time between two comparisons with a random peer.
     pub exchange_interval: Duration,
--- a/crates/spread/src/snapshots.rs
+++ b/crates/spread/src/snapshots.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::message::{AppendResult, LogAppend, LogRead, LogTag, SnapshotMark};
 use crate::replica::{MAX_UPDATE_BYTES, ReplicaHead};
@@ -79,8 +79,9 @@
 }
 
 fn checksum(head: &ReplicaHead, state: &[u8]) -> u64 {
-    let seed = head.next.0 ^ head.state_hash.rotate_left(17) ^ head.last_record.rotate_left(34);
-    xxh3_64_with_seed(state, seed)
+    let head = bincode::serde::encode_to_vec(head, bincode::config::standard())
+        .expect("plain data encodes");
+    xxh3_64_with_seed(state, xxh3_64(&head))
 }
 
 /// What an answer to the keeper means.
--- a/crates/spread/src/tree.rs
+++ b/crates/spread/src/tree.rs
@@ -20,13 +20,19 @@
 /// Beats after which the summary is sent again though it is unchanged.
 const SUMMARY_EVERY: u32 = 8;
 
+/// Beats that carry a changed summary, since some are lost.
+const SUMMARY_REPEATS: u32 = 3;
+
 /// Roots that acknowledgements go to.
 const MAX_ACK_ROOTS: usize = 2;
 
 /// Shortest time between two beats.
 const BEAT_SPACING: Duration = Duration::from_millis(200);
 
-/// Time after which a changed sum is reported again, in case it was lost.
+/// Shortest time between two rounds of reports.
+const REPORT_SPACING: Duration = Duration::from_millis(400);
+
+/// Time after which a changed sum is told again, in case it was lost.
 const REPEAT_AFTER: Duration = Duration::from_millis(500);
 
 /// Share of reports that go to a reader by rank, in case all that were named died.
@@ -68,8 +74,12 @@
         self.timers.last_beat = Some(now);
         self.beat_number += 1;
         let again = self.beat_number % SUMMARY_EVERY == 1;
-        let summary = (self.fleet.changed || again).then(|| self.fleet.summary.clone());
-        self.fleet.changed = false;
+        if std::mem::take(&mut self.fleet.changed) {
+            self.fleet.repeats = SUMMARY_REPEATS;
+        }
+        let wanted = self.fleet.repeats > 0 || again;
+        self.fleet.repeats = self.fleet.repeats.saturating_sub(1);
+        let summary = wanted.then(|| self.fleet.summary.clone());
         let own = self.roster.own();
         let (root, run, number) = (own.id, own.run, self.beat_number);
         self.forward_beat(root, run, number, summary, outputs);
@@ -116,7 +126,12 @@
         }
         self.acks.settle();
         self.timers.last_ack = Some(now);
-        self.timers.next_ack = now + self.jittered(self.settings.ack_interval);
+        let interval = if early {
+            REPEAT_AFTER
+        } else {
+            self.settings.ack_interval
+        };
+        self.timers.next_ack = now + self.jittered(interval);
         for (root, since) in self.roots.live().into_iter().take(MAX_ACK_ROOTS) {
             let Some(parent) = self.roster.parent(root, self.settings.fan_out) else {
                 continue;
@@ -255,13 +270,13 @@
     /// Reports to one reader of each other domain when due, or soon when the sum changed.
     pub(crate) fn tick_reports(&mut self, outputs: &mut OutputList, now: Instant) {
         let sum = self.own_sum(now);
-        let spacing = self.settings.ack_spacing;
-        let recent = |at: Instant| now.saturating_duration_since(at) < spacing;
+        let recent = |at: Instant| now.saturating_duration_since(at) < REPORT_SPACING;
         let spaced = !self.timers.last_report.is_some_and(recent);
         let early = sum.versions != self.fleet.reported.versions && spaced;
         if now < self.timers.next_report && !early {
             return;
         }
+        let again = std::mem::replace(&mut self.fleet.report_again, early);
         self.fleet.reported = sum;
         self.timers.last_report = Some(now);
         let interval = if early {
@@ -278,16 +293,29 @@
         }
         let report = self.own_report(now);
         for domain in domains {
-            let Some(to) = self.reader_of(&domain) else {
-                continue;
+            let readers = if early || again {
+                self.readers_of(&domain)
+            } else {
+                self.reader_of(&domain).into_iter().collect()
             };
-            let question = self.questions.ask(to, now);
-            let report = report.clone();
-            let message = SpreadMessage::Report { question, report };
-            outputs.push(SpreadOutput::Send { to, message });
+            for to in readers {
+                let question = self.questions.ask(to, now);
+                let report = report.clone();
+                let message = SpreadMessage::Report { question, report };
+                outputs.push(SpreadOutput::Send { to, message });
+            }
         }
     }
 
+    /// All readers of `domain` that were named, else those first in rank.
+    fn readers_of(&self, domain: &DomainName) -> ReaderList {
+        let readers = self.settings.readers;
+        let named = self.fleet.readers.get(domain).map(ReaderList::as_slice);
+        let named = named.filter(|named| !named.is_empty());
+        let likely = named.unwrap_or_else(|| self.roster.ranked(domain));
+        likely.iter().take(readers).copied().collect()
+    }
+
     /// A reader of `domain`: one that was named, else one of the first in rank.
     fn reader_of(&mut self, domain: &DomainName) -> Option<DaemonId> {
         let guess = self.rng.random_bool(GUESS_SHARE);
--- /dev/null
+++ b/crates/spread/tests/parts.rs
@@ -0,0 +1,246 @@
+//! The parts of the distributor, each by itself.
+
+use std::time::Duration;
+
+use feed::port::{LogRecord, ReadAnswer, RecordBatch};
+use model::{
+    ClockPort, ConfigVersion, DaemonId, DomainName, ErrorKind, FakeClock, KindError, LogOffset,
+};
+use quetzal_spread::freshness::FreshnessTracker;
+use quetzal_spread::message::{AgeMillis, LogView};
+use quetzal_spread::reader::{ConfigReader, ReadVerdict};
+use quetzal_spread::snapshots::SnapshotRecord;
+use quetzal_spread::{
+    AckSum, FreshnessCase, LogState, LogTag, OutageQuorum, ReplicaHead, SpreadSettings, record_hash,
+};
+use quickcheck::quickcheck;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn record(offset: u64, text: &str) -> LogRecord {
+    LogRecord {
+        offset: LogOffset(offset),
+        at: FakeClock::new().wall(),
+        body: text.as_bytes().into(),
+    }
+}
+
+fn batch(first: u64, next: u64, records: Vec<LogRecord>) -> ReadAnswer {
+    ReadAnswer::Batch(RecordBatch {
+        first: LogOffset(first),
+        next: LogOffset(next),
+        records,
+    })
+}
+
+/// A reader at offset 5 whose last record was `last`.
+struct Reading {
+    clock: FakeClock,
+    rng: SmallRng,
+    reader: ConfigReader,
+    head: ReplicaHead,
+    settings: SpreadSettings,
+}
+
+impl Reading {
+    fn new() -> Self {
+        let head = ReplicaHead {
+            next: LogOffset(5),
+            last_record: record_hash(&record(4, "last")),
+            ..ReplicaHead::default()
+        };
+        Self {
+            clock: FakeClock::new(),
+            rng: SmallRng::seed_from_u64(1),
+            reader: ConfigReader::new(),
+            head,
+            settings: SpreadSettings::default(),
+        }
+    }
+
+    fn ask(&mut self) -> quetzal_spread::LogRead {
+        self.clock.advance(Duration::from_secs(10));
+        let now = self.clock.now();
+        let read = self.reader.poll(&self.settings, &self.head, LogTag(1), now);
+        read.expect("a read is due")
+    }
+
+    fn answer(&mut self, answer: feed::port::Result<ReadAnswer>) -> ReadVerdict {
+        let (now, rng) = (self.clock.now(), &mut self.rng);
+        self.reader
+            .answer(&self.settings, rng, &self.head, LogTag(1), answer, now)
+    }
+}
+
+#[test]
+fn a_reader_checks_its_last_record_before_it_trusts_the_log() {
+    let mut reading = Reading::new();
+    let read = reading.ask();
+    assert_eq!((read.from, read.wait), (LogOffset(4), Duration::ZERO));
+    let asked_at = reading.clock.now();
+    let verdict = reading.answer(Ok(batch(0, 5, vec![record(4, "last")])));
+    assert_eq!(verdict, ReadVerdict::Confirmed(asked_at));
+    assert_eq!(reading.ask().from, LogOffset(5));
+}
+
+#[test]
+fn a_reader_sees_another_record_a_shorter_log_and_a_gap() {
+    let cases = [
+        (
+            batch(0, 5, vec![record(4, "other")]),
+            LogState::Diverged(LogOffset(4)),
+        ),
+        (batch(0, 2, vec![]), LogState::Diverged(LogOffset(2))),
+        (batch(9, 9, vec![]), LogState::Gap(LogOffset(9))),
+        (
+            ReadAnswer::Expired {
+                first: LogOffset(8),
+            },
+            LogState::Gap(LogOffset(8)),
+        ),
+        (
+            ReadAnswer::Expired {
+                first: LogOffset(5),
+            },
+            LogState::Up,
+        ),
+        (
+            batch(0, 7, vec![record(6, "jump")]),
+            LogState::Down(ErrorKind::LogAnswerInvalid),
+        ),
+    ];
+    for (answer, state) in cases {
+        let mut reading = Reading::new();
+        reading.ask();
+        reading.answer(Ok(answer));
+        assert_eq!(reading.reader.state(), state);
+    }
+}
+
+#[test]
+fn an_answer_older_than_our_head_is_no_divergence() {
+    let mut reading = Reading::new();
+    reading.ask();
+    reading.answer(Ok(batch(0, 5, vec![record(4, "last")])));
+    reading.ask();
+    reading.head.next = LogOffset(7);
+    let verdict = reading.answer(Ok(batch(0, 5, vec![])));
+    assert_eq!(verdict, ReadVerdict::Ignored);
+    assert_eq!(reading.reader.state(), LogState::Up);
+}
+
+#[test]
+fn a_failed_reader_backs_off_and_checks_again() {
+    let mut reading = Reading::new();
+    reading.ask();
+    reading.answer(Ok(batch(0, 5, vec![record(4, "last")])));
+    reading.ask();
+    reading.answer(Err(KindError::new(ErrorKind::LogOverRate, "slow down")));
+    let now = reading.clock.now();
+    let early = reading
+        .reader
+        .poll(&reading.settings, &reading.head, LogTag(2), now);
+    assert_eq!(early, None);
+    assert_eq!(reading.ask().from, LogOffset(4));
+}
+
+#[test]
+fn a_damaged_snapshot_is_refused() {
+    let head = ReplicaHead::default();
+    let body = SnapshotRecord::new(head, b"state".as_slice().into()).encode();
+    assert!(SnapshotRecord::decode(&body).is_ok());
+    for place in 0..body.len() {
+        let mut damaged = body.clone();
+        damaged[place] ^= 1;
+        assert!(SnapshotRecord::decode(&damaged).is_err(), "byte {place}");
+        assert!(
+            SnapshotRecord::decode(&body[..place]).is_err(),
+            "{place} bytes"
+        );
+    }
+}
+
+/// The case after readers of some of four domains found the log down.
+fn case_of(quorum: OutageQuorum, down: usize) -> FreshnessCase {
+    let clock = FakeClock::new();
+    let settings = SpreadSettings {
+        outage_quorum: quorum,
+        ..SpreadSettings::default()
+    };
+    let mut tracker = FreshnessTracker::default();
+    for place in 0..4 {
+        let domain: DomainName = format!("domain-{place}").parse().unwrap();
+        let down_at = (place < down).then(|| clock.now());
+        tracker.witness(&domain, down_at, clock.now());
+    }
+    tracker.judge_outage(&settings, clock.now());
+    tracker.report(true, &settings, clock.now()).case
+}
+
+#[test]
+fn an_outage_needs_its_quorum_of_domains() {
+    assert_eq!(case_of(OutageQuorum::Every, 4), FreshnessCase::SourceDown);
+    assert_eq!(case_of(OutageQuorum::Every, 3), FreshnessCase::CutOff);
+    assert_eq!(
+        case_of(OutageQuorum::Majority, 3),
+        FreshnessCase::SourceDown
+    );
+    assert_eq!(case_of(OutageQuorum::Majority, 2), FreshnessCase::CutOff);
+}
+
+#[test]
+fn a_proof_counts_only_for_a_head_that_was_reached() {
+    let clock = FakeClock::new();
+    let settings = SpreadSettings::default();
+    let mut tracker = FreshnessTracker::default();
+    let view = LogView {
+        proof_age: Some(AgeMillis(500)),
+        outage_age: None,
+    };
+    tracker.learn(view, LogOffset(9), clock.now(), LogOffset(8));
+    let case = |tracker: &FreshnessTracker| tracker.report(true, &settings, clock.now()).case;
+    assert_eq!(case(&tracker), FreshnessCase::CutOff);
+    tracker.reach(LogOffset(9));
+    assert_eq!(case(&tracker), FreshnessCase::Current);
+    clock.advance(settings.cut_off_after);
+    assert_eq!(case(&tracker), FreshnessCase::CutOff);
+}
+
+quickcheck! {
+    fn a_sum_never_counts_too_many(versions: Vec<u8>, asked: u8, split: usize) -> bool {
+        let of_one = |version: &u8| {
+            AckSum::of_one(ConfigVersion::at(LogOffset(u64::from(*version))), None)
+        };
+        let sum_of = |part: &[u8]| {
+            part.iter().fold(AckSum::default(), |mut sum, version| {
+                sum.add(&of_one(version));
+                sum
+            })
+        };
+        let (left, right) = versions.split_at(split % (versions.len() + 1));
+        let mut sum = sum_of(left);
+        sum.add(&sum_of(right));
+        let at_least = versions.iter().filter(|version| **version >= asked).count();
+        let lowest = versions.iter().min().map(|lowest| {
+            ConfigVersion::at(LogOffset(u64::from(*lowest)))
+        });
+        sum.check().is_ok()
+            && sum.reporting() as usize == versions.len()
+            && sum.in_force(ConfigVersion::at(LogOffset(u64::from(asked)))) as usize <= at_least
+            && sum.lowest() == lowest
+    }
+
+    fn a_sum_names_a_few_laggards(ids: Vec<u8>) -> bool {
+        let mut sum = AckSum::default();
+        for id in &ids {
+            let laggard = quetzal_spread::FleetLaggard {
+                daemon: DaemonId(u64::from(*id)),
+                reason: quetzal_spread::LagReason::Behind,
+                version: ConfigVersion::NONE,
+                age: AgeMillis(0),
+            };
+            sum.add_laggard(laggard);
+        }
+        sum.check().is_ok() && sum.laggards.is_empty() == ids.is_empty()
+    }
+}
