--- a/crates/members/src/digest.rs
+++ b/crates/members/src/digest.rs
@@ -195,6 +195,6 @@
 }
 
 /// Least time between two editions that differ in load alone.
-pub const LOAD_INTERVAL: Duration = Duration::from_secs(60);
+pub const LOAD_INTERVAL: Duration = Duration::from_secs(120);
 /// Least difference in load worth an edition of its own.
 pub const LOAD_STEP: u8 = 2;
--- a/crates/members/src/health.rs
+++ b/crates/members/src/health.rs
@@ -39,6 +39,11 @@
         self.score >= DISTRUST_SCORE
     }
 
+    /// `timeout`, stretched by a quarter for each point of the score.
+    pub fn stretch_lightly(self, timeout: Duration) -> Duration {
+        timeout + timeout * self.score / 4
+    }
+
     /// `timeout`, stretched by the score.
     pub fn stretch(self, timeout: Duration) -> Duration {
         timeout * (1 + self.score)
--- a/crates/members/src/prober.rs
+++ b/crates/members/src/prober.rs
@@ -239,6 +239,8 @@
         if self.health.is_distrusted() {
             return;
         }
+        let now = self.clock.now();
+        self.table.note_silent(probe.subject, now);
         let update = MemberUpdate::Suspect {
             id: probe.subject,
             stamp,
--- a/crates/members/src/queue.rs
+++ b/crates/members/src/queue.rs
@@ -160,12 +160,12 @@
 }
 
 impl ByteBucket {
-    /// A full bucket of `burst` bytes that gains `rate` bytes a second.
+    /// A bucket of at most `burst` bytes that gains `rate` bytes a second and begins with as many.
     pub fn new(rate: u32, burst: u32, now: Instant) -> Self {
         Self {
             rate: rate.into(),
             burst: burst.into(),
-            level: burst.into(),
+            level: rate.into(),
             filled_at: now,
         }
     }
--- a/crates/members/src/suspicion.rs
+++ b/crates/members/src/suspicion.rs
@@ -26,7 +26,7 @@
 /// Time to refute while much of a failure domain looks lost.
 pub const WIDE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time after which a member declares a death that it has not looked into itself.
-pub const FALLBACK_TIMEOUT: Duration = Duration::from_secs(20);
+pub const FALLBACK_TIMEOUT: Duration = Duration::from_secs(30);
 /// How long a death counts as part of the loss of a domain.
 const LOSS_WINDOW: Duration = Duration::from_secs(60);
 /// Accusers, and domains of accusers, that confirm.
@@ -76,7 +76,7 @@
 ) -> bool {
     let domain = &entry.profile().domain;
     let wide = counts.get(domain).is_some_and(|count| count.is_wide_loss());
-    let looked = entry.accusers.contains(&own.id);
+    let looked = entry.accusers.contains(&own.id) && entry.heard_at.is_none();
     let timeout = match (looked, wide, entry.accusers.len() >= CONFIRMING) {
         (false, _, _) => FALLBACK_TIMEOUT,
         (true, true, _) => WIDE_TIMEOUT,
@@ -84,7 +84,7 @@
         (true, false, false) => LONE_TIMEOUT,
     };
     let silent_since = entry.heard_at.unwrap_or(entry.since);
-    if now.duration_since(silent_since) < health.stretch(timeout) {
+    if now.duration_since(silent_since) < health.stretch_lightly(timeout) {
         return false;
     }
     !wide || accusing_domains(entry, &own.profile, table) >= needed_domains(domain, counts)
--- a/crates/members/src/table.rs
+++ b/crates/members/src/table.rs
@@ -200,6 +200,15 @@
         }
     }
 
+    /// Notes that a suspect that was heard since is silent again.
+    pub fn note_silent(&mut self, id: DaemonId, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(&id)
+            && entry.heard_at.take().is_some()
+        {
+            entry.since = now;
+        }
+    }
+
     /// Forgets tombstones whose time has passed.
     pub fn expire(&mut self, now: Instant) {
         self.entries.retain(|_, entry| {
