--- a/crates/limits/src/demand.rs
+++ b/crates/limits/src/demand.rs
@@ -19,11 +19,14 @@
 const MIN_RATE: f64 = 4.0;
 
 /// Time that the long average has been running for at least, in seconds.
-const MIN_SEEN_S: f64 = 1.0;
+const MIN_SEEN_S: f64 = 2.0;
 
 /// Calls that would have come, at the average rate, before a silence means less.
 const SILENT_CALLS: f64 = 4.0;
 
+/// Factor on the noise of the rate for that of the duration.
+const DURATION_NOISE: f64 = 2.0;
+
 /// Weight of the latest call in the average duration.
 const DURATION_WEIGHT: f64 = 0.1;
 
@@ -122,7 +125,7 @@
 
     /// Least change of the calls at once, from a report of `rate`, that is not chance.
     pub(crate) fn calls_noise(&self, rate: f64) -> f64 {
-        Self::rate_noise(rate) * self.duration_s.unwrap_or(1.0)
+        Self::rate_noise(rate) * self.duration_s.unwrap_or(1.0) * DURATION_NOISE
     }
 
     /// Least change of the rate from `before` that is not chance.
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -107,7 +107,7 @@
             Entry::Vacant(place) => {
                 self.fresh.push(key);
                 place.insert(LocalEntry {
-                    local: LocalKey::new(limit, members, now),
+                    local: LocalKey::new(limit, members, key.seed(self.me), now),
                     keeper: key.keeper(&self.members).unwrap_or(self.me),
                 })
             }
--- a/crates/limits/src/keeper.rs
+++ b/crates/limits/src/keeper.rs
@@ -25,7 +25,7 @@
 const REPORT_BYTES: f64 = 84.0;
 
 /// Bytes a second that a keeper's regular reports may take.
-const KEEPER_BYTES_PER_S: f64 = 600.0;
+const KEEPER_BYTES_PER_S: f64 = 400.0;
 
 /// Shortest interval of reports.
 const MIN_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/limits/src/local.rs
+++ b/crates/limits/src/local.rs
@@ -36,8 +36,16 @@
 const CONFIRM_PART: f64 = 0.2;
 const CONFIRM_RATE: f64 = 1.0;
 
+/// Age of a key at which its first reports, made from few calls, are corrected.
+const SETTLE_TIME: Duration = Duration::from_secs(8);
+
+/// Least factor on the interval of reports, the spread above it, and its steps.
+const MIN_PACE: f64 = 0.7;
+const PACE_SPREAD: f64 = 0.3;
+const PACE_STEPS: u64 = 1024;
+
 /// Time without calls after which the share is given back.
-const IDLE_TIME: Duration = Duration::from_secs(5);
+const IDLE_TIME: Duration = Duration::from_secs(30);
 
 /// Time without calls after which the key is forgotten; longer than any share lives idle.
 const FORGET_TIME: Duration = Duration::from_secs(60);
@@ -56,7 +64,10 @@
     fraction: f64,
     grant: Option<HeldGrant>,
     reported: Option<SentReport>,
+    born: Instant,
     last_call: Instant,
+    /// Factor on the interval, different at each daemon, so that reports do not come at once.
+    pace: f64,
 }
 
 /// The share in force.
@@ -77,7 +88,9 @@
 
 impl LocalKey {
     /// A key whose first call comes now, at a fleet of `members` daemons.
-    pub(crate) fn new(limit: PlanLimit, members: usize, now: Instant) -> Self {
+    ///
+    /// The seed spreads reports of different daemons over time.
+    pub(crate) fn new(limit: PlanLimit, members: usize, seed: u64, now: Instant) -> Self {
         let credit = (limit.rate.0 * CREDIT_S).clamp(1.0, MAX_CREDIT);
         Self {
             limit,
@@ -87,7 +100,9 @@
             fraction: 0.0,
             grant: None,
             reported: None,
+            born: now,
             last_call: now,
+            pace: MIN_PACE + (seed % PACE_STEPS) as f64 / PACE_STEPS as f64 * PACE_SPREAD,
         }
     }
 
@@ -170,10 +185,13 @@
             until: now + grant.interval() * GRANT_INTERVALS,
         });
         if let Some(reported) = &mut self.reported {
+            let settled = now >= self.born + SETTLE_TIME;
             let wait = if shrunk {
                 report_gap(grant)
+            } else if settled {
+                grant.interval().mul_f64(self.pace)
             } else {
-                grant.interval()
+                grant.interval().min(SETTLE_TIME)
             };
             reported.due = reported.at + wait;
         }
--- a/crates/limits/src/message.rs
+++ b/crates/limits/src/message.rs
@@ -42,10 +42,14 @@
 
     /// The daemon that keeps the shares of this key: the highest hash of key and daemon.
     pub fn keeper(self, members: &[DaemonId]) -> Option<DaemonId> {
-        let rank =
-            |daemon: &DaemonId| (xxh3_64_with_seed(&daemon.0.to_le_bytes(), self.0), *daemon);
+        let rank = |daemon: &DaemonId| (self.seed(*daemon), *daemon);
         members.iter().copied().max_by_key(rank)
     }
+
+    /// A number that differs for each key and daemon.
+    pub(crate) fn seed(self, daemon: DaemonId) -> u64 {
+        xxh3_64_with_seed(&daemon.0.to_le_bytes(), self.0)
+    }
 }
 
 /// A rate or a number of calls at once, in thousandths.
