--- a/crates/once/src/home/keys.rs
+++ b/crates/once/src/home/keys.rs
@@ -19,8 +19,10 @@
 /// Bounds of a key home.
 #[derive(Clone, Copy, Debug)]
 pub struct HomeSettings {
-    /// How long a key is remembered and admitted after its making.
+    /// How long a caller's key is admitted and remembered after its making.
     pub window: Duration,
+    /// How long an issued key is admitted and remembered after its issue.
+    pub issued_window: Duration,
     /// Most keys remembered; a full table of this size is one power of two.
     pub max_keys: usize,
     /// Memory for answers.
@@ -34,7 +36,8 @@
 impl Default for HomeSettings {
     fn default() -> Self {
         Self {
-            window: Duration::from_secs(300),
+            window: Duration::from_secs(240),
+            issued_window: Duration::from_secs(1800),
             max_keys: 114_688,
             answer_budget: ByteCount(4 << 20),
             largest_answer: ByteCount(64 << 10),
--- a/crates/once/src/home/terms.rs
+++ b/crates/once/src/home/terms.rs
@@ -9,7 +9,7 @@
 /// Books whose term has ended that are kept for their answers.
 const MAX_ENDED_BOOKS: usize = 2 * KeyRange::COUNT;
 /// A book taken over stays this many windows, lest a late page revive it.
-const EMPTY_BOOK_WINDOWS: u32 = 10;
+const EMPTY_BOOK_WINDOWS: u32 = 4;
 
 impl KeyHome {
     /// Takes a change of the leases.
@@ -35,7 +35,9 @@
         for book in self.books.values_mut() {
             let floor = match &book.gate {
                 BookGate::Range(_) => log_floor,
-                BookGate::Issuer(gate) => floor_before(gate.uptime_ms(now), window),
+                BookGate::Issuer(gate) => {
+                    floor_before(gate.uptime_ms(now), self.settings.issued_window)
+                }
             };
             forgot |= book.forget(floor, untimed_floor);
         }
@@ -108,7 +110,7 @@
     fn drop_books(&mut self) {
         let me = self.me;
         let now = self.clock.now();
-        let memory = self.settings.window * EMPTY_BOOK_WINDOWS;
+        let memory = self.settings.issued_window * EMPTY_BOOK_WINDOWS;
         let is_old = |opened: Instant| now.saturating_duration_since(opened) > memory;
         self.books.retain(|id, book| match id {
             BookId::Issuer(issuer) => {
--- a/crates/once/src/lease/keeper.rs
+++ b/crates/once/src/lease/keeper.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use feed::port::ReadAnswer;
-use model::{ErrorKind, KindError, LogOffset, SharedClock};
+use model::{ErrorKind, KindError, LogOffset, RecordCount, SharedClock};
 use rand::Rng;
 use rand::rngs::SmallRng;
 use smallvec::SmallVec;
@@ -24,6 +24,10 @@
 
 /// Pause after a failed read or append.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two reads; keeps ten homes at a few reads a second each.
+const READ_PAUSE: Duration = Duration::from_millis(250);
+/// Most records in one read.
+const READ_LIMIT: RecordCount = RecordCount(256);
 /// Claims wait up to this long after a change of the homes.
 const CLAIM_JITTER: Duration = Duration::from_millis(300);
 
@@ -58,6 +62,8 @@
     Read {
         /// Where to read on.
         from: LogOffset,
+        /// Most records to read; fewer show that the end was reached.
+        limit: RecordCount,
     },
     /// Append to the stream; answer with `on_appended`.
     Append {
@@ -109,6 +115,7 @@
     pub(super) appending: Option<u64>,
     pub(super) reading: bool,
     pub(super) caught_up: bool,
+    pub(super) known_end: LogOffset,
     pub(super) diverged: bool,
     pub(super) next_read: Instant,
     pub(super) next_append: Instant,
@@ -138,6 +145,7 @@
             appending: None,
             reading: false,
             caught_up: false,
+            known_end: LogOffset(0),
             diverged: false,
             next_read: now,
             next_append: now,
@@ -172,6 +180,7 @@
         }
         self.wanted = assign_ranges(&homes);
         self.homes = homes;
+        self.caught_up = false;
         let jitter = self.rng.random_range(Duration::ZERO..CLAIM_JITTER);
         self.next_claim = self.clock.now() + jitter;
     }
@@ -202,10 +211,13 @@
         if self.diverged {
             return outputs;
         }
-        if !self.reading && now >= self.next_read {
+        // Other daemons learn the holders from views; 720 readers are too many.
+        let needs_stream = self.is_home() || !self.held.is_empty();
+        if needs_stream && !self.reading && now >= self.next_read {
             self.reading = true;
             outputs.push(LeaseOutput::Read {
                 from: self.table.next(),
+                limit: READ_LIMIT,
             });
         }
         if self.appending.is_none() && now >= self.next_append {
@@ -228,10 +240,12 @@
         if batch.next < self.table.next() {
             return self.stop_diverged(batch.next);
         }
-        self.caught_up = batch.records.is_empty();
+        self.next_read = self.clock.now() + READ_PAUSE;
         if batch.records.is_empty() && batch.first > self.table.next() {
             self.table = LeaseTable::starting_at(batch.first);
         }
+        let at_end = batch.records.len() < READ_LIMIT.0 as usize;
+        self.caught_up = at_end && batch.next >= self.known_end;
         let now = self.clock.now();
         let view_before = self.table.view();
         let held_before = self.held.clone();
@@ -249,6 +263,14 @@
         outputs
     }
 
+    /// Takes note of a view from another daemon.
+    ///
+    /// A stream that ends below it has lost records or began anew, and nothing
+    /// is claimed on it.
+    pub fn on_view(&mut self, view: &LeaseView) {
+        self.known_end = self.known_end.max(view.next);
+    }
+
     /// A read failed; it is tried again after a pause.
     pub fn on_read_failed(&mut self) {
         self.reading = false;
--- a/crates/once/src/lease/plan.rs
+++ b/crates/once/src/lease/plan.rs
@@ -65,7 +65,7 @@
         None
     }
 
-    fn is_home(&self) -> bool {
+    pub(super) fn is_home(&self) -> bool {
         self.homes.contains(&self.me)
     }
 
--- a/crates/once/src/permit/issuer.rs
+++ b/crates/once/src/permit/issuer.rs
@@ -28,7 +28,7 @@
 impl Default for PermitSettings {
     fn default() -> Self {
         Self {
-            lifetime: Duration::from_secs(2),
+            lifetime: Duration::from_secs(5),
             memory: Duration::from_secs(30),
             max_permits: 16_384,
             max_unused: 256,
--- a/crates/once/src/permit/purse.rs
+++ b/crates/once/src/permit/purse.rs
@@ -14,6 +14,8 @@
 const IDLE_TIME: Duration = Duration::from_secs(30);
 /// Permits are held for the use of this much time.
 const AHEAD_TIME: Duration = Duration::from_secs(1);
+/// Fewest permits to hold of a daemon in use; calls often come in pairs.
+const MIN_AIM: u32 = 2;
 /// Weight of the newest second in the average of use.
 const NEW_WEIGHT: f64 = 0.5;
 /// A permit is used only while this part of its lifetime is left for the way.
@@ -144,7 +146,7 @@
         self.permits.retain(|(_, good_until)| now < *good_until);
     }
 
-    /// Permits to hold: the use of [`AHEAD_TIME`], and at least one.
+    /// Permits to hold: the use of [`AHEAD_TIME`], and a few.
     fn aim(&mut self, now: Instant) -> u32 {
         let span = now.saturating_duration_since(self.counted);
         if span >= AHEAD_TIME {
@@ -154,7 +156,9 @@
             self.counted = now;
         }
         let expected = self.rate * AHEAD_TIME.as_secs_f64();
-        let aim = expected.ceil().max(f64::from(self.taken)) as u32;
-        aim.clamp(1, MAX_GRANT.into())
+        // Calls come unevenly: one deviation more than expected.
+        let aim = (expected + expected.sqrt()).ceil();
+        let aim = aim.max(f64::from(self.taken)) as u32;
+        aim.clamp(MIN_AIM, MAX_GRANT.into())
     }
 }
--- a/crates/once/tests/homes.rs
+++ b/crates/once/tests/homes.rs
@@ -107,7 +107,11 @@
     let late = issued_call(&mut home);
     let full = Some((ErrorKind::HomeFull, RunProof::NotRun));
     assert_eq!(refusal(&home.begin(&late)), full);
-    clock.advance(settings.window.saturating_sub(Duration::from_secs(1)));
+    clock.advance(
+        settings
+            .issued_window
+            .saturating_sub(Duration::from_secs(1)),
+    );
     home.on_tick(None);
     assert_eq!(refusal(&home.begin(&late)), full);
     let first = home.begin(&calls[0]);
--- a/crates/once/tests/model/world/log.rs
+++ b/crates/once/tests/model/world/log.rs
@@ -6,7 +6,7 @@
 use crate::once::HolderId;
 use feed::port::{LogRecord, ReadAnswer, RecordBatch};
 
-use model::LogOffset;
+use model::{LogOffset, RecordCount};
 
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -14,7 +14,7 @@
 /// What a node asks of the log.
 #[derive(Clone, Debug)]
 pub enum LogRequest {
-    Read(LogOffset),
+    Read(LogOffset, RecordCount),
     Append { serial: u64, body: Box<[u8]> },
 }
 
@@ -91,8 +91,8 @@
     ) {
         let arrives = now + rng.random_range(1..60);
         let answer = match request {
-            LogRequest::Read(_) if !connected => LogAnswer::Read(None),
-            LogRequest::Read(offset) => LogAnswer::Read(Some(self.read(offset))),
+            LogRequest::Read(..) if !connected => LogAnswer::Read(None),
+            LogRequest::Read(offset, limit) => LogAnswer::Read(Some(self.read(offset, limit))),
             LogRequest::Append { serial, .. } if !connected => LogAnswer::Appended {
                 serial,
                 answered: false,
@@ -120,16 +120,21 @@
         answers.map(|pending| pending.answer).collect()
     }
 
-    fn read(&self, from: LogOffset) -> ReadAnswer {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn read(&self, from: LogOffset, limit: RecordCount) -> ReadAnswer {
         if from.0 < self.first {
             let first = LogOffset(self.first);
             return ReadAnswer::Expired { first };
         }
         let skipped = (from.0 - self.first) as usize;
-        let records: Vec<LogRecord> = self.records.iter().skip(skipped).cloned().collect();
+        let wanted = self.records.iter().skip(skipped).take(limit.0 as usize);
+        let records: Vec<LogRecord> = wanted.cloned().collect();
         ReadAnswer::Batch(RecordBatch {
             first: LogOffset(self.first),
-            next: LogOffset(self.first + self.records.len() as u64),
+            next: LogOffset(from.0.min(self.end()) + records.len() as u64),
             records,
         })
     }
--- a/crates/once/tests/model/world/mod.rs
+++ b/crates/once/tests/model/world/mod.rs
@@ -48,6 +48,7 @@
 pub fn home_settings() -> HomeSettings {
     HomeSettings {
         window: WINDOW,
+        issued_window: WINDOW,
         drift_permille: 10,
         ..HomeSettings::default()
     }
--- a/crates/once/tests/model/world/node.rs
+++ b/crates/once/tests/model/world/node.rs
@@ -251,7 +251,9 @@
     fn take_outputs(&mut self, outputs: Vec<LeaseOutput>) {
         for output in outputs {
             match output {
-                LeaseOutput::Read { from } => self.log_requests.push(LogRequest::Read(from)),
+                LeaseOutput::Read { from, limit } => {
+                    self.log_requests.push(LogRequest::Read(from, limit));
+                }
                 LeaseOutput::Append { serial, body } => {
                     self.log_requests.push(LogRequest::Append { serial, body });
                 }
@@ -506,6 +508,7 @@
                 }
             }
             Message::View(view) => {
+                self.keeper.on_view(&view);
                 self.issuer.observe(&view);
                 self.router.on_view(view);
             }
