--- a/crates/once/src/home/keys.rs
+++ b/crates/once/src/home/keys.rs
@@ -71,6 +71,7 @@
     pub(super) staged: HashMap<BookId, StagedBook>,
     pub(super) answers: AnswerStore,
     pub(super) key_count: usize,
+    pub(super) next_sweep: Instant,
 }
 
 impl KeyHome {
@@ -92,6 +93,7 @@
             staged: HashMap::new(),
             answers: AnswerStore::new(settings.answer_budget, settings.largest_answer),
             key_count: 0,
+            next_sweep: started,
         }
     }
 
@@ -114,7 +116,7 @@
         })
     }
 
-    /// What the home holds.
+    /// What the home holds; looks at every key.
     pub fn counts(&self) -> HomeCounts {
         let entries = self.books.values().flat_map(|book| book.entries.values());
         HomeCounts {
--- a/crates/once/src/home/terms.rs
+++ b/crates/once/src/home/terms.rs
@@ -8,6 +8,8 @@
 
 /// Books whose term has ended that are kept for their answers.
 const MAX_ENDED_BOOKS: usize = 2 * KeyRange::COUNT;
+/// Time between two looks for expired keys.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// A book taken over stays this many windows, lest a late page revive it.
 const EMPTY_BOOK_WINDOWS: u32 = 4;
 
@@ -25,9 +27,15 @@
     }
 
     /// Forgets expired keys; `log_now` is a time that the log's clock has passed.
+    ///
+    /// Looks at every key, so it does so only every few seconds.
     pub fn on_tick(&mut self, log_now: Option<LogStamp>) {
-        let window = self.settings.window;
         let now = self.clock.now();
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP_INTERVAL;
+        let window = self.settings.window;
         let uptime_ms = self.uptime().as_millis() as u64;
         let untimed_floor = floor_before(uptime_ms, window);
         let log_floor = log_now.map_or(0, |stamp| floor_before(stamp.0, window));
--- a/crates/once/src/poison/mod.rs
+++ b/crates/once/src/poison/mod.rs
@@ -1,7 +1,7 @@
 //! Requests that crash the targets that run them.
 //!
-//! Each daemon knows which requests are in flight at its target. When the
-//! target crashes, those are the suspects, and a [`CrashReport`] tells the
+//! Each daemon knows which requests are in flight at its targets. When one
+//! crashes, those are the suspects, and a [`CrashReport`] tells the
 //! other daemons. A request that is a suspect of two crashes is stopped, so at
 //! most two targets are lost to it.
 //!
--- a/crates/once/src/poison/watch.rs
+++ b/crates/once/src/poison/watch.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use model::{ErrorKind, KindError, SharedClock};
+use model::{ErrorKind, KindError, SharedClock, TargetName};
 use smallvec::SmallVec;
 
 use super::flight::FlightTable;
@@ -77,7 +77,7 @@
     }
 }
 
-/// Watches one daemon's target and knows the crashes of all others.
+/// Watches one daemon's targets and knows the crashes of all others.
 #[derive(Debug)]
 pub struct PoisonWatch {
     me: HolderId,
@@ -112,22 +112,27 @@
         }
     }
 
-    /// Starts a request at the target of this daemon.
-    pub fn start(&mut self, print: RequestPrint) -> Result<()> {
+    /// Starts a request at a target beside this daemon.
+    pub fn start(&mut self, target: &TargetName, print: RequestPrint) -> Result<()> {
         self.check(print)?;
-        if self.must_wait(print) {
+        if self.must_wait(target, print) {
             return Err(KindError::new(
                 ErrorKind::QueueFull,
                 "another suspect of the same crash runs at this target",
             ));
         }
-        self.flights.start(print);
+        self.flights.start(target, print);
         Ok(())
     }
 
-    /// A request ended at the target; `sound` if the target answered it.
-    pub fn finish(&mut self, print: RequestPrint, sound: bool) -> Option<PoisonOutput> {
-        self.flights.leave(print);
+    /// A request ended at its target; `sound` if the target answered it.
+    pub fn finish(
+        &mut self,
+        target: &TargetName,
+        print: RequestPrint,
+        sound: bool,
+    ) -> Option<PoisonOutput> {
+        self.flights.leave(target, print);
         if !sound {
             return None;
         }
@@ -141,9 +146,9 @@
         Some(PoisonOutput::Tell(PoisonMessage::Cleared(cleared)))
     }
 
-    /// The target crashed; what was in flight is suspected and no longer in flight.
-    pub fn on_target_crashed(&mut self) -> Vec<PoisonOutput> {
-        let flying = self.flights.take_flying();
+    /// A target crashed; what was in flight there is suspected and no longer in flight.
+    pub fn on_target_crashed(&mut self, target: &TargetName) -> Vec<PoisonOutput> {
+        let flying = self.flights.take_flying(target);
         let suspects = self.pick_suspects(flying);
         if suspects.is_empty() {
             return Vec::new();
@@ -202,12 +207,12 @@
         self.rows.remove(&print).is_some()
     }
 
-    /// Whether another suspect of a crash of `print` is in flight here.
-    fn must_wait(&self, print: RequestPrint) -> bool {
+    /// Whether another suspect of a crash of `print` is in flight at the target.
+    fn must_wait(&self, target: &TargetName, print: RequestPrint) -> bool {
         let Some(row) = self.rows.get(&print).filter(|row| !self.is_expired(row)) else {
             return false;
         };
-        self.flights.flying().any(|flying| {
+        self.flights.flying(target).any(|flying| {
             flying != print
                 && self.rows.get(&flying).is_some_and(|other| {
                     other
