Follow a handed call through several homes; move ranges only between steady homes

Cause: an outcome that came to a home which had itself handed the range on was dropped, so the call stayed running until its first home was gone. Homes that come and go made the others hand ranges to and fro.

Change: outcomes follow the book by range, whatever its epoch by now. A home that stays proposes no handover until the list of homes is 10 s old.

--- a/crates/once/src/home/settle.rs
+++ b/crates/once/src/home/settle.rs
@@ -23,13 +23,8 @@
 
     /// Takes an outcome from the home that handed the book over.
     pub fn on_settlement(&mut self, settlement: KeySettlement) -> Option<HandedOutcome> {
-        let handed = settlement.ticket.book;
-        // A range's book goes on under the epoch of this home's own term.
-        let book = match handed {
-            BookId::Range(term) => self.current.get(&term.range).copied().map(BookId::Range),
-            BookId::Issuer(_) => Some(handed),
-        };
         let KeySettlement { ticket, outcome } = settlement;
+        let handed = ticket.book;
         if let Some(staged) = self.staged.get_mut(&handed) {
             let gone = staged
                 .book
@@ -37,7 +32,7 @@
             self.keep_answer(ticket.digest, gone, &outcome);
             return None;
         }
-        let book = book.filter(|id| self.books.contains_key(id))?;
+        let book = self.taken_over(handed, ticket.digest)?;
         let ticket = RunTicket { book, ..ticket };
         let target = self.books.get_mut(&book)?;
         let settled = target.settle(ticket.digest, &outcome, KeyState::RunningElsewhere);
@@ -46,6 +41,20 @@
         self.pass_on(KeySettlement { ticket, outcome })
     }
 
+    /// The book in which a handed call stands; a range's goes on under later epochs.
+    fn taken_over(&self, handed: BookId, digest: KeyDigest) -> Option<BookId> {
+        let BookId::Range(term) = handed else {
+            return self.books.contains_key(&handed).then_some(handed);
+        };
+        let awaits = |state| matches!(state, KeyState::RunningElsewhere | KeyState::Lost);
+        let found = self.books.iter().find(|(id, book)| {
+            let entry = book.entries.get(&digest);
+            matches!(id, BookId::Range(held) if held.range == term.range)
+                && entry.is_some_and(|entry| awaits(entry.state))
+        });
+        found.map(|(id, _)| *id)
+    }
+
     /// Takes note that a daemon's run is over: what it began and never settled is lost.
     pub fn on_holder_gone(&mut self, holder: HolderId) {
         for book in self.books.values_mut() {
--- a/crates/once/src/lease/keeper.rs
+++ b/crates/once/src/lease/keeper.rs
@@ -28,6 +28,8 @@
 const READ_PAUSE: Duration = Duration::from_millis(250);
 /// Most records in one read.
 const READ_LIMIT: RecordCount = RecordCount(256);
+/// Ranges move between homes that stay only after their list is this old.
+const REBALANCE_DELAY: Duration = Duration::from_secs(10);
 /// Claims wait up to this long after a change of the homes.
 const CLAIM_JITTER: Duration = Duration::from_millis(300);
 
@@ -106,6 +108,7 @@
     pub(super) table: LeaseTable,
     pub(super) log_clock: LogClock,
     pub(super) homes: Vec<HolderId>,
+    pub(super) homes_since: Instant,
     pub(super) wanted: Vec<HolderId>,
     pub(super) held: BTreeMap<KeyRange, HeldTerm>,
     pub(super) vacant_since: BTreeMap<KeyRange, Instant>,
@@ -136,6 +139,7 @@
             table: LeaseTable::starting_at(LogOffset(0)),
             log_clock: LogClock::default(),
             homes: Vec::new(),
+            homes_since: now,
             wanted: Vec::new(),
             held: BTreeMap::new(),
             vacant_since: BTreeMap::new(),
@@ -180,6 +184,7 @@
         }
         self.wanted = assign_ranges(&homes);
         self.homes = homes;
+        self.homes_since = self.clock.now();
         self.caught_up = false;
         let jitter = self.rng.random_range(Duration::ZERO..CLAIM_JITTER);
         self.next_claim = self.clock.now() + jitter;
@@ -187,9 +192,15 @@
 
     /// The terms to hand over and to whom: those that other homes should hold.
     ///
+    /// Homes that come and go must not move ranges each time, so there are none
+    /// for a while after a change, unless this home leaves.
     /// Call [`LeaseKeeper::set_homes`] without this home first to leave.
     pub fn misplaced(&self) -> BTreeMap<HolderId, SmallVec<[TermRef; 8]>> {
         let mut plan: BTreeMap<HolderId, SmallVec<[TermRef; 8]>> = BTreeMap::new();
+        let steady = self.clock.now().saturating_duration_since(self.homes_since);
+        if self.is_home() && steady < REBALANCE_DELAY {
+            return plan;
+        }
         for term in self.held() {
             let wanted = term.range.index().and_then(|index| self.wanted.get(index));
             if let Some(home) = wanted.filter(|home| **home != self.me) {
--- a/crates/once/tests/homes.rs
+++ b/crates/once/tests/homes.rs
@@ -257,6 +257,39 @@
     assert!(old.seal(BookId::Issuer(holder(1)), holder(3)).is_err());
 }
 
+#[test]
+fn outcome_follows_a_book_through_two_homes() {
+    let clock = FakeClock::new();
+    let order = call("order-1".parse().expect("a key"), 1);
+    let range = order.digest.range();
+    let settings = HomeSettings::default();
+    let mut homes = [1, 2, 3].map(|daemon| home(&clock, daemon, settings));
+    homes[0].on_term(held_term(&clock, range, 1, 0, None));
+    let ticket = begin(&mut homes[0], &order);
+    for index in [0, 1] {
+        let epoch = index as u64 + 1;
+        let term = TermRef {
+            range,
+            epoch: TermEpoch(epoch),
+        };
+        let next = holder(epoch + 1);
+        let pages = homes[index].seal(BookId::Range(term), next);
+        for page in pages.expect("the book is held") {
+            let staged = homes[index + 1].stage(holder(epoch), page);
+            assert_eq!(staged, Ok(StageAnswer::Whole));
+        }
+        homes[index].on_term(TermUpdate::Ended(term));
+        homes[index + 1].on_term(held_term(&clock, range, epoch + 1, epoch, None));
+    }
+    assert_eq!(homes[2].begin(&order), KeyVerdict::Running);
+    let mut handed = homes[0].settle(ticket, answer(10));
+    while let Some(outcome) = handed {
+        let to = outcome.to.daemon.0 as usize - 1;
+        handed = homes[to].on_settlement(outcome.settlement);
+    }
+    assert!(matches!(homes[2].begin(&order), KeyVerdict::Finished(_)));
+}
+
 #[test]
 fn handed_call_whose_home_died_is_lost() {
     let clock = FakeClock::new();
