--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -225,6 +225,11 @@
         self.child = Some(child);
     }
 
+    /// The process, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Ends the process at once, as a VM that fails.
     pub fn kill(&mut self) {
         let mut child = self.child.take().unwrap();
