Measure latency and footprint of real daemons

Cause: the budget of 1.1 ms, 1% of a core, 32 MB and 10 KB/s was not measured. Change: benches latency and footprint on real daemons; test ports lie below the kernel's range for outgoing connections, which had taken some of them.

--- a/crates/daemon/benches/footprint.rs
+++ b/crates/daemon/benches/footprint.rs
@@ -26,6 +26,7 @@
     cpu_s: f64,
     resident_mb: f64,
     control_bytes: f64,
+    wire_bytes: f64,
     batches: f64,
     log_requests: f64,
 }
@@ -45,6 +46,7 @@
         "core %",
         "resident MB",
         "control B/s",
+        "loopback B/s",
         "batches/s",
         "log requests/s of all",
     ]);
@@ -55,6 +57,7 @@
             format!("{:.2}", usage.cpu_s * 100.0),
             format!("{:.1}", usage.resident_mb),
             format!("{:.0}", usage.control_bytes),
+            format!("{:.0}", usage.wire_bytes),
             format!("{:.1}", usage.batches),
             format!("{:.1}", usage.log_requests),
         ]);
@@ -78,6 +81,7 @@
         cpu_s: (after.cpu_s - before.cpu_s) / share,
         resident_mb: after.resident_mb / size as f64,
         control_bytes: (after.control_bytes - before.control_bytes) / share,
+        wire_bytes: (after.wire_bytes - before.wire_bytes) / share,
         batches: (after.batches - before.batches) / share,
         log_requests: (after.log_requests - before.log_requests) / seconds,
     }
@@ -87,6 +91,7 @@
     let counts = fleet.memory.counts();
     let mut sum = Usage {
         log_requests: (counts.appends + counts.reads) as f64,
+        wire_bytes: read_loopback(),
         ..Usage::default()
     };
     for (index, daemon) in fleet.daemons.iter().enumerate() {
@@ -102,6 +107,16 @@
     sum
 }
 
+/// Bytes sent over loopback by all processes of the machine, with every header.
+fn read_loopback() -> f64 {
+    let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text
+        .lines()
+        .find(|line| line.trim_start().starts_with("lo:"));
+    let bytes: Option<f64> = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
+    bytes.unwrap_or(0.0)
+}
+
 /// Processor seconds that the process has used.
 fn read_cpu(process: u32) -> f64 {
     let text = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
--- a/crates/daemon/src/beside.rs
+++ b/crates/daemon/src/beside.rs
@@ -64,6 +64,7 @@
 #[derive(Debug)]
 struct RequestFlight {
     keys: Arc<KeyDesk>,
+    target: TargetName,
     print: RequestPrint,
     sound: bool,
 }
@@ -73,7 +74,7 @@
     async fn end_broken(self, address: SocketAddr) {
         let connecting = timeout(CRASH_PROBE_TIMEOUT, TcpStream::connect(address));
         if !matches!(connecting.await, Ok(Ok(_))) {
-            let outputs = self.keys.poison().on_target_crashed();
+            let outputs = self.keys.poison().on_target_crashed(&self.target);
             self.keys.note_poison(outputs);
         }
     }
@@ -81,7 +82,10 @@
 
 impl Drop for RequestFlight {
     fn drop(&mut self) {
-        let output = self.keys.poison().finish(self.print, self.sound);
+        let output = self
+            .keys
+            .poison()
+            .finish(&self.target, self.print, self.sound);
         self.keys.note_poison(output);
     }
 }
@@ -227,10 +231,15 @@
     /// Lets a call go to the target: no request that crashes targets, no stale permit.
     fn start(&self, head: &CallHead) -> model::Result<RequestFlight> {
         let print = RequestPrint(head.print);
-        self.keys.poison().start(print)?;
+        let target = head
+            .target
+            .clone()
+            .ok_or_else(|| KindError::new(ErrorKind::TargetAbsent, "no target named"))?;
+        self.keys.poison().start(&target, print)?;
         // From here on the flight ends when it is dropped.
         let flight = RequestFlight {
             keys: Arc::clone(&self.keys),
+            target,
             print,
             sound: false,
         };
--- a/crates/daemon/src/key_control.rs
+++ b/crates/daemon/src/key_control.rs
@@ -33,8 +33,6 @@
 const LEASE_STREAM: &str = "leases";
 /// How long a read of the lease stream waits for a record.
 const LEASE_WAIT: Duration = Duration::from_secs(1);
-/// Records of one read.
-const LEASE_LIMIT: RecordCount = RecordCount(200);
 /// Members told of a newer view of the leases.
 const VIEW_FAN_OUT: usize = 4;
 /// Ticks of the loop between two questions for a newer view.
@@ -232,7 +230,7 @@
         let mut sends = OnceSends::new();
         for output in outputs {
             match output {
-                LeaseOutput::Read { from } => self.read_leases(from),
+                LeaseOutput::Read { from, limit } => self.read_leases(from, limit),
                 LeaseOutput::Append { serial, body } => {
                     let stream = LEASE_STREAM.parse().expect("a constant name is valid");
                     self.desk.append(JobOwner::Leases(serial), stream, body);
@@ -245,12 +243,12 @@
         sends
     }
 
-    fn read_leases(&self, from: LogOffset) {
+    fn read_leases(&self, from: LogOffset, limit: RecordCount) {
         let read = LogRead {
             tag: LogTag::default(),
             stream: LEASE_STREAM.parse().expect("a constant name is valid"),
             from,
-            limit: LEASE_LIMIT,
+            limit,
             wait: LEASE_WAIT,
         };
         self.desk.read(JobOwner::Leases(0), read);
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -9,6 +9,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -272,9 +273,22 @@
     }
 }
 
+/// Ports below the range that the kernel gives to outgoing connections, which
+/// would otherwise take one before its daemon has started.
 fn free_ports() -> [SocketAddr; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
-    listeners.map(|listener| listener.local_addr().unwrap())
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+    const LOWEST_PORT: u16 = 12_000;
+    const PORT_COUNT: u16 = 20_000;
+    let start = (std::process::id() % u32::from(PORT_COUNT)) as u16;
+    let next = || loop {
+        let step = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
+        let port = LOWEST_PORT + (start.wrapping_add(step)) % PORT_COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    };
+    [next(), next(), next()]
 }
 
 /// Sends raw bytes and reads what comes until the other side closes.
