--- a/crates/plans/benches/fold.rs
+++ b/crates/plans/benches/fold.rs
@@ -245,6 +245,15 @@
     row("build the route table", None, build);
     row("encode a snapshot", Some(snapshot.len()), encode);
     row("decode and check a snapshot", Some(snapshot.len()), decode);
+    let routes = RouteTable::build(state);
+    let admit = |key| routes.admit("customer-0001", key, "POST", "/service-07/orders/18?page=2");
+    row(
+        "look a call up, with its key",
+        None,
+        mean_time(10_000, || admit("password").is_ok()),
+    );
+    let route = || routes.route("/service-07/orders/18?page=2").is_some();
+    row("find a route", None, mean_time(10_000, route));
     for (day, bytes) in run.day_sizes.iter().enumerate() {
         let what = format!("snapshot after {} changes", day * CHANGES_PER_DAY);
         row(&what, Some(*bytes), Duration::ZERO);
--- a/crates/plans/tests/invariants.rs
+++ b/crates/plans/tests/invariants.rs
@@ -12,11 +12,13 @@
 use std::sync::Arc;
 
 use model::{ChangeId, ConfigVersion, LogOffset};
+use quetzal_plans::StateSnapshot;
 use quetzal_plans::{
-    ChangeRecord, ChangeVerdict, ConfigReplica, ConfigState, EntryEdit, EntryName, EntryValue,
-    LogRecovery, RebaseRecord, RouteTable, StateHead, StateUpdate, StreamRecord,
+    ChangeRecord, ChangeVerdict, ConfigRecord, ConfigReplica, ConfigState, EntryEdit, EntryName,
+    EntryValue, LogRecovery, RebaseRecord, RouteTable, StateHead, StateUpdate, StreamRecord,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use sha2::{Digest, Sha256};
 use support::{LogStub, change, hold_plan, meta, set_rate, template_log, template_pair};
 
 const REPLICAS: usize = 4;
@@ -443,6 +445,70 @@
         .quickcheck(holds as fn(u16, u8, bool) -> bool);
 }
 
+/// A snapshot whose digest is right although its content was changed.
+fn forge_snapshot(bytes: &[u8], changes: &[(u16, u8)]) -> Vec<u8> {
+    const HEAD_BYTES: usize = 36;
+    let mut content = bytes[HEAD_BYTES..].to_vec();
+    for (at, value) in changes {
+        let index = usize::from(*at) % content.len();
+        content[index] = *value;
+    }
+    let digest = Sha256::digest(&content);
+    [&bytes[..4], &digest, &content].concat()
+}
+
+#[test]
+fn forged_snapshots_are_refused_or_sound() {
+    fn holds(changes: Vec<(u16, u8)>) -> bool {
+        let mut log = template_log();
+        let mut state = log.state();
+        for number in 1..4 {
+            let body = change(
+                number,
+                "mona",
+                state.base(),
+                vec![set_rate("gold", "deals", 9)],
+            );
+            state.apply(&log.append(&body)).unwrap();
+        }
+        let forged = forge_snapshot(&StateSnapshot::of(&state).encode().unwrap(), &changes);
+        let Ok(snapshot) = StateSnapshot::decode(&forged) else {
+            return true;
+        };
+        let mut forged = snapshot.into_state();
+        let next = ConfigRecord {
+            offset: forged.next_offset(),
+            ..log.records[0].clone()
+        };
+        // Whatever the verdict, a forged state neither panics nor breaks the rules.
+        drop(forged.apply(&next));
+        drop(forged.undo(forged.version(), meta(9, "omar", "")));
+        drop(forged.check_lineage(&state));
+        drop(state.check_lineage(&forged));
+        forged.lists().validate().is_ok()
+            && RouteTable::build(&forged).version() == forged.version()
+    }
+    QuickCheck::new()
+        .tests(400)
+        .quickcheck(holds as fn(Vec<(u16, u8)>) -> bool);
+}
+
+#[test]
+fn records_of_any_bytes_are_refused_without_change() {
+    fn holds(body: Vec<u8>, start: u8) -> bool {
+        let mut log = template_log();
+        let mut state = log.state();
+        let lists = state.lists().clone();
+        let mut whole = log.records[0].body[..usize::from(start) % 40].to_vec();
+        whole.extend(body);
+        let verdict = state.apply(&log.append(&whole)).unwrap();
+        matches!(verdict, ChangeVerdict::Refused(_)) && *state.lists() == lists
+    }
+    QuickCheck::new()
+        .tests(300)
+        .quickcheck(holds as fn(Vec<u8>, u8) -> bool);
+}
+
 #[test]
 fn a_delta_upon_another_base_is_not_applied() {
     let mut log = template_log();
