Part the table's building from its look-ups, agree on times

Readers inside the log's process saw finer times than readers over HTTP, so their states differed though their hashes agreed; times are whole milliseconds in the state now. The building of the table has a module of its own.

--- a/crates/plans/src/state.rs
+++ b/crates/plans/src/state.rs
@@ -10,6 +10,8 @@
 mod continuity;
 mod judge;
 
+use std::time::{Duration, SystemTime};
+
 use model::{ChangeId, ConfigVersion, ErrorKind, KindError, LogOffset, ensure};
 use serde::{Deserialize, Serialize};
 
@@ -156,8 +158,7 @@
             ChangeVerdict::Ignored => 4,
         };
         let folded = version_number(self.head.folded).to_le_bytes();
-        let at = record.at.duration_since(std::time::UNIX_EPOCH);
-        let at = at.unwrap_or_default().as_millis().to_le_bytes();
+        let at = since_epoch(record.at).as_millis().to_le_bytes();
         let previous = self.head.hash;
         StateHash::of(&[
             previous.as_bytes(),
@@ -196,7 +197,7 @@
             version: self.head.version,
             id,
             author,
-            at: record.at,
+            at: SystemTime::UNIX_EPOCH + since_epoch(record.at),
             note,
             before,
             hash: self.head.hash,
@@ -323,3 +324,11 @@
         Ok(ChangeRecord::new(self.base(), change.before.clone(), meta))
     }
 }
+
+/// Whole milliseconds since the epoch: readers over HTTP see no finer time.
+fn since_epoch(at: SystemTime) -> Duration {
+    let elapsed = at
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    Duration::from_millis(elapsed.as_millis() as u64)
+}
--- a/crates/plans/src/table.rs
+++ b/crates/plans/src/table.rs
@@ -5,17 +5,18 @@
 //! service, so a route without a service cannot be built. Lookups allocate
 //! nothing.
 
+mod build;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::{CallCount, CallRate, ConfigVersion, ErrorKind, KindError, MethodName};
-use model::{CustomerName, PlanName, ServiceName};
-
-use crate::lists::{
-    AllowanceList, CallKind, CustomerPlan, KeyHash, ListPair, PlanAllowance, ServiceRule,
+use model::{
+    CallCount, CallRate, ConfigVersion, CustomerName, ErrorKind, KindError, MethodName, PlanName,
+    ServiceName,
 };
-use crate::state::ConfigState;
+
+use crate::lists::{CallKind, KeyHash};
 
 /// Results of looking a call up.
 ///
@@ -106,29 +107,6 @@
 }
 
 impl RouteTable {
-    /// The table of the state's lists.
-    pub fn build(state: &ConfigState) -> Self {
-        Self::from_lists(state.version(), state.lists())
-    }
-
-    /// The table of `lists`; entries that name an undefined service or plan are left out.
-    pub fn from_lists(version: ConfigVersion, lists: &ListPair) -> Self {
-        let services = build_services(&lists.allowances);
-        let routes = build_routes(&lists.allowances, &services);
-        let plans = build_plans(&lists.allowances, &services);
-        let customers = lists.plans.customers.iter().filter_map(|(name, customer)| {
-            let plan = plans.get(&customer.plan)?;
-            let entry = build_customer(name, customer, plan);
-            Some((name.as_str().into(), entry))
-        });
-        Self {
-            version,
-            routes,
-            customers: customers.collect(),
-            services,
-        }
-    }
-
     /// The version of the configuration.
     pub fn version(&self) -> ConfigVersion {
         self.version
@@ -255,80 +233,6 @@
     }
 }
 
-fn build_services(list: &AllowanceList) -> Box<[Arc<ServiceEntry>]> {
-    let services = list.services.iter().enumerate();
-    services
-        .map(|(index, (name, rule))| Arc::new(build_service(index, name, rule)))
-        .collect()
-}
-
-fn build_service(index: usize, name: &ServiceName, rule: &ServiceRule) -> ServiceEntry {
-    let methods = rule.methods.iter().map(|(name, method)| MethodEntry {
-        name: name.clone(),
-        idempotent: method.idempotent,
-    });
-    ServiceEntry {
-        name: name.clone(),
-        index,
-        timeout: rule.timeout(),
-        kind: rule.kind,
-        methods: methods.collect(),
-    }
-}
-
-fn build_routes(
-    list: &AllowanceList,
-    services: &[Arc<ServiceEntry>],
-) -> HashMap<Box<str>, RouteEntry> {
-    let pairs = list.services.values().zip(services);
-    let routes = pairs.map(|(rule, service)| {
-        let route = RouteEntry {
-            path: rule.path.clone(),
-            service: Arc::clone(service),
-        };
-        (rule.path.clone(), route)
-    });
-    routes.collect()
-}
-
-fn build_plans<'a>(
-    list: &'a AllowanceList,
-    services: &[Arc<ServiceEntry>],
-) -> HashMap<&'a PlanName, Arc<PlanEntry>> {
-    let plans = list.plans.iter().map(|(name, allowances)| {
-        let entries = services.iter().map(|service| {
-            let allowance = allowances.get(&service.name)?;
-            Some(build_allowance(allowance))
-        });
-        let plan = PlanEntry {
-            name: name.clone(),
-            allowances: entries.collect(),
-        };
-        (name, Arc::new(plan))
-    });
-    plans.collect()
-}
-
-fn build_allowance(allowance: &PlanAllowance) -> AllowanceEntry {
-    AllowanceEntry {
-        rate: CallRate(allowance.rate_per_s.into()),
-        calls_at_once: CallCount(allowance.calls_at_once),
-        methods: allowance.methods.iter().cloned().collect(),
-    }
-}
-
-fn build_customer(
-    name: &CustomerName,
-    customer: &CustomerPlan,
-    plan: &Arc<PlanEntry>,
-) -> CustomerEntry {
-    CustomerEntry {
-        name: name.clone(),
-        plan: Arc::clone(plan),
-        key_sha256: customer.key_sha256,
-    }
-}
-
 /// Whether every reader of `path` finds the same segments in it.
 fn is_plain_path(path: &str) -> bool {
     let plain_segment = |segment: &str| {
--- a/crates/plans/tests/sessions.rs
+++ b/crates/plans/tests/sessions.rs
@@ -459,6 +459,16 @@
     assert_eq!(StateSnapshot::decode(&bytes).unwrap().into_state(), state);
 }
 
+#[test]
+fn readers_that_see_finer_times_agree_with_the_others() {
+    let log = template_log();
+    let mut finer = log.records[0].clone();
+    finer.at += std::time::Duration::from_micros(999);
+    let mut state = ConfigState::new();
+    state.apply(&finer).unwrap();
+    assert_eq!(state, log.state());
+}
+
 #[test]
 fn refused_records_alone_never_block_publishing() {
     let mut log = template_log();
