Keep edits that a repeated change did not hold

Publishing a change of unknown outcome again, after more edits, found it accepted and wrote the accepted lists over those edits. They are merged now and named; files edited while publishing are left alone.

--- a/crates/cli/src/cmd/publish.rs
+++ b/crates/cli/src/cmd/publish.rs
@@ -10,7 +10,8 @@
 
 use bpaf::Bpaf;
 use model::{ChangeId, ConfigVersion};
-use plans::{ChangeMeta, ChangeRecord};
+use plans::merge::merge_lists;
+use plans::{ChangeMeta, ChangeRecord, ListPair};
 use serde_json::json;
 use uuid::Uuid;
 
@@ -64,8 +65,9 @@
         let (id, author, base) = (change.id, &change.author, folder.base);
         outln!("change {id} by {author} upon version {base}");
     }
+    let before = state.lists_at(folder.base)?;
     let publication = log.publish(&change)?;
-    catch_up(&folder, &publication)?;
+    catch_up(&folder, &before, &publication)?;
     let wait = Duration::from_secs(args.wait);
     let report = await_force(&client, &publication, wait, |report| {
         if !args.json {
@@ -79,11 +81,15 @@
 /// Brings the folder to the accepted version, with what others changed before it.
 ///
 /// Without this the next change would be made upon lists that lack the others'
-/// changes, and take them back.
-fn catch_up(folder: &ListFolder, publication: &Publication) -> Result<()> {
+/// changes, and take them back. Edits that a repeated change did not hold stay.
+fn catch_up(folder: &ListFolder, before: &ListPair, publication: &Publication) -> Result<()> {
     let version = publication.version;
-    let lists = publication.state.lists_at(version)?;
-    folder.update(&lists, version)
+    let accepted = publication.state.lists_at(version)?;
+    let merge = merge_lists(before, &folder.lists, &accepted);
+    for edit in accepted.edits_to(&merge.lists) {
+        eprintln!("not published: {}", edit.entry);
+    }
+    folder.update(&merge.lists, version)
 }
 
 fn say_nothing_to_do(version: ConfigVersion, json: bool) -> Result<ExitCode> {
--- a/crates/cli/src/folder.rs
+++ b/crates/cli/src/folder.rs
@@ -61,13 +61,27 @@
     }
 
     /// Changes the files to hold `lists`, keeping their comments.
+    ///
+    /// Files that were edited since they were read are left alone; `pull`
+    /// brings them up to date.
     pub fn update(&self, lists: &ListPair, base: ConfigVersion) -> Result<()> {
+        if !self.is_unchanged()? {
+            let dir = self.dir.display();
+            eprintln!("{dir} was edited meanwhile; run quetzal pull {dir}");
+            return Ok(());
+        }
         let (plans, allowances) = lists.rewrite(&self.plans_text, &self.allowances_text);
         if plans != self.plans_text || allowances != self.allowances_text {
             write_texts(&self.dir, &plans, &allowances)?;
         }
         write_base(&self.dir, base)
     }
+
+    fn is_unchanged(&self) -> Result<bool> {
+        let plans_text = read(&self.dir.join(PLANS_FILE))?;
+        let allowances_text = read(&self.dir.join(ALLOWANCES_FILE))?;
+        Ok(plans_text == self.plans_text && allowances_text == self.allowances_text)
+    }
 }
 
 /// Reads both lists and the version from which they were made.
--- a/crates/cli/tests/publishing.rs
+++ b/crates/cli/tests/publishing.rs
@@ -211,6 +211,31 @@
     assert_eq!(history[0]["change"], id);
 }
 
+#[test]
+fn edits_made_after_a_change_was_sent_stay_in_the_folder() {
+    let bed = TestBed::start();
+    play(&bed, &["init lists"]);
+    let id = "0198c0de-0000-7000-8000-000000000001";
+    bed.copy_dir("lists", "late");
+    assert_eq!(
+        bed.run(&["publish", "lists", "--change", id]).status.code(),
+        Some(0)
+    );
+    bed.edit(
+        "late/allowances.jsonc",
+        "\"rate_per_s\": 200",
+        "\"rate_per_s\": 250",
+    );
+    let text = bed.session(&["publish", "late", "--change", id]);
+    assert!(
+        text.contains("not published: allowance of plan gold for service catalog"),
+        "{text}"
+    );
+    let diff = bed.json(&["diff", "late", "--json"]);
+    assert_eq!(diff["edits"].as_array().unwrap().len(), 1);
+    assert_eq!(diff["base"], "0");
+}
+
 #[test]
 fn nothing_is_published_on_a_log_that_lost_records() {
     let bed = TestBed::start();
