--- a/crates/once/src/home/keys.rs
+++ b/crates/once/src/home/keys.rs
@@ -19,8 +19,10 @@
 /// Bounds of a key home.
 #[derive(Clone, Copy, Debug)]
 pub struct HomeSettings {
-    /// How long a key is remembered and admitted after its making.
+    /// How long a caller's key is admitted and remembered after its making.
     pub window: Duration,
+    /// How long an issued key is admitted and remembered after its issue.
+    pub issued_window: Duration,
     /// Most keys remembered; a full table of this size is one power of two.
     pub max_keys: usize,
     /// Memory for answers.
@@ -34,7 +36,8 @@
 impl Default for HomeSettings {
     fn default() -> Self {
         Self {
-            window: Duration::from_secs(300),
+            window: Duration::from_secs(240),
+            issued_window: Duration::from_secs(1800),
             max_keys: 114_688,
             answer_budget: ByteCount(4 << 20),
             largest_answer: ByteCount(64 << 10),
@@ -68,6 +71,7 @@
     pub(super) staged: HashMap<BookId, StagedBook>,
     pub(super) answers: AnswerStore,
     pub(super) key_count: usize,
+    pub(super) next_sweep: Instant,
 }
 
 impl KeyHome {
@@ -89,6 +93,7 @@
             staged: HashMap::new(),
             answers: AnswerStore::new(settings.answer_budget, settings.largest_answer),
             key_count: 0,
+            next_sweep: started,
         }
     }
 
@@ -111,7 +116,7 @@
         })
     }
 
-    /// What the home holds.
+    /// What the home holds; looks at every key.
     pub fn counts(&self) -> HomeCounts {
         let entries = self.books.values().flat_map(|book| book.entries.values());
         HomeCounts {
--- a/crates/once/src/home/terms.rs
+++ b/crates/once/src/home/terms.rs
@@ -8,8 +8,10 @@
 
 /// Books whose term has ended that are kept for their answers.
 const MAX_ENDED_BOOKS: usize = 2 * KeyRange::COUNT;
+/// Time between two looks for expired keys.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// A book taken over stays this many windows, lest a late page revive it.
-const EMPTY_BOOK_WINDOWS: u32 = 10;
+const EMPTY_BOOK_WINDOWS: u32 = 4;
 
 impl KeyHome {
     /// Takes a change of the leases.
@@ -25,9 +27,15 @@
     }
 
     /// Forgets expired keys; `log_now` is a time that the log's clock has passed.
+    ///
+    /// Looks at every key, so it does so only every few seconds.
     pub fn on_tick(&mut self, log_now: Option<LogStamp>) {
-        let window = self.settings.window;
         let now = self.clock.now();
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP_INTERVAL;
+        let window = self.settings.window;
         let uptime_ms = self.uptime().as_millis() as u64;
         let untimed_floor = floor_before(uptime_ms, window);
         let log_floor = log_now.map_or(0, |stamp| floor_before(stamp.0, window));
@@ -35,7 +43,9 @@
         for book in self.books.values_mut() {
             let floor = match &book.gate {
                 BookGate::Range(_) => log_floor,
-                BookGate::Issuer(gate) => floor_before(gate.uptime_ms(now), window),
+                BookGate::Issuer(gate) => {
+                    floor_before(gate.uptime_ms(now), self.settings.issued_window)
+                }
             };
             forgot |= book.forget(floor, untimed_floor);
         }
@@ -58,10 +68,7 @@
     }
 
     fn hold_term(&mut self, range: KeyRange, term: LeaseTerm, valid_until: Instant) {
-        let held = TermRef {
-            range,
-            epoch: term.epoch,
-        };
+        let held = TermRef::new(range, term.epoch);
         if let Some(book) = self.books.get_mut(&BookId::Range(held)) {
             if let BookGate::Range(gate) = &mut book.gate {
                 let owns_after = gate.term.owns_after;
@@ -108,7 +115,7 @@
     fn drop_books(&mut self) {
         let me = self.me;
         let now = self.clock.now();
-        let memory = self.settings.window * EMPTY_BOOK_WINDOWS;
+        let memory = self.settings.issued_window * EMPTY_BOOK_WINDOWS;
         let is_old = |opened: Instant| now.saturating_duration_since(opened) > memory;
         self.books.retain(|id, book| match id {
             BookId::Issuer(issuer) => {
--- a/crates/once/src/permit/issuer.rs
+++ b/crates/once/src/permit/issuer.rs
@@ -28,7 +28,7 @@
 impl Default for PermitSettings {
     fn default() -> Self {
         Self {
-            lifetime: Duration::from_secs(2),
+            lifetime: Duration::from_secs(5),
             memory: Duration::from_secs(30),
             max_permits: 16_384,
             max_unused: 256,
@@ -126,10 +126,7 @@
     /// Raises the fences to the epochs of a view, as passed on by other daemons.
     pub fn observe(&mut self, view: &LeaseView) {
         for row in view.rows.iter() {
-            let term = TermRef {
-                range: row.range,
-                epoch: row.epoch,
-            };
+            let term = TermRef::new(row.range, row.epoch);
             self.raise_fence(term);
         }
     }
--- a/crates/spread/src/tree.rs
+++ b/crates/spread/src/tree.rs
@@ -7,9 +7,12 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
-use crate::acks::{AckSum, FleetLaggard, FleetSummary, LagReason};
+use crate::acks::{AckSum, DomainList, FleetLaggard, FleetSummary, LagReason, MAX_SILENT_DOMAINS};
 use crate::freshness::FreshnessCase;
-use crate::message::{AgeMillis, DomainReport, OutputList, PeerList, SpreadMessage, SpreadOutput};
+use crate::message::{
+    AgeMillis, DomainReport, MAX_READERS, OutputList, PeerList, ReaderList, SpreadMessage,
+    SpreadOutput,
+};
 use crate::node::{HeardReport, SpreadNode};
 use crate::reader::LogState;
 use crate::replica::ReplicaPort;
@@ -17,15 +20,24 @@
 /// Beats after which the summary is sent again though it is unchanged.
 const SUMMARY_EVERY: u32 = 8;
 
+/// Beats that carry a changed summary, since some are lost.
+const SUMMARY_REPEATS: u32 = 3;
+
 /// Roots that acknowledgements go to.
 const MAX_ACK_ROOTS: usize = 2;
 
 /// Shortest time between two beats.
 const BEAT_SPACING: Duration = Duration::from_millis(200);
 
-/// Time after which a changed sum is reported again, in case it was lost.
+/// Shortest time between two rounds of reports.
+const REPORT_SPACING: Duration = Duration::from_millis(400);
+
+/// Time after which a changed sum is told again, in case it was lost.
 const REPEAT_AFTER: Duration = Duration::from_millis(500);
 
+/// Share of reports that go to a reader by rank, in case all that were named died.
+const GUESS_SHARE: f64 = 0.25;
+
 /// Age at which a domain's report no longer counts.
 const REPORT_LIFETIME: Duration = Duration::from_secs(10);
 
@@ -62,8 +74,12 @@
         self.timers.last_beat = Some(now);
         self.beat_number += 1;
         let again = self.beat_number % SUMMARY_EVERY == 1;
-        let summary = (self.fleet.changed || again).then(|| self.fleet.summary.clone());
-        self.fleet.changed = false;
+        if std::mem::take(&mut self.fleet.changed) {
+            self.fleet.repeats = SUMMARY_REPEATS;
+        }
+        let wanted = self.fleet.repeats > 0 || again;
+        self.fleet.repeats = self.fleet.repeats.saturating_sub(1);
+        let summary = wanted.then(|| self.fleet.summary.clone());
         let own = self.roster.own();
         let (root, run, number) = (own.id, own.run, self.beat_number);
         self.forward_beat(root, run, number, summary, outputs);
@@ -110,7 +126,12 @@
         }
         self.acks.settle();
         self.timers.last_ack = Some(now);
-        self.timers.next_ack = now + self.jittered(self.settings.ack_interval);
+        let interval = if early {
+            REPEAT_AFTER
+        } else {
+            self.settings.ack_interval
+        };
+        self.timers.next_ack = now + self.jittered(interval);
         for (root, since) in self.roots.live().into_iter().take(MAX_ACK_ROOTS) {
             let Some(parent) = self.roster.parent(root, self.settings.fan_out) else {
                 continue;
@@ -143,7 +164,7 @@
 
     /// Why this daemon lags, if it does.
     fn own_lag(&self, now: Instant) -> Option<FleetLaggard> {
-        let case = self.freshness.report(self.loaded, &self.settings, now).case;
+        let case = self.report_freshness(now).case;
         let waited = |since: Instant| now.saturating_duration_since(since);
         let diverged = matches!(self.log_state(), LogState::Diverged(_));
         let (reason, age) = if case == FreshnessCase::Absent {
@@ -182,13 +203,28 @@
         for other in self.domain_sums() {
             sum.add(other);
         }
-        let members = u32::try_from(self.roster.count()).unwrap_or(u32::MAX);
-        let summary = FleetSummary { members, sum };
+        let summary = FleetSummary {
+            members: u32::try_from(self.roster.count()).unwrap_or(u32::MAX),
+            sum,
+            silent_domains: self.silent_domains(),
+        };
         self.fleet.changed |= summary.differs(&self.fleet.summary);
         self.fleet.summary = summary;
         self.fleet.heard_at = Some(now);
     }
 
+    /// Domains with members whose readers are not heard.
+    fn silent_domains(&self) -> DomainList {
+        let own = &self.roster.own().domain;
+        let heard = |domain: &DomainName| {
+            let mut reports = self.reports.values();
+            reports.any(|heard| heard.report.domain == *domain)
+        };
+        let others = self.roster.domains().filter(|domain| *domain != own);
+        let silent = others.filter(|domain| !heard(domain));
+        silent.take(MAX_SILENT_DOMAINS).cloned().collect()
+    }
+
     /// The sum of each other domain, of the reader that hears the most.
     fn domain_sums(&self) -> impl Iterator<Item = &AckSum> {
         let mut sums = BTreeMap::<&DomainName, &AckSum>::new();
@@ -219,20 +255,28 @@
             view: self.freshness.view(now),
             down_age: down_at.map(|at| AgeMillis::from(now.saturating_duration_since(at))),
             sum,
+            readers: self.own_readers(),
             snapshot: self.snapshots.mark(now),
         }
     }
 
+    /// Readers heard in the own domain, this daemon included.
+    fn own_readers(&self) -> ReaderList {
+        let own = self.is_reading().then(|| self.roster.own().id);
+        let heard = self.roots.live().into_iter().map(|(root, _)| root);
+        own.into_iter().chain(heard).take(MAX_READERS).collect()
+    }
+
     /// Reports to one reader of each other domain when due, or soon when the sum changed.
     pub(crate) fn tick_reports(&mut self, outputs: &mut OutputList, now: Instant) {
         let sum = self.own_sum(now);
-        let spacing = self.settings.ack_spacing;
-        let recent = |at: Instant| now.saturating_duration_since(at) < spacing;
+        let recent = |at: Instant| now.saturating_duration_since(at) < REPORT_SPACING;
         let spaced = !self.timers.last_report.is_some_and(recent);
         let early = sum.versions != self.fleet.reported.versions && spaced;
         if now < self.timers.next_report && !early {
             return;
         }
+        let again = std::mem::replace(&mut self.fleet.report_again, early);
         self.fleet.reported = sum;
         self.timers.last_report = Some(now);
         let interval = if early {
@@ -249,29 +293,39 @@
         }
         let report = self.own_report(now);
         for domain in domains {
-            let Some(to) = self.reader_of(&domain) else {
-                continue;
+            let readers = if early || again {
+                self.readers_of(&domain)
+            } else {
+                self.reader_of(&domain).into_iter().collect()
             };
-            let question = self.questions.ask(to, now);
-            let report = report.clone();
-            let message = SpreadMessage::Report { question, report };
-            outputs.push(SpreadOutput::Send { to, message });
+            for to in readers {
+                let question = self.questions.ask(to, now);
+                let report = report.clone();
+                let message = SpreadMessage::Report { question, report };
+                outputs.push(SpreadOutput::Send { to, message });
+            }
         }
     }
 
-    /// A reader of `domain`: the last that reported, else one of the first in rank.
+    /// All readers of `domain` that were named, else those first in rank.
+    fn readers_of(&self, domain: &DomainName) -> ReaderList {
+        let readers = self.settings.readers;
+        let named = self.fleet.readers.get(domain).map(ReaderList::as_slice);
+        let named = named.filter(|named| !named.is_empty());
+        let likely = named.unwrap_or_else(|| self.roster.ranked(domain));
+        likely.iter().take(readers).copied().collect()
+    }
+
+    /// A reader of `domain`: one that was named, else one of the first in rank.
     fn reader_of(&mut self, domain: &DomainName) -> Option<DaemonId> {
-        let known = self.reports.iter();
-        let readers = known
-            .filter(|(_, heard)| heard.report.domain == *domain)
-            .map(|(from, _)| *from)
-            .collect::<PeerList>();
-        if let Some(reader) = readers.choose(&mut self.rng) {
+        let guess = self.rng.random_bool(GUESS_SHARE);
+        let named = self.fleet.readers.get(domain).filter(|_| !guess);
+        if let Some(reader) = named.and_then(|readers| readers.choose(&mut self.rng)) {
             return Some(*reader);
         }
         let ranked = self.roster.ranked(domain);
-        let place = self.rng.random_range(0..self.settings.readers.max(1));
-        ranked.get(place.min(ranked.len().checked_sub(1)?)).copied()
+        let likely = (self.settings.readers * 2).min(ranked.len());
+        ranked[..likely].choose(&mut self.rng).copied()
     }
 
     pub(crate) fn take_report(
@@ -297,6 +351,8 @@
         if let Some(mark) = report.snapshot {
             self.snapshots.learn(mark, now);
         }
+        let readers = report.readers.clone();
+        self.fleet.readers.insert(report.domain.clone(), readers);
         if report.sum.is_some() {
             let heard = HeardReport {
                 heard_at: now,
