--- a/crates/spread/benches/measure/mod.rs
+++ b/crates/spread/benches/measure/mod.rs
@@ -32,6 +32,8 @@
     None,
     /// A failure domain is lost.
     DomainLost,
+    /// Half of a failure domain is lost, its readers among them.
+    RackLost,
     /// All readers of the log stop.
     ReadersKilled,
     /// All daemons stop and return within one second.
@@ -39,7 +41,12 @@
 }
 
 impl Incident {
-    pub const FAULTS: [Self; 3] = [Self::DomainLost, Self::ReadersKilled, Self::HerdReturn];
+    pub const FAULTS: [Self; 4] = [
+        Self::DomainLost,
+        Self::RackLost,
+        Self::ReadersKilled,
+        Self::HerdReturn,
+    ];
 }
 
 /// What a row shows; traffic is that of the idle fleet, or from the incident on.
@@ -233,6 +240,10 @@
             }
             None
         }
+        Incident::RackLost => {
+            kill_rack(fleet);
+            None
+        }
         Incident::ReadersKilled => kill_readers(fleet),
         Incident::HerdReturn => {
             for place in places.clone() {
@@ -249,6 +260,19 @@
     }
 }
 
+/// Kills every second daemon of a domain and its readers.
+fn kill_rack<A: FleetActor>(fleet: &mut Fleet<A>) {
+    let domains = fleet.shape.domains;
+    let places = (0..fleet.slots.len()).filter(|place| place % domains == 1);
+    for place in places.collect::<Vec<_>>() {
+        let actor = fleet.slots[place].actor.as_ref();
+        let reads = actor.is_some_and(FleetActor::reads);
+        if reads || (place / domains).is_multiple_of(2) {
+            fleet.kill(place);
+        }
+    }
+}
+
 fn kill_readers<A: FleetActor>(fleet: &mut Fleet<A>) -> Option<Duration> {
     let places = 0..fleet.slots.len();
     let reading = places
--- a/crates/spread/src/acks.rs
+++ b/crates/spread/src/acks.rs
@@ -31,7 +31,7 @@
 const MAX_CHILDREN: usize = 32;
 
 /// Age at which a child's sum no longer counts.
-const SUM_LIFETIME: Duration = Duration::from_millis(3500);
+const SUM_LIFETIME: Duration = Duration::from_secs(7);
 
 /// Why a daemon lags.
 #[derive(Clone, Copy, Debug, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize)]
--- a/crates/spread/src/roster.rs
+++ b/crates/spread/src/roster.rs
@@ -145,6 +145,18 @@
         self.ranked(domain).iter().position(|other| *other == id)
     }
 
+    /// Levels below the root of a tree over the own domain; at least 1.
+    pub fn depth(&self, fan_out: usize) -> u32 {
+        let count = self.ranked(&self.own.domain).len();
+        let (mut depth, mut level, mut reached) = (1, fan_out, fan_out + 1);
+        while reached < count {
+            level *= fan_out;
+            reached += level;
+            depth += 1;
+        }
+        depth
+    }
+
     /// Children of this daemon in the tree of `root`.
     pub fn children(&mut self, root: DaemonId, fan_out: usize) -> PeerList {
         let own = self.own.id;
--- a/crates/spread/src/settings.rs
+++ b/crates/spread/src/settings.rs
@@ -30,7 +30,8 @@
     pub fan_out: usize,
     /// Time between two beats of a reader.
     pub beat_interval: Duration,
-    /// Time between two acknowledgements to a parent, if nothing changes.
+    /// Time between two acknowledgements to a parent, if nothing changes, in a
+    /// tree of four levels; up to twice that where the tree is flatter.
     pub ack_interval: Duration,
     /// Shortest time between two acknowledgements to a parent.
     pub ack_spacing: Duration,
@@ -79,6 +80,20 @@
     pub transfer_tokens: u32,
 }
 
+/// Levels of a tree for which the acknowledgement interval is meant.
+const FULL_DEPTH: u32 = 4;
+
+impl SpreadSettings {
+    /// Time between two acknowledgements in a tree of this depth.
+    ///
+    /// Proofs of freshness come down one level in that time, so flat trees
+    /// may take longer for each level.
+    pub fn ack_interval_at(&self, depth: u32) -> Duration {
+        let longest = self.ack_interval * 2;
+        (self.ack_interval * FULL_DEPTH / depth.max(1)).clamp(self.ack_interval, longest)
+    }
+}
+
 impl Default for SpreadSettings {
     fn default() -> Self {
         Self {
--- a/crates/spread/src/tree.rs
+++ b/crates/spread/src/tree.rs
@@ -129,10 +129,12 @@
         let interval = if early {
             REPEAT_AFTER
         } else {
-            self.settings.ack_interval
+            self.ack_interval()
         };
         self.timers.next_ack = now + self.jittered(interval);
-        for (root, since) in self.roots.live().into_iter().take(MAX_ACK_ROOTS) {
+        let mut roots = self.roots.live();
+        roots.sort_by_key(|(root, _)| self.roster.rank_of(*root).unwrap_or(usize::MAX));
+        for (root, since) in roots.into_iter().take(MAX_ACK_ROOTS) {
             let Some(parent) = self.roster.parent(root, self.settings.fan_out) else {
                 continue;
             };
@@ -152,6 +154,11 @@
         }
     }
 
+    fn ack_interval(&self) -> Duration {
+        let depth = self.roster.depth(self.settings.fan_out);
+        self.settings.ack_interval_at(depth)
+    }
+
     /// Sum over this daemon and all below it in the tree of `root`.
     fn subtree_sum(&mut self, root: DaemonId, since: Instant, now: Instant) -> AckSum {
         let mut sum = AckSum::of_one(self.in_force, self.own_lag(now));
--- a/crates/spread/tests/distribution.rs
+++ b/crates/spread/tests/distribution.rs
@@ -6,7 +6,12 @@
 
 use harness::actor::{Node, nodes};
 use harness::{Fleet, FleetShape};
-use quetzal_spread::{FreshnessCase, SpreadSettings};
+use model::{DaemonId, FakeClock, IncarnationNumber};
+use quetzal_spread::{
+    FakeReplica, FreshnessCase, SpreadMember, SpreadNode, SpreadOutput, SpreadSettings,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 const START: Duration = Duration::from_secs(1);
 
@@ -44,3 +49,90 @@
         assert_eq!(node.freshness().case, FreshnessCase::Current);
     }
 }
+
+#[test]
+fn a_paused_daemon_takes_no_old_answer_for_a_proof() {
+    for place in 0..12 {
+        let mut fleet = fleet(12, 3);
+        fleet.pause(place);
+        fleet.run_for(Duration::from_secs(30));
+        let version = fleet.publish("a=2");
+        fleet.run_for(Duration::from_secs(1));
+        fleet.resume(place);
+        let node = fleet.slots[place].actor.as_ref().unwrap();
+        assert_eq!(node.freshness().case, FreshnessCase::CutOff);
+        fleet.run_for(Duration::from_secs(5));
+        let node = fleet.slots[place].actor.as_ref().unwrap();
+        assert_eq!(node.freshness().case, FreshnessCase::Current);
+        assert_eq!(node.head().version, version);
+    }
+}
+
+#[test]
+fn nothing_is_read_before_the_members_are_known() {
+    let clock = FakeClock::new();
+    let own = SpreadMember {
+        id: DaemonId(1),
+        domain: "domain-1".parse().unwrap(),
+        region: "region-1".parse().unwrap(),
+        run: IncarnationNumber(1),
+    };
+    let mut node = SpreadNode::new(
+        SpreadSettings::default(),
+        clock.shared(),
+        SmallRng::seed_from_u64(1),
+        FakeReplica::new(),
+        own,
+    );
+    let reads = |node: &mut SpreadNode<FakeReplica>| {
+        clock.advance(Duration::from_secs(2));
+        let outputs = node.on_tick();
+        let read = |output: &SpreadOutput| matches!(output, SpreadOutput::ReadLog(_));
+        outputs.iter().any(read)
+    };
+    assert!((0..60).all(|_| !reads(&mut node)));
+    node.set_members(&[]);
+    assert!(reads(&mut node));
+}
+
+#[test]
+fn snapshots_are_refreshed_by_one_writer_and_by_another_when_it_dies() {
+    let settings = SpreadSettings {
+        snapshot_age: Duration::from_secs(20),
+        snapshot_stagger: Duration::from_secs(2),
+        ..SpreadSettings::default()
+    };
+    let mut fleet = Fleet::new(FleetShape::sized(30, 5), START, nodes(settings));
+    fleet.publish("first=1");
+    for round in 0..4 {
+        fleet.run_for(Duration::from_secs(60));
+        let appends = fleet.log.appends;
+        assert!((2..=4).contains(&appends), "{appends} in round {round}");
+        fleet.reset_counts();
+        let reading = (0..30).filter(|place| {
+            let node = fleet.slots[*place].actor.as_ref();
+            node.is_some_and(Node::is_reading)
+        });
+        for place in reading.collect::<Vec<_>>().into_iter().take(3) {
+            fleet.kill(place);
+        }
+    }
+}
+
+#[test]
+fn a_full_outage_is_told_from_a_lost_region() {
+    let mut fleet = fleet(20, 9);
+    let cases = |fleet: &Fleet<Node>, case| {
+        let nodes = fleet.slots.iter().filter_map(|slot| slot.actor.as_ref());
+        nodes.filter(|node| node.freshness().case == case).count()
+    };
+    fleet.log.down = true;
+    for _ in 0..60 {
+        fleet.run_for(Duration::from_secs(1));
+        assert_eq!(cases(&fleet, FreshnessCase::CutOff), 0);
+    }
+    assert_eq!(cases(&fleet, FreshnessCase::SourceDown), 20);
+    fleet.regions_cut = true;
+    fleet.run_for(Duration::from_secs(40));
+    assert_eq!(cases(&fleet, FreshnessCase::CutOff), 20);
+}
--- a/crates/spread/tests/harness/mod.rs
+++ b/crates/spread/tests/harness/mod.rs
@@ -29,6 +29,9 @@
 /// Bytes of one read of the log, question and answer without records.
 pub const READ_BYTES: u64 = 300;
 
+/// Number of a first run, as long on the wire as a time stamp in milliseconds.
+const FIRST_RUN: u64 = 1_767_225_600_000;
+
 /// Time between two ticks of a daemon.
 pub const TICK: Duration = Duration::from_millis(100);
 
@@ -86,6 +89,7 @@
     pub region: usize,
     pub actor: Option<A>,
     pub cut: bool,
+    pub paused: bool,
     pub applied: ConfigVersion,
     pub applied_at: Duration,
     pub sent: u64,
@@ -104,6 +108,19 @@
     Members,
 }
 
+impl<M> Event<M> {
+    /// The daemon that the event happens to.
+    fn target(&self) -> Option<usize> {
+        match self {
+            Self::Tick(place, _)
+            | Self::Deliver { to: place, .. }
+            | Self::ReadDone(place, ..)
+            | Self::AppendDone(place, ..) => Some(*place),
+            Self::Read(..) | Self::Append(..) | Self::PollEnd(_) | Self::Members => None,
+        }
+    }
+}
+
 struct Queued<M> {
     at: Duration,
     number: u64,
@@ -156,6 +173,7 @@
     queue: BinaryHeap<Reverse<Queued<A::Message>>>,
     number: u64,
     announced_at: Option<Duration>,
+    backlog: Vec<Event<A::Message>>,
     factory: Factory<A>,
     ids: BTreeMap<DaemonId, usize>,
 }
@@ -189,6 +207,7 @@
             queue: BinaryHeap::new(),
             number: 0,
             announced_at: None,
+            backlog: Vec::new(),
             factory,
             ids,
         };
@@ -328,7 +347,26 @@
         self.counted_from = self.now();
     }
 
+    /// Suspends a daemon: what reaches it waits until it is resumed.
+    pub fn pause(&mut self, place: usize) {
+        self.slots[place].paused = true;
+    }
+
+    /// Resumes a daemon, which then finds all that waited.
+    pub fn resume(&mut self, place: usize) {
+        self.slots[place].paused = false;
+        let backlog = std::mem::take(&mut self.backlog);
+        for event in backlog {
+            self.handle(event);
+        }
+    }
+
     fn handle(&mut self, event: Event<A::Message>) {
+        let target = event.target();
+        if target.is_some_and(|place| self.slots[place].paused) {
+            self.backlog.push(event);
+            return;
+        }
         match event {
             Event::Tick(place, run) if self.is_run(place, run) => {
                 self.call(place, FleetActor::tick);
@@ -512,14 +550,15 @@
     let region_name: RegionName = format!("region-{}", region + 1).parse().expect("sound");
     FleetSlot {
         member: SpreadMember {
-            id: DaemonId(place as u64 + 1),
+            id: DaemonId((place as u64 + 1) << 48),
             domain: domain_name,
             region: region_name,
-            run: IncarnationNumber(0),
+            run: IncarnationNumber(FIRST_RUN),
         },
         region,
         actor: None,
         cut: false,
+        paused: false,
         applied: ConfigVersion::NONE,
         applied_at: Duration::ZERO,
         sent: 0,
