Stop at a record that the replica cannot fold; judge freshness by the time of a call

Cause: the daemon's replica stops at a record of newer rules; the distributor took the whole batch for folded, remembered a wrong last record (a false alarm of a diverged log), proved a head it had not reached, and read on ten times a second. A freshness report that is kept grows old while a process is paused. Change: only what was folded counts, such a record is read again every 5 s and raises an alarm; TimedFreshness holds the moments until which each case holds; refused messages raise an alarm with their kind.

--- a/crates/spread/src/fake.rs
+++ b/crates/spread/src/fake.rs
@@ -1,6 +1,7 @@
 //! A small replica for tests, benches and embedders' own tests.
 //!
-//! A record is text, `key=value`; one without `=` is refused. The state keeps
+//! A record is text, `key=value`; one without `=` is refused, and one that
+//! begins with [`NEWER_RULES`] stops the fold. The state keeps
 //! the last value of each key. A delta is taken for smaller than the whole
 //! state while it has fewer entries.
 
@@ -13,6 +14,9 @@
 
 use crate::replica::{FoldReport, ReplicaHead, ReplicaPort, Result, UpdateBody};
 
+/// Begin of a record that this release cannot fold.
+pub const NEWER_RULES: &[u8] = b"rules 2:";
+
 /// Entries that a delta may reach back over.
 const MAX_HISTORY: usize = 256;
 
@@ -124,6 +128,9 @@
     fn fold(&mut self, records: &[LogRecord]) -> FoldReport {
         let mut report = FoldReport::default();
         for record in records {
+            if record.body.starts_with(NEWER_RULES) {
+                break;
+            }
             let text = String::from_utf8_lossy(&record.body);
             let change = text
                 .split_once('=')
--- a/crates/spread/src/freshness.rs
+++ b/crates/spread/src/freshness.rs
@@ -47,6 +47,40 @@
     pub outage_age: Option<Duration>,
 }
 
+/// What a daemon should do at any moment, given what it knew at one.
+///
+/// Whoever keeps a copy judges each call by the time of the call, so that a
+/// process that was paused does not act on what was true before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TimedFreshness {
+    serving: bool,
+    proven_until: Option<Instant>,
+    outage_until: Option<Instant>,
+}
+
+impl TimedFreshness {
+    /// A daemon that holds no configuration.
+    pub const ABSENT: Self = Self {
+        serving: false,
+        proven_until: None,
+        outage_until: None,
+    };
+
+    /// What to do at `now`.
+    pub fn case_at(&self, now: Instant) -> FreshnessCase {
+        let holds = |until: Option<Instant>| until.is_some_and(|until| now <= until);
+        if !self.serving {
+            FreshnessCase::Absent
+        } else if holds(self.proven_until) {
+            FreshnessCase::Current
+        } else if holds(self.outage_until) {
+            FreshnessCase::SourceDown
+        } else {
+            FreshnessCase::CutOff
+        }
+    }
+}
+
 /// Collects proofs and witnesses of outages.
 #[derive(Debug, Default)]
 pub struct FreshnessTracker {
@@ -153,7 +187,16 @@
         }
     }
 
-    /// What a daemon that is `serving` should do.
+    /// What a daemon that is `serving` should do at later moments.
+    pub fn timed(&self, serving: bool, settings: &SpreadSettings) -> TimedFreshness {
+        TimedFreshness {
+            serving,
+            proven_until: self.proven_at.map(|at| at + settings.cut_off_after),
+            outage_until: self.outage_at.map(|at| at + settings.outage_limit),
+        }
+    }
+
+    /// What a daemon that is `serving` should do now.
     pub fn report(
         &self,
         serving: bool,
@@ -162,16 +205,7 @@
     ) -> FreshnessReport {
         let proof_age = age(self.proven_at, now);
         let outage_age = age(self.outage_at, now);
-        let within = |age: Option<Duration>, limit| age.is_some_and(|age| age <= limit);
-        let case = if !serving {
-            FreshnessCase::Absent
-        } else if within(proof_age, settings.cut_off_after) {
-            FreshnessCase::Current
-        } else if within(outage_age, settings.outage_limit) {
-            FreshnessCase::SourceDown
-        } else {
-            FreshnessCase::CutOff
-        };
+        let case = self.timed(serving, settings).case_at(now);
         FreshnessReport {
             case,
             proof_age,
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -15,8 +15,10 @@
 //!    `Applied` build and swap your table, then call
 //!    [`SpreadNode::on_in_force`];
 //! 4. hand back what peers send and the log answers;
-//! 5. ask [`SpreadNode::freshness`] before serving calls that must not run on
-//!    an old configuration.
+//! 5. before a call that must not run on an old configuration, ask
+//!    [`SpreadNode::freshness`], or [`TimedFreshness::case_at`] where the
+//!    distributor is out of reach; a stored [`FreshnessReport`] grows old while
+//!    the process is paused.
 //!
 //! `examples/fleet.rs` runs a small fleet over in-memory queues.
 
@@ -39,7 +41,7 @@
 
 pub use acks::{AckSum, FleetLaggard, FleetSummary, LagReason, VersionCount};
 pub use fake::FakeReplica;
-pub use freshness::{FreshnessCase, FreshnessReport};
+pub use freshness::{FreshnessCase, FreshnessReport, TimedFreshness};
 pub use message::{
     LogAppend, LogRead, LogTag, OutputList, SpreadAlarm, SpreadMessage, SpreadOutput,
 };
--- a/crates/spread/src/message.rs
+++ b/crates/spread/src/message.rs
@@ -267,6 +267,17 @@
         /// Next offset of this daemon.
         held_next: LogOffset,
     },
+    /// The replica cannot fold a record, which needs a newer release.
+    #[display("cannot read the record at {_0}; a newer release is needed")]
+    LogStuck(LogOffset),
+    /// A message of a peer broke a bound and was dropped.
+    #[display("message of {peer} refused: {kind}")]
+    MessageRefused {
+        /// The peer.
+        peer: DaemonId,
+        /// What was wrong.
+        kind: ErrorKind,
+    },
     /// A peer holds another state at the same offset.
     #[display("daemon {peer} holds another state at {next}")]
     PeerContradicts {
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -14,7 +14,7 @@
 
 use crate::acks::{AckSum, AckTable, FleetSummary};
 use crate::beats::RootTable;
-use crate::freshness::{FreshnessCase, FreshnessReport, FreshnessTracker};
+use crate::freshness::{FreshnessCase, FreshnessReport, FreshnessTracker, TimedFreshness};
 use crate::message::{
     DomainReport, LogTag, OutputList, ReaderList, SpreadAlarm, SpreadMessage, SpreadOutput,
 };
@@ -220,6 +220,11 @@
         self.report_freshness(now)
     }
 
+    /// The same for later moments, for those who cannot ask each time.
+    pub fn timed_freshness(&self) -> TimedFreshness {
+        self.freshness.timed(self.is_serving(), &self.settings)
+    }
+
     pub(crate) fn report_freshness(&self, now: Instant) -> FreshnessReport {
         let serving = self.is_serving();
         self.freshness.report(serving, &self.settings, now)
@@ -261,10 +266,14 @@
     pub fn on_peer_message(&mut self, from: DaemonId, message: SpreadMessage) -> OutputList {
         let now = self.clock.now();
         let mut outputs = OutputList::new();
-        if message.check().is_ok() {
-            self.take_message(from, message, &mut outputs, now);
-            self.note_changes(&mut outputs, now);
+        match message.check() {
+            Ok(()) => self.take_message(from, message, &mut outputs, now),
+            Err(error) => outputs.push(SpreadOutput::Alarm(SpreadAlarm::MessageRefused {
+                peer: from,
+                kind: error.kind,
+            })),
         }
+        self.note_changes(&mut outputs, now);
         outputs
     }
 
@@ -388,6 +397,7 @@
                 held_next,
             }),
             LogState::Gap(first) => Some(SpreadAlarm::LogGap { first, held_next }),
+            LogState::Stuck(offset) => Some(SpreadAlarm::LogStuck(offset)),
         }
     }
 }
--- a/crates/spread/src/reader.rs
+++ b/crates/spread/src/reader.rs
@@ -16,7 +16,7 @@
 use crate::replica::{ReplicaHead, record_hash};
 use crate::settings::SpreadSettings;
 
-/// Pause between two checks of a log that lost records.
+/// Pause between two reads of a log that is of no use for now.
 const HELD_INTERVAL: Duration = Duration::from_secs(5);
 
 /// What this daemon knows of the config stream.
@@ -32,6 +32,8 @@
     Diverged(LogOffset),
     /// Records expired before they were read; the stream starts here.
     Gap(LogOffset),
+    /// The replica cannot fold this record, as of a newer release.
+    Stuck(LogOffset),
 }
 
 /// What an answer means.
@@ -108,6 +110,11 @@
         *self = Self::new();
     }
 
+    /// The replica cannot fold the record at `offset`; it is read again later.
+    pub fn stick(&mut self, offset: LogOffset, now: Instant) {
+        self.hold(LogState::Stuck(offset), now);
+    }
+
     /// Reads at once and checks the last record, as after a new snapshot.
     pub fn restart(&mut self, now: Instant) {
         self.verified_at = None;
--- a/crates/spread/src/source.rs
+++ b/crates/spread/src/source.rs
@@ -132,9 +132,9 @@
                 complete_at,
             } => {
                 self.fold(&records, outputs, now);
-                if let Some(proven_at) = complete_at {
-                    let next = self.head.next;
-                    self.freshness.prove(next, proven_at, next);
+                if let (Some(proven_at), Some(last)) = (complete_at, records.last()) {
+                    let next = last.offset.next();
+                    self.freshness.prove(next, proven_at, self.head.next);
                 }
             }
         }
@@ -142,9 +142,15 @@
 
     fn fold(&mut self, records: &[LogRecord], outputs: &mut OutputList, now: Instant) {
         self.replica.fold(records);
-        let last_record = records.last().map_or(0, record_hash);
-        self.load(now);
-        self.adopt(last_record, outputs, now);
+        let next = self.replica.next_offset();
+        let last = records.iter().find(|record| record.offset.next() == next);
+        if let Some(last) = last {
+            self.load(now);
+            self.adopt(record_hash(last), outputs, now);
+        }
+        if records.last().is_some_and(|record| record.offset >= next) {
+            self.reader.stick(next, now);
+        }
     }
 
     fn take_snapshot(&mut self, record: &SnapshotRecord, outputs: &mut OutputList, now: Instant) {
--- a/crates/spread/tests/distribution.rs
+++ b/crates/spread/tests/distribution.rs
@@ -6,9 +6,10 @@
 
 use harness::actor::{Node, nodes};
 use harness::{Fleet, FleetShape};
-use model::{DaemonId, FakeClock, IncarnationNumber};
+use model::{DaemonId, ErrorKind, FakeClock, IncarnationNumber};
 use quetzal_spread::{
-    FakeReplica, FreshnessCase, SpreadMember, SpreadNode, SpreadOutput, SpreadSettings,
+    FakeReplica, FreshnessCase, HeadUpdate, LogState, ReplicaHead, SpreadAlarm, SpreadMember,
+    SpreadMessage, SpreadNode, SpreadOutput, SpreadSettings, UpdateBody,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -136,3 +137,41 @@
     fleet.run_for(Duration::from_secs(40));
     assert_eq!(cases(&fleet, FreshnessCase::CutOff), 20);
 }
+
+#[test]
+fn a_record_of_a_newer_release_stops_the_fold_and_proves_nothing() {
+    let mut fleet = fleet(12, 4);
+    let version = fleet.publish("a=2");
+    fleet.publish("rules 2: a=3");
+    fleet.publish("a=4");
+    fleet.run_for(Duration::from_secs(5));
+    fleet.reset_counts();
+    fleet.run_for(Duration::from_secs(20));
+    assert!(fleet.log.reads <= 6 * 20, "{} reads", fleet.log.reads);
+    for slot in &fleet.slots {
+        let node = slot.actor.as_ref().unwrap();
+        assert_eq!(node.head().version, version);
+        assert_eq!(node.freshness().case, FreshnessCase::CutOff);
+        let stuck = LogState::Stuck(node.head().next);
+        assert!(!node.is_reading() || node.log_state() == stuck);
+    }
+}
+
+#[test]
+fn a_message_beyond_its_bounds_is_dropped_and_told() {
+    let mut fleet = fleet(3, 1);
+    let node = fleet.slots[0].actor.as_mut().unwrap();
+    let head = node.head();
+    let backwards = SpreadMessage::Update(HeadUpdate {
+        base: head,
+        target: ReplicaHead::default(),
+        body: UpdateBody(Box::default()),
+    });
+    let outputs = node.on_peer_message(DaemonId(9), backwards);
+    let refused = SpreadAlarm::MessageRefused {
+        peer: DaemonId(9),
+        kind: ErrorKind::FrameInvalid,
+    };
+    assert_eq!(outputs, [SpreadOutput::Alarm(refused)]);
+    assert_eq!(node.head(), head);
+}
