--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -14,7 +14,7 @@
 
 use crate::acks::{AckSum, AckTable, FleetSummary};
 use crate::beats::RootTable;
-use crate::freshness::{FreshnessCase, FreshnessReport, FreshnessTracker};
+use crate::freshness::{FreshnessCase, FreshnessReport, FreshnessTracker, TimedFreshness};
 use crate::message::{
     DomainReport, LogTag, OutputList, ReaderList, SpreadAlarm, SpreadMessage, SpreadOutput,
 };
@@ -65,8 +65,8 @@
     members_known: bool,
     acting: bool,
     last_tag: LogTag,
-    last_state: LogState,
-    last_case: FreshnessCase,
+    pub(crate) last_state: LogState,
+    pub(crate) last_case: FreshnessCase,
 }
 
 /// How far a daemon that starts has come.
@@ -220,6 +220,11 @@
         self.report_freshness(now)
     }
 
+    /// The same for later moments, for those who cannot ask each time.
+    pub fn timed_freshness(&self) -> TimedFreshness {
+        self.freshness.timed(self.is_serving(), &self.settings)
+    }
+
     pub(crate) fn report_freshness(&self, now: Instant) -> FreshnessReport {
         let serving = self.is_serving();
         self.freshness.report(serving, &self.settings, now)
@@ -261,10 +266,14 @@
     pub fn on_peer_message(&mut self, from: DaemonId, message: SpreadMessage) -> OutputList {
         let now = self.clock.now();
         let mut outputs = OutputList::new();
-        if message.check().is_ok() {
-            self.take_message(from, message, &mut outputs, now);
-            self.note_changes(&mut outputs, now);
+        match message.check() {
+            Ok(()) => self.take_message(from, message, &mut outputs, now),
+            Err(error) => outputs.push(SpreadOutput::Alarm(SpreadAlarm::MessageRefused {
+                peer: from,
+                kind: error.kind,
+            })),
         }
+        self.note_changes(&mut outputs, now);
         outputs
     }
 
@@ -334,62 +343,6 @@
         self.last_tag.0 += 1;
         self.last_tag
     }
-
-    /// Tells changes of the log's state and of the freshness.
-    pub(crate) fn note_changes(&mut self, outputs: &mut OutputList, now: Instant) {
-        let state = self.reader.state();
-        if state != self.last_state {
-            outputs.extend(self.state_alarm(state).map(SpreadOutput::Alarm));
-            self.last_state = state;
-        }
-        self.serve_if_proven(outputs, now);
-        let case = self.report_freshness(now).case;
-        if case != self.last_case {
-            self.last_case = case;
-            self.acks.touch();
-            let alarm = SpreadAlarm::FreshnessChanged(case);
-            outputs.push(SpreadOutput::Alarm(alarm));
-        }
-    }
-
-    /// Puts the first configuration in force once it is known to be no older
-    /// than the fleet's, or after waiting in vain for a proof of that.
-    ///
-    /// A daemon that was replaced would otherwise serve an older version for a
-    /// moment than the run before it did.
-    fn serve_if_proven(&mut self, outputs: &mut OutputList, now: Instant) {
-        let StartStage::Unproven(loaded_at) = self.stage else {
-            return;
-        };
-        let report = self.freshness.report(true, &self.settings, now);
-        let waited = now.saturating_duration_since(loaded_at);
-        let proven = report.case != FreshnessCase::CutOff;
-        if !proven && waited < self.settings.cut_off_after {
-            return;
-        }
-        self.stage = StartStage::Serving;
-        self.applied_at = now;
-        self.acks.touch();
-        outputs.push(SpreadOutput::Alarm(SpreadAlarm::Serving(self.head.next)));
-        if self.head.version != ConfigVersion::NONE {
-            outputs.push(SpreadOutput::Applied(self.head.version));
-        }
-    }
-
-    fn state_alarm(&self, state: LogState) -> Option<SpreadAlarm> {
-        let held_next = self.head.next;
-        match state {
-            LogState::Unknown => None,
-            LogState::Up if self.last_state == LogState::Unknown => None,
-            LogState::Up => Some(SpreadAlarm::LogUp),
-            LogState::Down(kind) => Some(SpreadAlarm::LogDown(kind)),
-            LogState::Diverged(log_next) => Some(SpreadAlarm::LogDiverged {
-                log_next,
-                held_next,
-            }),
-            LogState::Gap(first) => Some(SpreadAlarm::LogGap { first, held_next }),
-        }
-    }
 }
 
 impl NodeTimers {
