--- a/crates/members/src/digest.rs
+++ b/crates/members/src/digest.rs
@@ -183,6 +183,14 @@
         Some(record)
     }
 
+    /// The first edition with this content.
+    pub fn content_stamp(&self) -> MemberStamp {
+        MemberStamp {
+            incarnation: self.stamp.incarnation,
+            sequence: self.content,
+        }
+    }
+
     /// The heartbeat that tells this edition to whoever knows the content.
     pub fn heartbeat(&self) -> MemberHeartbeat {
         MemberHeartbeat {
--- a/crates/members/src/message.rs
+++ b/crates/members/src/message.rs
@@ -93,8 +93,10 @@
 pub struct ViewSummary {
     /// One bit for each bucket listed.
     pub differing: u64,
-    /// The hashes, ascending.
+    /// Hashes of the members' editions, ascending.
     pub hashes: Vec<u32>,
+    /// Hashes of the content of those that have newer editions of it, ascending.
+    pub contents: Vec<u32>,
 }
 
 /// One piece of knowledge about a member.
--- a/crates/members/src/node.rs
+++ b/crates/members/src/node.rs
@@ -38,7 +38,7 @@
 /// Bytes a second of updates that one daemon passes on.
 const GOSSIP_RATE: u32 = 3_000;
 /// Bytes of updates passed on at once after a quiet time.
-const GOSSIP_BURST: u32 = 30_000;
+const GOSSIP_BURST: u32 = 15_000;
 /// Rounds of gossip a second between ticks.
 const URGENT_RATE: u32 = 4;
 /// Rounds of gossip at once between ticks.
@@ -53,6 +53,8 @@
 const CONTACT_COUNT: usize = 12;
 /// Members told at once when this daemon leaves.
 const LEAVE_FANOUT: usize = 8;
+/// Least time between two plans of whom to watch.
+const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 /// Ticks between looks for tombstones that have expired.
 const EXPIRY_TICKS: u64 = 300;
 
@@ -154,6 +156,7 @@
     pub(crate) sync: SyncState,
     pub(crate) counts: MemberCounts,
     plan_edition: Option<u64>,
+    plan_at: Instant,
     join: JoinPlan,
     seeds: Vec<SocketAddr>,
     contact_at: Instant,
@@ -193,6 +196,7 @@
             sync: SyncState::new(now),
             counts: MemberCounts::default(),
             plan_edition: None,
+            plan_at: now,
             seeds: settings.seeds,
             contact_at: now,
             load_at: now,
@@ -210,7 +214,7 @@
         let now = self.clock.now();
         self.tick += 1;
         if !self.left {
-            self.refresh_plan();
+            self.refresh_plan(now);
             self.expire_probes(now, &mut outputs);
             self.declare_deaths(now, &mut outputs);
             self.start_probes(now, &mut outputs);
@@ -495,11 +499,13 @@
         Some(MemberChange { id, before, state })
     }
 
-    fn refresh_plan(&mut self) {
+    fn refresh_plan(&mut self, now: Instant) {
         let edition = self.table.edition();
-        if self.plan_edition != Some(edition) {
+        let fresh = self.plan.near().len() < ENOUGH_MEMBERS || now >= self.plan_at;
+        if fresh && self.plan_edition != Some(edition) {
             self.plan = WatchPlan::new(self.own.id, &self.own.profile, &self.table);
             self.plan_edition = Some(edition);
+            self.plan_at = now + PLAN_INTERVAL;
         }
     }
 
--- a/crates/members/src/prober.rs
+++ b/crates/members/src/prober.rs
@@ -25,6 +25,8 @@
 const DEAD_INTERVAL: Duration = Duration::from_secs(30);
 /// Daemons that probe one dead member in [`DEAD_INTERVAL`], while few are dead.
 const DEAD_PROBERS: f64 = 4.0;
+/// Most suspects that one daemon looks at again in one interval.
+const MAX_ACCUSED: usize = 8;
 /// Most members to be checked that wait.
 const MAX_CHECKS: usize = 64;
 
@@ -72,6 +74,7 @@
         }
         if slot == PROBE_TICKS - 1 {
             self.probe_random(outputs);
+            self.probe_accused(outputs);
         }
         self.probe_far(now, outputs);
         self.probe_dead(now, outputs);
@@ -171,6 +174,26 @@
         }
     }
 
+    /// Looks again at the suspects that this daemon accused, until their case is closed.
+    fn probe_accused(&mut self, outputs: &mut Vec<MemberOutput>) {
+        if self.table.suspect_count() == 0 {
+            return;
+        }
+        let own = self.own.id;
+        let accused: Vec<DaemonId> = self
+            .table
+            .live()
+            .filter(|entry| entry.state == MemberState::Suspect)
+            .filter(|entry| entry.accusers.contains(&own))
+            .map(|entry| entry.record.id)
+            .take(MAX_ACCUSED)
+            .collect();
+        for id in accused {
+            let kind = self.kind_for(id);
+            self.probe(id, kind, None, outputs);
+        }
+    }
+
     fn probe_far(&mut self, now: Instant, outputs: &mut Vec<MemberOutput>) {
         if now < self.turns.far_at || self.plan.far().is_empty() {
             return;
--- a/crates/members/src/sync.rs
+++ b/crates/members/src/sync.rs
@@ -204,7 +204,18 @@
             .take(MAX_SUMMARY)
             .collect();
         hashes.sort_unstable();
-        ViewSummary { differing, hashes }
+        let mut contents: Vec<u32> = self
+            .live_records(differing)
+            .filter(|record| record.stamp != record.content_stamp())
+            .map(|record| entry_hash(record.id, record.content_stamp()))
+            .take(MAX_SUMMARY)
+            .collect();
+        contents.sort_unstable();
+        ViewSummary {
+            differing,
+            hashes,
+            contents,
+        }
     }
 
     /// What the sender of a summary does not know: records, and ends of members that it lists.
@@ -212,7 +223,13 @@
         let records = self
             .live_records(theirs.differing)
             .filter(|record| !theirs.holds(record.id, record.stamp))
-            .map(|record| MemberUpdate::Alive(Arc::clone(record)));
+            .map(|record| {
+                if theirs.holds_content(record) {
+                    MemberUpdate::Heartbeat(record.heartbeat())
+                } else {
+                    MemberUpdate::Alive(Arc::clone(record))
+                }
+            });
         let ends = self
             .table
             .iter()
@@ -233,6 +250,13 @@
         self.hashes.binary_search(&entry_hash(id, stamp)).is_ok()
     }
 
+    /// Whether an edition with the content of `record` is listed.
+    fn holds_content(&self, record: &MemberRecord) -> bool {
+        let stamp = record.content_stamp();
+        let hash = entry_hash(record.id, stamp);
+        self.holds(record.id, stamp) || self.contents.binary_search(&hash).is_ok()
+    }
+
     /// How many of `theirs` are missing here.
     fn missing_in(&self, theirs: &Self) -> usize {
         theirs
