--- a/crates/members/benches/membership.rs
+++ b/crates/members/benches/membership.rs
@@ -42,6 +42,8 @@
 const STEADY_SPAN: Duration = Duration::from_secs(60);
 /// Time after which every daemon has told changed loads.
 const LOAD_SPAN: Duration = Duration::from_secs(120);
+/// Time between join records of one daemon, for a log that keeps records five minutes.
+const RECORD_INTERVAL: Duration = Duration::from_secs(100);
 const FAULT_SPAN: Duration = Duration::from_secs(60);
 const PEAK_SECONDS: usize = 10;
 const PEAK_SPAN: Duration = Duration::from_secs(2 * PEAK_SECONDS as u64);
@@ -125,16 +127,16 @@
 ];
 
 fn steady(size: FleetSize) -> Vec<Figure> {
-    let mut fleet = size.warm(1);
+    let mut fleet = Fleet::new(size.count, size.domains, size.regions, 1);
     let mut rng = SmallRng::seed_from_u64(2);
-    let begin = fleet
-        .seconds
-        .len()
-        .max(fleet.clock.elapsed().as_secs() as usize);
-    for _ in 0..STEADY_SPAN.as_secs() {
-        change_loads(&mut fleet, &mut rng);
-        fleet.run_for(Duration::from_secs(1));
-    }
+    fleet.record_interval = RECORD_INTERVAL;
+    fleet.start_all();
+    fleet.run_for(WARM);
+    fleet.link = plain_link(LOSS);
+    run_with_loads(&mut fleet, LOAD_SPAN, &mut rng);
+    fleet.reset_counts();
+    let begin = fleet.clock.elapsed().as_secs() as usize;
+    run_with_loads(&mut fleet, STEADY_SPAN, &mut rng);
     let daemon_seconds = (size.count as u64 * STEADY_SPAN.as_secs()) as f64;
     let bytes: u64 = fleet.slots.iter().map(|slot| slot.bytes).sum();
     let messages: u64 = fleet.slots.iter().map(|slot| slot.messages).sum();
--- a/crates/members/src/prober.rs
+++ b/crates/members/src/prober.rs
@@ -179,12 +179,11 @@
         if self.table.suspect_count() == 0 {
             return;
         }
-        let own = self.own.id;
         let accused: Vec<DaemonId> = self
             .table
             .live()
             .filter(|entry| entry.state == MemberState::Suspect)
-            .filter(|entry| entry.accusers.contains(&own))
+            .filter(|entry| entry.accused_at.is_some())
             .map(|entry| entry.record.id)
             .take(MAX_ACCUSED)
             .collect();
@@ -262,14 +261,15 @@
         if self.health.is_distrusted() {
             return;
         }
-        let now = self.clock.now();
-        self.table.note_silent(probe.subject, now);
         let update = MemberUpdate::Suspect {
             id: probe.subject,
             stamp,
             by: self.own.id,
         };
-        if self.learn(&update, true, outputs).is_news() {
+        let effect = self.learn(&update, true, outputs);
+        let now = self.clock.now();
+        self.table.note_silent(probe.subject, now);
+        if effect.is_news() {
             // The accused is told at once, and an answer now stops the declaration.
             self.probe(probe.subject, probe.kind, None, outputs);
         }
--- a/crates/members/src/queue.rs
+++ b/crates/members/src/queue.rs
@@ -16,7 +16,9 @@
 
 /// Queue length beyond which updates are passed on fewer times.
 const CROWDED_LEN: usize = 32;
-/// Least number of times that a short update is passed on.
+/// Least number of times that an accusation is passed on; its accuser tells the accused itself.
+const MIN_ACCUSATIONS: u32 = 2;
+/// Least number of times that another short update is passed on.
 const MIN_TRANSMITS: u32 = 4;
 
 #[derive(Clone, Debug)]
@@ -83,6 +85,7 @@
         let transmits = transmits_for(fleet) / (1 + crowd);
         match update {
             MemberUpdate::Alive(_) => transmits,
+            MemberUpdate::Suspect { .. } => transmits.max(MIN_ACCUSATIONS),
             _ => transmits.max(MIN_TRANSMITS),
         }
     }
--- a/crates/members/src/suspicion.rs
+++ b/crates/members/src/suspicion.rs
@@ -76,14 +76,14 @@
 ) -> bool {
     let domain = &entry.profile().domain;
     let wide = counts.get(domain).is_some_and(|count| count.is_wide_loss());
-    let looked = entry.accusers.contains(&own.id) && entry.heard_at.is_none();
-    let timeout = match (looked, wide, entry.accusers.len() >= CONFIRMING) {
+    let looked = entry.accused_at.filter(|_| entry.heard_at.is_none());
+    let timeout = match (looked.is_some(), wide, entry.accusers.len() >= CONFIRMING) {
         (false, _, _) => FALLBACK_TIMEOUT,
         (true, true, _) => WIDE_TIMEOUT,
         (true, false, true) => CONFIRMED_TIMEOUT,
         (true, false, false) => LONE_TIMEOUT,
     };
-    let silent_since = entry.heard_at.unwrap_or(entry.since);
+    let silent_since = looked.unwrap_or(entry.since);
     if now.duration_since(silent_since) < health.stretch_lightly(timeout) {
         return false;
     }
--- a/crates/members/src/table.rs
+++ b/crates/members/src/table.rs
@@ -58,6 +58,8 @@
     pub state: MemberState,
     /// When the state was entered, on this daemon's clock.
     pub since: Instant,
+    /// When this daemon itself accused it, if it did.
+    pub accused_at: Option<Instant>,
     /// When this daemon last had a message from it while suspect.
     pub heard_at: Option<Instant>,
     /// Who did not get an answer from it.
@@ -200,12 +202,14 @@
         }
     }
 
-    /// Notes that a suspect that was heard since is silent again.
+    /// Notes that this daemon got no answer from a suspect, at first or again since it was heard.
     pub fn note_silent(&mut self, id: DaemonId, now: Instant) {
-        if let Some(entry) = self.entries.get_mut(&id)
-            && entry.heard_at.take().is_some()
-        {
-            entry.since = now;
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        let heard = entry.heard_at.take().is_some();
+        if heard || entry.accused_at.is_none() {
+            entry.accused_at = Some(now);
         }
     }
 
@@ -263,6 +267,7 @@
         let mut entry = entry.clone();
         entry.state = MemberState::Suspect;
         entry.since = now;
+        entry.accused_at = None;
         entry.heard_at = None;
         entry.accusers = SmallVec::from_slice(&[by]);
         self.set_entry(entry);
@@ -378,6 +383,7 @@
         record: Arc::clone(record),
         state: MemberState::Alive,
         since: now,
+        accused_at: None,
         heard_at: None,
         accusers: SmallVec::new(),
     }
