Keep calls that run once away from targets on probation

The picker has pick_proven for such calls; probes are left to idempotent ones. Failures now fade with time, since a target that is not chosen cannot better itself, and a target whose ready state began anew is ramped up even if its cold start was not seen.

Limits: checks of untouched keys are skipped, keys in order for equal outputs.

--- a/crates/limits/src/demand.rs
+++ b/crates/limits/src/demand.rs
@@ -4,7 +4,7 @@
 //! is mostly noise when calls are few; the long one is steady. The long one
 //! counts until the short one is away from it by more than chance.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Time constant of the short average, in seconds.
 const SHORT_S: f64 = 0.5;
@@ -24,6 +24,9 @@
 /// Calls that would have come, at the average rate, before a silence means less.
 const SILENT_CALLS: f64 = 4.0;
 
+/// Silence that callers who send in bursts leave between them.
+const BURST_GAP: Duration = Duration::from_millis(200);
+
 /// Factor on the noise of the rate for that of the duration.
 const DURATION_NOISE: f64 = 2.0;
 
@@ -44,11 +47,11 @@
 }
 
 impl DemandMeter {
-    /// A meter without calls.
+    /// A meter made for a first call, which says nothing about the rate and is not counted.
     pub(crate) fn new(now: Instant) -> Self {
         Self {
             short: 0.0,
-            long: 0.0,
+            long: -1.0 / LONG_S,
             calls: 0.0,
             refused_rate: 0.0,
             duration_s: None,
@@ -107,8 +110,9 @@
     /// Calls a second.
     pub(crate) fn rate(&self) -> f64 {
         let silence = self.at.saturating_duration_since(self.last_call);
+        let silence = silence.saturating_sub(BURST_GAP);
         let most = SILENT_CALLS / silence.as_secs_f64().max(f64::MIN_POSITIVE);
-        (self.long / self.seen()).min(most)
+        (self.long / self.seen()).clamp(0.0, most)
     }
 
     /// Calls at once: what the rate and the usual duration make, or more if more are seen.
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -5,9 +5,9 @@
 //! reports its demand to the keeper of each key and receives shares, and is
 //! itself the keeper of the keys that hash to it.
 
-use std::collections::HashMap;
-use std::collections::hash_map::Entry;
-use std::time::Instant;
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::time::{Duration, Instant};
 
 use model::{CallCount, CustomerName, DaemonId, ErrorKind, ServiceName, SharedClock};
 
@@ -27,7 +27,7 @@
 pub const MAX_LOCAL_KEYS: usize = 8192;
 
 /// Wait that a refusal names when too many keys are in use.
-const FULL_WAIT: std::time::Duration = std::time::Duration::from_secs(1);
+const FULL_WAIT: Duration = Duration::from_secs(1);
 
 /// An admitted call; ends with [`LimitGate::release`].
 #[derive(Clone, Copy, Debug)]
@@ -43,7 +43,8 @@
     me: DaemonId,
     clock: SharedClock,
     members: Vec<DaemonId>,
-    keys: HashMap<LimitKey, LocalEntry>,
+    /// In order, so that equal histories give equal outputs.
+    keys: BTreeMap<LimitKey, LocalEntry>,
     keeper: ShareKeeper,
     fresh: Vec<LimitKey>,
 }
@@ -62,7 +63,7 @@
             me,
             clock,
             members: Vec::new(),
-            keys: HashMap::new(),
+            keys: BTreeMap::new(),
             keeper: ShareKeeper::default(),
             fresh: Vec::new(),
         }
--- a/crates/limits/src/keeper.rs
+++ b/crates/limits/src/keeper.rs
@@ -10,7 +10,7 @@
 //! The interval of reports grows with the number of shares kept, so that a
 //! keeper's traffic stays the same however many daemons report to it.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use model::DaemonId;
@@ -45,7 +45,7 @@
 /// Shares of the keys that hash to this daemon.
 #[derive(Debug, Default)]
 pub(crate) struct ShareKeeper {
-    keys: HashMap<LimitKey, KeptKey>,
+    keys: BTreeMap<LimitKey, KeptKey>,
     shares: usize,
     moving_until: Option<Instant>,
     /// Members before the latest change.
--- a/crates/limits/src/kept.rs
+++ b/crates/limits/src/kept.rs
@@ -29,6 +29,8 @@
     limit_calls: u32,
     holders: Vec<ShareHolder>,
     learn_until: Option<Instant>,
+    /// Whether shares may be in the wrong place.
+    unsettled: bool,
 }
 
 /// A daemon that uses a key.
@@ -98,6 +100,7 @@
             limit_calls: 0,
             holders: Vec::new(),
             learn_until,
+            unsettled: true,
         }
     }
 
@@ -113,8 +116,10 @@
 
     /// Keeps the holders whose daemon is wanted and whose share has not lapsed.
     pub(crate) fn retain(&mut self, now: Instant, wanted: impl Fn(DaemonId) -> bool) {
+        let before = self.holders.len();
         self.holders
             .retain(|holder| holder.until > now && wanted(holder.daemon));
+        self.unsettled |= self.holders.len() != before;
     }
 
     /// Takes a report in and answers with the share; `None` if there are too many holders.
@@ -135,6 +140,7 @@
             self.holders.push(ShareHolder::new(from, rule.now));
         }
         self.holders[index].take_in(report);
+        self.unsettled = true;
         Some(self.grant(report.key, index, rule))
     }
 
@@ -200,7 +206,13 @@
         rule: &GrantRule,
         limit: usize,
     ) -> Vec<(DaemonId, ShareGrant)> {
+        if !self.unsettled {
+            return Vec::new();
+        }
         let misplaced = self.misplaced(rule);
+        let mut holders = self.holders.iter();
+        let resting = holders.any(|holder| rule.now < holder.pushed + PUSH_GAP);
+        self.unsettled = resting || !misplaced.is_empty();
         let mut pushed = Vec::new();
         for index in misplaced.into_iter().take(limit) {
             self.holders[index].pushed = rule.now;
--- a/crates/limits/src/local.rs
+++ b/crates/limits/src/local.rs
@@ -26,6 +26,9 @@
 /// Part of the keeper's interval that lies at least between two reports: one in this many.
 const GAP_PART: u32 = 8;
 
+/// Time between two checks of a key without calls.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time until an unanswered report is repeated.
 const REPORT_RETRY: Duration = Duration::from_millis(500);
 
@@ -64,6 +67,9 @@
     fraction: f64,
     grant: Option<HeldGrant>,
     reported: Option<SentReport>,
+    /// Whether calls or shares came since the last check.
+    touched: bool,
+    check_at: Instant,
     born: Instant,
     last_call: Instant,
     /// Factor on the interval, different at each daemon, so that reports do not come at once.
@@ -100,6 +106,8 @@
             fraction: 0.0,
             grant: None,
             reported: None,
+            touched: true,
+            check_at: now,
             born: now,
             last_call: now,
             pace: MIN_PACE + (seed % PACE_STEPS) as f64 / PACE_STEPS as f64 * PACE_SPREAD,
@@ -115,6 +123,7 @@
     ) -> Result<(), LimitRefusal> {
         self.limit = limit;
         self.last_call = now;
+        self.touched = true;
         self.lapse(members, now);
         self.demand.advance(self.in_flight, now);
         self.demand.on_call();
@@ -204,6 +213,11 @@
         members: usize,
         now: Instant,
     ) -> Option<DemandReport> {
+        if !self.touched && now < self.check_at {
+            return None;
+        }
+        self.touched = false;
+        self.check_at = now + CHECK_INTERVAL;
         self.lapse(members, now);
         self.demand.advance(self.in_flight, now);
         let idle = self.is_idle(now);
@@ -267,6 +281,7 @@
 
     /// Makes a report due at once, as after a change of keeper.
     pub(crate) fn report_soon(&mut self) {
+        self.touched = true;
         self.reported = None;
     }
 
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -66,7 +66,7 @@
         let others = view.load.map_or(0.0, |load| load.outstanding() as f32);
         Self {
             id,
-            health: TargetHealth::default(),
+            health: TargetHealth::new(now),
             own: 0,
             others,
             others_mean: others,
@@ -80,9 +80,10 @@
         }
     }
 
-    /// Takes over a newer description of the same run.
+    /// Takes over a newer description; a target that is ready anew is ramped up.
     pub(crate) fn update(&mut self, view: Arc<TargetView>) {
-        if view.state == TargetState::Ready && self.view.state != TargetState::Ready {
+        let began = view.state != self.view.state || view.since != self.view.since;
+        if began && view.state == TargetState::Ready {
             self.ramp_from = view.since;
             self.left = false;
         }
@@ -113,13 +114,13 @@
         match outcome.result {
             CallResult::Done => {
                 self.learn_speed(outcome, now);
-                self.health.on_done();
+                self.health.on_done(now);
             }
             CallResult::Failed => {
                 let told = outcome.load.map_or(0, |load| load.failing);
-                self.health.on_failed(f32::from(told.min(100)) / 100.0);
+                self.health.on_failed(f32::from(told.min(100)) / 100.0, now);
             }
-            CallResult::Lost => self.health.on_lost(),
+            CallResult::Lost => self.health.on_lost(now),
             CallResult::NotRun(model::ErrorKind::Draining) => self.left = true,
             CallResult::NotRun(_) => self.full_until = Some(now + FULL_PAUSE),
             CallResult::Cancelled => {}
@@ -190,13 +191,13 @@
         let free = (1.0 - utilization).max(MIN_FREE_SHARE);
         let wait = utilization.powi(4) / (free * slots);
         let queue = (calls / slots - 1.0).max(0.0);
-        let attempts = 1.0 / (1.0 - self.health.share()).max(MIN_FREE_SHARE);
+        let attempts = 1.0 / (1.0 - self.health.share(now)).max(MIN_FREE_SHARE);
         self.service_s(mean, now) * (1.0 + wait + queue) * attempts
     }
 }
 
 /// Weight of an observation, halved with each `half_life` of age.
-fn freshness(at: Instant, half_life: Duration, now: Instant) -> f32 {
+pub(crate) fn freshness(at: Instant, half_life: Duration, now: Instant) -> f32 {
     let age = now.saturating_duration_since(at).as_secs_f32();
     (-age / half_life.as_secs_f32()).exp2()
 }
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -155,19 +155,39 @@
 
     /// Chooses a target of `service`, none of `exclude`; `None` if no target is willing.
     pub fn pick(&mut self, service: &ServiceName, exclude: &[DaemonId]) -> Option<PickTicket> {
+        self.pick_by(service, exclude, &[Trust::Present, Trust::Any])
+    }
+
+    /// Chooses as [`TargetPicker::pick`] for a call that is not idempotent.
+    ///
+    /// Targets that failed lately are tried again with other calls first.
+    pub fn pick_proven(
+        &mut self,
+        service: &ServiceName,
+        exclude: &[DaemonId],
+    ) -> Option<PickTicket> {
+        let trusts = [Trust::Proven, Trust::Present, Trust::Any];
+        self.pick_by(service, exclude, &trusts)
+    }
+
+    fn pick_by(
+        &mut self,
+        service: &ServiceName,
+        exclude: &[DaemonId],
+        trusts: &[Trust],
+    ) -> Option<PickTicket> {
         let now = self.clock.now();
         let targets = self.services.get_mut(service)?;
-        let mut rule = PickRule {
-            now,
-            exclude,
-            ejected_too: false,
-        };
-        let mut index = targets.choose(&rule, &mut self.random);
-        if index.is_none() {
-            rule.ejected_too = true;
-            index = targets.choose(&rule, &mut self.random);
-        }
-        let candidate = &mut targets.candidates[index?];
+        let random = &mut self.random;
+        let index = trusts.iter().find_map(|&trust| {
+            let rule = PickRule {
+                now,
+                exclude,
+                trust,
+            };
+            targets.choose(&rule, random)
+        })?;
+        let candidate = &mut targets.candidates[index];
         if candidate.health.begin_probation(now) {
             candidate.ramp_up(now);
         }
@@ -351,33 +371,52 @@
     fn judge(&mut self, index: usize, now: Instant) {
         let count = self.candidates.len();
         let all = self.candidates.iter();
-        let bad = all.filter(|known| known.health.is_bad()).count();
+        let bad = all.filter(|known| known.health.is_bad(now)).count();
         if bad * EJECTED_PART > count {
             let all = self.candidates.iter_mut();
             all.for_each(|known| known.health.readmit());
             return;
         }
-        let share = |known: &Candidate| known.health.share();
+        let share = |known: &Candidate| known.health.share(now);
         let total: f32 = self.candidates.iter().map(share).sum();
         let peers = (total - share(&self.candidates[index])) / (count - 1).max(1) as f32;
         let health = &mut self.candidates[index].health;
-        if health.is_outlier(peers) {
+        if health.is_outlier(peers, now) {
             health.eject(now);
         }
     }
 }
 
+/// How far a pick trusts targets that failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Trust {
+    /// Neither ejected nor on probation.
+    Proven,
+    /// Not ejected.
+    Present,
+    /// All.
+    Any,
+}
+
 /// Which candidates one pick may take.
 struct PickRule<'a> {
     now: Instant,
     exclude: &'a [DaemonId],
-    ejected_too: bool,
+    trust: Trust,
 }
 
 impl PickRule<'_> {
     fn allows(&self, candidate: &Candidate) -> bool {
         candidate.is_willing(self.now)
-            && (self.ejected_too || !candidate.health.is_ejected(self.now))
+            && self.trusts(candidate)
             && !self.exclude.contains(&candidate.view.daemon)
     }
+
+    fn trusts(&self, candidate: &Candidate) -> bool {
+        match self.trust {
+            Trust::Proven => candidate.health.is_proven(self.now),
+            Trust::Present => !candidate.health.is_ejected(self.now),
+            Trust::Any => true,
+        }
+    }
 }
