--- a/crates/once/tests/model/world/mod.rs
+++ b/crates/once/tests/model/world/mod.rs
@@ -5,6 +5,7 @@
 //! lose answers. Everything follows from a seed. After each step of a home the
 //! ledger is checked: no call runs twice, what is told to have not run has not.
 
+mod flights;
 mod leaving;
 mod ledger;
 mod log;
--- a/crates/once/tests/model/world/node.rs
+++ b/crates/once/tests/model/world/node.rs
@@ -12,24 +12,21 @@
 };
 use crate::once::{
     HandoverPage, HolderId, HolderStatus, HomeAnswer, IssuerMove, KeyCall, KeyHome, KeyRefusal,
-    KeyRouter, KeyVerdict, RunOutcome, RunProof, RunTicket, StageAnswer, StoredAnswer,
+    KeyRouter, KeyVerdict, RunOutcome, RunTicket, StageAnswer, StoredAnswer,
 };
-use model::{ClockPort, ErrorKind, FakeClock};
+use model::{ClockPort, FakeClock};
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use super::flights::Flight;
 use super::leaving::Handing;
 use super::ledger::{CallerAnswer, Ledger};
 use super::log::{LogAnswer, LogRequest};
 use super::{STEP_MS, WINDOW, home_settings, lease_settings};
 
-/// A home gives up waiting for a target's answer or a permit.
-const DISPATCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// A call starts no later than this after a proxy took it.
 pub const CALL_DEADLINE: Duration = Duration::from_secs(3);
-/// A home waits this long for what other homes know of a key.
-const RECALL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// What daemons send each other.
 #[derive(Clone, Debug)]
@@ -81,17 +78,6 @@
     View(LeaseView),
 }
 
-/// A call that the home has begun.
-pub(super) struct Flight {
-    ticket: RunTicket,
-    proxy: HolderId,
-    target: HolderId,
-    permit: Option<DispatchPermit>,
-    sent: bool,
-    revoking: bool,
-    since: Instant,
-}
-
 type Outgoing = Vec<(HolderId, Message)>;
 
 #[expect(
@@ -116,10 +102,10 @@
     pub target_ms: u64,
     /// The daemons that answer this one; all of them without.
     pub reachable: Option<Vec<u64>>,
-    issuer: PermitIssuer,
-    purse: PermitPurse,
+    pub(super) issuer: PermitIssuer,
+    pub(super) purse: PermitPurse,
     pub(super) flights: HashMap<u64, Flight>,
-    recalls: HashMap<u64, (HolderId, KeyRefusal, Instant)>,
+    pub(super) recalls: HashMap<u64, (HolderId, KeyRefusal, Instant)>,
     pub(super) running: Vec<(Instant, HolderId, u64, Arc<StoredAnswer>)>,
     pub(super) outbox: Outgoing,
     log_requests: Vec<LogRequest>,
@@ -294,139 +280,13 @@
         }
     }
 
-    fn begin(&mut self, proxy: HolderId, sending: u64, call: &KeyCall, ledger: &mut Ledger) {
-        let ticket = match self.home.begin(call) {
-            KeyVerdict::Run(ticket) => ticket,
-            KeyVerdict::Running => return self.tell(proxy, sending, CallerAnswer::Running, ledger),
-            KeyVerdict::Finished(answer) => {
-                return self.tell(proxy, sending, CallerAnswer::Answered(answer), ledger);
-            }
-            KeyVerdict::Refused(refusal) => {
-                return self.refuse(proxy, sending, call, refusal, ledger);
-            }
-        };
-        let targets = self.peers.len().max(1);
-        let target = self.peers.get(sending as usize % targets).copied();
-        let target = target.unwrap_or(self.id);
-        let flight = Flight {
-            ticket,
-            proxy,
-            target,
-            permit: None,
-            sent: false,
-            revoking: false,
-            since: self.clock.now(),
-        };
-        self.flights.insert(sending, flight);
-        self.dispatch(sending);
-    }
-
-    /// Refuses, after the other homes were asked about a key of an earlier term.
-    fn refuse(
+    pub(super) fn tell(
         &mut self,
         proxy: HolderId,
         sending: u64,
-        call: &KeyCall,
-        refusal: KeyRefusal,
+        answer: CallerAnswer,
         ledger: &mut Ledger,
     ) {
-        if refusal.error.kind != ErrorKind::KeyUnknown {
-            return self.tell(proxy, sending, CallerAnswer::Refused(refusal), ledger);
-        }
-        for peer in self.peers.iter().filter(|peer| **peer != self.id) {
-            let call = call.clone();
-            self.outbox.push((*peer, Message::Recall { sending, call }));
-        }
-        let since = self.clock.now();
-        self.recalls.insert(sending, (proxy, refusal, since));
-    }
-
-    fn check_recalls(&mut self, ledger: &mut Ledger) {
-        let now = self.clock.now();
-        let late = |_: &u64, recall: &mut (HolderId, KeyRefusal, Instant)| {
-            now.saturating_duration_since(recall.2) > RECALL_TIMEOUT
-        };
-        let mut expired: Vec<_> = self.recalls.extract_if(late).collect();
-        expired.sort_by_key(|(sending, _)| *sending);
-        for (sending, (proxy, refusal, _)) in expired {
-            self.tell(proxy, sending, CallerAnswer::Refused(refusal), ledger);
-        }
-    }
-
-    fn dispatch(&mut self, sending: u64) {
-        let Some(flight) = self.flights.get_mut(&sending) else {
-            return;
-        };
-        let target = flight.target;
-        let needs_permit = flight.ticket.term().is_some();
-        flight.permit = self.purse.take(target.daemon);
-        flight.sent = flight.permit.is_some() || !needs_permit;
-        if flight.sent {
-            let pass = DispatchPass {
-                permit: flight.permit,
-                home: self.id,
-                term: flight.ticket.term(),
-            };
-            let ticket = flight.ticket;
-            let message = Message::Dispatch {
-                sending,
-                pass,
-                ticket,
-            };
-            self.outbox.push((target, message));
-        }
-        if let Some(request) = self.purse.wants(target.daemon) {
-            self.outbox.push((target, Message::PermitAsk(request)));
-        }
-    }
-
-    fn check_flights(&mut self, ledger: &mut Ledger) {
-        let now = self.clock.now();
-        let mut sendings: Vec<u64> = self.flights.keys().copied().collect();
-        sendings.sort_unstable();
-        for sending in sendings {
-            let flight = &self.flights[&sending];
-            let age = now.saturating_duration_since(flight.since);
-            match flight.permit {
-                None if flight.sent => {
-                    if age > DISPATCH_TIMEOUT {
-                        self.end(sending, RunOutcome::Lost, ledger);
-                    }
-                }
-                None if age < DISPATCH_TIMEOUT => self.dispatch(sending),
-                // Nothing was sent without a permit.
-                None => self.end(sending, RunOutcome::NotRun, ledger),
-                Some(_) if age > DISPATCH_TIMEOUT * 2 => {
-                    self.end(sending, RunOutcome::Lost, ledger);
-                }
-                Some(permit) if age > DISPATCH_TIMEOUT && !flight.revoking => {
-                    let target = flight.target;
-                    self.outbox
-                        .push((target, Message::Revoke { sending, permit }));
-                    let flight = self.flights.get_mut(&sending).expect("just seen");
-                    flight.revoking = true;
-                }
-                Some(_) => {}
-            }
-        }
-    }
-
-    fn end(&mut self, sending: u64, outcome: RunOutcome, ledger: &mut Ledger) {
-        let Some(flight) = self.flights.remove(&sending) else {
-            return;
-        };
-        let answer = match &outcome {
-            RunOutcome::Done(answer) => CallerAnswer::Answered(Arc::clone(answer)),
-            RunOutcome::NotRun => refusal(ErrorKind::TargetAbsent, RunProof::NotRun),
-            _ => refusal(ErrorKind::OutcomeUnknown, RunProof::MayHaveRun),
-        };
-        if let Some(handed) = self.home.settle(flight.ticket, outcome) {
-            self.late.push(handed);
-        }
-        self.tell(flight.proxy, sending, answer, ledger);
-    }
-
-    fn tell(&mut self, proxy: HolderId, sending: u64, answer: CallerAnswer, ledger: &mut Ledger) {
         ledger.claim(sending, &answer);
         if proxy == self.id {
             ledger.deliver(sending, answer);
@@ -532,7 +392,3 @@
         }
     }
 }
-
-fn refusal(kind: ErrorKind, proof: RunProof) -> CallerAnswer {
-    CallerAnswer::Refused(KeyRefusal::new(kind, proof, "the target gave no answer"))
-}
