Keep the answers of books that are still on their way to a home

Cause: a rolling restart of every daemon answered answer-forgotten for finished calls. A home that forgot an expired key dropped every answer whose key was in no book in use, and a book that waits for its release on the log was none.

Change: staged books count. A test restarts every daemon in turn under calls and compares all answers with the first ones. Keepers read a backlog without pauses; tests for homes that come and go, and for a stream that lost records.

--- a/crates/once/src/home/terms.rs
+++ b/crates/once/src/home/terms.rs
@@ -49,16 +49,19 @@
             };
             forgot |= book.forget(floor, untimed_floor);
         }
+        self.drop_books();
         if forgot {
-            self.count_keys();
-            let books = &self.books;
-            self.answers.retain(|digest| {
-                books
-                    .values()
-                    .any(|book| book.entries.contains_key(&digest))
-            });
+            self.forget_answers();
         }
-        self.drop_books();
+        self.count_keys();
+    }
+
+    /// Forgets the answers of keys that no book remembers, in use or still to come.
+    fn forget_answers(&mut self) {
+        let staged = self.staged.values().map(|staged| &staged.book);
+        let books: Vec<&KeyBook> = self.books.values().chain(staged).collect();
+        let remembers = |digest| books.iter().any(|book| book.entries.contains_key(&digest));
+        self.answers.retain(remembers);
     }
 
     pub(super) fn count_keys(&mut self) {
--- a/crates/once/src/lease/keeper.rs
+++ b/crates/once/src/lease/keeper.rs
@@ -250,13 +250,13 @@
         if batch.next < self.table.next() {
             return self.stop_diverged(batch.next);
         }
-        self.next_read = self.clock.now() + READ_PAUSE;
         if batch.records.is_empty() && batch.first > self.table.next() {
             self.table = LeaseTable::starting_at(batch.first);
         }
         let at_end = batch.records.len() < READ_LIMIT.0 as usize;
         self.caught_up = at_end && batch.next >= self.known_end;
         let now = self.clock.now();
+        self.next_read = if at_end { now + READ_PAUSE } else { now };
         let view_before = self.table.view();
         let held_before = self.held.clone();
         for entry in &batch.records {
--- a/crates/once/tests/leases.rs
+++ b/crates/once/tests/leases.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
 
-use feed::port::LogRecord;
-use model::{DaemonId, IncarnationNumber, LogOffset};
+use feed::port::{LogRecord, ReadAnswer, RecordBatch};
+use model::{ClockPort, DaemonId, FakeClock, IncarnationNumber, LogOffset};
 use quetzal_once::HolderId;
 use quetzal_once::lease::table::MAX_LEASE;
 use quetzal_once::lease::{
-    KeyRange, LeaseAction, LeaseRecord, LeaseTable, LogStamp, RangeClaim, TermEpoch, TermRef,
-    assign_ranges,
+    KeyRange, LeaseAction, LeaseKeeper, LeaseOutput, LeaseRecord, LeaseSettings, LeaseTable,
+    LeaseView, LogStamp, RangeClaim, TermEpoch, TermRef, assign_ranges,
 };
 use quickcheck::{Gen, QuickCheck, quickcheck};
 use rand::rngs::SmallRng;
@@ -177,7 +177,96 @@
         .quickcheck(holds as fn(u64) -> bool);
 }
 
+/// A keeper that read an empty stream, with its clock.
+fn keeper(daemon: u64) -> (LeaseKeeper, FakeClock) {
+    let clock = FakeClock::new();
+    let rng = SmallRng::seed_from_u64(daemon);
+    let settings = LeaseSettings::default();
+    let keeper = LeaseKeeper::new(holder(daemon), settings, clock.shared(), rng);
+    (keeper, clock)
+}
+
+/// Lets time pass on an always answering log; the number of appends.
+fn run_keeper(keeper: &mut LeaseKeeper, clock: &FakeClock, log: &mut Vec<LogRecord>) -> usize {
+    let before = log.len();
+    for _ in 0..40 {
+        clock.advance(Duration::from_millis(100));
+        for output in keeper.on_tick() {
+            match output {
+                LeaseOutput::Read { from, .. } => {
+                    let batch = RecordBatch {
+                        first: LogOffset(0),
+                        next: LogOffset(log.len() as u64),
+                        records: log[from.0 as usize..].to_vec(),
+                    };
+                    keeper.on_read(&ReadAnswer::Batch(batch));
+                }
+                LeaseOutput::Append { serial, body } => {
+                    let offset = LogOffset(log.len() as u64);
+                    let at = clock.wall();
+                    log.push(LogRecord { offset, at, body });
+                    keeper.on_appended(serial, true);
+                }
+                _ => {}
+            }
+        }
+    }
+    log.len() - before
+}
+
+#[test]
+fn daemon_that_is_no_home_leaves_the_log_alone() {
+    let (mut keeper, clock) = keeper(1);
+    keeper.set_homes(vec![holder(2)]);
+    clock.advance(Duration::from_secs(10));
+    assert!(keeper.on_tick().is_empty());
+}
+
+#[test]
+fn stream_that_ends_below_a_known_view_is_not_claimed() {
+    let (mut keeper, clock) = keeper(1);
+    keeper.set_homes(vec![holder(1)]);
+    let view = LeaseView {
+        next: LogOffset(40),
+        ..LeaseView::default()
+    };
+    keeper.on_view(&view);
+    assert_eq!(run_keeper(&mut keeper, &clock, &mut Vec::new()), 0);
+}
+
+fn misplaced(keeper: &LeaseKeeper) -> usize {
+    keeper.misplaced().into_values().flatten().count()
+}
+
+#[test]
+fn home_that_comes_and_goes_moves_no_range() {
+    let (mut keeper, clock) = keeper(1);
+    let mut log = Vec::new();
+    keeper.set_homes(vec![holder(1)]);
+    run_keeper(&mut keeper, &clock, &mut log);
+    assert_eq!(keeper.held().count(), KeyRange::COUNT);
+    for flap in 0..6 {
+        let homes = (1..=2 - flap % 2).map(holder).collect();
+        keeper.set_homes(homes);
+        run_keeper(&mut keeper, &clock, &mut log);
+        assert!(keeper.misplaced().is_empty());
+    }
+    keeper.set_homes(vec![holder(1), holder(2)]);
+    for _ in 0..3 {
+        run_keeper(&mut keeper, &clock, &mut log);
+    }
+    assert_eq!(misplaced(&keeper), KeyRange::COUNT / 2);
+    // A home that leaves hands everything over at once.
+    keeper.set_homes(vec![holder(2)]);
+    assert_eq!(misplaced(&keeper), KeyRange::COUNT);
+}
+
 quickcheck! {
+    fn any_bytes_are_a_record_or_an_error(bytes: Vec<u8>) -> bool {
+        LeaseRecord::decode(&bytes).is_ok_and(|record| record.encode().len() <= bytes.len())
+            || LeaseRecord::decode(&bytes).is_err()
+    }
+
     fn reader_in_mid_stream_agrees_with_the_others_once_it_knows(seed: u64, start: u8) -> bool {
         let stream = random_stream(seed);
         let start = usize::from(start) % stream.len();
--- a/crates/once/tests/model/failures.rs
+++ b/crates/once/tests/model/failures.rs
@@ -214,6 +214,41 @@
     assert_eq!(world.ledger.refusals.get(&ErrorKind::KeyClosed), None);
 }
 
+#[test]
+fn rolling_restart_of_every_daemon_loses_no_key() {
+    let mut world = World::settled(13, NODES);
+    let mut keys: Vec<CallKey> = Vec::new();
+    let mut firsts = Vec::new();
+    for node in 0..NODES {
+        let proxy = (node + 1) % NODES;
+        let issued = CallKey::Issued(world.issue(node).expect("a key"));
+        let fresh = vec![world.timed_key(0), world.untimed_key(), issued];
+        firsts.extend(world.call_all(proxy, &fresh));
+        keys.extend(fresh);
+        world.leave(node);
+        while world.nodes[node].alive {
+            // Callers go on while the daemon leaves.
+            let key = world.timed_key(0);
+            world.send(proxy, &key);
+            world.run_ms(100);
+        }
+        world.restart(node);
+        world.run_ms(500);
+        // Those of the last two daemons are well within the window.
+        let recent = keys.len().saturating_sub(6);
+        let again = world.call_all(node, &keys[recent..]);
+        assert_eq!(again, firsts[recent..], "after daemon {node}");
+    }
+    assert!(firsts.iter().all(|answer| is_answered(answer.as_ref())));
+    for kind in [
+        ErrorKind::KeyUnknown,
+        ErrorKind::KeyClosed,
+        ErrorKind::OutcomeUnknown,
+    ] {
+        assert_eq!(world.ledger.refusals.get(&kind), None, "{kind}");
+    }
+}
+
 #[test]
 fn log_outage_stops_fresh_callers_keys_and_nothing_else() {
     let mut world = World::settled(8, NODES);
