Spread the issued keys of leaving daemons; look in every term before a key is begun

Cause: daemons that leave need one successor for their issued keys, and a choice alike on all would pile 720 books on one daemon. A key without a time whose call ran for longer than the window could be begun again by a home that had lost and regained its range meanwhile.

Change: pick_successor chooses by hash among the younger half of the runs. A home looks for a key in all terms of the range that it knows before it admits it; books are ordered, so that this is one range of the map.

--- a/crates/once/src/home/keys.rs
+++ b/crates/once/src/home/keys.rs
@@ -12,7 +12,7 @@
 use super::handover::StagedBook;
 use super::verdict::{CloseVerdict, KeyCall, KeyRefusal, KeyVerdict, RunTicket};
 use crate::key::{CallKey, IssuedKey, KeyDigest};
-use crate::lease::{HolderId, KeyRange, TermRef};
+use crate::lease::{HolderId, KeyRange, TermEpoch, TermRef};
 use crate::print::RequestPrint;
 use crate::proof::RunProof;
 
@@ -66,7 +66,7 @@
     pub(super) settings: HomeSettings,
     pub(super) clock: SharedClock,
     pub(super) started: Instant,
-    pub(super) books: HashMap<BookId, KeyBook>,
+    pub(super) books: BTreeMap<BookId, KeyBook>,
     pub(super) current: BTreeMap<KeyRange, TermRef>,
     pub(super) staged: HashMap<BookId, StagedBook>,
     pub(super) answers: AnswerStore,
@@ -88,7 +88,7 @@
             settings,
             clock,
             started,
-            books: HashMap::from([(BookId::Issuer(me), KeyBook::new(gate, started))]),
+            books: BTreeMap::from([(BookId::Issuer(me), KeyBook::new(gate, started))]),
             current: BTreeMap::new(),
             staged: HashMap::new(),
             answers: AnswerStore::new(settings.answer_budget, settings.largest_answer),
@@ -135,20 +135,15 @@
             Ok(id) => id,
             Err(refusal) => return KeyVerdict::Refused(refusal),
         };
-        let current = self.books.get(&id);
-        if let Some(entry) = current.and_then(|book| book.entries.get(&call.digest)) {
-            return self.verdict_of(*entry, call);
+        if let Some(entry) = self.entry_in(id, call) {
+            return self.verdict_of(entry, call);
         }
         match self.admit(id, call) {
             Ok(()) => KeyVerdict::Run(RunTicket {
                 book: id,
                 digest: call.digest,
             }),
-            Err(refusal) => self
-                .earlier_entry(call)
-                .map_or(KeyVerdict::Refused(refusal), |entry| {
-                    self.verdict_of(entry, call)
-                }),
+            Err(refusal) => KeyVerdict::Refused(refusal),
         }
     }
 
@@ -159,7 +154,8 @@
             digest,
             print: RequestPrint(0),
         };
-        if let Some(entry) = self.entry_of(&call) {
+        let book = self.book_of(&call).ok();
+        if let Some(entry) = book.and_then(|id| self.entry_in(id, &call)) {
             // Closing asks about the key, whatever its request was.
             call.print = RequestPrint(entry.print.into());
         }
@@ -252,22 +248,28 @@
         Ok(())
     }
 
-    fn entry_of(&self, call: &KeyCall) -> Option<KeyEntry> {
-        let book = self.book_of(call).ok()?;
-        let current = self.books.get(&book)?.entries.get(&call.digest);
-        current.copied().or_else(|| self.earlier_entry(call))
+    /// What is known about a key in its book or in earlier terms of its range.
+    fn entry_in(&self, id: BookId, call: &KeyCall) -> Option<KeyEntry> {
+        match id {
+            BookId::Range(_) => self.range_entry(call.digest),
+            BookId::Issuer(_) => self.books.get(&id)?.entries.get(&call.digest).copied(),
+        }
     }
 
-    /// What a term that this home once held knows about a key.
-    pub(super) fn earlier_entry(&self, call: &KeyCall) -> Option<KeyEntry> {
-        let CallKey::Caller(_) = &call.key else {
-            return None;
-        };
-        let range = call.digest.range();
-        self.books
-            .iter()
-            .filter(|(id, _)| matches!(id, BookId::Range(term) if term.range == range))
-            .find_map(|(_, book)| book.entries.get(&call.digest).copied())
+    /// The entry of a caller's key in any term of its range, the latest first.
+    pub(super) fn range_entry(&self, digest: KeyDigest) -> Option<KeyEntry> {
+        let mut books = self.range_books(digest.range()).rev();
+        books.find_map(|(_, book)| book.entries.get(&digest).copied())
+    }
+
+    /// The books of all terms of a range, the earliest first.
+    pub(super) fn range_books(
+        &self,
+        range: KeyRange,
+    ) -> impl DoubleEndedIterator<Item = (&BookId, &KeyBook)> {
+        let first = BookId::Range(TermRef::new(range, TermEpoch::NONE));
+        let last = BookId::Range(TermRef::new(range, TermEpoch(u64::MAX)));
+        self.books.range(first..=last)
     }
 
     pub(super) fn verdict_of(&self, entry: KeyEntry, call: &KeyCall) -> KeyVerdict {
--- a/crates/once/src/home/recall.rs
+++ b/crates/once/src/home/recall.rs
@@ -5,7 +5,7 @@
 //! that it asks the other homes. One that held the term owns the key for good:
 //! it knows the first answer, or can promise that the call never runs.
 
-use super::book::{BookGate, BookId, KeyBook, seconds};
+use super::book::{BookGate, KeyBook, seconds};
 use super::entry::{KeyEntry, KeyState, short_print};
 use super::keys::KeyHome;
 use super::verdict::{KeyCall, KeyVerdict};
@@ -21,15 +21,15 @@
         let CallKey::Caller(key) = &call.key else {
             return None;
         };
-        if let Some(entry) = self.earlier_entry(call) {
+        if let Some(entry) = self.range_entry(call.digest) {
             return Some(self.verdict_of(entry, call));
         }
         let time = key.time()?;
         let range = call.digest.range();
-        let ended = self.books.iter_mut().find(|(id, book)| {
-            matches!(id, BookId::Range(term) if term.range == range) && owned_for_good(book, time)
-        });
-        let (_, book) = ended?;
+        let owner = self
+            .range_books(range)
+            .find(|(_, book)| owned_for_good(book, time))
+            .map(|(id, _)| *id)?;
         if self.key_count >= self.settings.max_keys {
             return None;
         }
@@ -40,6 +40,7 @@
             state: KeyState::Withdrawn,
             timed: true,
         };
+        let book = self.books.get_mut(&owner)?;
         book.entries.insert(call.digest, entry);
         self.key_count += 1;
         Some(self.verdict_of(entry, call))
--- a/crates/once/src/home/settle.rs
+++ b/crates/once/src/home/settle.rs
@@ -47,10 +47,9 @@
             return self.books.contains_key(&handed).then_some(handed);
         };
         let awaits = |state| matches!(state, KeyState::RunningElsewhere | KeyState::Lost);
-        let found = self.books.iter().find(|(id, book)| {
+        let found = self.range_books(term.range).find(|(_, book)| {
             let entry = book.entries.get(&digest);
-            matches!(id, BookId::Range(held) if held.range == term.range)
-                && entry.is_some_and(|entry| awaits(entry.state))
+            entry.is_some_and(|entry| awaits(entry.state))
         });
         found.map(|(id, _)| *id)
     }
--- a/crates/once/src/lease/mod.rs
+++ b/crates/once/src/lease/mod.rs
@@ -26,7 +26,7 @@
 pub use clock::LogClock;
 pub use keeper::{LeaseKeeper, LeaseOutput, LeaseSettings, TermUpdate};
 pub use record::{LeaseAction, LeaseRecord, RangeClaim};
-pub use roster::{assign_ranges, pick_homes};
+pub use roster::{assign_ranges, pick_homes, pick_successor};
 pub use table::{FoldChange, LeaseTable, TableCheckpoint};
 pub use types::{HolderId, KeyRange, LeaseTerm, LogStamp, TermEpoch, TermRef};
 pub use view::{HolderRow, LeaseView};
--- a/crates/once/src/lease/roster.rs
+++ b/crates/once/src/lease/roster.rs
@@ -4,6 +4,7 @@
 //! members agree without a word, and daemons that do not merely race for a
 //! claim, which the log settles.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use model::{DaemonId, DomainName};
@@ -32,6 +33,21 @@
     homes
 }
 
+/// Who takes the issued keys of a daemon that leaves; none if it is alone.
+///
+/// One of the younger half of the runs, which a rolling restart has passed
+/// already, chosen by hash so that no daemon takes the keys of many.
+pub fn pick_successor(leaving: HolderId, members: &[HolderId]) -> Option<HolderId> {
+    let others = members
+        .iter()
+        .filter(|member| member.daemon != leaving.daemon);
+    let mut others: Vec<HolderId> = others.copied().collect();
+    others.sort_unstable_by_key(|member| (Reverse(member.incarnation), member.daemon));
+    others.truncate(others.len().div_ceil(2));
+    let pair_weight = |member: &HolderId| weight(DaemonId(leaving.daemon.0 ^ member.daemon.0), 0);
+    others.into_iter().max_by_key(pair_weight)
+}
+
 /// The home that should hold each range; none if there are no homes.
 ///
 /// Rendezvous hashing with an upper bound on each home's share: a home that
--- a/crates/once/tests/leases.rs
+++ b/crates/once/tests/leases.rs
@@ -9,7 +9,7 @@
 use quetzal_once::lease::table::MAX_LEASE;
 use quetzal_once::lease::{
     KeyRange, LeaseAction, LeaseKeeper, LeaseOutput, LeaseRecord, LeaseSettings, LeaseTable,
-    LeaseView, LogStamp, RangeClaim, TermEpoch, TermRef, assign_ranges,
+    LeaseView, LogStamp, RangeClaim, TermEpoch, TermRef, assign_ranges, pick_successor,
 };
 use quickcheck::{Gen, QuickCheck, quickcheck};
 use rand::rngs::SmallRng;
@@ -290,6 +290,19 @@
     }
 }
 
+#[test]
+fn daemons_that_leave_spread_their_issued_keys() {
+    let members: Vec<HolderId> = (0..720).map(holder).collect();
+    let mut taken: BTreeMap<HolderId, u32> = BTreeMap::new();
+    for leaving in &members {
+        let successor = pick_successor(*leaving, &members).expect("there are others");
+        assert_ne!(successor, *leaving);
+        *taken.entry(successor).or_default() += 1;
+    }
+    assert!(taken.values().all(|count| *count <= 10));
+    assert_eq!(pick_successor(holder(1), &[holder(1)]), None);
+}
+
 #[test]
 fn home_that_leaves_moves_few_ranges_of_others() {
     let homes: Vec<HolderId> = (0..10).map(holder).collect();
