--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -44,6 +44,9 @@
     for kind in [
         ErrorKind::OutcomeUnknown,
         ErrorKind::KeyRunning,
+        ErrorKind::KeyUnknown,
+        ErrorKind::KeyClosed,
+        ErrorKind::AnswerForgotten,
         ErrorKind::TargetFailed,
     ] {
         assert!(!kind.answer().not_run, "{kind}");
