Never call a call "not run" once its request was on the way

Cause: a review of the data path found that an unreadable answer, or a body that broke after the answer's head, was settled as not run; the same key could then run again. Change: once a request is on its stream, only a refused stream proves that nothing ran; a broken answer settles as lost. Issued keys find their moved homes for as long as they are admitted, and move to a daemon that stays. Conclusion: two ways to a doubled payout are closed.

--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -67,10 +67,12 @@
     if body.as_ref().is_none_or(|body| body.copy().is_some()) {
         upload = start_upload(core, &mut sender, body.take());
     }
-    let (mut answer, mut receiver) = exchange.answer.head::<CallAnswer>().await?;
+    let read = exchange.answer.head::<CallAnswer>().await;
+    let (mut answer, mut receiver) = read.map_err(unproven)?;
     if matches!(answer, CallAnswer::Admitted) {
         upload = upload.or_else(|| start_upload(core, &mut sender, body.take()));
-        answer = receiver.read_message(MAX_ANSWER_HEAD_BYTES).await?;
+        let read = receiver.read_message(MAX_ANSWER_HEAD_BYTES).await;
+        answer = read.map_err(unproven)?;
     }
     match answer {
         CallAnswer::Response(head) => Ok(TargetAnswer {
@@ -106,6 +108,15 @@
     drop(sender.finish());
 }
 
+/// Once a request is on its way, only the peer's refusal of the stream proves
+/// that it was not processed; an answer that cannot be read proves nothing.
+fn unproven(error: KindError) -> KindError {
+    if error.kind == ErrorKind::PeerUnavailable {
+        return error;
+    }
+    KindError::new(ErrorKind::OutcomeUnknown, error.to_string())
+}
+
 fn lost(detail: &str) -> CallRefusal {
     KindError::new(ErrorKind::OutcomeUnknown, detail).into()
 }
--- a/crates/daemon/src/key_control.rs
+++ b/crates/daemon/src/key_control.rs
@@ -12,7 +12,7 @@
 use feed::ReadAnswer;
 use model::{DaemonId, DomainName, KindError, LogOffset, RecordCount};
 use once::home::{HandedOutcome, HandoverPage, KeySettlement};
-use once::lease::{LeaseView, TermRef, pick_homes};
+use once::lease::{LeaseView, TermRef, pick_homes, pick_successor};
 use once::{
     BookId, HolderId, IssuerMove, LeaseKeeper, LeaseOutput, LeaseSettings, PoisonMessage,
     PoisonOutput, StageAnswer,
@@ -257,6 +257,7 @@
     /// Keeps a newer view and passes it on.
     fn take_view(&mut self, view: &LeaseView) -> OnceSends {
         self.core.keys.issuer().observe(view);
+        self.keeper.on_view(view);
         if !self.core.keys.router().on_view(view.clone()) {
             return OnceSends::new();
         }
@@ -299,8 +300,9 @@
                 terms,
             });
         }
+        let holders: Vec<HolderId> = self.members.iter().map(|(_, holder)| *holder).collect();
         if self.leaving
-            && let Some(successor) = self.others().min()
+            && let Some(successor) = pick_successor(self.core.keys.me, &holders)
         {
             let books = self.core.keys.home().books_to_hand();
             plan.push_back(HandoverStep {
--- a/crates/daemon/src/key_desk.rs
+++ b/crates/daemon/src/key_desk.rs
@@ -39,7 +39,7 @@
         let shared = || Arc::clone(clock);
         Self {
             me,
-            router: Mutex::new(KeyRouter::new(me, settings.window, shared())),
+            router: Mutex::new(KeyRouter::new(me, settings.issued_window, shared())),
             home: Mutex::new(KeyHome::new(me, settings, shared())),
             purse: Mutex::new(PermitPurse::new(me, shared())),
             issuer: Mutex::new(PermitIssuer::new(me, PermitSettings::default(), shared())),
