--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -236,7 +236,7 @@
             });
             Ok(TargetAnswer { head, body })
         }
-        Err(error) => Err(settler.settle_lost(error.into())),
+        Err(error) => Err(settler.settle_lost(&error.into())),
     }
 }
 
@@ -264,18 +264,18 @@
             refusal.by_home = true;
             return refusal;
         }
-        self.settle_lost(refusal)
+        self.settle_lost(&refusal)
     }
 
     /// Settles a call that reached its target and has no whole answer.
-    fn settle_lost(&mut self, refusal: CallRefusal) -> CallRefusal {
+    fn settle_lost(&mut self, refusal: &CallRefusal) -> CallRefusal {
         self.settle(RunOutcome::Lost);
         let detail = refusal.error.to_string();
         CallRefusal {
             error: KindError::new(ErrorKind::OutcomeUnknown, detail),
             proof: RunProof::MayHaveRun,
             by_home: true,
-            ..refusal
+            ..refusal.clone()
         }
     }
 }
--- a/crates/once/src/home/terms.rs
+++ b/crates/once/src/home/terms.rs
@@ -102,7 +102,11 @@
             untimed_from: now + wait,
             valid_until,
         };
-        KeyBook::new(BookGate::Range(gate), now)
+        let mut book = KeyBook::new(BookGate::Range(gate), now);
+        // Without an earlier holder the fence is open downwards; keys older than
+        // the window are not admitted even before the first sweep.
+        book.floor_s = floor_before(term.begun.0, self.settings.window);
+        book
     }
 
     fn end_term(&mut self, ended: TermRef) {
--- a/crates/once/tests/homes.rs
+++ b/crates/once/tests/homes.rs
@@ -308,7 +308,7 @@
         holder: holder(2),
         epoch: TermEpoch(epoch),
         prior: TermEpoch(prior),
-        begun: LogStamp(0),
+        begun: LogStamp::from(clock.wall()),
         renewed: LogStamp::from(clock.wall()),
         lease_ms: 8000,
         skew_ms: 2000,
@@ -425,3 +425,26 @@
             || text.parse::<CallKey>().is_err()
     }
 }
+
+#[test]
+fn the_first_term_of_a_range_admits_no_key_older_than_the_window() {
+    let clock = FakeClock::new();
+    let mut home = home(&clock, 2, HomeSettings::default());
+    let seconds = clock
+        .wall()
+        .duration_since(std::time::UNIX_EPOCH)
+        .expect("the wall is past the epoch")
+        .as_secs();
+    let timed = |age_s: u64| {
+        let time = uuid::Timestamp::from_unix(uuid::NoContext, seconds - age_s, 0);
+        let key = uuid::Uuid::new_v7(time).to_string();
+        call(key.parse().expect("a sound key"), 1)
+    };
+    let (old, young) = (timed(3600), timed(1));
+    for range in [old.digest.range(), young.digest.range()] {
+        home.on_term(held_term(&clock, range, 1, 0, None));
+    }
+    let unknown = Some((ErrorKind::KeyUnknown, RunProof::MayHaveRun));
+    assert_eq!(refusal(&home.begin(&old)), unknown);
+    begin(&mut home, &young);
+}
