--- a/crates/members/src/join.rs
+++ b/crates/members/src/join.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use feed::port::{LogRecord, ReadAnswer};
-use model::{DaemonId, LogOffset, RecordCount};
+use model::{DaemonId, IncarnationNumber, LogOffset, RecordCount};
 use rand::Rng;
 use rand::rngs::SmallRng;
 
@@ -177,7 +177,7 @@
                 Ok(StreamRecord::Join(join)) if join.id != self.own => {
                     self.candidates.insert(join.id, join);
                 }
-                Ok(StreamRecord::Leave(leave)) => self.drop_left(&leave.id, leave.incarnation),
+                Ok(StreamRecord::Leave(leave)) => self.drop_left(leave.id, leave.incarnation),
                 Ok(StreamRecord::Join(_)) | Err(_) => {}
             }
         }
@@ -207,13 +207,13 @@
         self.candidates.clear();
     }
 
-    fn drop_left(&mut self, id: &DaemonId, incarnation: model::IncarnationNumber) {
+    fn drop_left(&mut self, id: DaemonId, incarnation: IncarnationNumber) {
         let left = self
             .candidates
-            .get(id)
+            .get(&id)
             .is_some_and(|join| join.incarnation <= incarnation);
         if left {
-            self.candidates.remove(id);
+            self.candidates.remove(&id);
         }
     }
 
--- a/crates/members/src/queue.rs
+++ b/crates/members/src/queue.rs
@@ -8,7 +8,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use model::DaemonId;
 
@@ -18,6 +18,8 @@
 const CROWDED_LEN: usize = 32;
 /// Least number of times that an accusation is passed on; its accuser tells the accused itself.
 const MIN_ACCUSATIONS: u32 = 2;
+/// Least number of times that a death is passed on.
+const MIN_DEATHS: u32 = 7;
 /// Least number of times that another short update is passed on.
 const MIN_TRANSMITS: u32 = 4;
 
@@ -85,6 +87,7 @@
         let transmits = transmits_for(fleet) / (1 + crowd);
         match update {
             MemberUpdate::Alive(_) => transmits,
+            MemberUpdate::Dead { .. } => transmits.max(MIN_DEATHS),
             MemberUpdate::Suspect { .. } => transmits.max(MIN_ACCUSATIONS),
             _ => transmits.max(MIN_TRANSMITS),
         }
@@ -175,7 +178,7 @@
 
     /// The bytes that may be sent now.
     pub fn available(&mut self, now: Instant) -> usize {
-        let passed: Duration = now.duration_since(self.filled_at);
+        let passed = now.duration_since(self.filled_at);
         self.filled_at = now;
         self.level = (self.level + self.rate * passed.as_secs_f64()).min(self.burst);
         self.level.max(0.0) as usize
--- a/crates/members/src/sync.rs
+++ b/crates/members/src/sync.rs
@@ -32,7 +32,7 @@
 /// The same, while the last offer has no answer.
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Bytes a second of records that one daemon serves.
-const SERVE_RATE: u32 = 5_000;
+const SERVE_RATE: u32 = 4_000;
 /// Bytes of records served at once after a quiet time.
 const SERVE_BURST: u32 = 32_000;
 /// Bytes that may be served below which an offer is left to others.
