trace: hybrid clock, bounded ring, merge by cause, text and page

Cause: staff need one time line of events over all processes. Conclusion: a cause comes before its effect although wall clocks differ by seconds (quickcheck); the daemon must send stamps with its messages.

--- /dev/null
+++ b/crates/trace/src/page.rs
@@ -0,0 +1,203 @@
+//! The time line as one HTML file with a picture, a track for each process.
+//!
+//! The file needs nothing else: no scripts, no fonts, no network. Every text
+//! that comes from a process is escaped.
+
+use std::fmt::Write;
+
+use derive_more::Display;
+use model::{ErrorKind, KindError};
+use plotters::prelude::{
+    ChartBuilder, Circle, IntoDrawingArea, IntoFont, PathElement, RGBColor, SVGBackend, WHITE,
+};
+use plotters::style::Color;
+
+use crate::event::EventClass;
+use crate::merge::TimeLine;
+use crate::text::time_of_day;
+
+/// Results of rendering; kind: `LocalFailed`.
+pub type Result<T> = model::Result<T>;
+
+const WIDTH_PX: u32 = 1200;
+const TRACK_PX: u32 = 22;
+/// Height of a track when there are many.
+const NARROW_TRACK_PX: u32 = 11;
+/// Lanes from which they are narrow.
+const MANY_TRACKS: usize = 100;
+const MARGIN_PX: u32 = 60;
+const LABEL_PX: u32 = 180;
+const DOT_PX: i32 = 4;
+const STYLE: &str = "body{font-family:sans-serif;margin:1em}\
+table{border-collapse:collapse;font-size:small}\
+td,th{padding:2px 8px;text-align:left;border-bottom:1px solid #ddd}\
+.dot{display:inline-block;width:10px;height:10px;border-radius:5px;margin:0 4px 0 12px}";
+
+/// Text in which HTML has no meaning.
+#[derive(Debug, Display)]
+struct EscapedText(String);
+
+/// The time line as one self-contained HTML file.
+pub fn render_page(line: &TimeLine) -> Result<String> {
+    let mut page =
+        String::from("<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">");
+    let _infallible = write!(
+        page,
+        "<title>quetzal time line</title><style>{STYLE}</style></head>\n<body>\
+         <h1>Time line</h1>\n<p>{} events of {} processes. Legend:{}</p>\n{}\n{}{}</body></html>\n",
+        line.events.len(),
+        line.tracks.len(),
+        legend(),
+        picture(line)?,
+        gaps(line),
+        table(line)
+    );
+    Ok(page)
+}
+
+/// The picture alone, as SVG.
+pub fn picture(line: &TimeLine) -> Result<String> {
+    let mut svg = String::new();
+    draw(line, &mut svg)
+        .map_err(|error| KindError::new(ErrorKind::LocalFailed, error.to_string()))?;
+    Ok(svg)
+}
+
+fn draw(line: &TimeLine, svg: &mut String) -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let tracks = line.tracks.len().max(1);
+    let track_px = if tracks >= MANY_TRACKS {
+        NARROW_TRACK_PX
+    } else {
+        TRACK_PX
+    };
+    let height = MARGIN_PX + track_px * tracks as u32;
+    let begin = line.events.first().map_or(0, |event| event.stamp.wall_ms);
+    let end = line.events.last().map_or(1, |event| event.stamp.wall_ms);
+    let span_s = ((end - begin) as f64 / 1000.0).max(0.001);
+    let area = SVGBackend::with_string(svg, (WIDTH_PX, height)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(LABEL_PX)
+        .build_cartesian_2d(-0.01 * span_s..1.01 * span_s, 0.0..tracks as f64)?;
+    let label = |row: &f64| track_label(line, *row);
+    chart
+        .configure_mesh()
+        .disable_mesh()
+        .x_desc("seconds since the first event")
+        .y_labels(0)
+        .y_label_formatter(&label)
+        .draw()?;
+    for track in 0..line.tracks.len() {
+        let row = row_of(line, track);
+        let rail = vec![(0.0, row), (span_s, row)];
+        chart.draw_series([PathElement::new(rail, RGBColor(220, 220, 220))])?;
+        let (x, y) = chart.backend_coord(&(0.0, row));
+        let at = (x - LABEL_PX.cast_signed(), y - (track_px / 3).cast_signed());
+        let font = ("sans-serif", f64::from(track_px) * 0.6).into_font();
+        area.draw_text(&track_label(line, row), &font.into(), at)?;
+    }
+    let dots = line.events.iter().filter_map(|event| {
+        let track = line.track_of(event.daemon)?;
+        let x = (event.stamp.wall_ms - begin) as f64 / 1000.0;
+        let colour = colour_of(event.kind.class());
+        Some(Circle::new(
+            (x, row_of(line, track)),
+            DOT_PX,
+            colour.filled(),
+        ))
+    });
+    chart.draw_series(dots)?;
+    area.present()?;
+    Ok(())
+}
+
+/// Height of a track in the chart; the first track is on top.
+fn row_of(line: &TimeLine, track: usize) -> f64 {
+    (line.tracks.len() - track) as f64 - 0.5
+}
+
+fn track_label(line: &TimeLine, row: f64) -> String {
+    let track = line.tracks.len().checked_sub(row.ceil() as usize);
+    track
+        .and_then(|track| line.tracks.get(track))
+        .map(|track| format!("{} {}", track.process.domain, track.process.name))
+        .unwrap_or_default()
+}
+
+fn colour_of(class: EventClass) -> RGBColor {
+    match class {
+        EventClass::Config => RGBColor(31, 119, 180),
+        EventClass::Members => RGBColor(127, 127, 127),
+        EventClass::Targets => RGBColor(44, 160, 44),
+        EventClass::Drain => RGBColor(255, 127, 14),
+        EventClass::Leases => RGBColor(148, 103, 189),
+        EventClass::Faults => RGBColor(214, 39, 40),
+    }
+}
+
+fn legend() -> String {
+    let mut legend = String::new();
+    for class in EventClass::ALL {
+        let RGBColor(red, green, blue) = colour_of(class);
+        let _infallible = write!(
+            legend,
+            "<span class=\"dot\" style=\"background:rgb({red},{green},{blue})\"></span>{class}"
+        );
+    }
+    legend
+}
+
+fn gaps(line: &TimeLine) -> String {
+    let dropped = line
+        .tracks
+        .iter()
+        .filter(|track| track.dropped > 0)
+        .map(|track| {
+            format!(
+                "{}: {} older events dropped",
+                track.process.name, track.dropped
+            )
+        });
+    let silent = line
+        .silent
+        .iter()
+        .map(|name| format!("{}: no answer", escape(name)));
+    let mut gaps = String::new();
+    for gap in dropped.chain(silent) {
+        let _infallible = writeln!(gaps, "<p>{gap}</p>");
+    }
+    gaps
+}
+
+fn table(line: &TimeLine) -> String {
+    let mut table = String::from(
+        "<table><tr><th>time (UTC)</th><th>process</th><th>failure domain</th>\
+         <th>version</th><th>event</th><th>detail</th></tr>\n",
+    );
+    for event in &line.events {
+        let track = line.track_of(event.daemon).map(|track| &line.tracks[track]);
+        let _infallible = writeln!(
+            table,
+            "<tr><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td></tr>",
+            time_of_day(event.stamp).trim_end(),
+            track.map_or("?", |track| track.process.name.as_str()),
+            track.map_or("?", |track| track.process.domain.as_str()),
+            event.version,
+            event.kind,
+            escape(&event.detail)
+        );
+    }
+    table.push_str("</table>\n");
+    table
+}
+
+fn escape(text: &str) -> EscapedText {
+    EscapedText(
+        text.replace('&', "&amp;")
+            .replace('<', "&lt;")
+            .replace('>', "&gt;")
+            .replace('"', "&quot;"),
+    )
+}
--- /dev/null
+++ b/crates/trace/tests/order.rs
@@ -0,0 +1,134 @@
+//! Cause before effect, whatever the wall clocks; bounds of the ring.
+
+mod session;
+
+use std::time::Duration;
+
+use model::{ByteCount, DaemonId, FakeClock};
+use quetzal_trace::{
+    EventKind, EventRing, HybridClock, HybridStamp, MAX_DETAIL_BYTES, MAX_DRIFT, ProcessReport,
+    StampVerdict, merge_reports,
+};
+use quickcheck::quickcheck;
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+quickcheck! {
+    /// Processes with skewed clocks pass messages; each step's event follows its cause's.
+    fn every_effect_follows_its_cause(skews_ms: Vec<u16>, steps: Vec<(u8, u8, u8)>) -> bool {
+        let clocks: Vec<FakeClock> = (0..4).map(|_| FakeClock::new()).collect();
+        for (clock, skew) in clocks.iter().zip(&skews_ms) {
+            clock.advance(Duration::from_millis(u64::from(skew % 5000)));
+        }
+        let mut rings: Vec<EventRing> = (0..4)
+            .map(|number| session::ring(number, &clocks[number as usize]))
+            .collect();
+        let mut pairs: Vec<((DaemonId, HybridStamp), (DaemonId, HybridStamp))> = Vec::new();
+        for (from, to, ms) in steps {
+            let (from, to) = (usize::from(from % 4), usize::from(to % 4));
+            for clock in &clocks {
+                clock.advance(Duration::from_millis(u64::from(ms)));
+            }
+            let cause = rings[from].record(EventKind::ConfigApplied, "");
+            if rings[to].observe(cause) == StampVerdict::Followed {
+                let effect = rings[to].record(EventKind::ConfigApplied, "");
+                pairs.push(((DaemonId(from as u64), cause), (DaemonId(to as u64), effect)));
+            }
+        }
+        let reports: Vec<ProcessReport> =
+            rings.iter_mut().map(|ring| ring.since(1000 * MINUTE)).collect();
+        let line = merge_reports(reports, Vec::new());
+        let place = |(daemon, stamp): (DaemonId, HybridStamp)| {
+            line.events
+                .iter()
+                .position(|event| event.daemon == daemon && event.stamp == stamp)
+        };
+        pairs.into_iter().all(|(cause, effect)| place(cause) < place(effect))
+    }
+
+    fn merging_in_any_order_gives_one_line(swap: bool) -> bool {
+        let reports = session::publish_and_crash();
+        let mut other = reports.clone();
+        if swap {
+            other.reverse();
+        }
+        // A report that arrives twice changes nothing.
+        other.push(reports[0].clone());
+        merge_reports(reports, Vec::new()) == merge_reports(other, Vec::new())
+    }
+
+    fn the_ring_keeps_within_its_memory(details: Vec<String>) -> bool {
+        let clock = FakeClock::new();
+        let process = session::ring(1, &clock).since(MINUTE).process;
+        let memory = ByteCount(2048);
+        let mut ring = EventRing::new(process, memory, clock.shared());
+        let count = details.len();
+        for detail in &details {
+            ring.record(EventKind::TargetReady, detail);
+        }
+        let report = ring.since(MINUTE);
+        let bounded = report.events.iter().all(|event| event.detail.len() <= MAX_DETAIL_BYTES);
+        bounded
+            && ring.memory_used().0 <= memory.0
+            && report.events.len() + report.dropped as usize == count
+    }
+}
+
+#[test]
+fn stamps_grow_although_the_wall_clock_stands_still_or_is_behind() {
+    let clock = FakeClock::new();
+    let mut hybrid = HybridClock::new(clock.shared());
+    let first = hybrid.stamp();
+    let second = hybrid.stamp();
+    assert!(second > first);
+    let ahead = HybridStamp {
+        wall_ms: first.wall_ms + 3000,
+        count: u32::MAX,
+    };
+    assert_eq!(hybrid.observe(ahead), StampVerdict::Followed);
+    assert!(hybrid.stamp() > ahead);
+}
+
+#[test]
+fn a_wrong_clock_does_not_drag_others_along() {
+    let clock = FakeClock::new();
+    let mut hybrid = HybridClock::new(clock.shared());
+    let before = hybrid.stamp();
+    let wrong = HybridStamp {
+        wall_ms: before.wall_ms + MAX_DRIFT.as_millis() as u64 + 1,
+        count: 0,
+    };
+    assert_eq!(hybrid.observe(wrong), StampVerdict::TooFarAhead);
+    assert_eq!(hybrid.refused(), 1);
+    assert!(hybrid.stamp() < wrong);
+}
+
+#[test]
+fn only_the_time_asked_for_is_reported() {
+    let clock = FakeClock::new();
+    let mut ring = session::ring(1, &clock);
+    ring.record(EventKind::LogDown, "");
+    clock.advance(10 * MINUTE);
+    ring.record(EventKind::LogUp, "");
+    let report = ring.since(5 * MINUTE);
+    assert_eq!(report.events.len(), 1);
+    assert_eq!(report.events[0].kind, EventKind::LogUp);
+    assert_eq!(report.dropped, 0);
+}
+
+#[test]
+fn events_under_another_process_are_left_out() {
+    let mut reports = session::publish_and_crash();
+    reports[0].events[0].daemon = DaemonId(2);
+    let line = merge_reports(reports.clone(), Vec::new());
+    let all: usize = reports.iter().map(|report| report.events.len()).sum();
+    assert_eq!(line.events.len(), all - 1);
+}
+
+#[test]
+fn kinds_have_names_of_their_own() {
+    let mut names: Vec<&str> = EventKind::ALL.iter().map(|kind| kind.name()).collect();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(names.len(), EventKind::ALL.len());
+}
