--- a/crates/trace/src/page.rs
+++ b/crates/trace/src/page.rs
@@ -28,6 +28,7 @@
 const MARGIN_PX: u32 = 60;
 const LABEL_PX: u32 = 180;
 const DOT_PX: i32 = 4;
+const AXIS_FONT_PX: f64 = 12.0;
 const STYLE: &str = "body{font-family:sans-serif;margin:1em}\
 table{border-collapse:collapse;font-size:small}\
 td,th{padding:2px 8px;text-align:left;border-bottom:1px solid #ddd}\
@@ -86,6 +87,7 @@
         .configure_mesh()
         .disable_mesh()
         .x_desc("seconds since the first event")
+        .label_style(("sans-serif", AXIS_FONT_PX))
         .y_labels(0)
         .y_label_formatter(&label)
         .draw()?;
