--- a/crates/limits/benches/limits/main.rs
+++ b/crates/limits/benches/limits/main.rs
@@ -21,6 +21,9 @@
 /// Most bytes a second that a daemon may spend on limits, on average.
 const MAX_BYTES_PER_S: f64 = 2048.0;
 
+/// The same for the daemon that spends most.
+const MAX_BYTES_OF_ONE_PER_S: f64 = 4096.0;
+
 fn main() -> ExitCode {
     let mut broken = Vec::new();
     let mut table = new_table();
@@ -37,7 +40,7 @@
     let mut table = new_table();
     for scenario in BYTES {
         let figures = Fleet::new(Way::Shares, scenario).run();
-        if figures.bytes_mean > MAX_BYTES_PER_S {
+        if figures.bytes_mean > MAX_BYTES_PER_S || figures.bytes_most > MAX_BYTES_OF_ONE_PER_S {
             broken.push(format!("{}: too many bytes", scenario.name));
         }
         table.add_row(row(&scenario, Way::Shares, &figures));
--- a/crates/limits/src/demand.rs
+++ b/crates/limits/src/demand.rs
@@ -15,6 +15,9 @@
 /// Standard deviations of the short average that count as a change.
 const CHANGE_DEVIATIONS: f64 = 4.0;
 
+/// Standard deviations of the long average that count as a change between two of them.
+const REPORT_DEVIATIONS: f64 = 6.0;
+
 /// Rate below which the short average's deviation is not trusted.
 const MIN_RATE: f64 = 4.0;
 
@@ -134,6 +137,6 @@
 
     /// Least change of the rate from `before` that is not chance.
     pub(crate) fn rate_noise(before: f64) -> f64 {
-        (before.max(1.0 / LONG_S) / 2.0 / LONG_S).sqrt() * CHANGE_DEVIATIONS
+        (before.max(1.0 / LONG_S) / 2.0 / LONG_S).sqrt() * REPORT_DEVIATIONS
     }
 }
--- /dev/null
+++ b/crates/route/benches/routing/faults.rs
@@ -0,0 +1,86 @@
+//! Faults brought about while a run goes on.
+
+use std::time::Duration;
+
+use model::ClockPort;
+use quetzal_route::{AdmissionGate, TargetView};
+
+use crate::run::{Answer, Attempt, COLD_TIME, Event, Run, domain, gate_config};
+use crate::scenario::{self, Fault};
+
+/// Time after which a proxy gives a lost target up.
+pub const LOST_AFTER: Duration = Duration::from_millis(250);
+
+/// Time after which the membership knows of a loss.
+const DETECTION: Duration = Duration::from_secs(2);
+
+/// Time between two changes under churn.
+const CHURN_STEP: Duration = Duration::from_millis(500);
+
+impl Run {
+    /// Brings the fault about; `number` counts the changes.
+    pub fn change(&mut self, number: usize) {
+        match (self.scenario.fault, number) {
+            (Fault::ColdStart, 0) => {
+                self.targets[0].present = false;
+                self.learn();
+                self.schedule(Duration::from_secs(1), Event::Change(1));
+            }
+            (Fault::ColdStart, _) => {
+                self.targets[0].present = true;
+                self.targets[0].cold_until = self.clock.now() + COLD_TIME;
+                self.learn();
+            }
+            (Fault::DomainLost, _) => {
+                self.domain_lost = true;
+                for index in 0..self.targets.len() {
+                    if self.targets[index].domain == 0 {
+                        self.lose(index);
+                    }
+                }
+                self.schedule(DETECTION, Event::Learn);
+            }
+            (Fault::Churn, _) => {
+                let index = (number / 2) % self.targets.len();
+                self.targets[index].present = number % 2 == 1;
+                self.learn();
+                self.schedule(CHURN_STEP, Event::Change(number + 1));
+            }
+            _ => {}
+        }
+    }
+
+    /// Loses a target with all that it runs.
+    fn lose(&mut self, index: usize) {
+        self.targets[index].present = false;
+        self.targets[index].gate = AdmissionGate::new(gate_config(&self.size), self.clock.shared());
+        self.targets[index].running = 0;
+        let at_target = |attempt: &Attempt| attempt.choice.target == index;
+        let lost = self
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| at_target(attempt));
+        let mut lost: Vec<u64> = lost.map(|(number, _)| *number).collect();
+        lost.sort_unstable();
+        for number in lost {
+            self.schedule(LOST_AFTER, Event::Answer(number, Answer::Lost));
+        }
+    }
+
+    /// Tells the proxies which targets are present.
+    pub fn learn(&mut self) {
+        let now = self.clock.now();
+        let mut views: Vec<TargetView> = Vec::new();
+        for (index, target) in self.targets.iter().enumerate() {
+            if target.present {
+                let since = target.cold_until.checked_sub(COLD_TIME).unwrap_or(now);
+                let name = domain(target.domain);
+                let since = since.max(self.start);
+                views.push(scenario::view(index as u64, name, self.size.slots, since));
+            }
+        }
+        for proxy in &mut self.proxies {
+            proxy.chooser.set_targets(&views);
+        }
+    }
+}
--- a/crates/route/benches/routing/main.rs
+++ b/crates/route/benches/routing/main.rs
@@ -5,6 +5,7 @@
 
 mod bounds;
 mod chooser;
+mod faults;
 mod run;
 mod scenario;
 
--- a/crates/route/benches/routing/run.rs
+++ b/crates/route/benches/routing/run.rs
@@ -9,14 +9,15 @@
 use quetzal_route::{
     AdmissionGate, Admit, AttemptFailure, BudgetConfig, CallId, CallOutcome, CallResult,
     CallTicket, FailureCause, GateConfig, LeftCall, RetryBudget, RetryMark, RetryPolicy,
-    RetryVerdict, TargetLoad, TargetView,
+    RetryVerdict, TargetLoad,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use smallvec::SmallVec;
 
 use crate::chooser::{Choice, Chooser, Way};
-use crate::scenario::{self, Fault, MEASURED, SERVICE_TIME, Scenario, Size, WARM_UP};
+use crate::faults::LOST_AFTER;
+use crate::scenario::{Fault, MEASURED, SERVICE_TIME, Scenario, Size, WARM_UP};
 
 /// One way within a failure domain, and between two.
 const NEAR: Duration = Duration::from_micros(200);
@@ -25,14 +26,8 @@
 /// Time a call may take in all.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time after which a proxy gives a lost target up.
-const LOST_AFTER: Duration = Duration::from_millis(250);
-
-/// Time after which the membership knows of a loss.
-const DETECTION: Duration = Duration::from_secs(2);
-
 /// Time for which a cold target is slow, and how much.
-const COLD_TIME: Duration = Duration::from_secs(4);
+pub const COLD_TIME: Duration = Duration::from_secs(4);
 const COLD_SLOWNESS: f64 = 5.0;
 
 /// Time in which a failing target fails a call.
@@ -47,9 +42,6 @@
     reserve: 10.0,
 };
 
-/// Time between two changes under churn.
-const CHURN_STEP: Duration = Duration::from_millis(500);
-
 /// What a run showed.
 pub struct Figures {
     pub latency_us: Histogram<u64>,
@@ -70,24 +62,24 @@
     }
 }
 
-struct Target {
-    gate: AdmissionGate,
+pub struct Target {
+    pub gate: AdmissionGate,
     slowness: f64,
-    domain: usize,
-    present: bool,
-    cold_until: Instant,
-    running: usize,
+    pub domain: usize,
+    pub present: bool,
+    pub cold_until: Instant,
+    pub running: usize,
 }
 
-struct Proxy {
-    chooser: Chooser,
+pub struct Proxy {
+    pub chooser: Chooser,
     policy: RetryPolicy,
     hedges: RetryBudget,
     domain: usize,
 }
 
 #[derive(Clone)]
-struct Call {
+pub struct Call {
     proxy: usize,
     came: Instant,
     attempts: u8,
@@ -95,16 +87,16 @@
     tried: SmallVec<[DaemonId; 3]>,
 }
 
-struct Attempt {
+pub struct Attempt {
     call: Call,
-    choice: Choice,
+    pub choice: Choice,
     sent: Instant,
     waited: Duration,
     twin: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Event {
+pub enum Event {
     Come,
     Reach(u64),
     End(u64),
@@ -115,7 +107,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Answer {
+pub enum Answer {
     Done,
     Failed,
     Lost,
@@ -123,20 +115,20 @@
 }
 
 pub struct Run {
-    size: Size,
-    scenario: Scenario,
-    clock: FakeClock,
-    start: Instant,
+    pub size: Size,
+    pub scenario: Scenario,
+    pub clock: FakeClock,
+    pub start: Instant,
     random: SmallRng,
     events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
     sequence: u64,
-    targets: Vec<Target>,
-    proxies: Vec<Proxy>,
-    attempts: HashMap<u64, Attempt>,
+    pub targets: Vec<Target>,
+    pub proxies: Vec<Proxy>,
+    pub attempts: HashMap<u64, Attempt>,
     next_attempt: u64,
     customers: Vec<CustomerName>,
     figures: Figures,
-    domain_lost: bool,
+    pub domain_lost: bool,
     way: Way,
 }
 
@@ -207,7 +199,7 @@
         self.figures
     }
 
-    fn schedule(&mut self, after: Duration, event: Event) {
+    pub fn schedule(&mut self, after: Duration, event: Event) {
         // The fake clock counts whole microseconds.
         let after = Duration::from_micros(after.as_micros() as u64);
         self.sequence += 1;
@@ -488,80 +480,14 @@
             Answer::Refused(_) => self.figures.refused += 1,
         }
     }
-
-    /// Brings the fault about; `number` counts the changes.
-    fn change(&mut self, number: usize) {
-        match (self.scenario.fault, number) {
-            (Fault::ColdStart, 0) => {
-                self.targets[0].present = false;
-                self.learn();
-                self.schedule(Duration::from_secs(1), Event::Change(1));
-            }
-            (Fault::ColdStart, _) => {
-                self.targets[0].present = true;
-                self.targets[0].cold_until = self.clock.now() + COLD_TIME;
-                self.learn();
-            }
-            (Fault::DomainLost, _) => {
-                self.domain_lost = true;
-                for index in 0..self.targets.len() {
-                    if self.targets[index].domain == 0 {
-                        self.lose(index);
-                    }
-                }
-                self.schedule(DETECTION, Event::Learn);
-            }
-            (Fault::Churn, _) => {
-                let index = (number / 2) % self.targets.len();
-                self.targets[index].present = number % 2 == 1;
-                self.learn();
-                self.schedule(CHURN_STEP, Event::Change(number + 1));
-            }
-            _ => {}
-        }
-    }
-
-    /// Loses a target with all that it runs.
-    fn lose(&mut self, index: usize) {
-        self.targets[index].present = false;
-        self.targets[index].gate = AdmissionGate::new(gate_config(&self.size), self.clock.shared());
-        self.targets[index].running = 0;
-        let at_target = |attempt: &Attempt| attempt.choice.target == index;
-        let lost = self
-            .attempts
-            .iter()
-            .filter(|(_, attempt)| at_target(attempt));
-        let mut lost: Vec<u64> = lost.map(|(number, _)| *number).collect();
-        lost.sort_unstable();
-        for number in lost {
-            self.schedule(LOST_AFTER, Event::Answer(number, Answer::Lost));
-        }
-    }
-
-    /// Tells the proxies which targets are present.
-    fn learn(&mut self) {
-        let now = self.clock.now();
-        let mut views: Vec<TargetView> = Vec::new();
-        for (index, target) in self.targets.iter().enumerate() {
-            if target.present {
-                let since = target.cold_until.checked_sub(COLD_TIME).unwrap_or(now);
-                let name = domain(target.domain);
-                let since = since.max(self.start);
-                views.push(scenario::view(index as u64, name, self.size.slots, since));
-            }
-        }
-        for proxy in &mut self.proxies {
-            proxy.chooser.set_targets(&views);
-        }
-    }
 }
 
-fn domain(number: usize) -> model::DomainName {
+pub fn domain(number: usize) -> model::DomainName {
     let name = format!("domain-{number}");
     name.parse().expect("a sound name")
 }
 
-fn gate_config(size: &Size) -> GateConfig {
+pub fn gate_config(size: &Size) -> GateConfig {
     GateConfig {
         slots: CallCount(size.slots),
         connections: CallCount(130),
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -39,6 +39,9 @@
 /// Least free share of slots that the estimate of waits assumes.
 const MIN_FREE_SHARE: f32 = 0.05;
 
+/// Least share of successes that the score assumes.
+const MIN_SUCCESS_SHARE: f32 = 0.05;
+
 /// A target and what calls have shown about it.
 #[derive(Clone, Debug)]
 pub(crate) struct Candidate {
@@ -191,7 +194,7 @@
         let free = (1.0 - utilization).max(MIN_FREE_SHARE);
         let wait = utilization.powi(4) / (free * slots);
         let queue = (calls / slots - 1.0).max(0.0);
-        let attempts = 1.0 / (1.0 - self.health.share(now)).max(MIN_FREE_SHARE);
+        let attempts = 1.0 / (1.0 - self.health.share(now)).max(MIN_SUCCESS_SHARE);
         self.service_s(mean, now) * (1.0 + wait + queue) * attempts
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod picker;
 mod queue;
 pub mod retry;
+mod service;
 pub mod target;
 
 pub use admission::{AdmissionGate, Admit, AdmitAnswer, CallId, CallTicket, GateConfig, LeftCall};
