--- /dev/null
+++ b/crates/cli/src/cmd/undo.rs
@@ -0,0 +1,70 @@
+//! quetzal undo VERSION: takes one accepted version back, as a new version.
+//!
+//! Refused if another change of the same entries came since. Exit codes are
+//! those of `publish`.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use model::{ChangeId, ConfigVersion};
+use plans::ChangeMeta;
+use uuid::Uuid;
+
+use crate::client::DaemonClient;
+use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
+use crate::follow::await_force;
+use crate::output::outln;
+use crate::publication::{ConfigLog, show_refusal};
+
+/// Arguments of `undo`.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
+pub struct UndoArgs {
+    #[bpaf(external(daemon_args))]
+    daemon: DaemonArgs,
+    #[bpaf(external(author_args))]
+    author: AuthorArgs,
+    /// Seconds to wait until the change is in force everywhere
+    #[bpaf(argument("SECONDS"), fallback(15), display_fallback)]
+    wait: u64,
+    /// Identity of an undo whose outcome is unknown, to publish it again
+    #[bpaf(argument("ID"), optional)]
+    change: Option<ChangeId>,
+    /// Print JSON
+    json: bool,
+    /// Version to take back
+    #[bpaf(positional("VERSION"))]
+    version: ConfigVersion,
+}
+
+/// Publishes the change that takes the version back.
+pub fn run(args: &UndoArgs) -> Result<ExitCode> {
+    let client = DaemonClient::new(&args.daemon);
+    let log = ConfigLog::open(&client, ConfigVersion::NONE)?;
+    let state = log.state();
+    let note = match args.author.note.as_str() {
+        "" => format!("undo of version {}", args.version),
+        note => note.to_owned(),
+    };
+    let meta = ChangeMeta {
+        id: args.change.unwrap_or_else(|| ChangeId(Uuid::now_v7())),
+        author: args.author.author()?,
+        note: note.into(),
+    };
+    let change = state.undo(args.version, meta)?;
+    if let Some(refusal) = state.preview(&change) {
+        return Err(show_refusal(&refusal));
+    }
+    if !args.json {
+        outln!("change {} by {}: {}", change.id, change.author, change.note);
+        for edit in &change.edits {
+            outln!("  {}", edit.entry);
+        }
+    }
+    let publication = log.publish(&change)?;
+    let wait = Duration::from_secs(args.wait);
+    let report = await_force(&client, &publication, wait, |_| {})?;
+    report.show(args.json)?;
+    Ok(report.exit_code())
+}
--- /dev/null
+++ b/crates/daemon/src/beside.rs
@@ -0,0 +1,353 @@
+//! The targets beside this daemon: announcement, admission and calls to them.
+//!
+//! Whatever proxy a call comes from, it passes the gate of its target here, so
+//! the target's slots hold over the whole fleet. Every refusal given before
+//! the target was reached is proven not to have run; once bytes may have
+//! reached the target a lost call's outcome is unknown.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use http::Response;
+use hyper::body::Incoming;
+use members::announce::{TargetAnnouncement, TargetChange, TargetRegistry, TargetState};
+use members::digest::TargetDigest;
+use model::{CallCount, ErrorKind, KindError, SharedClock, TargetName};
+use once::RequestPrint;
+use route::{GateConfig, TargetLoad};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
+
+use crate::body::{BodyBounds, BodyEnd, CallBody};
+use crate::gate::{GatePass, TargetGate};
+use crate::key_desk::KeyDesk;
+use crate::peer::{CallHead, CallRefusal, ResponseHead, pack_headers};
+use crate::target_client::TargetClient;
+
+/// An answer, or why there is none.
+pub type Result<T> = std::result::Result<T, CallRefusal>;
+
+/// Time for a target to take a connection before it counts as crashed.
+const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The targets beside this daemon.
+#[derive(Debug)]
+pub struct BesideDesk {
+    clock: SharedClock,
+    queue: CallCount,
+    bounds: BodyBounds,
+    client: TargetClient,
+    keys: Arc<KeyDesk>,
+    tasks: TaskTracker,
+    state: Mutex<BesideState>,
+}
+
+#[derive(Debug)]
+struct BesideState {
+    registry: TargetRegistry,
+    gates: HashMap<TargetName, Arc<TargetGate>>,
+}
+
+/// A call that holds its slot beside the target.
+#[derive(Debug)]
+pub struct AdmittedCall {
+    gate: Arc<TargetGate>,
+    pass: GatePass,
+    address: SocketAddr,
+    deadline: Instant,
+}
+
+/// A request in flight at a target, watched for crashes; ends when dropped.
+#[derive(Debug)]
+struct RequestFlight {
+    keys: Arc<KeyDesk>,
+    target: TargetName,
+    print: RequestPrint,
+    sound: bool,
+}
+
+impl RequestFlight {
+    /// Ends a request whose connection broke: looks whether the target is still there.
+    async fn end_broken(self, address: SocketAddr) {
+        let connecting = timeout(CRASH_PROBE_TIMEOUT, TcpStream::connect(address));
+        if !matches!(connecting.await, Ok(Ok(_))) {
+            let outputs = self.keys.poison().on_target_crashed(&self.target);
+            self.keys.note_poison(outputs);
+        }
+    }
+}
+
+impl Drop for RequestFlight {
+    fn drop(&mut self) {
+        let output = self
+            .keys
+            .poison()
+            .finish(&self.target, self.print, self.sound);
+        self.keys.note_poison(output);
+    }
+}
+
+/// A target's answer with its body.
+#[derive(Debug)]
+pub struct TargetAnswer {
+    /// Status, headers and load.
+    pub head: ResponseHead,
+    /// The body; the call keeps its slot until it ends.
+    pub body: CallBody,
+}
+
+impl BesideDesk {
+    /// A desk without targets; `queue` calls may wait for each, answers stay within `bounds`.
+    pub fn new(
+        queue: CallCount,
+        bounds: BodyBounds,
+        keys: Arc<KeyDesk>,
+        tasks: TaskTracker,
+        clock: SharedClock,
+    ) -> Self {
+        Self {
+            queue,
+            bounds,
+            keys,
+            tasks,
+            client: TargetClient::new(),
+            state: Mutex::new(BesideState {
+                registry: TargetRegistry::new(Arc::clone(&clock)),
+                gates: HashMap::new(),
+            }),
+            clock,
+        }
+    }
+
+    /// Takes a target's announcement; tells what changed.
+    pub fn announce(
+        &self,
+        announcement: TargetAnnouncement,
+    ) -> model::Result<Option<TargetChange>> {
+        let config = GateConfig {
+            slots: announcement.slots,
+            connections: announcement.connections,
+            queue: self.queue,
+        };
+        let (target, state) = (announcement.target.clone(), announcement.state);
+        let mut desk = self.lock();
+        let change = desk.registry.announce(announcement)?;
+        let gate = desk.open_gate(&target, config, &self.clock);
+        drop(desk);
+        gate.resize(config);
+        match state {
+            TargetState::Draining | TargetState::Gone => gate.drain(),
+            TargetState::Starting | TargetState::Ready => {}
+        }
+        Ok(change)
+    }
+
+    /// Drops targets whose heartbeat stopped; tells what changed.
+    pub fn on_tick(&self) -> Vec<TargetChange> {
+        let mut desk = self.lock();
+        let changes = desk.registry.on_tick();
+        for change in &changes {
+            if let Some(gate) = desk.gates.remove(&change.target) {
+                gate.drain();
+            }
+        }
+        changes
+    }
+
+    /// What the other daemons are told about the targets.
+    pub fn digests(&self) -> Vec<TargetDigest> {
+        self.lock().registry.digests()
+    }
+
+    /// Refuses new work for every target from now on.
+    pub fn drain(&self) -> Vec<TargetChange> {
+        let mut desk = self.lock();
+        for gate in desk.gates.values() {
+            gate.drain();
+        }
+        desk.registry.drain_all()
+    }
+
+    /// Whether no call runs or waits beside any target.
+    pub fn is_idle(&self) -> bool {
+        self.lock().gates.values().all(|gate| gate.is_idle())
+    }
+
+    /// Load of each target.
+    pub fn loads(&self) -> Vec<(TargetName, TargetLoad)> {
+        let desk = self.lock();
+        let loads = desk
+            .gates
+            .iter()
+            .map(|(name, gate)| (name.clone(), gate.load()));
+        loads.collect()
+    }
+
+    /// Gives the call its slot, or refuses it before anything was sent to the target.
+    pub async fn admit(&self, head: &CallHead) -> Result<AdmittedCall> {
+        let deadline = self.clock.now() + head.remaining;
+        let (gate, address) = self.find(head)?;
+        let entered = gate.enter(&head.customer, head.class, deadline).await;
+        let pass = entered.map_err(|error| refuse(&gate, error))?;
+        Ok(AdmittedCall {
+            gate,
+            pass,
+            address,
+            deadline,
+        })
+    }
+
+    /// Runs an admitted call on its target.
+    pub async fn run(
+        &self,
+        admitted: AdmittedCall,
+        head: &CallHead,
+        body: CallBody,
+    ) -> Result<TargetAnswer> {
+        let AdmittedCall {
+            gate,
+            mut pass,
+            address,
+            deadline,
+        } = admitted;
+        let flight = self.start(head).map_err(|error| refuse(&gate, error))?;
+        let mut forward = head.clone();
+        forward.remaining = deadline.saturating_duration_since(self.clock.now());
+        let sending = self.client.send(address, &forward, body);
+        match timeout(forward.remaining, sending).await {
+            Ok(Ok(response)) => Ok(self.answer_with(response, &gate, pass, flight, address)),
+            Ok(Err(error)) => {
+                pass.mark_failed();
+                flight.end_broken(address).await;
+                Err(refuse(&gate, error))
+            }
+            Err(_) => Err(refuse(&gate, out_of_time())),
+        }
+    }
+
+    /// Lets a call go to the target: no request that crashes targets, no stale permit.
+    fn start(&self, head: &CallHead) -> model::Result<RequestFlight> {
+        let print = RequestPrint(head.print);
+        let target = head
+            .target
+            .clone()
+            .ok_or_else(|| KindError::new(ErrorKind::TargetAbsent, "no target named"))?;
+        self.keys.poison().start(&target, print)?;
+        // From here on the flight ends when it is dropped.
+        let flight = RequestFlight {
+            keys: Arc::clone(&self.keys),
+            target,
+            print,
+            sound: false,
+        };
+        if !head.idempotent {
+            let pass = head.pass.as_ref().ok_or_else(|| {
+                KindError::new(ErrorKind::PermitInvalid, "a keyed call without a permit")
+            })?;
+            self.keys.issuer().redeem(pass)?;
+        }
+        Ok(flight)
+    }
+
+    fn answer_with(
+        &self,
+        response: Response<Incoming>,
+        gate: &Arc<TargetGate>,
+        mut pass: GatePass,
+        mut flight: RequestFlight,
+        address: SocketAddr,
+    ) -> TargetAnswer {
+        let (parts, incoming) = response.into_parts();
+        if parts.status.is_server_error() {
+            pass.mark_failed();
+        }
+        let head = ResponseHead {
+            status: parts.status.as_u16(),
+            headers: pack_headers(&parts.headers),
+            load: gate.load(),
+            waited: pass.waited,
+        };
+        let tasks = self.tasks.clone();
+        let body = CallBody::from_target(incoming, self.bounds).watched(move |end| {
+            flight.sound = end == BodyEnd::Whole;
+            if end == BodyEnd::Broken {
+                pass.mark_failed();
+                tasks.spawn(flight.end_broken(address));
+            }
+            drop(pass);
+        });
+        TargetAnswer { head, body }
+    }
+
+    fn find(&self, head: &CallHead) -> Result<(Arc<TargetGate>, SocketAddr)> {
+        let desk = self.lock();
+        let target = head
+            .target
+            .as_ref()
+            .ok_or_else(|| absent("no target named"))?;
+        let announcement = desk
+            .registry
+            .target(target)
+            .filter(|found| found.service == head.service)
+            .ok_or_else(|| absent("the target is not beside this daemon"))?;
+        match announcement.state {
+            TargetState::Ready => {}
+            TargetState::Draining => return Err(draining()),
+            TargetState::Starting | TargetState::Gone => return Err(absent("not ready")),
+        }
+        let gate = desk.gates.get(target).ok_or_else(|| absent("no gate"))?;
+        Ok((Arc::clone(gate), announcement.address))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BesideState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl BesideState {
+    /// The gate of `target`; a target that drained and came back gets a new one.
+    fn open_gate(
+        &mut self,
+        target: &TargetName,
+        config: GateConfig,
+        clock: &SharedClock,
+    ) -> Arc<TargetGate> {
+        let fresh = || Arc::new(TargetGate::new(config, Arc::clone(clock)));
+        let gate = self.gates.entry(target.clone()).or_insert_with(fresh);
+        if gate.is_draining() && self.registry.target(target).is_some_and(is_willing) {
+            *gate = fresh();
+        }
+        Arc::clone(gate)
+    }
+}
+
+fn is_willing(announcement: &TargetAnnouncement) -> bool {
+    announcement.state < TargetState::Draining
+}
+
+fn refuse(gate: &TargetGate, error: KindError) -> CallRefusal {
+    let come_again = error.kind.answer().not_run && error.kind.answer().retryable;
+    CallRefusal {
+        retry_after: come_again.then(|| gate.retry_after().max(Duration::from_millis(10))),
+        load: Some(gate.load()),
+        ..error.into()
+    }
+}
+
+fn out_of_time() -> KindError {
+    KindError::new(
+        ErrorKind::OutcomeUnknown,
+        "the deadline passed while the target ran the call",
+    )
+}
+
+fn absent(detail: &str) -> CallRefusal {
+    KindError::new(ErrorKind::TargetAbsent, detail).into()
+}
+
+fn draining() -> CallRefusal {
+    KindError::new(ErrorKind::Draining, "the target is draining").into()
+}
--- /dev/null
+++ b/crates/once/tests/model/world/node.rs
@@ -0,0 +1,394 @@
+//! One daemon of the world: what `quetzald` does with the parts of the crate.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::once::home::{BookId, HandedOutcome, KeySettlement};
+use crate::once::lease::{LeaseKeeper, LeaseOutput, LeaseView};
+use crate::once::permit::{
+    DispatchPass, DispatchPermit, PermitGrant, PermitIssuer, PermitPurse, PermitRequest,
+    PermitSettings, RevokeAnswer,
+};
+use crate::once::{
+    HandoverPage, HolderId, HolderStatus, HomeAnswer, IssuerMove, KeyCall, KeyHome, KeyRefusal,
+    KeyRouter, KeyVerdict, RunOutcome, RunTicket, StageAnswer, StoredAnswer,
+};
+use model::{ClockPort, FakeClock};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::flights::Flight;
+use super::leaving::Handing;
+use super::ledger::{CallerAnswer, Ledger};
+use super::log::{LogAnswer, LogRequest};
+use super::{STEP_MS, WINDOW, home_settings, lease_settings};
+
+/// A call starts no later than this after a proxy took it.
+pub const CALL_DEADLINE: Duration = Duration::from_secs(3);
+
+/// What daemons send each other.
+#[derive(Clone, Debug)]
+pub enum Message {
+    Call {
+        sending: u64,
+        call: KeyCall,
+    },
+    Answer {
+        sending: u64,
+        answer: CallerAnswer,
+    },
+    PermitAsk(PermitRequest),
+    PermitGranted(PermitGrant),
+    Dispatch {
+        sending: u64,
+        pass: DispatchPass,
+        ticket: RunTicket,
+    },
+    Ran {
+        sending: u64,
+        answer: Arc<StoredAnswer>,
+    },
+    Declined {
+        sending: u64,
+    },
+    Revoke {
+        sending: u64,
+        permit: DispatchPermit,
+    },
+    Revoked {
+        sending: u64,
+        answer: RevokeAnswer,
+    },
+    Page(HandoverPage),
+    Staged {
+        book: BookId,
+        answer: StageAnswer,
+    },
+    Settled(KeySettlement),
+    Recall {
+        sending: u64,
+        call: KeyCall,
+    },
+    Recalled {
+        sending: u64,
+        answer: CallerAnswer,
+    },
+    View(LeaseView),
+}
+
+type Outgoing = Vec<(HolderId, Message)>;
+
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "faults are switched one by one"
+)]
+pub struct Node {
+    pub id: HolderId,
+    pub alive: bool,
+    pub leaving: bool,
+    pub clock: FakeClock,
+    pub home: KeyHome,
+    pub keeper: LeaseKeeper,
+    pub router: KeyRouter,
+    pub calls: Vec<(u64, KeyCall, Instant)>,
+    pub new_moves: Vec<IssuerMove>,
+    /// The target runs calls but its answers get lost.
+    pub loses_answers: bool,
+    /// The target takes no calls.
+    pub declines: bool,
+    /// How long the target takes.
+    pub target_ms: u64,
+    /// The daemons that answer this one; all of them without.
+    pub reachable: Option<Vec<u64>>,
+    pub(super) issuer: PermitIssuer,
+    pub(super) purse: PermitPurse,
+    pub(super) flights: HashMap<u64, Flight>,
+    pub(super) recalls: HashMap<u64, (HolderId, KeyRefusal, Instant)>,
+    pub(super) running: Vec<(Instant, HolderId, u64, Arc<StoredAnswer>)>,
+    pub(super) outbox: Outgoing,
+    log_requests: Vec<LogRequest>,
+    pub(super) handings: BTreeMap<BookId, Handing>,
+    pub(super) late: Vec<HandedOutcome>,
+    pub(super) peers: Vec<HolderId>,
+    paused_since: u64,
+    paused_until: u64,
+    clock_stopped_until: u64,
+    steps: u64,
+}
+
+impl Node {
+    pub fn start(id: HolderId, seed: u64) -> Self {
+        let clock = FakeClock::new();
+        let shared = || clock.shared();
+        let rng = SmallRng::seed_from_u64(seed);
+        Self {
+            id,
+            alive: true,
+            leaving: false,
+            home: KeyHome::new(id, home_settings(), shared()),
+            keeper: LeaseKeeper::new(id, lease_settings(), shared(), rng),
+            router: KeyRouter::new(id, WINDOW, shared()),
+            calls: Vec::new(),
+            new_moves: Vec::new(),
+            loses_answers: false,
+            declines: false,
+            target_ms: 60,
+            issuer: PermitIssuer::new(id, PermitSettings::default(), shared()),
+            purse: PermitPurse::new(id, shared()),
+            flights: HashMap::new(),
+            recalls: HashMap::new(),
+            running: Vec::new(),
+            outbox: Vec::new(),
+            log_requests: Vec::new(),
+            handings: BTreeMap::new(),
+            late: Vec::new(),
+            peers: Vec::new(),
+            reachable: None,
+            paused_since: 0,
+            paused_until: 0,
+            clock_stopped_until: 0,
+            steps: 0,
+            clock,
+        }
+    }
+
+    pub fn pause(&mut self, now: u64, until: u64, clock_stops: bool) {
+        self.paused_until = until;
+        self.paused_since = now;
+        if clock_stops {
+            self.clock_stopped_until = until;
+        }
+    }
+
+    pub fn advance(&mut self, now: u64) {
+        if now > self.clock_stopped_until {
+            self.clock.advance(Duration::from_millis(STEP_MS));
+        }
+    }
+
+    pub fn is_awake(&self, now: u64) -> bool {
+        self.alive && now > self.paused_until
+    }
+
+    /// Whether the others count on this daemon; they notice a pause after a second.
+    pub fn is_member(&self, now: u64) -> bool {
+        let silent = now <= self.paused_until && now > self.paused_since + 1000;
+        self.alive && !self.leaving && !silent
+    }
+
+    pub fn take_log_requests(&mut self) -> Vec<LogRequest> {
+        std::mem::take(&mut self.log_requests)
+    }
+
+    /// What was decided in the step before goes out now: a pause may fall between.
+    pub fn step(
+        &mut self,
+        homes: &[HolderId],
+        statuses: &BTreeMap<HolderId, HolderStatus>,
+        ledger: &mut Ledger,
+    ) -> Outgoing {
+        let outgoing = std::mem::take(&mut self.outbox);
+        self.steps += 1;
+        let reachable = &self.reachable;
+        let sees = |home: &HolderId| {
+            reachable
+                .as_ref()
+                .is_none_or(|all| all.contains(&home.daemon.0))
+        };
+        self.peers = homes.iter().copied().filter(sees).collect();
+        self.keeper.set_homes(homes.to_vec());
+        let outputs = self.keeper.on_tick();
+        self.take_outputs(outputs);
+        if self.steps.is_multiple_of(25) {
+            self.home.on_tick(self.keeper.log_now());
+        }
+        self.route_calls(statuses, ledger);
+        self.end_runs();
+        self.check_flights(ledger);
+        self.check_recalls(ledger);
+        if self.leaving {
+            self.hand_over();
+        }
+        outgoing
+    }
+
+    pub fn on_log_answer(&mut self, answer: LogAnswer) {
+        match answer {
+            LogAnswer::Read(Some(answer)) => {
+                let outputs = self.keeper.on_read(&answer);
+                self.take_outputs(outputs);
+            }
+            LogAnswer::Read(None) => self.keeper.on_read_failed(),
+            LogAnswer::Appended { serial, answered } => self.keeper.on_appended(serial, answered),
+        }
+    }
+
+    fn take_outputs(&mut self, outputs: Vec<LeaseOutput>) {
+        for output in outputs {
+            match output {
+                LeaseOutput::Read { from, limit } => {
+                    self.log_requests.push(LogRequest::Read(from, limit));
+                }
+                LeaseOutput::Append { serial, body } => {
+                    self.log_requests.push(LogRequest::Append { serial, body });
+                }
+                LeaseOutput::Term(update) => self.home.on_term(update),
+                LeaseOutput::View(view) => {
+                    self.issuer.observe(&view);
+                    self.router.on_view(view.clone());
+                    let peers = self.peers.iter().filter(|peer| **peer != self.id);
+                    let sends = peers.map(|peer| (*peer, Message::View(view.clone())));
+                    self.outbox.extend(sends);
+                }
+                LeaseOutput::Alarm(error) => panic!("unexpected alarm: {error}"),
+            }
+        }
+    }
+
+    fn route_calls(&mut self, statuses: &BTreeMap<HolderId, HolderStatus>, ledger: &mut Ledger) {
+        let reachable = self.reachable.clone();
+        let status_of = |id: HolderId| {
+            if reachable
+                .as_ref()
+                .is_some_and(|all| !all.contains(&id.daemon.0))
+            {
+                return HolderStatus::Unreachable;
+            }
+            statuses
+                .get(&id)
+                .copied()
+                .unwrap_or(HolderStatus::Unreachable)
+        };
+        let now = self.clock.now();
+        for (sending, call, since) in std::mem::take(&mut self.calls) {
+            // A proxy that was paused drops what is past its deadline.
+            if now.saturating_duration_since(since) > CALL_DEADLINE {
+                continue;
+            }
+            match self.router.home_of(&call.key, call.digest, status_of) {
+                HomeAnswer::Local => self.begin(self.id, sending, &call, ledger),
+                HomeAnswer::Remote(home) => {
+                    self.outbox.push((home, Message::Call { sending, call }));
+                }
+                HomeAnswer::Refused(refusal) => {
+                    let answer = CallerAnswer::Refused(refusal);
+                    self.tell(self.id, sending, answer, ledger);
+                }
+            }
+        }
+    }
+
+    pub(super) fn tell(
+        &mut self,
+        proxy: HolderId,
+        sending: u64,
+        answer: CallerAnswer,
+        ledger: &mut Ledger,
+    ) {
+        ledger.claim(sending, &answer);
+        if proxy == self.id {
+            ledger.deliver(sending, answer);
+        } else {
+            self.outbox
+                .push((proxy, Message::Answer { sending, answer }));
+        }
+    }
+
+    pub fn on_message(&mut self, from: HolderId, message: Message, ledger: &mut Ledger) {
+        match message {
+            Message::Call { sending, call } => self.begin(from, sending, &call, ledger),
+            Message::Answer { sending, answer } => ledger.deliver(sending, answer),
+            Message::PermitAsk(request) => {
+                let grant = self.issuer.grant(&request);
+                self.outbox.push((from, Message::PermitGranted(grant)));
+            }
+            Message::PermitGranted(grant) => {
+                // The request left at most this long ago; see `DISPATCH_TIMEOUT`.
+                let asked = self.clock.now();
+                self.purse.on_grant(&grant, asked);
+            }
+            Message::Dispatch {
+                sending,
+                pass,
+                ticket,
+            } => {
+                self.start_run(from, sending, &pass, ticket, ledger);
+            }
+            Message::Ran { sending, answer } => {
+                self.end(sending, RunOutcome::Done(answer), ledger);
+            }
+            Message::Declined { sending } => self.end(sending, RunOutcome::NotRun, ledger),
+            Message::Revoke { sending, permit } => {
+                let answer = self.issuer.revoke(permit);
+                self.outbox
+                    .push((from, Message::Revoked { sending, answer }));
+            }
+            Message::Revoked { sending, answer } => match answer {
+                RevokeAnswer::NeverUsed => self.end(sending, RunOutcome::NotRun, ledger),
+                RevokeAnswer::Used | RevokeAnswer::Unknown => {
+                    self.end(sending, RunOutcome::Lost, ledger);
+                }
+            },
+            Message::Page(page) => {
+                let book = page.book;
+                if let Ok(answer) = self.home.stage(from, page) {
+                    self.outbox.push((from, Message::Staged { book, answer }));
+                }
+            }
+            Message::Staged { book, answer } => self.on_staged(book, answer),
+            Message::Settled(settlement) => {
+                let handed = self.home.on_settlement(settlement);
+                self.late.extend(handed);
+                self.send_late();
+            }
+            Message::Recall { sending, call } => {
+                let answer = match self.home.recall(&call) {
+                    Some(KeyVerdict::Finished(answer)) => CallerAnswer::Answered(answer),
+                    Some(KeyVerdict::Running) => CallerAnswer::Running,
+                    Some(KeyVerdict::Refused(refusal)) => CallerAnswer::Refused(refusal),
+                    Some(KeyVerdict::Run(_)) | None => return,
+                };
+                self.outbox
+                    .push((from, Message::Recalled { sending, answer }));
+            }
+            Message::Recalled { sending, answer } => {
+                if let Some((proxy, _, _)) = self.recalls.remove(&sending) {
+                    self.tell(proxy, sending, answer, ledger);
+                }
+            }
+            Message::View(view) => {
+                self.keeper.on_view(&view);
+                self.issuer.observe(&view);
+                self.router.on_view(view);
+            }
+        }
+    }
+
+    fn start_run(
+        &mut self,
+        home: HolderId,
+        sending: u64,
+        pass: &DispatchPass,
+        ticket: RunTicket,
+        ledger: &mut Ledger,
+    ) {
+        if self.declines || self.issuer.redeem(pass).is_err() {
+            self.outbox.push((home, Message::Declined { sending }));
+            return;
+        }
+        let answer = ledger.run(ticket.digest);
+        let ends = self.clock.now() + Duration::from_millis(self.target_ms);
+        if !self.loses_answers {
+            self.running.push((ends, home, sending, answer));
+        }
+    }
+
+    fn end_runs(&mut self) {
+        let now = self.clock.now();
+        for (_, home, sending, answer) in self.running.extract_if(.., |run| run.0 <= now) {
+            self.outbox.push((home, Message::Ran { sending, answer }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/spread/benches/measure/mod.rs
@@ -0,0 +1,314 @@
+//! One row of the table: a fleet, an incident, what it took.
+
+use std::time::Duration;
+
+use model::ConfigVersion;
+
+use crate::harness::actor::FleetActor;
+use crate::harness::{Factory, Fleet, FleetShape, READ_BYTES};
+
+/// Changes published for a row without an incident.
+const CHANGES: usize = 5;
+
+/// Time until a fleet has settled.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// Time for which traffic is measured.
+const WATCH: Duration = Duration::from_secs(8);
+
+/// Longest wait for a change to be in force everywhere.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Longest wait until a daemon shows a change as in force everywhere.
+const SHOWN_LIMIT: Duration = Duration::from_secs(5);
+
+/// Customers in the state, so that a snapshot is large beside a delta.
+const ENTRIES: usize = 1000;
+
+/// What happens at the moment of a publish.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Incident {
+    /// Nothing.
+    None,
+    /// A failure domain is lost.
+    DomainLost,
+    /// Half of a failure domain is lost, its readers among them.
+    RackLost,
+    /// All readers of the log stop.
+    ReadersKilled,
+    /// All daemons stop and return within one second.
+    HerdReturn,
+}
+
+impl Incident {
+    pub const FAULTS: [Self; 4] = [
+        Self::DomainLost,
+        Self::RackLost,
+        Self::ReadersKilled,
+        Self::HerdReturn,
+    ];
+}
+
+/// What a row shows; traffic is that of the idle fleet, or from the incident on.
+#[derive(Debug)]
+pub struct Measure {
+    pub way: &'static str,
+    pub size: usize,
+    pub incident: Incident,
+    pub times: Vec<Duration>,
+    pub reached: usize,
+    pub live: usize,
+    pub takeover: Option<Duration>,
+    pub shown: Option<Duration>,
+    pub traffic: Traffic,
+}
+
+/// What the fleet sent and asked for.
+#[derive(Debug)]
+pub struct Traffic {
+    pub mean_bytes: f64,
+    pub max_bytes: f64,
+    pub reads_per_second: f64,
+    pub peak: u64,
+    pub appends: u64,
+    pub proof_age: Option<Duration>,
+    pub micros_per_call: f64,
+    pub micros_per_message: f64,
+    pub messages_per_second: f64,
+    pub calls_per_second: f64,
+}
+
+impl Measure {
+    /// Time until the change was in force on this share of the daemons.
+    pub fn millis(&self, share: f64) -> u128 {
+        let place = (self.times.len() as f64 * share).ceil() as usize;
+        let time = self.times.get(place.saturating_sub(1));
+        time.map_or(0, Duration::as_millis)
+    }
+
+    pub fn cells(&self) -> Vec<String> {
+        let incident = match self.takeover {
+            Some(takeover) => format!("{:?} ({} ms)", self.incident, takeover.as_millis()),
+            None => format!("{:?}", self.incident),
+        };
+        let traffic = &self.traffic;
+        let proof_age = traffic
+            .proof_age
+            .map_or("-".to_owned(), |age| format!("{:.1}", age.as_secs_f64()));
+        vec![
+            self.size.to_string(),
+            incident,
+            self.way.to_owned(),
+            self.millis(0.5).to_string(),
+            self.millis(0.99).to_string(),
+            self.millis(1.0).to_string(),
+            format!("{}/{}", self.reached, self.live),
+            self.shown
+                .map_or("-".to_owned(), |shown| shown.as_millis().to_string()),
+            format!("{:.0}", traffic.mean_bytes),
+            format!("{:.0}", traffic.max_bytes),
+            format!("{:.1}", traffic.reads_per_second),
+            traffic.peak.to_string(),
+            traffic.appends.to_string(),
+            proof_age,
+            format!("{:.1}", traffic.micros_per_call),
+            format!("{:.1}", traffic.calls_per_second),
+            format!("{:.1}", traffic.micros_per_message),
+            format!("{:.1}", traffic.messages_per_second),
+        ]
+    }
+}
+
+/// Measures one row.
+pub fn measure<A: FleetActor>(
+    way: &'static str,
+    shape: &FleetShape,
+    factory: Factory<A>,
+    incident: Incident,
+) -> Measure {
+    let mut fleet = Fleet::new(shape.clone(), Duration::from_secs(1), factory);
+    for entry in 0..ENTRIES {
+        fleet.publish(&format!("customer-{entry}=plan-{}", entry % 9));
+    }
+    fleet.run_for(SETTLE);
+    let mut row = Measure {
+        way,
+        size: shape.daemons,
+        incident,
+        times: Vec::new(),
+        reached: 0,
+        live: 0,
+        takeover: None,
+        shown: None,
+        traffic: watch(&mut fleet, Duration::ZERO),
+    };
+    if incident == Incident::None {
+        row.traffic = watch(&mut fleet, WATCH);
+        for change in 0..CHANGES {
+            publish(&mut fleet, change, &mut row);
+        }
+    } else {
+        let struck_at = strike(&mut fleet, incident);
+        publish(&mut fleet, 0, &mut row);
+        row.takeover = struck_at.map(|at| takeover_time(&fleet, at));
+        row.traffic = watch_on(&mut fleet, WATCH);
+    }
+    row.times.sort_unstable();
+    row
+}
+
+/// Publishes a change and adds to the row what it took.
+fn publish<A: FleetActor>(fleet: &mut Fleet<A>, change: usize, row: &mut Measure) {
+    let published_at = fleet.now();
+    let version = fleet.publish(&format!("customer-{change}=gold"));
+    row.times.extend(fleet.converge(version, LIMIT));
+    row.live += fleet.live();
+    row.reached += fleet.live() - fleet.lagging(version);
+    row.shown = row.shown.max(time_shown(fleet, version, published_at));
+    fleet.run_for(Duration::from_millis(300));
+}
+
+/// Time until a daemon outside the readers shows the version as in force everywhere.
+fn time_shown<A: FleetActor>(
+    fleet: &mut Fleet<A>,
+    version: ConfigVersion,
+    published_at: Duration,
+) -> Option<Duration> {
+    let asked = fleet.slots.iter().position(|slot| {
+        let actor = slot.actor.as_ref();
+        actor.is_some_and(|actor| !actor.reads())
+    })?;
+    let end = fleet.now() + SHOWN_LIMIT;
+    while fleet.now() < end {
+        fleet.run_for(Duration::from_millis(20));
+        let actor = fleet.slots[asked].actor.as_ref()?;
+        if actor.shows(version) {
+            return Some(fleet.now().saturating_sub(published_at));
+        }
+    }
+    None
+}
+
+/// Counts anew and runs for `span`.
+fn watch<A: FleetActor>(fleet: &mut Fleet<A>, span: Duration) -> Traffic {
+    fleet.reset_counts();
+    watch_on(fleet, span)
+}
+
+/// Runs for `span`, then tells what was counted.
+fn watch_on<A: FleetActor>(fleet: &mut Fleet<A>, span: Duration) -> Traffic {
+    let end = fleet.now() + span;
+    let mut proof_age = None;
+    while fleet.now() < end {
+        fleet.run_for(Duration::from_millis(500));
+        let actors = fleet.slots.iter().filter_map(|slot| slot.actor.as_ref());
+        proof_age = proof_age.max(actors.filter_map(FleetActor::proof_age).max());
+    }
+    let seconds = fleet.counted_for().as_secs_f64().max(1.0);
+    let live = fleet.slots.iter().filter(|slot| slot.actor.is_some());
+    let bytes = live
+        .map(|slot| (slot.sent + slot.received + slot.reads * READ_BYTES) as f64 / seconds)
+        .collect::<Vec<_>>();
+    let count = bytes.len().max(1) as f64;
+    Traffic {
+        mean_bytes: bytes.iter().sum::<f64>() / count,
+        max_bytes: bytes.iter().copied().fold(0.0, f64::max),
+        reads_per_second: fleet.log.reads as f64 / seconds,
+        peak: fleet.log.peak(),
+        appends: fleet.log.appends,
+        proof_age,
+        micros_per_call: micros(fleet.spent, fleet.calls),
+        micros_per_message: micros(fleet.coding, fleet.messages),
+        messages_per_second: fleet.messages as f64 / seconds / count,
+        calls_per_second: fleet.calls as f64 / seconds / count,
+    }
+}
+
+fn micros(spent: Duration, count: u64) -> f64 {
+    spent.as_secs_f64() * 1e6 / count.max(1) as f64
+}
+
+/// Brings the incident about; tells since when readers are missing.
+fn strike<A: FleetActor>(fleet: &mut Fleet<A>, incident: Incident) -> Option<Duration> {
+    let places = 0..fleet.slots.len();
+    match incident {
+        Incident::None => None,
+        Incident::DomainLost => {
+            let domains = fleet.shape.domains;
+            for place in places.filter(|place| place % domains == 1) {
+                fleet.kill(place);
+            }
+            None
+        }
+        Incident::RackLost => {
+            kill_rack(fleet);
+            None
+        }
+        Incident::ReadersKilled => kill_readers(fleet),
+        Incident::HerdReturn => {
+            for place in places.clone() {
+                fleet.kill(place);
+            }
+            fleet.run_for(Duration::from_secs(1));
+            expire_config(fleet);
+            for place in places {
+                fleet.start(place, Duration::from_secs(1));
+            }
+            fleet.announce_members();
+            None
+        }
+    }
+}
+
+/// Kills every second daemon of a domain and its readers.
+fn kill_rack<A: FleetActor>(fleet: &mut Fleet<A>) {
+    let domains = fleet.shape.domains;
+    let places = (0..fleet.slots.len()).filter(|place| place % domains == 1);
+    for place in places.collect::<Vec<_>>() {
+        let actor = fleet.slots[place].actor.as_ref();
+        let reads = actor.is_some_and(FleetActor::reads);
+        if reads || (place / domains).is_multiple_of(2) {
+            fleet.kill(place);
+        }
+    }
+}
+
+fn kill_readers<A: FleetActor>(fleet: &mut Fleet<A>) -> Option<Duration> {
+    let places = 0..fleet.slots.len();
+    let reading = places
+        .filter(|place| {
+            let actor = fleet.slots[*place].actor.as_ref();
+            actor.is_some_and(FleetActor::reads)
+        })
+        .collect::<Vec<_>>();
+    if reading.len() == fleet.slots.len() {
+        return None;
+    }
+    for place in reading {
+        fleet.kill(place);
+    }
+    Some(fleet.now())
+}
+
+/// Lets the records expire that a snapshot in the log covers.
+fn expire_config<A: FleetActor>(fleet: &mut Fleet<A>) {
+    if !fleet.log.stream("snapshots").records.is_empty() {
+        fleet.log.stream("config").expire(1);
+    }
+}
+
+/// Time from `at` until each domain had the change.
+fn takeover_time<A: FleetActor>(fleet: &Fleet<A>, at: Duration) -> Duration {
+    let domains = fleet.shape.domains;
+    (0..domains)
+        .map(|domain| {
+            let slots = fleet.slots.iter().skip(domain).step_by(domains);
+            let first = slots
+                .filter(|slot| slot.actor.is_some())
+                .map(|slot| slot.applied_at)
+                .min();
+            first.unwrap_or_default().saturating_sub(at)
+        })
+        .max()
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/spread/tests/distribution.rs
@@ -0,0 +1,177 @@
+//! A fleet converges, and its parts fail.
+
+mod harness;
+
+use std::time::Duration;
+
+use harness::actor::{Node, nodes};
+use harness::{Fleet, FleetShape};
+use model::{DaemonId, ErrorKind, FakeClock, IncarnationNumber};
+use quetzal_spread::{
+    FakeReplica, FreshnessCase, HeadUpdate, LogState, ReplicaHead, SpreadAlarm, SpreadMember,
+    SpreadMessage, SpreadNode, SpreadOutput, SpreadSettings, UpdateBody,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const START: Duration = Duration::from_secs(1);
+
+fn fleet(daemons: usize, seed: u64) -> Fleet<Node> {
+    let mut fleet = Fleet::new(
+        FleetShape::sized(daemons, seed),
+        START,
+        nodes(SpreadSettings::default()),
+    );
+    fleet.publish("first=1");
+    fleet.run_for(Duration::from_secs(10));
+    fleet
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_within_the_target() {
+    for seed in 0..5 {
+        let mut fleet = fleet(14, seed);
+        let version = fleet.publish("a=2");
+        let times = fleet.converge(version, Duration::from_secs(5));
+        assert_eq!(times.len(), 14, "seed {seed}");
+    }
+}
+
+#[test]
+fn every_daemon_can_tell_the_fleet() {
+    let mut fleet = fleet(60, 7);
+    let version = fleet.publish("a=2");
+    fleet.run_for(Duration::from_secs(5));
+    for slot in &fleet.slots {
+        let node = slot.actor.as_ref().unwrap();
+        let (summary, _) = node.fleet_summary().unwrap();
+        assert!(summary.is_everywhere(version), "{summary:?}");
+        assert_eq!(summary.members, 60);
+        assert_eq!(node.freshness().case, FreshnessCase::Current);
+    }
+}
+
+#[test]
+fn a_paused_daemon_takes_no_old_answer_for_a_proof() {
+    for place in 0..12 {
+        let mut fleet = fleet(12, 3);
+        fleet.pause(place);
+        fleet.run_for(Duration::from_secs(30));
+        let version = fleet.publish("a=2");
+        fleet.run_for(Duration::from_secs(1));
+        fleet.resume(place);
+        let node = fleet.slots[place].actor.as_ref().unwrap();
+        assert_eq!(node.freshness().case, FreshnessCase::CutOff);
+        fleet.run_for(Duration::from_secs(5));
+        let node = fleet.slots[place].actor.as_ref().unwrap();
+        assert_eq!(node.freshness().case, FreshnessCase::Current);
+        assert_eq!(node.head().version, version);
+    }
+}
+
+#[test]
+fn nothing_is_read_before_the_members_are_known() {
+    let clock = FakeClock::new();
+    let own = SpreadMember {
+        id: DaemonId(1),
+        domain: "domain-1".parse().unwrap(),
+        region: "region-1".parse().unwrap(),
+        run: IncarnationNumber(1),
+    };
+    let mut node = SpreadNode::new(
+        SpreadSettings::default(),
+        clock.shared(),
+        SmallRng::seed_from_u64(1),
+        FakeReplica::new(),
+        own,
+    );
+    let reads = |node: &mut SpreadNode<FakeReplica>| {
+        clock.advance(Duration::from_secs(2));
+        let outputs = node.on_tick();
+        let read = |output: &SpreadOutput| matches!(output, SpreadOutput::ReadLog(_));
+        outputs.iter().any(read)
+    };
+    assert!((0..60).all(|_| !reads(&mut node)));
+    node.set_members(&[]);
+    assert!(reads(&mut node));
+}
+
+#[test]
+fn snapshots_are_refreshed_by_one_writer_and_by_another_when_it_dies() {
+    let settings = SpreadSettings {
+        snapshot_age: Duration::from_secs(20),
+        snapshot_stagger: Duration::from_secs(2),
+        ..SpreadSettings::default()
+    };
+    let mut fleet = Fleet::new(FleetShape::sized(30, 5), START, nodes(settings));
+    fleet.publish("first=1");
+    for round in 0..4 {
+        fleet.run_for(Duration::from_secs(60));
+        let appends = fleet.log.appends;
+        assert!((2..=4).contains(&appends), "{appends} in round {round}");
+        fleet.reset_counts();
+        let reading = (0..30).filter(|place| {
+            let node = fleet.slots[*place].actor.as_ref();
+            node.is_some_and(Node::is_reading)
+        });
+        for place in reading.collect::<Vec<_>>().into_iter().take(3) {
+            fleet.kill(place);
+        }
+    }
+}
+
+#[test]
+fn a_full_outage_is_told_from_a_lost_region() {
+    let mut fleet = fleet(20, 9);
+    let cases = |fleet: &Fleet<Node>, case| {
+        let nodes = fleet.slots.iter().filter_map(|slot| slot.actor.as_ref());
+        nodes.filter(|node| node.freshness().case == case).count()
+    };
+    fleet.log.down = true;
+    for _ in 0..60 {
+        fleet.run_for(Duration::from_secs(1));
+        assert_eq!(cases(&fleet, FreshnessCase::CutOff), 0);
+    }
+    assert_eq!(cases(&fleet, FreshnessCase::SourceDown), 20);
+    fleet.regions_cut = true;
+    fleet.run_for(Duration::from_secs(40));
+    assert_eq!(cases(&fleet, FreshnessCase::CutOff), 20);
+}
+
+#[test]
+fn a_record_of_a_newer_release_stops_the_fold_and_proves_nothing() {
+    let mut fleet = fleet(12, 4);
+    let version = fleet.publish("a=2");
+    fleet.publish("rules 2: a=3");
+    fleet.publish("a=4");
+    fleet.run_for(Duration::from_secs(5));
+    fleet.reset_counts();
+    fleet.run_for(Duration::from_secs(20));
+    assert!(fleet.log.reads <= 6 * 20, "{} reads", fleet.log.reads);
+    for slot in &fleet.slots {
+        let node = slot.actor.as_ref().unwrap();
+        assert_eq!(node.head().version, version);
+        assert_eq!(node.freshness().case, FreshnessCase::CutOff);
+        let stuck = LogState::Stuck(node.head().next);
+        assert!(!node.is_reading() || node.log_state() == stuck);
+    }
+}
+
+#[test]
+fn a_message_beyond_its_bounds_is_dropped_and_told() {
+    let mut fleet = fleet(3, 1);
+    let node = fleet.slots[0].actor.as_mut().unwrap();
+    let head = node.head();
+    let backwards = SpreadMessage::Update(HeadUpdate {
+        base: head,
+        target: ReplicaHead::default(),
+        body: UpdateBody(Box::default()),
+    });
+    let outputs = node.on_peer_message(DaemonId(9), backwards);
+    let refused = SpreadAlarm::MessageRefused {
+        peer: DaemonId(9),
+        kind: ErrorKind::FrameInvalid,
+    };
+    assert_eq!(outputs, [SpreadOutput::Alarm(refused)]);
+    assert_eq!(node.head(), head);
+}
--- /dev/null
+++ b/crates/spread/tests/invariants.rs
@@ -0,0 +1,294 @@
+//! Properties that hold whatever the network, the log and the daemons do.
+
+mod harness;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use feed::port::LogRecord;
+use harness::actor::{Node, nodes};
+use harness::{Fleet, FleetShape};
+use model::LogOffset;
+use quetzal_spread::{FakeReplica, ReplicaPort, SpreadSettings};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const DAEMONS: usize = 9;
+
+/// Random histories of one run; with a debug build about 10 s.
+const HISTORIES: u64 = 100;
+
+/// One step of a random history.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Publish(u8),
+    PublishRefused,
+    Kill(usize),
+    Restart(usize),
+    RestartAll,
+    LogDown(bool),
+    LoseAnswers(bool),
+    ExpireConfig(u8),
+    CutRegions(bool),
+    Cut(usize, bool),
+    Wait(u16),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let place = usize::arbitrary(g) % DAEMONS;
+        let flag = bool::arbitrary(g);
+        match u8::arbitrary(g) % 14 {
+            0..=3 => Self::Publish(u8::arbitrary(g) % 8),
+            4 => Self::PublishRefused,
+            5 => Self::Kill(place),
+            6 => Self::Restart(place),
+            7 => Self::RestartAll,
+            8 => Self::LogDown(flag),
+            9 => Self::LoseAnswers(flag),
+            10 => Self::ExpireConfig(u8::arbitrary(g) % 4),
+            11 => Self::CutRegions(flag),
+            12 => Self::Cut(place, flag),
+            _ => Self::Wait(u16::arbitrary(g) % 4000),
+        }
+    }
+}
+
+/// A random history with its seed.
+#[derive(Clone, Debug)]
+struct History {
+    seed: u64,
+    steps: Vec<Step>,
+}
+
+impl Arbitrary for History {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self {
+            seed: u64::arbitrary(g),
+            steps: Vec::arbitrary(g),
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let seed = self.seed;
+        Box::new(self.steps.shrink().map(move |steps| Self { seed, steps }))
+    }
+}
+
+/// What every daemon must hold at each offset.
+#[derive(Default)]
+struct Reference {
+    replica: FakeReplica,
+    hashes: BTreeMap<LogOffset, u64>,
+}
+
+impl Reference {
+    fn follow(&mut self, records: &[LogRecord]) {
+        self.hashes
+            .insert(self.replica.next_offset(), self.replica.hash());
+        for record in records {
+            if record.offset == self.replica.next_offset() {
+                self.replica.fold(std::slice::from_ref(record));
+                self.hashes
+                    .insert(self.replica.next_offset(), self.replica.hash());
+            }
+        }
+    }
+
+    /// Every daemon holds a prefix of the log, whole; none knows of more.
+    fn check(&self, fleet: &Fleet<Node>) {
+        for slot in &fleet.slots {
+            let Some(node) = &slot.actor else { continue };
+            let head = node.head();
+            assert_eq!(self.hashes.get(&head.next), Some(&head.state_hash));
+            if let Some((summary, _)) = node.fleet_summary() {
+                let known = summary.sum.versions.iter().map(|count| count.version).max();
+                assert!(known.unwrap_or_default() <= self.replica.version());
+            }
+        }
+    }
+}
+
+fn shape(seed: u64) -> FleetShape {
+    FleetShape {
+        domains: 3,
+        first_region: 2,
+        loss: 0.1,
+        duplication: 0.1,
+        jitter: Duration::from_millis(300),
+        detection: Duration::from_secs(2),
+        ..FleetShape::sized(DAEMONS, seed)
+    }
+}
+
+fn settings() -> SpreadSettings {
+    SpreadSettings {
+        snapshot_changes: 3,
+        snapshot_age: Duration::from_secs(20),
+        snapshot_stagger: Duration::from_secs(1),
+        ..SpreadSettings::default()
+    }
+}
+
+fn act(fleet: &mut Fleet<Node>, step: Step) {
+    match step {
+        Step::Publish(key) if !fleet.log.down => {
+            let text = format!("key-{key}={}", fleet.now().as_millis());
+            fleet.publish(&text);
+        }
+        Step::PublishRefused if !fleet.log.down => {
+            fleet.publish("no change");
+        }
+        Step::Publish(_) | Step::PublishRefused => {}
+        Step::Kill(place) => fleet.kill(place),
+        Step::Restart(place) => restart(fleet, place),
+        Step::RestartAll => (0..DAEMONS).for_each(|place| restart(fleet, place)),
+        Step::LogDown(down) => fleet.log.down = down,
+        Step::LoseAnswers(lost) => fleet.log.lose_answers = lost,
+        Step::ExpireConfig(keep) => expire_covered(fleet, keep),
+        Step::CutRegions(cut) => fleet.regions_cut = cut,
+        Step::Cut(place, cut) => fleet.slots[place].cut = cut,
+        Step::Wait(millis) => fleet.run_for(Duration::from_millis(u64::from(millis))),
+    }
+}
+
+fn restart(fleet: &mut Fleet<Node>, place: usize) {
+    fleet.start(place, Duration::from_millis(500));
+    fleet.announce_members();
+}
+
+/// Expires records that a snapshot in the log or a live daemon covers.
+fn expire_covered(fleet: &mut Fleet<Node>, keep: u8) {
+    let covered = newest_snapshot(fleet).0;
+    let stream = fleet.log.stream("config");
+    let covered = (covered.saturating_sub(stream.first)) as usize;
+    let keep = stream.records.len().saturating_sub(covered) + usize::from(keep);
+    stream.expire(keep);
+}
+
+fn newest_snapshot(fleet: &mut Fleet<Node>) -> LogOffset {
+    let records = &fleet.log.stream("snapshots").records;
+    records.last().map_or(LogOffset(0), |record| {
+        let snapshot = quetzal_spread::SnapshotRecord::decode(&record.body);
+        snapshot.expect("written whole").head.next
+    })
+}
+
+fn run(history: History) -> bool {
+    let factory = nodes(settings());
+    let mut fleet = Fleet::new(shape(history.seed), Duration::from_secs(1), factory);
+    let mut reference = Reference::default();
+    for step in history.steps {
+        act(&mut fleet, step);
+        reference.follow(&fleet.log.stream("config").records);
+        fleet.run_for(Duration::from_millis(250));
+        reference.check(&fleet);
+    }
+    heal(&mut fleet);
+    let version = fleet.publish("last=1");
+    reference.follow(&fleet.log.stream("config").records);
+    fleet.converge(version, Duration::from_secs(60));
+    reference.check(&fleet);
+    fleet.lagging(version) == 0
+}
+
+fn heal(fleet: &mut Fleet<Node>) {
+    fleet.log.down = false;
+    fleet.log.lose_answers = false;
+    fleet.regions_cut = false;
+    for place in 0..DAEMONS {
+        fleet.slots[place].cut = false;
+        if fleet.slots[place].actor.is_none() {
+            restart(fleet, place);
+        }
+    }
+    fleet.announce_members();
+}
+
+/// A step in which nobody dies: a change, another list of members, a cut, a wait.
+#[derive(Clone, Copy, Debug)]
+enum ViewStep {
+    Publish,
+    View(usize, u16),
+    Cut(usize, bool),
+    Wait(u16),
+}
+
+impl Arbitrary for ViewStep {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let place = usize::arbitrary(g) % DAEMONS;
+        match u8::arbitrary(g) % 5 {
+            0 => Self::Publish,
+            1 | 2 => Self::View(place, u16::arbitrary(g)),
+            3 => Self::Cut(place, bool::arbitrary(g)),
+            _ => Self::Wait(u16::arbitrary(g) % 2000),
+        }
+    }
+}
+
+/// No daemon ever shows a version as in force on more daemons than it is.
+fn counts_are_never_too_high(seed: u64, steps: Vec<ViewStep>) -> bool {
+    let factory = nodes(settings());
+    let shape = FleetShape {
+        domains: 2,
+        first_region: 2,
+        ..shape(seed)
+    };
+    let mut fleet = Fleet::new(shape, Duration::from_secs(1), factory);
+    fleet.publish("first=1");
+    for step in steps {
+        match step {
+            ViewStep::Publish => {
+                fleet.publish(&format!("key={}", fleet.now().as_millis()));
+            }
+            ViewStep::View(place, mask) => set_view(&mut fleet, place, mask),
+            ViewStep::Cut(place, cut) => fleet.slots[place].cut = cut,
+            ViewStep::Wait(millis) => fleet.run_for(Duration::from_millis(u64::from(millis))),
+        }
+        fleet.run_for(Duration::from_millis(150));
+        if !counts_hold(&fleet) {
+            return false;
+        }
+    }
+    true
+}
+
+/// Shows one daemon only some of the members.
+fn set_view(fleet: &mut Fleet<Node>, place: usize, mask: u16) {
+    let seen = |other: &usize| mask & (1 << other) != 0;
+    let members = (0..DAEMONS).filter(seen);
+    let members = members
+        .map(|other| fleet.slots[other].member.clone())
+        .collect::<Vec<_>>();
+    if let Some(node) = fleet.slots[place].actor.as_mut() {
+        node.set_members(&members);
+    }
+}
+
+fn counts_hold(fleet: &Fleet<Node>) -> bool {
+    let nodes = || fleet.slots.iter().filter_map(|slot| slot.actor.as_ref());
+    let actual = |version| {
+        let slots = fleet.slots.iter();
+        slots.filter(|slot| slot.applied >= version).count()
+    };
+    nodes()
+        .filter_map(|node| node.fleet_summary())
+        .all(|(summary, _)| {
+            let mut counts = summary.sum.versions.iter();
+            counts
+                .all(|count| summary.sum.in_force(count.version) as usize <= actual(count.version))
+        })
+}
+
+#[test]
+fn a_summary_never_counts_too_many() {
+    QuickCheck::new()
+        .tests(HISTORIES)
+        .quickcheck(counts_are_never_too_high as fn(u64, Vec<ViewStep>) -> bool);
+}
+
+#[test]
+fn daemons_hold_prefixes_of_the_log_and_follow_it_once_all_is_well() {
+    QuickCheck::new()
+        .tests(HISTORIES)
+        .quickcheck(run as fn(History) -> bool);
+}
