--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use daemon::status::StatusReport;
+use daemon::timeline::FleetTimeline;
 use feed::{HttpLog, SharedLog};
 use model::{ChangeId, ConfigVersion, ErrorKind, KindError};
 use plans::{ChangeVerdict, ConfigState, StateSnapshot};
@@ -88,6 +89,12 @@
         self.get(&format!("/v1/outcome/{change}"))?.read_json_body()
     }
 
+    /// The events of the last `span` on all daemons.
+    pub fn timeline(&self, span: Duration) -> Result<FleetTimeline> {
+        let path = format!("/v1/timeline?since_ms={}", span.as_millis());
+        self.get(&path)?.read_json_body()
+    }
+
     /// The log service, as named or as the daemon uses it.
     pub fn log(&self) -> Result<SharedLog> {
         let url = match &self.log {
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -15,6 +15,7 @@
 pub mod publish;
 pub mod pull;
 pub mod status;
+pub mod timeline;
 pub mod undo;
 
 /// Publish the two lists and see where they are in force.
@@ -63,6 +64,9 @@
     /// Show which version is in force where, and what is wrong
     #[bpaf(command, footer("Example: quetzal status; quetzal status --json"))]
     Status(#[bpaf(external(status::status_args))] status::StatusArgs),
+    /// Show what happened on all daemons, in one order by cause
+    #[bpaf(command)]
+    Timeline(#[bpaf(external(timeline::timeline_args))] timeline::TimelineArgs),
     /// Run the log service's stand-in
     #[bpaf(command)]
     Log(#[bpaf(external(log::log_args))] log::LogArgs),
@@ -81,6 +85,7 @@
             Self::Undo(args) => undo::run(&args),
             Self::History(args) => history::run(&args),
             Self::Status(args) => status::run(&args),
+            Self::Timeline(args) => timeline::run(&args),
             Self::Log(args) => log::run(&args),
         }
     }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -11,16 +11,17 @@
 use std::time::Duration;
 
 use limits::LimitOutput;
-use members::{MemberNode, MemberOutput, MemberSettings, MemberState, MemberView};
-use model::{DaemonId, KindError};
+use members::{MemberChange, MemberNode, MemberOutput, MemberSettings, MemberState, MemberView};
+use model::DaemonId;
 use once::HolderId;
 use plans::RouteTable;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde::Serialize;
-use spread::{SpreadAlarm, SpreadMember, SpreadNode, SpreadOutput, SpreadSettings};
+use spread::{FreshnessCase, SpreadAlarm, SpreadMember, SpreadNode, SpreadOutput, SpreadSettings};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
+use trace::EventKind;
 
 use crate::core::{AddressBook, DaemonCore};
 use crate::courier::ControlCourier;
@@ -164,7 +165,11 @@
             let outputs = self.members.on_tick();
             self.do_members(outputs);
         }
-        if !self.core.beside.on_tick().is_empty() {
+        let gone = self.core.beside.on_tick();
+        if !gone.is_empty() {
+            for change in &gone {
+                self.core.note_target(change);
+            }
             self.on_targets_changed();
         }
         let outputs = self.core.limits().on_tick();
@@ -187,6 +192,8 @@
     }
 
     fn on_batch(&mut self, batch: ControlBatch) {
+        // A wrong clock elsewhere is counted by the ring and not followed.
+        let _ = self.core.trace().observe(batch.stamp);
         if self.address_of(batch.from).is_none() {
             self.heard.insert(batch.from, batch.address);
         }
@@ -295,9 +302,7 @@
                 MemberOutput::Changed(change) => {
                     self.targets_stale = true;
                     self.core.counters.count("member-changes");
-                    if change.state == MemberState::Dead && change.before != Some(change.state) {
-                        log::warn!("daemon {} counts as dead", change.id);
-                    }
+                    self.note_member(change);
                     self.know_members();
                 }
                 MemberOutput::Superseded => {
@@ -348,18 +353,43 @@
         self.core.table.store(Some(Arc::new(table)));
         self.core.state.store(Some(state));
         self.spread.on_in_force(version);
-        log::info!("version {version} is in force");
+        self.core.trace().set_version(version);
+        self.core
+            .note(EventKind::ConfigApplied, &version.to_string());
     }
 
-    fn on_alarm(&self, alarm: &SpreadAlarm) {
-        match alarm {
-            SpreadAlarm::LogDiverged { .. }
-            | SpreadAlarm::LogGap { .. }
-            | SpreadAlarm::PeerContradicts { .. } => log::error!("{alarm}"),
-            SpreadAlarm::LogDown(_) | SpreadAlarm::UpdateRefused(_) => log::warn!("{alarm}"),
-            _ => log::info!("{alarm}"),
+    fn note_member(&self, change: MemberChange) {
+        if change.before == Some(change.state) {
+            return;
         }
+        let kind = match change.state {
+            MemberState::Alive => EventKind::Joined,
+            MemberState::Suspect => EventKind::Suspected,
+            MemberState::Dead => EventKind::Died,
+            MemberState::Left => EventKind::Left,
+        };
+        self.core.note(kind, &change.id.to_string());
+    }
+
+    fn on_alarm(&self, alarm: &SpreadAlarm) {
         self.core.counters.count("alarms");
+        let kind = match alarm {
+            SpreadAlarm::LogDown(_) => EventKind::LogDown,
+            SpreadAlarm::LogUp => EventKind::LogUp,
+            SpreadAlarm::LogDiverged { .. } => EventKind::LogDiverged,
+            SpreadAlarm::ReaderStarted => EventKind::ReaderTookOver,
+            SpreadAlarm::FreshnessChanged(FreshnessCase::CutOff) => EventKind::StaleEntered,
+            SpreadAlarm::FreshnessChanged(FreshnessCase::Current) => EventKind::StaleLeft,
+            SpreadAlarm::LogGap { .. } | SpreadAlarm::PeerContradicts { .. } => {
+                log::error!("{alarm}");
+                return;
+            }
+            _ => {
+                log::info!("{alarm}");
+                return;
+            }
+        };
+        self.core.note(kind, &alarm.to_string());
     }
 
     fn on_targets_changed(&mut self) {
@@ -447,15 +477,11 @@
 
 fn member_settings(core: &DaemonCore) -> MemberSettings {
     let settings = &core.settings;
-    let name = settings.name.parse();
-    let fallback = || settings.peer_address.to_string().parse();
     MemberSettings {
         id: core.id,
         incarnation: core.incarnation,
         profile: members::MemberProfile {
-            name: name
-                .or_else(|_: KindError| fallback())
-                .expect("an address is a valid name"),
+            name: settings.daemon_name(),
             peer_address: settings.peer_address,
             caller_address: settings.caller_address,
             domain: settings.domain.clone(),
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use limits::{LimitGate, LoadShedder};
+use members::{TargetChange, TargetState};
 use model::{CallCount, DaemonId, ErrorKind, IncarnationNumber, KindError, SharedClock};
 use once::HolderId;
 use once::home::HandedOutcome;
@@ -19,6 +20,7 @@
 use smallvec::SmallVec;
 use spread::{FreshnessCase, FreshnessReport};
 use tokio_util::task::TaskTracker;
+use trace::{DEFAULT_MEMORY, EventClass, EventKind, EventRing, ProcessIdentity};
 use wire::{PeerPool, WireLimits};
 
 use crate::beside::BesideDesk;
@@ -66,6 +68,8 @@
     pub pool: PeerPool,
     /// Counters.
     pub counters: CounterBoard,
+    /// Events for the time line.
+    trace: Mutex<EventRing>,
     /// Tasks that are joined at the end.
     pub tasks: TaskTracker,
     picker: Mutex<TargetPicker>,
@@ -86,6 +90,12 @@
             incarnation,
         };
         let keys = Arc::new(KeyDesk::new(me, &clock));
+        let process = ProcessIdentity {
+            daemon: id,
+            incarnation,
+            name: settings.daemon_name(),
+            domain: settings.domain.clone(),
+        };
         let tasks = TaskTracker::new();
         let picker_config = PickerConfig {
             domain: settings.domain.clone(),
@@ -134,6 +144,7 @@
             retries: Mutex::new(RetryPolicy::new()),
             limits: Mutex::new(LimitGate::new(id, Arc::clone(&clock))),
             shedder: Mutex::new(LoadShedder::new(Arc::clone(&clock), random())),
+            trace: Mutex::new(EventRing::new(process, DEFAULT_MEMORY, Arc::clone(&clock))),
             draining: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
             settings,
@@ -175,6 +186,7 @@
         let batch = ControlBatch {
             from: self.id,
             address: self.settings.peer_address,
+            stamp: self.trace().stamp(),
             messages: vec![ControlMessage::Once(wire::encode_message(message)?)],
         };
         let request = PeerRequest::Control(batch);
@@ -182,6 +194,33 @@
         Ok(())
     }
 
+    /// Events for the time line.
+    pub fn trace(&self) -> MutexGuard<'_, EventRing> {
+        self.trace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes a change of state: in the log lines and on the time line.
+    pub fn note(&self, kind: EventKind, detail: &str) {
+        if kind.class() == EventClass::Faults {
+            log::warn!("{kind} {detail}");
+        } else {
+            log::info!("{kind} {detail}");
+        }
+        self.trace().record(kind, detail);
+    }
+
+    /// Notes that a target beside this daemon changed.
+    pub fn note_target(&self, change: &TargetChange) {
+        let kind = match change.state {
+            // A cold start is no change that calls could notice.
+            TargetState::Starting => return,
+            TargetState::Ready => EventKind::TargetReady,
+            TargetState::Draining => EventKind::TargetDraining,
+            TargetState::Gone => EventKind::TargetGone,
+        };
+        self.note(kind, &format!("{}/{}", change.service, change.target));
+    }
+
     /// Choice of targets.
     pub fn picker(&self) -> MutexGuard<'_, TargetPicker> {
         self.picker.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/daemon/src/courier.rs
+++ b/crates/daemon/src/courier.rs
@@ -52,6 +52,7 @@
             let batch = ControlBatch {
                 from: self.core.id,
                 address: self.core.settings.peer_address,
+                stamp: self.core.trace().stamp(),
                 messages,
             };
             let core = Arc::clone(&self.core);
--- a/crates/daemon/src/key_control.rs
+++ b/crates/daemon/src/key_control.rs
@@ -5,17 +5,17 @@
 //! ranges belong elsewhere, as when it drains, hands them over page by page
 //! before it releases them on the log.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use feed::ReadAnswer;
 use model::{DaemonId, DomainName, KindError, LogOffset, RecordCount};
 use once::home::{HandedOutcome, HandoverPage, KeySettlement};
-use once::lease::{LeaseView, TermRef, pick_homes, pick_successor};
+use once::lease::{KeyRange, LeaseView, TermRef, pick_homes, pick_successor};
 use once::{
     BookId, HolderId, IssuerMove, LeaseKeeper, LeaseOutput, LeaseSettings, PoisonMessage,
-    PoisonOutput, StageAnswer,
+    PoisonOutput, StageAnswer, TermUpdate,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -24,6 +24,7 @@
 use smallvec::SmallVec;
 use spread::LogTag;
 use spread::message::LogRead;
+use trace::EventKind;
 
 use crate::core::DaemonCore;
 use crate::log_jobs::{JobOwner, LogDesk};
@@ -68,6 +69,7 @@
     desk: LogDesk,
     random: SmallRng,
     members: Vec<(DomainName, HolderId)>,
+    held: BTreeSet<TermRef>,
     is_home: bool,
     handing: bool,
     leaving: bool,
@@ -86,6 +88,7 @@
             desk,
             random,
             members: Vec::new(),
+            held: BTreeSet::new(),
             is_home: false,
             handing: false,
             leaving: false,
@@ -192,7 +195,7 @@
                 }
                 PoisonOutput::Stopped(print) => {
                     self.core.counters.count("poison-stopped");
-                    log::warn!("request {print} crashed two targets and is stopped");
+                    self.core.note(EventKind::PoisonStopped, &print.to_string());
                 }
             }
         }
@@ -228,6 +231,7 @@
 
     fn do_leases(&mut self, outputs: Vec<LeaseOutput>) -> OnceSends {
         let mut sends = OnceSends::new();
+        let mut moved = MovedRanges::default();
         for output in outputs {
             match output {
                 LeaseOutput::Read { from, limit } => self.read_leases(from, limit),
@@ -235,14 +239,43 @@
                     let stream = LEASE_STREAM.parse().expect("a constant name is valid");
                     self.desk.append(JobOwner::Leases(serial), stream, body);
                 }
-                LeaseOutput::Term(update) => self.core.keys.home().on_term(update),
+                LeaseOutput::Term(update) => self.take_term(update, &mut moved),
                 LeaseOutput::View(view) => sends.extend(self.take_view(&view)),
                 LeaseOutput::Alarm(error) => log::error!("leases: {error}"),
             }
         }
+        self.note_moved(&moved);
         sends
     }
 
+    /// Takes a change of this home's terms; tells whether a range came or went.
+    fn take_term(&mut self, update: TermUpdate, moved: &mut MovedRanges) {
+        match update {
+            TermUpdate::Held { range, term, .. } => {
+                if self.held.insert(TermRef::new(range, term.epoch)) {
+                    moved.taken.push(range);
+                }
+            }
+            TermUpdate::Ended(term) => {
+                self.held.remove(&term);
+                moved.lost.push(term.range);
+            }
+        }
+        self.core.keys.home().on_term(update);
+    }
+
+    /// Notes ranges that came and went, one event each way.
+    fn note_moved(&self, moved: &MovedRanges) {
+        if !moved.taken.is_empty() {
+            let detail = name_ranges(&moved.taken);
+            self.core.note(EventKind::LeaseTaken, &detail);
+        }
+        if !moved.lost.is_empty() {
+            let detail = name_ranges(&moved.lost);
+            self.core.note(EventKind::LeaseLost, &detail);
+        }
+    }
+
     fn read_leases(&self, from: LogOffset, limit: RecordCount) {
         let read = LogRead {
             tag: LogTag::default(),
@@ -330,6 +363,21 @@
     }
 }
 
+/// Ranges that came to this home and went from it.
+#[derive(Debug, Default)]
+struct MovedRanges {
+    taken: SmallVec<[KeyRange; 8]>,
+    lost: SmallVec<[KeyRange; 8]>,
+}
+
+/// The ranges in a few words.
+fn name_ranges(ranges: &[KeyRange]) -> String {
+    const NAMED: usize = 8;
+    let named: Vec<String> = ranges.iter().take(NAMED).map(ToString::to_string).collect();
+    let more = if ranges.len() > NAMED { ", ..." } else { "" };
+    format!("{} ranges: {}{more}", ranges.len(), named.join(", "))
+}
+
 /// The message that carries an outcome to a book's next home.
 pub fn send_settlement(handed: HandedOutcome) -> (DaemonId, OnceMessage) {
     let to = handed.to.daemon;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod status;
 pub mod target_client;
 pub mod targets;
+pub mod timeline;
 
 pub use run::{RunningDaemon, StopOutcome};
 pub use settings::DaemonSettings;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -7,6 +7,7 @@
 //! - `GET /v1/status`: this daemon, the fleet, the members
 //! - `GET /v1/snapshot`: the accepted configuration, encoded
 //! - `GET /v1/outcome/ID`: the verdict on a change, or null
+//! - `GET /v1/timeline?since_ms=N`: the events of all daemons
 //! - `POST /v1/drain`: begins a planned stop
 
 use std::io::Read;
@@ -19,11 +20,13 @@
 use plans::StateSnapshot;
 use serde::Serialize;
 use tiny_http::{Header, Method, Request, Response, Server};
+use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::control::ControlEvent;
 use crate::core::DaemonCore;
+use crate::timeline::{collect_timeline, read_since};
 
 /// Results of answering an operator.
 pub type Result<T> = model::Result<T>;
@@ -55,6 +58,8 @@
     pub core: Arc<DaemonCore>,
     /// Its control loop.
     pub events: mpsc::Sender<ControlEvent>,
+    /// The daemon's runtime.
+    pub handle: Handle,
     /// Cancelled when an operator asks for a planned stop.
     pub stop: CancellationToken,
 }
@@ -148,6 +153,7 @@
             (Method::Post, "/v1/targets") => self.announce(request),
             (Method::Get, "/v1/status") => self.status(),
             (Method::Get, "/v1/snapshot") => self.snapshot(),
+            (Method::Get, "/v1/timeline") => self.timeline(&url),
             (Method::Get, path) if path.starts_with(OUTCOME_PATH) => self.outcome(path),
             (Method::Post, "/v1/drain") => self.drain(),
             _ => Err(KindError::new(ErrorKind::RouteUnknown, "no such path")),
@@ -160,12 +166,7 @@
             .map_err(|error| KindError::new(ErrorKind::RequestInvalid, error.to_string()))?;
         let change = self.core.beside.announce(announcement)?;
         if let Some(change) = &change {
-            log::info!(
-                "target {} of {} is {}",
-                change.target,
-                change.service,
-                change.state
-            );
+            self.core.note_target(change);
             self.tell(ControlEvent::TargetsChanged)?;
         }
         OperatorAnswer::json(&change.is_some())
@@ -200,6 +201,11 @@
         OperatorAnswer::json(&state.and_then(|state| state.outcome_of(id)))
     }
 
+    fn timeline(&self, url: &str) -> Result<OperatorAnswer> {
+        let collected = collect_timeline(&self.core, read_since(url)?);
+        OperatorAnswer::json(&self.handle.block_on(collected))
+    }
+
     fn drain(&self) -> Result<OperatorAnswer> {
         self.stop.cancel();
         OperatorAnswer::json(&true)
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -15,6 +15,7 @@
 };
 use route::{RetryMark, TargetLoad};
 use serde::{Deserialize, Serialize};
+use trace::HybridStamp;
 
 /// Results of reading a peer's head; the kind is `FrameInvalid`.
 pub type Result<T> = model::Result<T>;
@@ -39,6 +40,8 @@
     Revoke(DispatchPermit),
     /// Asks an earlier home about a key; answered with an optional [`RecallAnswer`].
     Recall(Box<KeyCall>),
+    /// Asks for the events of the last milliseconds; answered with a report.
+    Timeline(u64),
     /// A page of a key book; answered with a result of [`once::StageAnswer`].
     Stage {
         /// The home that leaves.
@@ -66,6 +69,8 @@
     pub from: DaemonId,
     /// Where the sender listens for peers.
     pub address: SocketAddr,
+    /// The sender's stamp, which orders events of all processes by cause.
+    pub stamp: HybridStamp,
     /// The messages.
     pub messages: Vec<ControlMessage>,
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,6 +1,7 @@
 //! The listener for other daemons.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use model::{ErrorKind, KindError};
 use route::CallDeadline;
@@ -78,6 +79,10 @@
             let answer = core.keys.issuer().revoke(permit);
             responder.answer_whole(&answer).await
         }
+        PeerRequest::Timeline(since_ms) => {
+            let report = core.trace().since(Duration::from_millis(since_ms));
+            responder.answer_whole(&report).await
+        }
         PeerRequest::Recall(call) => {
             let answer = recall_here(core, &call);
             responder.answer_whole(&answer).await
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use feed::{HttpLog, SharedLog};
 use model::{ErrorKind, KindError, SharedClock, SystemClock};
 use tokio::net::TcpListener;
@@ -15,6 +16,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use trace::EventKind;
+
 use crate::control::{ControlEvent, ControlLoop};
 use crate::core::DaemonCore;
 use crate::listener::{bind, serve_callers};
@@ -48,11 +51,13 @@
 }
 
 /// How a planned stop ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum StopOutcome {
     /// Every call in progress ended.
+    #[display("all calls ended")]
     Drained,
     /// Calls were cut off at the drain timeout or by a second request.
+    #[display("calls were cut off")]
     Forced,
 }
 
@@ -85,9 +90,11 @@
         let desk = OperatorDesk {
             core: Arc::clone(&core),
             events: events.clone(),
+            handle: runtime.handle().clone(),
             stop: stop.clone(),
         };
         let operator = OperatorServer::start(core.settings.operator_address, &desk)?;
+        core.note(EventKind::Started, core.settings.domain.as_str());
         let daemon = Self {
             core,
             runtime,
@@ -146,9 +153,10 @@
     /// New work is refused at once as not run and sent elsewhere; calls in
     /// progress end; the others learn of the drain before this daemon leaves.
     pub fn stop(self, force: &CancellationToken) -> StopOutcome {
-        log::info!("draining");
+        self.core.note(EventKind::DrainStarted, "");
         self.core.start_draining();
         let drained = self.runtime.block_on(self.drain(force));
+        self.core.note(EventKind::DrainEnded, &drained.to_string());
         self.runtime.block_on(self.leave());
         let Self {
             runtime,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -11,7 +11,7 @@
 
 use jsonc_parser::ast::Value;
 use jsonc_parser::common::Ranged;
-use model::{DaemonId, DomainName, RegionName};
+use model::{DaemonId, DaemonName, DomainName, KindError, RegionName};
 use plans::lists::ListProblem;
 use plans::reader::{DocumentReader, FieldMap};
 use xxhash_rust::xxh3::xxh3_64;
@@ -141,6 +141,15 @@
         DaemonId(xxh3_64(self.peer_address.to_string().as_bytes()))
     }
 
+    /// The daemon's name as other daemons know it; the peer address if `name` is no sound name.
+    pub fn daemon_name(&self) -> DaemonName {
+        let named = self.name.parse();
+        named.unwrap_or_else(|_: KindError| {
+            let address = self.peer_address.to_string();
+            address.parse().expect("an address is a sound name")
+        })
+    }
+
     /// Time for headers to arrive.
     pub fn header_timeout(&self) -> Duration {
         Duration::from_millis(self.numbers.header_timeout_ms.into())
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -147,7 +147,8 @@
     ) -> Self {
         let freshness = spread.freshness();
         let version = core.table.load().as_ref().map(|table| table.version());
-        let members: Vec<MemberReport> = members.members().iter().map(report_member).collect();
+        let mut members: Vec<MemberReport> = members.members().iter().map(report_member).collect();
+        members.sort_unstable_by(|left, right| left.name.cmp(&right.name));
         Self {
             daemon: core.id,
             name: core.settings.name.clone(),
