Give claims back when dropped, and budgets to each service

A caller who leaves drops the call's future, and with it the ticket: its claim on the target counted for ever, so that the target looked busier with each caller who left. The claim now ends when the ticket is dropped.

One failing service spent the retries of all others of a proxy; RetryBook holds a policy for each service, at most 256.

--- a/crates/route/benches/routing/main.rs
+++ b/crates/route/benches/routing/main.rs
@@ -10,10 +10,13 @@
 mod scenario;
 
 use std::process::ExitCode;
+use std::time::{Duration, Instant};
 
 use chooser::Way;
 use comfy_table::Table;
 use comfy_table::presets::ASCII_MARKDOWN;
+use model::{CallClass, CallCount, ClockPort, FakeClock};
+use quetzal_route::{AdmissionGate, CallId, CallTicket, GateConfig, LeftCall};
 use run::{Figures, Run};
 use scenario::{SCENARIOS, SIZES, Scenario, Size};
 
@@ -74,7 +77,41 @@
     ]
 }
 
+/// Wall time of a call through a gate that is half full, the mean over `rounds`.
+fn gate_cost(rounds: u64) -> Duration {
+    let clock = FakeClock::new();
+    let config = GateConfig {
+        slots: CallCount(10),
+        connections: CallCount(130),
+        queue: CallCount(10),
+    };
+    let mut gate = AdmissionGate::new(config, clock.shared());
+    let mut ticket = CallTicket {
+        call: CallId(0),
+        customer: "agency-1".parse().expect("a sound name"),
+        class: CallClass::Read,
+        deadline: clock.now() + Duration::from_secs(1),
+    };
+    let start = Instant::now();
+    for number in 0..rounds {
+        ticket.call = CallId(number);
+        gate.enter(&ticket);
+        if let Some(call) = number.checked_sub(5) {
+            let call = CallId(call);
+            gate.leave(LeftCall {
+                call,
+                failed: false,
+            });
+        }
+    }
+    start.elapsed() / rounds as u32
+}
+
 fn print_cost() {
+    println!(
+        "a call through a gate: {} ns",
+        gate_cost(1_000_000).as_nanos()
+    );
     for count in [20, 50] {
         let cost = chooser::pick_cost(count, 200_000);
         println!(
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -7,6 +7,7 @@
 //! average as that answer ages.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::health::TargetHealth;
@@ -27,6 +28,9 @@
 /// Time over which a started target is brought up to its full share.
 const SLOW_START: Duration = Duration::from_secs(10);
 
+/// Difference of two accounts of the same start: they come by different clocks.
+const SINCE_TOLERANCE: Duration = Duration::from_secs(1);
+
 /// Share that a target gets when it has just started.
 const SLOW_START_SHARE: f32 = 0.1;
 
@@ -42,8 +46,18 @@
 /// Least share of successes that the score assumes.
 const MIN_SUCCESS_SHARE: f32 = 0.05;
 
+/// A call in flight, counted until dropped; a caller that leaves drops it too.
+#[derive(Debug)]
+pub(crate) struct PickClaim(Arc<AtomicU32>);
+
+impl Drop for PickClaim {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A target and what calls have shown about it.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Candidate {
     /// Identity of this run of the target within the picker.
     pub(crate) id: u64,
@@ -51,8 +65,7 @@
     pub(crate) view: Arc<TargetView>,
     /// Failures and ejection.
     pub(crate) health: TargetHealth,
-    /// This proxy's calls in flight.
-    pub(crate) own: u32,
+    own: Arc<AtomicU32>,
     others: f32,
     others_mean: f32,
     others_at: Instant,
@@ -70,7 +83,7 @@
         Self {
             id,
             health: TargetHealth::new(now),
-            own: 0,
+            own: Arc::default(),
             others,
             others_mean: others,
             others_at: now,
@@ -85,7 +98,8 @@
 
     /// Takes over a newer description; a target that is ready anew is ramped up.
     pub(crate) fn update(&mut self, view: Arc<TargetView>) {
-        let began = view.state != self.view.state || view.since != self.view.since;
+        let later = view.since.saturating_duration_since(self.view.since);
+        let began = view.state != self.view.state || later > SINCE_TOLERANCE;
         if began && view.state == TargetState::Ready {
             self.ramp_from = view.since;
             self.left = false;
@@ -103,14 +117,19 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
-    /// Counts a call that is sent to the target.
-    pub(crate) fn on_sent(&mut self) {
-        self.own += 1;
+    /// This proxy's calls in flight.
+    pub(crate) fn own(&self) -> u32 {
+        self.own.load(Ordering::Relaxed)
+    }
+
+    /// Counts a call in flight until the claim is dropped.
+    pub(crate) fn claim(&self) -> PickClaim {
+        self.own.fetch_add(1, Ordering::Relaxed);
+        PickClaim(Arc::clone(&self.own))
     }
 
-    /// Learns from a call that ended.
+    /// Learns from a call that ended and whose claim is about to be dropped.
     pub(crate) fn on_finished(&mut self, outcome: &CallOutcome, now: Instant) {
-        self.own = self.own.saturating_sub(1);
         if let Some(load) = outcome.load {
             self.learn_load(load, now);
         }
@@ -131,7 +150,8 @@
     }
 
     fn learn_load(&mut self, load: TargetLoad, now: Instant) {
-        let others = load.outstanding().saturating_sub(self.own) as f32;
+        let own = self.own().saturating_sub(1);
+        let others = load.outstanding().saturating_sub(own) as f32;
         self.others = others;
         self.others_mean += (others - self.others_mean) * OTHERS_WEIGHT;
         self.others_at = now;
@@ -173,7 +193,7 @@
     fn outstanding(&self, now: Instant) -> f32 {
         let fresh = freshness(self.others_at, LOAD_HALF_LIFE, now);
         let others = self.others_mean + (self.others - self.others_mean) * fresh;
-        self.own as f32 + others
+        self.own() as f32 + others
     }
 
     /// Capacity in calls a second, by which candidates are sampled.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`TargetPicker`], one for each proxy, chooses the target of a call.
 //! - [`AdmissionGate`], one beside each target, keeps calls within the
 //!   target's slots, whichever proxies they come from.
-//! - [`RetryPolicy`] decides whether a failed attempt is sent again, within a
+//! - [`RetryBook`] holds a [`RetryPolicy`] for each service, which decides whether a failed attempt is sent again, within a
 //!   budget that does not multiply over the depth of calls.
 //! - [`CallDeadline`] carries the time that remains.
 //!
@@ -30,5 +30,5 @@
 pub use budget::{BudgetConfig, RetryBudget};
 pub use deadline::CallDeadline;
 pub use picker::{PickTicket, PickerConfig, TargetPicker};
-pub use retry::{AttemptFailure, FailureCause, RetryMark, RetryPolicy, RetryVerdict};
+pub use retry::{AttemptFailure, FailureCause, RetryBook, RetryMark, RetryPolicy, RetryVerdict};
 pub use target::{CallOutcome, CallResult, TargetLoad, TargetState, TargetView};
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -21,7 +21,7 @@
 use rand::rngs::SmallRng;
 use smallvec::SmallVec;
 
-use crate::candidate::Candidate;
+use crate::candidate::{Candidate, PickClaim};
 use crate::service::{PickRule, ServiceTargets, Trust};
 use crate::target::{CallOutcome, TargetState, TargetView};
 
@@ -51,8 +51,11 @@
     }
 }
 
-/// A call's claim on the target picked for it; ends with [`TargetPicker::finish`].
-#[derive(Clone, Debug)]
+/// A call's claim on the target picked for it, until dropped.
+///
+/// [`TargetPicker::finish`] tells the picker how the call ended; a ticket that
+/// is only dropped, as when the caller leaves, teaches it nothing.
+#[derive(Debug)]
 pub struct PickTicket {
     /// The target.
     pub view: Arc<TargetView>,
@@ -60,6 +63,7 @@
     pub picked: Instant,
     service: ServiceName,
     candidate: u64,
+    _claim: PickClaim,
 }
 
 /// Chooses targets for the calls of one proxy.
@@ -168,12 +172,12 @@
         if candidate.health.begin_probation(now) {
             candidate.ramp_up(now);
         }
-        candidate.on_sent();
         Some(PickTicket {
             view: Arc::clone(&candidate.view),
             picked: now,
             service: service.clone(),
             candidate: candidate.id,
+            _claim: candidate.claim(),
         })
     }
 
@@ -194,7 +198,7 @@
         KindError::new(kind, detail)
     }
 
-    /// Learns how the call ended and gives its claim back.
+    /// Learns how the call ended; drop the ticket after it.
     pub fn finish(&mut self, ticket: &PickTicket, outcome: &CallOutcome) {
         let now = self.clock.now();
         let Some(targets) = self.services.get_mut(&ticket.service) else {
@@ -209,7 +213,7 @@
             let mut candidates = targets.candidates.iter();
             candidates.find(|candidate| candidate.view.daemon == daemon)
         });
-        CallCount(own.map_or(0, |candidate| candidate.own))
+        CallCount(own.map_or(0, Candidate::own))
     }
 
     /// Targets of `service` that are ejected for their failures.
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -8,20 +8,24 @@
 //!    without another attempt at each layer.
 //! 2. A call that descends from a retried attempt carries a [`RetryMark`] and
 //!    is not sent again after a loss, so one lineage holds one repetition.
-//! 3. Two budgets for each proxy: one for refusals, which cost the target no
+//! 3. Two budgets for each proxy and service: one for refusals, which cost the target no
 //!    work, and a smaller one for losses, whose work below is repeated;
 //!    the latter is the whole allowance divided by the depth of calls.
 //!
 //! A lost call that is not idempotent ends as `OutcomeUnknown`, never as not
 //! run.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
-use model::ErrorKind;
+use model::{ErrorKind, ServiceName};
 use serde::{Deserialize, Serialize};
 
 use crate::budget::{BudgetConfig, RetryBudget};
 
+/// Services with budgets of their own.
+pub const MAX_SERVICES: usize = 256;
+
 /// Attempts of one call at one proxy, the first included.
 pub const MAX_ATTEMPTS: u8 = 3;
 
@@ -152,6 +156,28 @@
     }
 }
 
+/// Retries of one proxy by service, so that a failing service spends no other's budget.
+#[derive(Clone, Debug, Default)]
+pub struct RetryBook {
+    policies: HashMap<ServiceName, RetryPolicy>,
+    rest: RetryPolicy,
+}
+
+impl RetryBook {
+    /// A book with full budgets.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The policy of `service`; services beyond [`MAX_SERVICES`] share one.
+    pub fn policy(&mut self, service: &ServiceName) -> &mut RetryPolicy {
+        if self.policies.contains_key(service) || self.policies.len() < MAX_SERVICES {
+            return self.policies.entry(service.clone()).or_default();
+        }
+        &mut self.rest
+    }
+}
+
 impl AttemptFailure {
     fn can_repeat(&self) -> bool {
         self.replayable && self.attempts < MAX_ATTEMPTS && self.remaining >= MIN_REMAINING
