Pause after an update that cannot be applied

Cause: a daemon of an older release pulled the same update with every beat. Change: the next pull waits for 5 s.

--- a/crates/spread/src/peers.rs
+++ b/crates/spread/src/peers.rs
@@ -17,6 +17,9 @@
 /// Shortest time between two alarms about a peer's contradicting state.
 const CONTRADICTION_SPACING: Duration = Duration::from_secs(10);
 
+/// Pause before the next pull when an update could not be applied.
+const REFUSED_PAUSE: Duration = Duration::from_secs(5);
+
 /// Share of a starting daemon's pulls that go to its own domain.
 const START_NEAR_SHARE: f64 = 0.7;
 
@@ -252,7 +255,10 @@
                 self.check_target(&update.target, outputs);
             }
             Ok(false) => {}
-            Err(error) if update.base == self.head => outputs.push(refused(error.kind)),
+            Err(error) if update.base == self.head => {
+                self.pull.defer(now + REFUSED_PAUSE);
+                outputs.push(refused(error.kind));
+            }
             Err(_) => self.pull_from(from, outputs, now),
         }
     }
--- a/crates/spread/tests/distribution.rs
+++ b/crates/spread/tests/distribution.rs
@@ -217,3 +217,32 @@
     assert_eq!(outputs, [SpreadOutput::Alarm(refused)]);
     assert_eq!(node.head(), head);
 }
+
+#[test]
+fn an_update_that_cannot_be_applied_is_not_pulled_again_at_once() {
+    let mut fleet = fleet(3, 1);
+    let clock = fleet.clock.clone();
+    let node = fleet.slots[0].actor.as_mut().unwrap();
+    let head = node.head();
+    let newer = ReplicaHead {
+        next: head.next.next(),
+        ..head
+    };
+    let peer = DaemonId(9);
+    let broken = SpreadMessage::Update(HeadUpdate {
+        base: head,
+        target: newer,
+        body: UpdateBody(b"broken".as_slice().into()),
+    });
+    let outputs = node.on_peer_message(peer, broken);
+    let refused = SpreadAlarm::UpdateRefused(ErrorKind::SnapshotInvalid);
+    assert_eq!(outputs, [SpreadOutput::Alarm(refused)]);
+    let hint = SpreadMessage::NoUpdate { head: Some(newer) };
+    assert!(node.on_peer_message(peer, hint.clone()).is_empty());
+    clock.advance(Duration::from_secs(6));
+    let pull = SpreadOutput::Send {
+        to: peer,
+        message: SpreadMessage::Pull { base: head },
+    };
+    assert!(node.on_peer_message(peer, hint).contains(&pull));
+}
