--- a/crates/members/benches/membership.rs
+++ b/crates/members/benches/membership.rs
@@ -12,7 +12,7 @@
 
 use std::process::ExitCode;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use comfy_table::Table;
 use fleet::{Fleet, LinkEnds, MESSAGE_OVERHEAD, base_delay, plain_link, target_of};
@@ -136,7 +136,10 @@
     run_with_loads(&mut fleet, LOAD_SPAN, &mut rng);
     fleet.reset_counts();
     let begin = fleet.clock.elapsed().as_secs() as usize;
+    let started = Instant::now();
     run_with_loads(&mut fleet, STEADY_SPAN, &mut rng);
+    let spent = started.elapsed().as_micros() as f64;
+    let footprint = fleet.running().map(|node| node.footprint().0).max();
     let daemon_seconds = (size.count as u64 * STEADY_SPAN.as_secs()) as f64;
     let bytes: u64 = fleet.slots.iter().map(|slot| slot.bytes).sum();
     let messages: u64 = fleet.slots.iter().map(|slot| slot.messages).sum();
@@ -171,6 +174,19 @@
         figure("", "false deaths", fleet.false_deaths() as f64, "")
             .at_most(0.0)
             .against(baseline.false_deaths),
+        figure(
+            "",
+            "memory for members",
+            footprint.unwrap_or(0) as f64 / 1000.0,
+            "kB",
+        )
+        .at_most(2000.0),
+        figure(
+            "",
+            "processor time, queues included",
+            spent / daemon_seconds,
+            "us/s",
+        ),
     ]
 }
 
--- a/crates/members/src/digest.rs
+++ b/crates/members/src/digest.rs
@@ -191,6 +191,18 @@
         }
     }
 
+    /// Memory that the record takes, without allocator overhead.
+    pub fn footprint(&self) -> usize {
+        let profile = &self.profile;
+        let names = profile.name.len() + profile.domain.len() + profile.region.len();
+        let targets: usize = self
+            .targets
+            .iter()
+            .map(|target| size_of::<TargetDigest>() + target.service.len() + target.target.len())
+            .sum();
+        size_of::<Self>() + names + targets
+    }
+
     /// The heartbeat that tells this edition to whoever knows the content.
     pub fn heartbeat(&self) -> MemberHeartbeat {
         MemberHeartbeat {
--- /dev/null
+++ b/crates/members/src/gossip.rs
@@ -0,0 +1,191 @@
+//! How a [`MemberNode`] learns, sends and passes news on.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use model::DaemonId;
+use rand::Rng;
+
+use crate::message::{MemberMessage, MemberUpdate, MessageBody, PIGGYBACK_BYTES, encoded_len};
+use crate::node::MemberNode;
+use crate::output::{MemberChange, MemberOutput};
+use crate::table::{MemberState, UpdateEffect};
+
+/// Members told of news in one tick.
+const GOSSIP_FANOUT: usize = 3;
+/// Bytes a second of updates that one daemon passes on.
+pub(crate) const GOSSIP_RATE: u32 = 4_500;
+/// Bytes of updates passed on at once after a quiet time.
+pub(crate) const GOSSIP_BURST: u32 = 15_000;
+/// Rounds of gossip a second between ticks.
+pub(crate) const URGENT_RATE: u32 = 4;
+/// Rounds of gossip at once between ticks.
+pub(crate) const URGENT_BURST: u32 = 8;
+/// Bytes of framing for which a message made for gossip counts besides its updates.
+const GOSSIP_OVERHEAD: usize = 100;
+/// Bytes of updates in one message made for gossip.
+const GOSSIP_BYTES: usize = 1_200;
+
+impl MemberNode {
+    /// Applies `update`, spreads it if it is news, and tells the daemon.
+    pub(crate) fn learn(
+        &mut self,
+        update: &MemberUpdate,
+        spread: bool,
+        outputs: &mut Vec<MemberOutput>,
+    ) -> UpdateEffect {
+        let now = self.clock.now();
+        let effect = self.table.apply(update, now);
+        if !effect.is_news() {
+            self.queue.heard_again(update);
+            return effect;
+        }
+        if spread {
+            self.queue
+                .push(update.clone(), self.spread_for(update, effect));
+        }
+        if let Some(change) = self.change_for(update.id(), effect) {
+            outputs.push(MemberOutput::Changed(change));
+        }
+        effect
+    }
+
+    /// Sends to a known member.
+    pub(crate) fn send_to(
+        &mut self,
+        id: DaemonId,
+        body: MessageBody,
+        first: Vec<MemberUpdate>,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        let Some(entry) = self.table.get(id) else {
+            return;
+        };
+        let address = entry.profile().peer_address;
+        self.send_at(id, address, body, first, outputs);
+    }
+
+    /// Sends to a daemon at `address`; `first` go ahead of other updates.
+    pub(crate) fn send_at(
+        &mut self,
+        to: DaemonId,
+        address: SocketAddr,
+        body: MessageBody,
+        first: Vec<MemberUpdate>,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        let now = self.clock.now();
+        let room = self.gossip_bytes.available(now).min(PIGGYBACK_BYTES);
+        let mut updates = first;
+        updates.extend(self.take_updates(room));
+        let message = self.message(self.table.get(to).is_none(), body, updates);
+        outputs.push(MemberOutput::Send {
+            to,
+            address,
+            message,
+        });
+    }
+
+    /// Live members of the region, and now and then of others, in random order.
+    pub(crate) fn random_peers(&mut self, count: usize) -> Vec<DaemonId> {
+        const FAR_SHARE: f64 = 0.05;
+        let mut peers = Vec::with_capacity(count);
+        for _ in 0..count {
+            let far = self.plan.near().is_empty() || self.rng.random_bool(FAR_SHARE);
+            let pool = if far && !self.plan.far().is_empty() {
+                self.plan.far()
+            } else {
+                self.plan.near()
+            };
+            if pool.is_empty() {
+                break;
+            }
+            let id = pool[self.rng.random_range(0..pool.len())];
+            if !peers.contains(&id) {
+                peers.push(id);
+            }
+        }
+        peers
+    }
+
+    pub(crate) fn message(
+        &self,
+        wants_record: bool,
+        body: MessageBody,
+        updates: Vec<MemberUpdate>,
+    ) -> MemberMessage {
+        MemberMessage {
+            stamp: self.own.stamp,
+            address: self.own.profile.peer_address,
+            wants_record,
+            body,
+            updates,
+        }
+    }
+
+    pub(crate) fn own_update(&self) -> MemberUpdate {
+        MemberUpdate::Alive(Arc::clone(&self.own))
+    }
+
+    /// How many members an update is to reach by gossip: loads alone may miss some.
+    fn spread_for(&self, update: &MemberUpdate, effect: UpdateEffect) -> usize {
+        let load_only =
+            matches!(update, MemberUpdate::Heartbeat(_)) && effect == UpdateEffect::Renewed;
+        if load_only {
+            0
+        } else {
+            self.table.live_count()
+        }
+    }
+
+    fn take_updates(&mut self, room: usize) -> Vec<MemberUpdate> {
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        let updates = self.queue.take(room);
+        let bytes = updates.iter().map(encoded_len).sum();
+        self.gossip_bytes.spend(bytes);
+        updates
+    }
+
+    fn change_for(&self, id: DaemonId, effect: UpdateEffect) -> Option<MemberChange> {
+        let state = self.table.get(id)?.state;
+        let before = match effect {
+            UpdateEffect::Known | UpdateEffect::Accused => return None,
+            UpdateEffect::Renewed => Some(MemberState::Alive),
+            UpdateEffect::StateChanged { before } => before,
+        };
+        Some(MemberChange { id, before, state })
+    }
+
+    /// Passes news on without waiting for the next tick, a bounded number of times a second.
+    pub(crate) fn gossip_urgently(&mut self, now: Instant, outputs: &mut Vec<MemberOutput>) {
+        if self.urgent_rounds.available(now) > 0 {
+            self.urgent_rounds.spend(1);
+            self.gossip(now, outputs);
+        }
+    }
+
+    /// Passes news on to a few random members.
+    pub(crate) fn gossip(&mut self, now: Instant, outputs: &mut Vec<MemberOutput>) {
+        for id in self.random_peers(GOSSIP_FANOUT) {
+            let room = self.gossip_bytes.available(now).min(GOSSIP_BYTES);
+            let updates = self.take_updates(room);
+            let Some(entry) = self.table.get(id) else {
+                continue;
+            };
+            if updates.is_empty() {
+                break;
+            }
+            let address = entry.profile().peer_address;
+            self.gossip_bytes.spend(GOSSIP_OVERHEAD);
+            let message = self.message(false, MessageBody::Gossip, updates);
+            outputs.push(MemberOutput::Send {
+                to: id,
+                address,
+                message,
+            });
+        }
+    }
+}
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -19,12 +19,16 @@
 //! the fleet. The example `members` shows a fleet of three in memory.
 
 pub mod announce;
+mod contact;
 pub mod delay;
 pub mod digest;
+mod gossip;
 pub mod health;
 pub mod join;
 pub mod message;
 pub mod node;
+pub mod output;
+mod own;
 pub mod probe;
 pub mod prober;
 pub mod queue;
@@ -42,9 +46,8 @@
 };
 pub use health::LocalHealth;
 pub use message::{MemberMessage, MemberUpdate, MessageBody, decode_message, encode_message};
-pub use node::{
-    MemberChange, MemberCounts, MemberNode, MemberOutput, MemberSettings, TICK_INTERVAL,
-};
+pub use node::{MemberNode, MemberSettings, TICK_INTERVAL};
+pub use output::{MemberChange, MemberCounts, MemberOutput};
 pub use record::{JoinRecord, LeaveRecord, StreamRecord, members_stream};
 pub use table::MemberState;
 pub use view::{MemberView, TargetView};
--- a/crates/members/src/prober.rs
+++ b/crates/members/src/prober.rs
@@ -9,7 +9,8 @@
 use rand::seq::SliceRandom;
 
 use crate::message::{MemberUpdate, MessageBody};
-use crate::node::{MemberNode, MemberOutput, accusation_of};
+use crate::node::MemberNode;
+use crate::output::MemberOutput;
 use crate::probe::{
     DIRECT_TIMEOUT, FAR_TIMEOUT, HELPER_COUNT, INDIRECT_TIMEOUT, ProbeKind, ProbeStage,
     WaitingProbe,
@@ -147,7 +148,7 @@
         let Some(entry) = self.table.get(id) else {
             return;
         };
-        let first: Vec<MemberUpdate> = claim.into_iter().chain(accusation_of(entry)).collect();
+        let first: Vec<MemberUpdate> = claim.into_iter().chain(entry.accusation()).collect();
         let usual = usual_wait(kind, ProbeStage::Direct);
         let wait = self.slow.wait_for(id, usual, &self.table);
         let wait = self.health.stretch(wait);
--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -6,10 +6,11 @@
 
 use crate::digest::MemberStamp;
 use crate::message::{MemberMessage, MemberUpdate, MessageBody, ProbeNumber};
-use crate::node::{MemberNode, MemberOutput, accusation_of};
+use crate::node::MemberNode;
+use crate::output::MemberOutput;
 use crate::probe::ProbeKind;
 use crate::sync::FEW_RECORDS;
-use crate::table::{MemberState, UpdateEffect};
+use crate::table::{MemberEntry, MemberState, UpdateEffect};
 
 impl MemberNode {
     /// Takes a message of another member.
@@ -100,7 +101,7 @@
             .table
             .get(from)
             .filter(|entry| entry.stamp() >= *stamp)
-            .and_then(accusation_of);
+            .and_then(MemberEntry::accusation);
         first.extend(held);
         let view = self.view_hash();
         self.send_at(
@@ -155,7 +156,7 @@
         let Some(relay) = self.probes.start_relay(from, probe, now) else {
             return;
         };
-        let first = self.table.get(subject).and_then(accusation_of);
+        let first = self.table.get(subject).and_then(MemberEntry::accusation);
         let body = MessageBody::Ping {
             probe: relay,
             view: self.view_hash(),
--- a/crates/members/src/sync.rs
+++ b/crates/members/src/sync.rs
@@ -19,7 +19,8 @@
 use crate::message::{
     BUCKET_COUNT, BULK_BYTES, MemberUpdate, MessageBody, ViewSummary, encoded_len,
 };
-use crate::node::{MemberNode, MemberOutput, accusation_of};
+use crate::node::MemberNode;
+use crate::output::MemberOutput;
 use crate::queue::ByteBucket;
 use crate::table::{MemberEntry, MemberState, MemberTable, bucket_of, entry_hash};
 
@@ -279,7 +280,7 @@
 fn end_of(entry: &MemberEntry) -> Option<MemberUpdate> {
     match entry.state {
         MemberState::Alive | MemberState::Suspect => None,
-        MemberState::Dead => accusation_of(entry),
+        MemberState::Dead => entry.accusation(),
         MemberState::Left => Some(MemberUpdate::Left {
             id: entry.record.id,
             stamp: entry.stamp(),
--- a/crates/members/src/table.rs
+++ b/crates/members/src/table.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use model::{DaemonId, DomainName, RegionName};
+use model::{ByteCount, DaemonId, DomainName, RegionName};
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -72,6 +72,18 @@
         self.record.stamp
     }
 
+    /// The update that tells a member what is held against it, if anything is.
+    pub fn accusation(&self) -> Option<MemberUpdate> {
+        let id = self.record.id;
+        let stamp = self.stamp();
+        let by = self.accusers.first().copied()?;
+        match self.state {
+            MemberState::Suspect => Some(MemberUpdate::Suspect { id, stamp, by }),
+            MemberState::Dead => Some(MemberUpdate::Dead { id, stamp, by }),
+            MemberState::Alive | MemberState::Left => None,
+        }
+    }
+
     /// The newest profile.
     pub fn profile(&self) -> &MemberProfile {
         &self.record.profile
@@ -159,6 +171,16 @@
         &self.buckets
     }
 
+    /// Memory that the entries take, without allocator overhead.
+    pub fn footprint(&self) -> ByteCount {
+        let entry_size = size_of::<MemberEntry>() + size_of::<DaemonId>();
+        let bytes: usize = self
+            .iter()
+            .map(|entry| entry_size + entry.record.footprint())
+            .sum();
+        ByteCount(bytes as u64)
+    }
+
     /// A member's failure domain.
     pub fn domain(&self, id: DaemonId) -> Option<&DomainName> {
         self.get(id).map(|entry| &entry.profile().domain)
