members: paused targets return, heartbeats survive a drain, old runs are told

Cause: a target marked gone by silence was refused for ever in the same run; a draining daemon refused its targets' heartbeats and dropped them while they still ended calls; an old run of a daemon got no answer at all. Change: silence is reversible, an earlier state counts as a heartbeat, a stale run is told of its successor and stops. Known seeds are not asked again. Tests for each, and: a drained target is never seen ready again.

--- a/crates/members/src/announce.rs
+++ b/crates/members/src/announce.rs
@@ -5,7 +5,8 @@
 //! last announced, drops a target whose heartbeat stopped, and refuses what
 //! an older run of the target still sends. Within one run a target moves only
 //! forward (starting, ready, draining, gone), so a delayed heartbeat cannot
-//! make a draining target ready again.
+//! make a draining target ready again. Silence alone is no end: a target that
+//! was paused takes its place again with the next heartbeat.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -90,9 +91,16 @@
 struct TargetEntry {
     announcement: TargetAnnouncement,
     heard_at: Instant,
+    silent: bool,
     ready_since: Option<SystemTime>,
 }
 
+impl TargetEntry {
+    fn is_present(&self) -> bool {
+        !self.silent && self.announcement.state != TargetState::Gone
+    }
+}
+
 /// The targets beside one daemon.
 #[derive(Debug)]
 pub struct TargetRegistry {
@@ -110,7 +118,12 @@
     }
 
     /// Takes an announcement; tells the change, or none for a mere heartbeat.
-    pub fn announce(&mut self, announcement: TargetAnnouncement) -> Result<Option<TargetChange>> {
+    ///
+    /// A state that this run has already left counts as a heartbeat.
+    pub fn announce(
+        &mut self,
+        mut announcement: TargetAnnouncement,
+    ) -> Result<Option<TargetChange>> {
         check_announcement(&announcement)?;
         let Some(entry) = self.entries.get(&announcement.target) else {
             return self.insert_target(announcement);
@@ -119,8 +132,11 @@
         if announcement.incarnation < known.incarnation {
             return Err(refusal("an older incarnation than the one announced"));
         }
-        if announcement.incarnation == known.incarnation && announcement.state < known.state {
-            return Err(refusal("a state that this incarnation has already left"));
+        if announcement.incarnation == known.incarnation {
+            if known.state == TargetState::Gone {
+                return Err(refusal("this incarnation has already gone"));
+            }
+            announcement.state = announcement.state.max(known.state);
         }
         Ok(self.replace_target(announcement))
     }
@@ -131,15 +147,15 @@
         let mut changes = Vec::new();
         for entry in self.entries.values_mut() {
             let silent = now.duration_since(entry.heard_at) >= HEARTBEAT_TIMEOUT;
-            if silent && entry.announcement.state != TargetState::Gone {
-                entry.announcement.state = TargetState::Gone;
-                entry.heard_at = now;
-                changes.push(change_of(&entry.announcement));
+            if silent && entry.is_present() {
+                entry.silent = true;
+                let mut change = change_of(&entry.announcement);
+                change.state = TargetState::Gone;
+                changes.push(change);
             }
         }
         self.entries.retain(|_, entry| {
-            entry.announcement.state != TargetState::Gone
-                || now.duration_since(entry.heard_at) < GONE_RETENTION
+            entry.is_present() || now.duration_since(entry.heard_at) < GONE_RETENTION
         });
         changes
     }
@@ -148,7 +164,7 @@
     pub fn drain_all(&mut self) -> Vec<TargetChange> {
         let mut changes = Vec::new();
         for entry in self.entries.values_mut() {
-            if entry.announcement.state < TargetState::Draining {
+            if entry.is_present() && entry.announcement.state < TargetState::Draining {
                 entry.announcement.state = TargetState::Draining;
                 changes.push(change_of(&entry.announcement));
             }
@@ -165,23 +181,22 @@
     pub fn present(&self) -> impl Iterator<Item = &TargetAnnouncement> {
         self.entries
             .values()
+            .filter(|entry| entry.is_present())
             .map(|entry| &entry.announcement)
-            .filter(|announcement| announcement.state != TargetState::Gone)
     }
 
     /// What the other daemons are told.
     pub fn digests(&self) -> Vec<TargetDigest> {
         self.entries
             .values()
-            .filter(|entry| entry.announcement.state != TargetState::Gone)
+            .filter(|entry| entry.is_present())
             .map(digest_of)
             .collect()
     }
 
     fn insert_target(&mut self, announcement: TargetAnnouncement) -> Result<Option<TargetChange>> {
         if self.entries.len() >= MAX_TARGETS {
-            self.entries
-                .retain(|_, entry| entry.announcement.state != TargetState::Gone);
+            self.entries.retain(|_, entry| entry.is_present());
         }
         ensure(
             self.entries.len() < MAX_TARGETS,
@@ -197,8 +212,10 @@
         let entry = self.entries.get(&announcement.target)?;
         let known = &entry.announcement;
         let same_run = announcement.incarnation == known.incarnation;
-        let changed =
-            !same_run || announcement.state != known.state || announcement.service != known.service;
+        let changed = entry.silent
+            || !same_run
+            || announcement.state != known.state
+            || announcement.service != known.service;
         let ready_since = entry.ready_since.filter(|_| same_run);
         let change = change_of(&announcement);
         self.store_target(announcement, ready_since);
@@ -210,6 +227,7 @@
         let ready_since = ready_since.or_else(|| ready.then(|| self.clock.wall()));
         let entry = TargetEntry {
             heard_at: self.clock.now(),
+            silent: false,
             ready_since,
             announcement,
         };
--- a/crates/members/src/contact.rs
+++ b/crates/members/src/contact.rs
@@ -83,7 +83,11 @@
     fn contact_seeds(&mut self, outputs: &mut Vec<MemberOutput>) {
         for index in 0..self.seeds.len() {
             let address = self.seeds[index];
-            if address == self.own.profile.peer_address {
+            let known = self
+                .table
+                .live()
+                .any(|entry| entry.profile().peer_address == address);
+            if known || address == self.own.profile.peer_address {
                 continue;
             }
             let message = self.message(true, self.contact_ping(), vec![self.own_update()]);
--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -1,6 +1,7 @@
 //! What a [`MemberNode`] does with messages.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use model::DaemonId;
 
@@ -16,8 +17,12 @@
     /// Takes a message of another member.
     pub fn on_message(&mut self, from: DaemonId, message: MemberMessage) -> Vec<MemberOutput> {
         let mut outputs = Vec::new();
-        if from == self.own.id || self.is_stale(from, message.stamp) {
+        if from == self.own.id {
+            return outputs;
+        }
+        if self.is_stale(from, message.stamp) {
             self.counts.stale_messages += 1;
+            self.tell_successor(from, &message, &mut outputs);
             return outputs;
         }
         let synced = matches!(message.body, MessageBody::SyncRecords { .. });
@@ -42,6 +47,25 @@
         outputs
     }
 
+    /// Tells an older run of a member that a later one exists, so that it stops.
+    fn tell_successor(
+        &mut self,
+        from: DaemonId,
+        message: &MemberMessage,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        let asks = matches!(message.body, MessageBody::Ping { .. });
+        let successor = self
+            .table
+            .get(from)
+            .filter(|entry| asks && entry.stamp().incarnation > message.stamp.incarnation)
+            .map(|entry| MemberUpdate::Alive(Arc::clone(&entry.record)));
+        if let Some(update) = successor {
+            let first = vec![update];
+            self.send_at(from, message.address, MessageBody::Gossip, first, outputs);
+        }
+    }
+
     /// Whether a message comes from a run that has ended.
     fn is_stale(&self, from: DaemonId, stamp: MemberStamp) -> bool {
         let Some(entry) = self.table.get(from) else {
--- a/crates/members/tests/announce.rs
+++ b/crates/members/tests/announce.rs
@@ -72,6 +72,9 @@
             .announce(announcement(1, 4, TargetState::Ready))
             .is_err()
     );
+    registry
+        .announce(announcement(1, 5, TargetState::Gone))
+        .unwrap();
     assert!(
         registry
             .announce(announcement(1, 5, TargetState::Ready))
@@ -81,6 +84,36 @@
     assert!(later.unwrap().is_some());
 }
 
+#[test]
+fn a_paused_target_takes_its_place_again() {
+    let (clock, mut registry) = registry();
+    registry
+        .announce(announcement(1, 1, TargetState::Ready))
+        .unwrap();
+    clock.advance(2 * HEARTBEAT_TIMEOUT);
+    registry.on_tick();
+    assert_eq!(registry.present().count(), 0);
+    let back = registry.announce(announcement(1, 1, TargetState::Ready));
+    assert_eq!(back.unwrap().unwrap().state, TargetState::Ready);
+    assert_eq!(registry.present().count(), 1);
+}
+
+#[test]
+fn heartbeats_keep_a_target_that_the_daemon_drains() {
+    let (clock, mut registry) = registry();
+    registry
+        .announce(announcement(1, 1, TargetState::Ready))
+        .unwrap();
+    assert_eq!(registry.drain_all().len(), 1);
+    for _ in 0..10 {
+        clock.advance(Duration::from_secs(1));
+        let heartbeat = registry.announce(announcement(1, 1, TargetState::Ready));
+        assert_eq!(heartbeat, Ok(None));
+        assert!(registry.on_tick().is_empty());
+    }
+    assert_eq!(registry.digests()[0].state, TargetState::Draining);
+}
+
 #[test]
 fn the_count_of_targets_is_bounded() {
     let (_, mut registry) = registry();
--- a/crates/members/tests/node.rs
+++ b/crates/members/tests/node.rs
@@ -6,7 +6,9 @@
 
 use fleet::{Fleet, LinkEnds, base_delay, plain_link, target_of};
 use model::IncarnationNumber;
-use quetzal_members::{MemberMessage, MemberState, MessageBody, SequenceNumber, TargetState};
+use quetzal_members::{
+    MemberMessage, MemberOutput, MemberState, MessageBody, SequenceNumber, TargetState,
+};
 use quickcheck::{QuickCheck, TestResult};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -57,8 +59,16 @@
         updates: Vec::new(),
     };
     let id = fleet.slots[5].id;
-    assert!(fleet.node(6).on_message(id, late).is_empty());
+    let outputs = fleet.node(6).on_message(id, late);
     assert_eq!(fleet.node(6).counts().stale_messages, 1);
+    let told = outputs.iter().any(|output| match output {
+        MemberOutput::Send { message, .. } => message
+            .updates
+            .iter()
+            .any(|update| update.id() == id && update.stamp().incarnation == after.incarnation),
+        _ => false,
+    });
+    assert!(told, "the old run hears of its successor");
 }
 
 #[test]
@@ -76,7 +86,7 @@
     };
     let from = fleet.slots[1].id;
     let outputs = fleet.node(0).on_message(from, message);
-    assert!(outputs.contains(&quetzal_members::MemberOutput::Superseded));
+    assert!(outputs.contains(&MemberOutput::Superseded));
 }
 
 #[test]
@@ -256,6 +266,53 @@
     assert!(fleet.is_complete());
 }
 
+/// Whoever has seen a target drain never sees it ready again, in whatever order news arrive.
+#[test]
+fn a_draining_target_is_never_seen_ready_again() {
+    #[allow(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck hands over values"
+    )]
+    fn stays(seed: u64, loads: Vec<u8>) -> bool {
+        let mut fleet = Fleet::warm(9, 3, 1, seed, 15 * SECOND);
+        fleet.link = Box::new(|_: &LinkEnds, rng| {
+            use rand::Rng;
+            let lost = rng.random_bool(0.3);
+            (!lost).then(|| Duration::from_millis(rng.random_range(1..900)))
+        });
+        let mut digest = target_of(0, TargetState::Ready);
+        let service = digest.service.clone();
+        let id = fleet.slots[0].id;
+        let mut gone = [false; 9];
+        for (step, load) in loads.into_iter().take(20).enumerate() {
+            if step == 3 {
+                digest.state = TargetState::Draining;
+            }
+            digest.load = quetzal_members::LoadLevel(load % 9);
+            fleet.node(0).set_targets(vec![digest.clone()]);
+            for _ in 0..5 {
+                fleet.run_for(SECOND / 5);
+                for (index, gone) in gone.iter_mut().enumerate() {
+                    let ready = fleet
+                        .node(index)
+                        .targets(&service)
+                        .iter()
+                        .any(|view| view.daemon == id);
+                    let known = fleet.node(index).state_of(id) == Some(MemberState::Alive);
+                    if *gone && ready {
+                        return false;
+                    }
+                    *gone |= known && !ready && digest.state == TargetState::Draining;
+                }
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .tests(15)
+        .quickcheck(stays as fn(u64, Vec<u8>) -> bool);
+}
+
 /// Views converge once faults end, whatever the losses, crashes and restarts before.
 #[test]
 fn views_converge_after_random_faults() {
