--- a/crates/trace/src/ring.rs
+++ b/crates/trace/src/ring.rs
@@ -17,7 +17,7 @@
 /// Memory that a ring takes if nothing else is asked for.
 pub const DEFAULT_MEMORY: ByteCount = ByteCount(512 * 1024);
 /// Most events in one report.
-pub const MAX_REPORT_EVENTS: usize = 4096;
+pub const MAX_REPORT_EVENTS: usize = 2048;
 
 /// Which process a ring belongs to.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
