--- a/crates/members/src/join.rs
+++ b/crates/members/src/join.rs
@@ -29,6 +29,8 @@
 pub const ENOUGH_MEMBERS: usize = 3;
 /// Longest wait after failed reads or appends.
 const MAX_BACKOFF: Duration = Duration::from_secs(60);
+/// Most daemons kept that may be contacted.
+const MAX_CANDIDATES: usize = 1024;
 /// Most doublings of the wait of a daemon that finds no members.
 const MAX_DOUBLINGS: u32 = 4;
 /// Turns to read that a daemon lets pass after a first contact.
@@ -175,7 +177,9 @@
         for record in records.iter().rev().take(TAIL_RECORDS.0 as usize).rev() {
             match StreamRecord::decode(&record.body) {
                 Ok(StreamRecord::Join(join)) if join.id != self.own => {
-                    self.candidates.insert(join.id, join);
+                    if self.candidates.len() < MAX_CANDIDATES {
+                        self.candidates.insert(join.id, join);
+                    }
                 }
                 Ok(StreamRecord::Leave(leave)) => self.drop_left(leave.id, leave.incarnation),
                 Ok(StreamRecord::Join(_)) | Err(_) => {}
