--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -1,22 +1,28 @@
 //! What a [`MemberNode`] does with messages.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use model::DaemonId;
 
 use crate::digest::MemberStamp;
 use crate::message::{MemberMessage, MemberUpdate, MessageBody, ProbeNumber};
-use crate::node::{MemberNode, MemberOutput, accusation_of};
+use crate::node::MemberNode;
+use crate::output::MemberOutput;
 use crate::probe::ProbeKind;
 use crate::sync::FEW_RECORDS;
-use crate::table::{MemberState, UpdateEffect};
+use crate::table::{MemberEntry, MemberState, UpdateEffect};
 
 impl MemberNode {
     /// Takes a message of another member.
     pub fn on_message(&mut self, from: DaemonId, message: MemberMessage) -> Vec<MemberOutput> {
         let mut outputs = Vec::new();
-        if from == self.own.id || self.is_stale(from, message.stamp) {
+        if from == self.own.id {
+            return outputs;
+        }
+        if self.is_stale(from, message.stamp) {
             self.counts.stale_messages += 1;
+            self.tell_successor(from, &message, &mut outputs);
             return outputs;
         }
         let synced = matches!(message.body, MessageBody::SyncRecords { .. });
@@ -41,6 +47,25 @@
         outputs
     }
 
+    /// Tells an older run of a member that a later one exists, so that it stops.
+    fn tell_successor(
+        &mut self,
+        from: DaemonId,
+        message: &MemberMessage,
+        outputs: &mut Vec<MemberOutput>,
+    ) {
+        let asks = matches!(message.body, MessageBody::Ping { .. });
+        let successor = self
+            .table
+            .get(from)
+            .filter(|entry| asks && entry.stamp().incarnation > message.stamp.incarnation)
+            .map(|entry| MemberUpdate::Alive(Arc::clone(&entry.record)));
+        if let Some(update) = successor {
+            let first = vec![update];
+            self.send_at(from, message.address, MessageBody::Gossip, first, outputs);
+        }
+    }
+
     /// Whether a message comes from a run that has ended.
     fn is_stale(&self, from: DaemonId, stamp: MemberStamp) -> bool {
         let Some(entry) = self.table.get(from) else {
@@ -100,7 +125,7 @@
             .table
             .get(from)
             .filter(|entry| entry.stamp() >= *stamp)
-            .and_then(accusation_of);
+            .and_then(MemberEntry::accusation);
         first.extend(held);
         let view = self.view_hash();
         self.send_at(
@@ -155,7 +180,7 @@
         let Some(relay) = self.probes.start_relay(from, probe, now) else {
             return;
         };
-        let first = self.table.get(subject).and_then(accusation_of);
+        let first = self.table.get(subject).and_then(MemberEntry::accusation);
         let body = MessageBody::Ping {
             probe: relay,
             view: self.view_hash(),
