Judge freshness by the time of the call; name silent domains in status

Cause: a process that was paused judged calls by what was true before. Change: calls ask the timed freshness; alarms of the distributor have levels; status names failure domains without a reader. Conclusion: the distributor's promises hold at the time of each call.

--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -56,6 +56,9 @@
         fleet.in_force(status.version),
         fleet.members
     );
+    for domain in &fleet.silent_domains {
+        println!("silent   no log reader of failure domain {domain} is heard");
+    }
     for line in fleet.lagging_lines(status.version) {
         outln!("lagging  {line}");
     }
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -57,7 +57,7 @@
         let error = KindError::new(ErrorKind::ConfigAbsent, "no configuration yet");
         return (AnswerMark::NONE, Err(error.into()));
     };
-    let case = core.freshness.load().case;
+    let case = core.freshness.load().case_at(core.clock.now());
     let mark = AnswerMark {
         version: table.version(),
         stale: case == FreshnessCase::CutOff,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -178,7 +178,8 @@
         self.do_once(sends);
         let sends = self.keys.do_poison(self.core.keys.take_poison());
         self.do_once(sends);
-        self.core.freshness.store(Arc::new(self.spread.freshness()));
+        let freshness = self.spread.timed_freshness();
+        self.core.freshness.store(Arc::new(freshness));
     }
 
     /// Publishes what changed in this turn and sends the batches.
@@ -380,10 +381,16 @@
             SpreadAlarm::ReaderStarted => EventKind::ReaderTookOver,
             SpreadAlarm::FreshnessChanged(FreshnessCase::CutOff) => EventKind::StaleEntered,
             SpreadAlarm::FreshnessChanged(FreshnessCase::Current) => EventKind::StaleLeft,
-            SpreadAlarm::LogGap { .. } | SpreadAlarm::PeerContradicts { .. } => {
+            SpreadAlarm::LogGap { .. }
+            | SpreadAlarm::LogStuck(_)
+            | SpreadAlarm::PeerContradicts { .. } => {
                 log::error!("{alarm}");
                 return;
             }
+            SpreadAlarm::MessageRefused { kind, .. } => {
+                self.core.counters.count_error(*kind);
+                return;
+            }
             _ => {
                 log::info!("{alarm}");
                 return;
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -18,7 +18,7 @@
 use route::{PickerConfig, RetryPolicy, TargetPicker};
 use serde::de::DeserializeOwned;
 use smallvec::SmallVec;
-use spread::{FreshnessCase, FreshnessReport};
+use spread::freshness::TimedFreshness;
 use tokio_util::task::TaskTracker;
 use trace::{DEFAULT_MEMORY, EventClass, EventKind, EventRing, ProcessIdentity};
 use wire::{PeerPool, WireLimits};
@@ -53,7 +53,7 @@
     /// The state that the table was built from, for operators.
     pub state: ArcSwapOption<ConfigState>,
     /// How current the configuration is.
-    pub freshness: ArcSwap<FreshnessReport>,
+    pub freshness: ArcSwap<TimedFreshness>,
     /// Where members are reached.
     pub addresses: ArcSwap<AddressBook>,
     /// Targets beside this daemon.
@@ -102,11 +102,6 @@
             region: SmallVec::new(),
         };
         let random = || SmallRng::from_rng(&mut rand::rng());
-        let absent = FreshnessReport {
-            case: FreshnessCase::Absent,
-            proof_age: None,
-            outage_age: None,
-        };
         let queue = CallCount(settings.numbers.queue_calls);
         let answer_bounds = BodyBounds {
             max_bytes: u64::MAX,
@@ -121,7 +116,7 @@
             incarnation,
             table: ArcSwapOption::empty(),
             state: ArcSwapOption::empty(),
-            freshness: ArcSwap::from_pointee(absent),
+            freshness: ArcSwap::from_pointee(TimedFreshness::ABSENT),
             addresses: ArcSwap::default(),
             beside: BesideDesk::new(
                 queue,
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -48,6 +48,8 @@
     pub members: u32,
     /// Daemons at each version, the newest first.
     pub versions: Vec<VersionReport>,
+    /// Failure domains with members of which no log reader is heard.
+    pub silent_domains: Vec<DomainName>,
     /// Daemons that lag, the worst first; at most a few are named.
     pub laggards: Vec<LaggardReport>,
     /// Age of this report in milliseconds.
@@ -219,6 +221,7 @@
                 daemons: count.daemons,
             })
             .collect(),
+        silent_domains: summary.silent_domains.to_vec(),
         laggards: summary
             .sum
             .laggards
