Shed at the proxy what the gate refuses

A level for each service at each proxy was measured with one proxy only. With 14 proxies at twice the capacity it gave up 9 to 14 % of goodput, with 720 it shed bookings by chance; it knew nothing of who is refused.

The proxy now counts, for each service, customer and class, calls that came and calls that ran, and sheds the part beyond twice the latter, at most 90 %. The gate, by class and customer, stays the one to decide.

--- a/crates/limits/benches/shedding.rs
+++ b/crates/limits/benches/shedding.rs
@@ -1,24 +1,31 @@
 //! Shedding by class and customer under overload.
 //!
-//! One service of fixed capacity with a short queue, and callers of every
-//! class from three customers, one of whom floods. Compares no shedding with
-//! the shedder. Exits 1 when bookings or the modest customers lose out.
+//! One service of fixed capacity behind a gate, and callers of every class
+//! from three customers, one of whom floods. Compares a plain queue, the gate
+//! alone, and the gate behind proxies that shed. Exits 1 when bookings or the modest customers lose out.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
 use comfy_table::Table;
 use comfy_table::presets::ASCII_MARKDOWN;
-use model::{CallClass, ClockPort, CustomerName, FakeClock, ServiceName};
+use model::{CallClass, CallCount, ClockPort, CustomerName, FakeClock, ServiceName};
 use quetzal_limits::{LoadShedder, LoadSign, ShedTicket};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use route::{AdmissionGate, Admit, CallId, CallTicket, GateConfig, LeftCall};
 
-/// Calls that the service runs at once, and that may wait.
-const SLOTS: usize = 40;
-const QUEUE: usize = 40;
+/// Calls that the service runs at once.
+const SLOTS: u32 = 40;
+
+/// The gate in front of the service.
+const GATE: GateConfig = GateConfig {
+    slots: CallCount(SLOTS),
+    connections: CallCount(400),
+    queue: CallCount(40),
+};
 
 /// Mean run time of a call.
 const RUN_TIME: Duration = Duration::from_millis(20);
@@ -30,14 +37,42 @@
 /// Parts of the calls by class, least important first.
 const CLASS_PARTS: [f64; 4] = [0.3, 0.5, 0.1, 0.1];
 
+/// What guards the service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Guard {
+    /// A queue in order of arrival.
+    Plain,
+    /// The gate's queue, by class and customer.
+    Gate,
+    /// The gate, and this many proxies that shed by what each of them sees.
+    Shed(usize),
+}
+
+impl Guard {
+    const ALL: [Self; 5] = [
+        Self::Plain,
+        Self::Gate,
+        Self::Shed(1),
+        Self::Shed(14),
+        Self::Shed(720),
+    ];
+
+    fn proxies(self) -> usize {
+        match self {
+            Self::Shed(proxies) => proxies,
+            Self::Plain | Self::Gate => 0,
+        }
+    }
+}
+
 /// Least part of bookings answered while their own demand is far below capacity.
 const MIN_BOOKINGS: f64 = 0.98;
 
 /// Least part of a modest customer's reads answered beside one who floods.
-const MIN_MODEST_READS: f64 = 0.8;
+const MIN_MODEST_READS: f64 = 0.95;
 
 /// Least part of capacity put to use under overload.
-const MIN_GOODPUT: f64 = 0.9;
+const MIN_GOODPUT: f64 = 0.95;
 
 /// Calls a second of each customer, as a part of capacity.
 #[derive(Clone, Copy)]
@@ -69,39 +104,45 @@
 struct Call {
     customer: usize,
     class: CallClass,
-    came: Instant,
-    ticket: Option<ShedTicket>,
+    ticket: Option<(usize, ShedTicket)>,
 }
 
 struct Service {
     clock: FakeClock,
     random: SmallRng,
-    shedder: Option<LoadShedder>,
+    shedders: Vec<LoadShedder>,
     name: ServiceName,
     customers: Vec<CustomerName>,
-    running: BinaryHeap<Reverse<(Instant, u64)>>,
+    gate: AdmissionGate,
+    ends: BinaryHeap<Reverse<(Instant, u64)>>,
     calls: BTreeMap<u64, Call>,
-    queue: VecDeque<Call>,
+    guard: Guard,
     sequence: u64,
+    came: u64,
+    entered: u64,
     offered: BTreeMap<(usize, CallClass), u64>,
     done: BTreeMap<(usize, CallClass), u64>,
 }
 
 impl Service {
-    fn new(sheds: bool) -> Self {
+    fn new(guard: Guard) -> Self {
         let clock = FakeClock::new();
-        let shedder = LoadShedder::new(clock.shared(), SmallRng::seed_from_u64(1));
+        let shedder =
+            |index| LoadShedder::new(clock.shared(), SmallRng::seed_from_u64(index as u64));
         let name = |number| format!("agency-{number}").parse().expect("a sound name");
         Self {
-            shedder: sheds.then_some(shedder),
-            clock,
+            shedders: (0..guard.proxies()).map(shedder).collect(),
             random: SmallRng::seed_from_u64(2),
             name: "deals".parse().expect("a sound name"),
             customers: (1..=3).map(name).collect(),
-            running: BinaryHeap::new(),
+            gate: AdmissionGate::new(GATE, clock.shared()),
+            ends: BinaryHeap::new(),
             calls: BTreeMap::new(),
-            queue: VecDeque::new(),
+            guard,
+            clock,
             sequence: 0,
+            came: 0,
+            entered: 0,
             offered: BTreeMap::new(),
             done: BTreeMap::new(),
         }
@@ -114,7 +155,7 @@
     fn run(&mut self, load: Load) {
         let start = self.clock.now();
         let total: f64 = load.customers.iter().sum();
-        let rate = total * SLOTS as f64 / RUN_TIME.as_secs_f64();
+        let rate = total * f64::from(SLOTS) / RUN_TIME.as_secs_f64();
         let mut next = start;
         while next < start + TIME {
             self.end_until(next);
@@ -137,56 +178,76 @@
         if counted {
             *self.offered.entry((customer, class)).or_default() += 1;
         }
+        self.came += 1;
         let mut ticket = None;
-        if let Some(shedder) = &mut self.shedder {
-            let Ok(admitted) = shedder.admit(&self.name, class, &self.customers[customer]) else {
+        if !self.shedders.is_empty() {
+            let proxy = self.random.random_range(0..self.shedders.len());
+            let customer = &self.customers[customer];
+            let Ok(admitted) = self.shedders[proxy].admit(&self.name, class, customer) else {
                 return;
             };
-            ticket = Some(admitted);
+            ticket = Some((proxy, admitted));
         }
+        self.entered += 1;
+        self.sequence += 1;
+        let number = self.sequence;
+        let now = self.clock.now();
         let call = Call {
             customer,
             class,
-            came: self.clock.now(),
             ticket,
         };
-        if self.running.len() < SLOTS {
-            self.begin(call);
-        } else if self.queue.len() < QUEUE {
-            self.queue.push_back(call);
-        } else {
-            self.tell(&call, LoadSign::Refused);
+        self.calls.insert(number, call);
+        let plain = self.guard == Guard::Plain;
+        let answer = self.gate.enter(&CallTicket {
+            call: CallId(number),
+            customer: self.customers[if plain { 0 } else { customer }].clone(),
+            class: if plain { CallClass::Read } else { class },
+            deadline: now + Duration::from_secs(10),
+        });
+        match answer.admit {
+            Admit::Start => self.begin(number),
+            Admit::Queued => {}
+            Admit::Refused(_) => self.refuse(number),
+        }
+        if let Some(displaced) = answer.displaced {
+            self.refuse(displaced.0);
         }
     }
 
-    fn begin(&mut self, call: Call) {
-        let waited = self.clock.now() - call.came;
-        self.tell(&call, LoadSign::Ran(waited));
+    fn begin(&mut self, number: u64) {
         let time = RUN_TIME.mul_f64(self.drawn());
-        self.sequence += 1;
-        let end = self.clock.now() + time;
-        self.running.push(Reverse((end, self.sequence)));
-        self.calls.insert(self.sequence, call);
+        self.ends.push(Reverse((self.clock.now() + time, number)));
+    }
+
+    fn refuse(&mut self, number: u64) {
+        self.tell(number, LoadSign::Refused);
+        self.calls.remove(&number);
     }
 
-    fn tell(&mut self, call: &Call, sign: LoadSign) {
-        if let (Some(shedder), Some(ticket)) = (&mut self.shedder, &call.ticket) {
-            shedder.finish(ticket, sign);
+    fn tell(&mut self, number: u64, sign: LoadSign) {
+        if let Some((proxy, ticket)) = &self.calls[&number].ticket {
+            self.shedders[*proxy].finish(ticket, sign);
         }
     }
 
     fn end_until(&mut self, at: Instant) {
-        while let Some(Reverse((end, number))) = self.running.peek().copied() {
+        while let Some(Reverse((end, number))) = self.ends.peek().copied() {
             if end > at {
                 break;
             }
-            self.running.pop();
+            self.ends.pop();
             self.move_to(end);
+            self.tell(number, LoadSign::Ran(Duration::ZERO));
             if let Some(call) = self.calls.remove(&number) {
                 *self.done.entry((call.customer, call.class)).or_default() += 1;
             }
-            if let Some(next) = self.queue.pop_front() {
-                self.begin(next);
+            let left = LeftCall {
+                call: CallId(number),
+                failed: false,
+            };
+            for next in self.gate.leave(left) {
+                self.begin(next.call.0);
             }
         }
     }
@@ -225,37 +286,39 @@
     table.load_preset(ASCII_MARKDOWN);
     table.set_header([
         "load",
-        "shedding",
+        "guard",
         "reports %",
         "reads %",
         "uploads %",
         "bookings %",
         "modest reads %",
         "goodput %",
+        "at the gate %",
     ]);
     let mut broken = Vec::new();
     for load in LOADS {
-        for sheds in [false, true] {
-            let mut service = Service::new(sheds);
+        for guard in Guard::ALL {
+            let mut service = Service::new(guard);
             service.run(load);
             let done: u64 = service.done.values().sum();
-            let possible = SLOTS as f64 * TIME.as_secs_f64() / RUN_TIME.as_secs_f64();
+            let possible = f64::from(SLOTS) * TIME.as_secs_f64() / RUN_TIME.as_secs_f64();
             let goodput = done as f64 / possible;
             let classes = CallClass::ALL.map(|class| service.answered(|_, one| one == class));
             let modest = service.answered(|who, class| who > 0 && class == CallClass::Read);
-            if sheds {
+            if guard.proxies() > 0 {
                 check(load, classes[3], modest, goodput, &mut broken);
             }
             let percent = |part: f64| format!("{:.1}", part * 100.0);
             table.add_row([
                 load.name.to_owned(),
-                if sheds { "by class" } else { "none" }.to_owned(),
+                format!("{guard:?}"),
                 percent(classes[0]),
                 percent(classes[1]),
                 percent(classes[2]),
                 percent(classes[3]),
                 percent(modest),
                 percent(goodput),
+                percent(service.entered as f64 / service.came as f64),
             ]);
         }
     }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! - [`LimitGate`] holds each plan's rate and calls at once over all daemons,
 //!   by shares that follow observed demand. Admission is local and immediate.
-//! - [`LoadShedder`] refuses the least important calls of an overloaded
-//!   service first, and a customer who floods before the others.
+//! - [`LoadShedder`] refuses calls that the gates beside the targets would
+//!   refuse: by class, and a customer who floods before the others.
 //!
 //! Both are plain state machines that read time from a
 //! [`model::SharedClock`]. To embed the gate: call [`LimitGate::on_tick`]
--- a/crates/limits/src/shed.rs
+++ b/crates/limits/src/shed.rs
@@ -1,11 +1,12 @@
-//! Shedding of calls by class under overload, fair among customers.
+//! Shedding of calls that the gate beside the target would refuse.
 //!
-//! Answers show whether a service is overloaded: its calls are refused for a
-//! full queue, or wait for a slot. A level rises while they do and falls when
-//! they do not; each class is shed from a level of its own, reports first,
-//! bookings last. At the margin, calls of customers above their fair part of
-//! the calls in flight are shed a class earlier, so that one who floods is
-//! shed before the others.
+//! Under overload the gates decide who runs: the most important class first,
+//! then customers in turn. A proxy follows what they decide. For each service,
+//! customer and class it counts calls and those that ran, and sheds the part
+//! beyond [`PASS_FACTOR`] times the latter. So reports are shed first and
+//! bookings last, one who floods before the others, hopeless calls cost no way
+//! to a target, and the gates still see more than they can run, so that
+//! nothing is shed once they take it again.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -19,34 +20,26 @@
 /// Results of shedding; the kind is `Overloaded`.
 pub type Result<T> = std::result::Result<T, LimitRefusal>;
 
-/// Window after which the level is judged anew.
-const WINDOW: Duration = Duration::from_millis(100);
+/// Calls let through for each that runs.
+const PASS_FACTOR: f32 = 2.0;
 
-/// Least calls in a window to judge it.
-const MIN_CALLS: u32 = 5;
+/// Most that is shed of any calls; the rest finds out when the overload is over.
+const MAX_SHED_PART: f32 = 0.9;
 
-/// Share of pressed calls in a window above which the level rises.
-const PRESSED_SHARE: f32 = 0.05;
+/// Time constant of the counts.
+const MEMORY: Duration = Duration::from_secs(2);
 
-/// Wait for a slot that counts as pressure.
-const PRESSED_WAIT: Duration = Duration::from_millis(10);
+/// Count below which a customer is forgotten when room is needed.
+const FORGOTTEN_CALLS: f32 = 0.1;
 
-/// Rise of the level for a window in which all calls were pressed.
-const LEVEL_RISE: f32 = 0.3;
+/// Shortest and longest wait that a refusal names.
+const MIN_WAIT: Duration = Duration::from_millis(250);
+const MAX_WAIT: Duration = Duration::from_secs(2);
 
-/// Fall of the level for a window without pressure.
-const LEVEL_FALL: f32 = 0.05;
-
-/// Highest level: every class but the last half of bookings is shed.
-const MAX_LEVEL: f32 = 3.5;
-
-/// Wait that a refusal names, for each unit of the level.
-const WAIT_FOR_LEVEL: Duration = Duration::from_millis(500);
-
-/// Customers of one service whose calls in flight are counted.
+/// Customers of one service whose calls are counted; calls of others are let through.
 const MAX_CUSTOMERS: usize = 1024;
 
-/// Services under watch.
+/// Services under watch; calls of others are let through.
 const MAX_SERVICES: usize = 256;
 
 /// A call that was let through; ends with [`LoadShedder::finish`].
@@ -54,6 +47,7 @@
 pub struct ShedTicket {
     service: ServiceName,
     customer: CustomerName,
+    class: CallClass,
 }
 
 /// What a call showed about its service's load.
@@ -72,18 +66,45 @@
 pub struct LoadShedder {
     clock: SharedClock,
     random: SmallRng,
-    services: HashMap<ServiceName, ServicePressure>,
+    services: HashMap<ServiceName, CustomerCounts>,
 }
 
-/// Pressure on one service as this daemon sees it.
-#[derive(Debug)]
-struct ServicePressure {
-    level: f32,
-    window_start: Instant,
-    calls: u32,
-    pressed: u32,
-    in_flight: HashMap<CustomerName, u32>,
-    total: u32,
+/// Calls of one service's customers.
+type CustomerCounts = HashMap<CustomerName, ClassCounts>;
+
+/// Calls of one customer by class.
+type ClassCounts = [CallCounter; CallClass::ALL.len()];
+
+/// Calls that came and calls that ran, both fading with time.
+#[derive(Clone, Copy, Debug)]
+struct CallCounter {
+    came: f32,
+    ran: f32,
+    at: Instant,
+}
+
+impl CallCounter {
+    fn new(now: Instant) -> Self {
+        Self {
+            came: 0.0,
+            ran: 0.0,
+            at: now,
+        }
+    }
+
+    fn fade(&mut self, now: Instant) {
+        let age = now.saturating_duration_since(self.at);
+        let kept = (-age.as_secs_f32() / MEMORY.as_secs_f32()).exp();
+        self.came *= kept;
+        self.ran *= kept;
+        self.at = now;
+    }
+
+    /// Part of the calls to shed.
+    fn shed_part(&self) -> f32 {
+        let beyond = self.came - self.ran * PASS_FACTOR;
+        (beyond / (self.came + 1.0)).clamp(0.0, MAX_SHED_PART)
+    }
 }
 
 impl LoadShedder {
@@ -104,134 +125,100 @@
         customer: &CustomerName,
     ) -> Result<ShedTicket> {
         let now = self.clock.now();
-        if !self.services.contains_key(service) {
-            self.add(service, now)?;
-        }
         let chance = self.random.random::<f32>();
-        if let Some(pressure) = self.services.get_mut(service) {
-            pressure.judge(now);
-            if pressure.sheds(class, customer, chance) {
-                let wait = WAIT_FOR_LEVEL.mul_f32(pressure.level.max(1.0));
+        if let Some(counter) = self.known(service, class, customer) {
+            counter.fade(now);
+            let part = counter.shed_part();
+            if chance < part {
+                counter.came += 1.0;
+                let wait = MAX_WAIT.mul_f32(part).max(MIN_WAIT);
                 return Err(LimitRefusal::new(ErrorKind::Overloaded, wait));
             }
-            pressure.on_admitted(customer);
         }
         Ok(ShedTicket {
             service: service.clone(),
             customer: customer.clone(),
+            class,
         })
     }
 
-    fn add(&mut self, service: &ServiceName, now: Instant) -> Result<()> {
-        if self.services.len() >= MAX_SERVICES {
-            self.services.retain(|_, pressure| pressure.total > 0);
-        }
-        if self.services.len() >= MAX_SERVICES {
-            return Err(LimitRefusal::new(ErrorKind::Overloaded, WAIT_FOR_LEVEL));
-        }
-        self.services
-            .insert(service.clone(), ServicePressure::new(now));
-        Ok(())
-    }
-
     /// Learns from a call that was let through and ended.
     pub fn finish(&mut self, ticket: &ShedTicket, sign: LoadSign) {
+        let ran = match sign {
+            LoadSign::Ran(_) => 1.0,
+            LoadSign::Refused => 0.0,
+            LoadSign::Unknown => return,
+        };
         let now = self.clock.now();
-        if let Some(pressure) = self.services.get_mut(&ticket.service) {
-            pressure.on_ended(&ticket.customer, sign);
-            pressure.judge(now);
+        if let Some(counter) = self.counter(ticket, now) {
+            counter.fade(now);
+            counter.came += 1.0;
+            counter.ran += ran;
         }
     }
 
-    /// Level of shedding of `service`: 0 none, 1 all reports, 2 all reads, 3 all uploads.
-    pub fn level(&self, service: &ServiceName) -> f32 {
-        self.services
-            .get(service)
-            .map_or(0.0, |pressure| pressure.level)
-    }
-}
-
-impl ServicePressure {
-    fn new(now: Instant) -> Self {
-        Self {
-            level: 0.0,
-            window_start: now,
-            calls: 0,
-            pressed: 0,
-            in_flight: HashMap::new(),
-            total: 0,
-        }
+    fn known(
+        &mut self,
+        service: &ServiceName,
+        class: CallClass,
+        customer: &CustomerName,
+    ) -> Option<&mut CallCounter> {
+        let counts = self.services.get_mut(service)?.get_mut(customer)?;
+        counts.get_mut(class.rank())
     }
 
-    /// Moves the level once the window is over.
-    fn judge(&mut self, now: Instant) {
-        let windows = windows_between(self.window_start, now);
-        if windows == 0 {
-            return;
+    /// The counter of a call, new if there is room for it.
+    fn counter(&mut self, ticket: &ShedTicket, now: Instant) -> Option<&mut CallCounter> {
+        if !self.services.contains_key(&ticket.service) {
+            if self.services.len() >= MAX_SERVICES {
+                return None;
+            }
+            self.services.insert(ticket.service.clone(), HashMap::new());
         }
-        if self.calls >= MIN_CALLS {
-            let share = self.pressed as f32 / self.calls as f32;
-            if share > PRESSED_SHARE {
-                self.level = (self.level + share * LEVEL_RISE).min(MAX_LEVEL);
-            } else {
-                self.level = (self.level - LEVEL_FALL).max(0.0);
+        let counts = self.services.get_mut(&ticket.service)?;
+        if !counts.contains_key(&ticket.customer) {
+            if counts.len() >= MAX_CUSTOMERS {
+                forget(counts, now);
+            }
+            if counts.len() >= MAX_CUSTOMERS {
+                return None;
             }
-        } else if self.pressed == 0 {
-            self.level = (self.level - LEVEL_FALL * windows as f32).max(0.0);
-        } else if windows < MAX_WINDOWS {
-            return;
+            let fresh = [CallCounter::new(now); CallClass::ALL.len()];
+            counts.insert(ticket.customer.clone(), fresh);
         }
-        self.window_start = now;
-        self.calls = 0;
-        self.pressed = 0;
+        counts
+            .get_mut(&ticket.customer)?
+            .get_mut(ticket.class.rank())
     }
 
-    fn sheds(&self, class: CallClass, customer: &CustomerName, chance: f32) -> bool {
-        let above = self.level - class.rank() as f32 + self.excess(customer);
-        self.level > 0.0 && chance < above
-    }
-
-    /// How far the customer is above its fair part of the calls in flight, from -1 to 1.
-    fn excess(&self, customer: &CustomerName) -> f32 {
-        let own = self.in_flight.get(customer).copied().unwrap_or(0) as f32;
-        let fair = self.total as f32 / self.in_flight.len().max(1) as f32;
-        if own <= fair {
+    /// Level of shedding of `service`: the parts shed of each class, summed over the classes.
+    ///
+    /// 0 none, 0.9 nearly all reports, 1.8 nearly all reads as well, and so on.
+    pub fn level(&self, service: &ServiceName) -> f32 {
+        let now = self.clock.now();
+        let Some(counts) = self.services.get(service) else {
             return 0.0;
-        }
-        (1.0 - fair / own).min(1.0) * self.level.min(1.0)
-    }
-
-    fn on_admitted(&mut self, customer: &CustomerName) {
-        self.total += 1;
-        if let Some(count) = self.in_flight.get_mut(customer) {
-            *count += 1;
-        } else if self.in_flight.len() < MAX_CUSTOMERS {
-            self.in_flight.insert(customer.clone(), 1);
-        }
-    }
-
-    fn on_ended(&mut self, customer: &CustomerName, sign: LoadSign) {
-        self.total = self.total.saturating_sub(1);
-        if let Some(count) = self.in_flight.get_mut(customer) {
-            *count -= 1;
-            if *count == 0 {
-                self.in_flight.remove(customer);
+        };
+        let part = |class: CallClass| {
+            let mut sum = CallCounter::new(now);
+            for counters in counts.values() {
+                let mut counter = counters[class.rank()];
+                counter.fade(now);
+                sum.came += counter.came;
+                sum.ran += counter.ran;
             }
-        }
-        let pressed = match sign {
-            LoadSign::Ran(waited) => waited > PRESSED_WAIT,
-            LoadSign::Refused => true,
-            LoadSign::Unknown => return,
+            sum.shed_part()
         };
-        self.calls += 1;
-        self.pressed += u32::from(pressed);
+        CallClass::ALL.into_iter().map(part).sum()
     }
 }
 
-/// Windows after which even few calls are judged.
-const MAX_WINDOWS: u32 = 20;
-
-fn windows_between(start: Instant, now: Instant) -> u32 {
-    let age = now.saturating_duration_since(start);
-    (age.as_millis() / WINDOW.as_millis()) as u32
+/// Forgets customers whose counts have faded.
+fn forget(counts: &mut CustomerCounts, now: Instant) {
+    counts.retain(|_, counters| {
+        counters.iter_mut().any(|counter| {
+            counter.fade(now);
+            counter.came > FORGOTTEN_CALLS
+        })
+    });
 }
--- a/crates/limits/tests/shed.rs
+++ b/crates/limits/tests/shed.rs
@@ -24,20 +24,20 @@
         }
     }
 
-    /// Sends calls of one class for a window, all with the same sign; counts those shed.
-    fn window(&mut self, class: CallClass, customer: &str, sign: LoadSign) -> u32 {
+    /// Sends 50 calls in a second, all with the same end; counts those shed.
+    fn second(&mut self, class: CallClass, customer: &str, sign: LoadSign) -> u32 {
         let customer: CustomerName = customer.parse().unwrap();
         let mut shed = 0;
-        for _ in 0..20 {
+        for _ in 0..50 {
             match self.shedder.admit(&self.service, class, &customer) {
                 Ok(ticket) => self.shedder.finish(&ticket, sign),
                 Err(refusal) => {
-                    assert!(refusal.retry_after >= Duration::from_millis(100));
+                    assert!(refusal.retry_after >= Duration::from_millis(250));
                     shed += 1;
                 }
             }
+            self.clock.advance(Duration::from_millis(20));
         }
-        self.clock.advance(Duration::from_millis(101));
         shed
     }
 
@@ -46,105 +46,107 @@
     }
 }
 
+const RAN: LoadSign = LoadSign::Ran(Duration::ZERO);
+
 quickcheck! {
     fn the_level_stays_in_its_range(signs: Vec<(u8, u8)>) -> bool {
         let mut door = Door::new();
         signs.into_iter().all(|(class, sign)| {
             let class = CallClass::ALL[usize::from(class % 4)];
-            let sign = match sign % 4 {
-                0 => LoadSign::Refused,
-                1 => LoadSign::Ran(Duration::from_millis(u64::from(sign))),
-                2 => LoadSign::Unknown,
-                _ => LoadSign::Ran(Duration::ZERO),
-            };
-            door.window(class, "agency-1", sign);
-            (0.0..=3.5).contains(&door.level())
+            let sign = [RAN, LoadSign::Refused, LoadSign::Unknown][usize::from(sign % 3)];
+            door.second(class, "agency-1", sign);
+            (0.0..=3.6).contains(&door.level())
         })
     }
 
-    fn tickets_out_of_order_leave_nothing_behind(order: Vec<u8>) -> bool {
+    fn what_runs_is_never_shed(classes: Vec<u8>) -> bool {
+        let mut door = Door::new();
+        classes.into_iter().all(|class| {
+            let class = CallClass::ALL[usize::from(class % 4)];
+            door.second(class, "agency-1", RAN) == 0
+        })
+    }
+
+    fn callers_who_leave_count_for_nothing(order: Vec<u8>) -> bool {
         let mut door = Door::new();
         let mut open = Vec::new();
         for code in order {
-            if code % 3 == 0 && !open.is_empty() {
-                let ticket = open.swap_remove(usize::from(code) % open.len());
-                door.shedder.finish(&ticket, LoadSign::Unknown);
-            } else {
-                let customer = format!("agency-{}", code % 4).parse().unwrap();
-                let admitted = door.shedder.admit(&door.service, CallClass::Read, &customer);
-                open.extend(admitted.ok());
-            }
+            let customer = format!("agency-{}", code % 4).parse().unwrap();
+            let admitted = door.shedder.admit(&door.service, CallClass::Read, &customer);
+            open.extend(admitted.ok());
         }
         for ticket in &open {
             door.shedder.finish(ticket, LoadSign::Unknown);
         }
-        // Nothing in flight and no pressure seen: nothing is shed.
-        door.window(CallClass::Report, "agency-0", LoadSign::Unknown) == 0
+        door.level() == 0.0
     }
 }
 
 #[test]
-fn reports_are_shed_first_and_bookings_last() {
+fn only_the_class_that_is_refused_is_shed() {
     let mut door = Door::new();
-    for _ in 0..5 {
-        door.window(CallClass::Booking, "agency-1", LoadSign::Refused);
+    let mut shed = [0; 4];
+    for _ in 0..10 {
+        for class in CallClass::ALL {
+            let refused = class == CallClass::Report;
+            let sign = if refused { LoadSign::Refused } else { RAN };
+            shed[class.rank()] += door.second(class, "agency-1", sign);
+        }
     }
-    assert!((1.0..=1.5).contains(&door.level()), "{}", door.level());
-    let shed = |door: &mut Door, class| {
-        let unknown = LoadSign::Unknown;
-        door.window(class, "agency-1", unknown)
-    };
-    assert_eq!(shed(&mut door, CallClass::Report), 20);
-    assert_eq!(shed(&mut door, CallClass::Upload), 0);
-    assert_eq!(shed(&mut door, CallClass::Booking), 0);
+    assert!(shed[0] > 400, "{shed:?}");
+    assert_eq!(shed[1..], [0, 0, 0]);
+    assert!((0.8..=0.9).contains(&door.level()), "{}", door.level());
 }
 
 #[test]
-fn the_level_falls_when_the_pressure_is_over() {
+fn one_who_floods_is_shed_and_the_others_are_not() {
     let mut door = Door::new();
+    let (mut flooding, mut modest) = (0, 0);
     for _ in 0..10 {
-        door.window(CallClass::Booking, "agency-1", LoadSign::Refused);
-    }
-    let high = door.level();
-    for _ in 0..100 {
-        door.window(
-            CallClass::Booking,
-            "agency-1",
-            LoadSign::Ran(Duration::ZERO),
-        );
+        // The gate takes one of five calls of the first, and all of the second.
+        for _ in 0..4 {
+            flooding += door.second(CallClass::Read, "agency-1", LoadSign::Refused);
+        }
+        flooding += door.second(CallClass::Read, "agency-1", RAN);
+        modest += door.second(CallClass::Read, "agency-2", RAN);
     }
-    assert!(high > 2.0 && door.level() < 0.1, "{high} {}", door.level());
-    assert_eq!(
-        door.window(CallClass::Report, "agency-1", LoadSign::Unknown),
-        0
-    );
+    assert!(flooding > 1000, "{flooding}");
+    assert_eq!(modest, 0);
 }
 
 #[test]
-fn one_who_floods_is_shed_before_the_others() {
+fn shedding_ends_soon_after_the_overload() {
     let mut door = Door::new();
-    for _ in 0..4 {
-        door.window(CallClass::Booking, "agency-3", LoadSign::Refused);
+    for _ in 0..20 {
+        door.second(CallClass::Booking, "agency-1", LoadSign::Refused);
     }
-    let flooding: CustomerName = "agency-1".parse().unwrap();
-    let modest: CustomerName = "agency-2".parse().unwrap();
-    let upload = CallClass::Upload;
-    let mut held = Vec::new();
-    for _ in 0..30 {
-        held.extend(door.shedder.admit(&door.service, upload, &flooding));
-        held.truncate(30);
+    let high = door.level();
+    for _ in 0..8 {
+        door.second(CallClass::Booking, "agency-1", RAN);
     }
-    held.extend(door.shedder.admit(&door.service, upload, &modest));
-    let mut count = |customer: &CustomerName| {
-        let mut shed = 0;
-        for _ in 0..200 {
-            match door.shedder.admit(&door.service, CallClass::Read, customer) {
-                Ok(ticket) => door.shedder.finish(&ticket, LoadSign::Unknown),
-                Err(_) => shed += 1,
+    assert!(high > 0.85, "{high}");
+    assert_eq!(door.second(CallClass::Booking, "agency-1", RAN), 0);
+}
+
+#[test]
+fn counts_of_many_customers_are_bounded() {
+    let mut door = Door::new();
+    for number in 0..3000 {
+        let customer = format!("customer-{number}");
+        let name: CustomerName = customer.parse().unwrap();
+        for _ in 0..5 {
+            let admitted = door.shedder.admit(&door.service, CallClass::Read, &name);
+            if let Ok(ticket) = admitted {
+                door.shedder.finish(&ticket, LoadSign::Refused);
             }
         }
-        shed
-    };
-    let (modest, flooding) = (count(&modest), count(&flooding));
-    assert!(flooding > modest + 20, "{flooding} against {modest}");
+    }
+    // The first thousand are counted, the last is let through.
+    assert!(door.second(CallClass::Read, "customer-5", LoadSign::Refused) > 30);
+    assert_eq!(
+        door.second(CallClass::Read, "customer-2999", LoadSign::Refused),
+        0
+    );
+    door.clock.advance(Duration::from_secs(60));
+    assert!(door.second(CallClass::Read, "customer-2999", LoadSign::Refused) > 30);
 }
