--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,6 +1,7 @@
 //! The listener for other daemons.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use model::{ErrorKind, KindError};
 use route::CallDeadline;
@@ -15,7 +16,7 @@
 use crate::control::ControlEvent;
 use crate::core::DaemonCore;
 use crate::keyed::{recall_here, run_at_home};
-use crate::peer::{CallAnswer, CallHead, ControlAck, PeerRequest};
+use crate::peer::{CallAnswer, CallHead, PeerRequest};
 
 /// Largest answer head in bytes.
 const MAX_HEAD_BYTES: usize = 256 << 10;
@@ -66,7 +67,7 @@
             if events.try_send(ControlEvent::Peer(batch)).is_err() {
                 core.counters.count("control-events-dropped");
             }
-            responder.answer_whole(&ControlAck).await
+            responder.acknowledge()
         }
         PeerRequest::Call(call) => answer_call(core, &call, receiver, responder).await,
         PeerRequest::Keyed(call) => answer_keyed(core, *call, receiver, responder).await,
@@ -78,6 +79,10 @@
             let answer = core.keys.issuer().revoke(permit);
             responder.answer_whole(&answer).await
         }
+        PeerRequest::Timeline(since_ms) => {
+            let report = core.trace().since(Duration::from_millis(since_ms));
+            responder.answer_whole(&report).await
+        }
         PeerRequest::Recall(call) => {
             let answer = recall_here(core, &call);
             responder.answer_whole(&answer).await
--- a/crates/members/src/sync.rs
+++ b/crates/members/src/sync.rs
@@ -19,7 +19,8 @@
 use crate::message::{
     BUCKET_COUNT, BULK_BYTES, MemberUpdate, MessageBody, ViewSummary, encoded_len,
 };
-use crate::node::{MemberNode, MemberOutput, accusation_of};
+use crate::node::MemberNode;
+use crate::output::MemberOutput;
 use crate::queue::ByteBucket;
 use crate::table::{MemberEntry, MemberState, MemberTable, bucket_of, entry_hash};
 
@@ -204,9 +205,17 @@
             .take(MAX_SUMMARY)
             .collect();
         hashes.sort_unstable();
-        let mut contents: Vec<u32> = self
+        let dead = self
+            .table
+            .iter()
+            .filter(|entry| entry.state == MemberState::Dead)
+            .map(|entry| &entry.record)
+            .filter(|record| differing >> bucket_of(record.id) & 1 == 1);
+        let renewed = self
             .live_records(differing)
-            .filter(|record| record.stamp != record.content_stamp())
+            .filter(|record| record.stamp != record.content_stamp());
+        let mut contents: Vec<u32> = renewed
+            .chain(dead)
             .map(|record| entry_hash(record.id, record.content_stamp()))
             .take(MAX_SUMMARY)
             .collect();
@@ -271,7 +280,7 @@
 fn end_of(entry: &MemberEntry) -> Option<MemberUpdate> {
     match entry.state {
         MemberState::Alive | MemberState::Suspect => None,
-        MemberState::Dead => accusation_of(entry),
+        MemberState::Dead => entry.accusation(),
         MemberState::Left => Some(MemberUpdate::Left {
             id: entry.record.id,
             stamp: entry.stamp(),
