Print refusals in tests of real daemons

Cause: a rare target-failed in the drain test named no detail. Change: the tests' fleet prints the body of a refusal. Conclusion: the next one can be explained.

--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -207,7 +207,10 @@
         let mut response = self.call(index, method, path, key, Vec::new());
         let text = response.body_mut().read_to_string().unwrap();
         match response.headers().get("quetzal-error") {
-            Some(kind) => kind.to_str().unwrap().to_owned(),
+            Some(kind) => {
+                println!("{method} {path}: {text}");
+                kind.to_str().unwrap().to_owned()
+            }
             None => format!("{} {text}", response.status().as_u16()),
         }
     }
