Serve operators behind the callers' bounded loop

Cause: the operators' interface used a thread for each connection, no time for headers, and four threads that also read bodies. Four clients that stalled in a body silenced it, and the heartbeats of the targets with it. A failed accept of the callers' listener was tried again at once, for ever.

Change: `accept` holds the one loop of both HTTP/1.1 listeners: connections, header size and time, write time, planned stop, a pause after a failed accept.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,10 +1,11 @@
 //! The daemon beside each target: proxy, distributor and member.
 //!
-//! Adapters around the decision crates: [`listener`] and [`call`] serve
+//! Adapters around the decision crates: [`accept`] bounds connections, [`listener`] and [`call`] serve
 //! callers, [`peers`] other daemons, [`beside`] the targets, [`operator`] the
 //! staff; [`control`] drives distribution, membership and limits. What
 //! adapters share is in [`core`], and [`run`] starts and stops it all.
 
+pub mod accept;
 pub mod answer;
 pub mod beside;
 pub mod body;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,7 +1,7 @@
 //! The interface for operators and for the targets beside this daemon.
 //!
-//! Plain HTTP with JSON, apart from the callers' address. Bodies are bounded,
-//! and a few threads answer, so that this interface never weighs on calls.
+//! Plain HTTP with JSON, apart from the callers' address, with bounds of its
+//! own: neither interface can use up the other's connections.
 //!
 //! - `POST /v1/targets`: a target's announcement, repeated as heartbeat
 //! - `GET /v1/status`: this daemon, the fleet, the members
@@ -9,100 +9,72 @@
 //! - `GET /v1/outcome/ID`: the verdict on a change, or null
 //! - `POST /v1/drain`: begins a planned stop
 
-use std::io::Read;
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
 
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
 use members::TargetAnnouncement;
 use model::{ChangeId, ErrorKind, KindError};
 use plans::StateSnapshot;
 use serde::Serialize;
-use tiny_http::{Header, Method, Request, Response, Server};
-use tokio::sync::{mpsc, oneshot};
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::task::spawn_blocking;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use crate::accept::{AcceptBounds, ConnectionFault, serve_http};
+use crate::body::{BodyBounds, CallBody};
 use crate::control::ControlEvent;
 use crate::core::DaemonCore;
 
 /// Results of answering an operator.
 pub type Result<T> = model::Result<T>;
 
-/// Threads that answer.
-const WORKER_COUNT: usize = 4;
+/// Snapshots encoded at once; the others wait.
+const SNAPSHOTS_AT_ONCE: usize = 2;
+/// Largest headers in bytes.
+const MAX_HEADER_BYTES: usize = 8 << 10;
 /// Largest body in bytes.
-const MAX_BODY_BYTES: u64 = 64 << 10;
+const MAX_BODY_BYTES: usize = 64 << 10;
 /// Path before the id of a change.
 const OUTCOME_PATH: &str = "/v1/outcome/";
 
-/// The interface while it runs; stops and joins its threads when dropped.
-pub struct OperatorServer {
-    address: SocketAddr,
-    server: Arc<Server>,
-    workers: Vec<JoinHandle<()>>,
-}
-
-impl std::fmt::Debug for OperatorServer {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "OperatorServer({})", self.address)
-    }
-}
-
-/// What the threads need.
+/// What answers operators.
 #[derive(Clone, Debug)]
 pub struct OperatorDesk {
-    /// The daemon.
-    pub core: Arc<DaemonCore>,
-    /// Its control loop.
-    pub events: mpsc::Sender<ControlEvent>,
-    /// Cancelled when an operator asks for a planned stop.
-    pub stop: CancellationToken,
-}
-
-impl OperatorServer {
-    /// Serves on `address`; port 0 takes a free one.
-    ///
-    /// Kinds: `LocalFailed`.
-    pub fn start(address: SocketAddr, desk: &OperatorDesk) -> Result<Self> {
-        let failed = |detail: String| KindError::new(ErrorKind::LocalFailed, detail);
-        let server =
-            Server::http(address).map_err(|error| failed(format!("{address}: {error}")))?;
-        let bound = server.server_addr().to_ip();
-        let address = bound.ok_or_else(|| failed(format!("{address}: no IP address")))?;
-        let server = Arc::new(server);
-        let workers = (0..WORKER_COUNT)
-            .map(|_| spawn_worker(Arc::clone(&server), desk.clone()))
-            .collect();
-        Ok(Self {
-            address,
-            server,
-            workers,
-        })
-    }
-
-    /// The address served.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
+    core: Arc<DaemonCore>,
+    events: mpsc::Sender<ControlEvent>,
+    stop: CancellationToken,
+    encoders: Arc<Semaphore>,
 }
 
-impl Drop for OperatorServer {
-    fn drop(&mut self) {
-        for _ in &self.workers {
-            self.server.unblock();
-        }
-        for worker in self.workers.drain(..) {
-            drop(worker.join());
-        }
-    }
+/// Serves operators until `token` is cancelled, then lets open requests end.
+pub async fn serve_operators(desk: OperatorDesk, listener: TcpListener, token: CancellationToken) {
+    let settings = &desk.core.settings;
+    let bounds = AcceptBounds {
+        max_connections: settings.numbers.operator_connections as usize,
+        header_timeout: settings.header_timeout(),
+        max_header_bytes: MAX_HEADER_BYTES,
+        write_timeout: settings.idle_timeout(),
+    };
+    let core = Arc::clone(&desk.core);
+    let answer = move |request| {
+        let desk = desk.clone();
+        async move { desk.answer(request).await }
+    };
+    let note = move |fault| count_fault(&core, fault);
+    serve_http(listener, bounds, token, answer, note).await;
 }
 
-fn spawn_worker(server: Arc<Server>, desk: OperatorDesk) -> JoinHandle<()> {
-    thread::spawn(move || {
-        while let Ok(request) = server.recv() {
-            desk.answer(request);
-        }
-    })
+fn count_fault(core: &DaemonCore, fault: ConnectionFault) {
+    core.counters.count(match fault {
+        ConnectionFault::Full => "operator-connections-exceeded",
+        ConnectionFault::HeadersLate => "operator-header-timeouts",
+        ConnectionFault::Unreadable => "operator-parse-errors",
+        ConnectionFault::Broken => "operator-connections-broken",
+        ConnectionFault::AcceptFailed => "operator-accepts-failed",
+    });
 }
 
 /// A body and its type.
@@ -123,9 +95,25 @@
 }
 
 impl OperatorDesk {
-    fn answer(&self, mut request: Request) {
+    /// A desk of the daemon `core` with its control loop behind `events`.
+    ///
+    /// `stop` is cancelled when an operator asks for a planned stop.
+    pub fn new(
+        core: Arc<DaemonCore>,
+        events: mpsc::Sender<ControlEvent>,
+        stop: CancellationToken,
+    ) -> Self {
+        Self {
+            core,
+            events,
+            stop,
+            encoders: Arc::new(Semaphore::new(SNAPSHOTS_AT_ONCE)),
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<CallBody> {
         self.core.counters.count("operator-requests");
-        let (status, answer) = match self.dispatch(&mut request) {
+        let (status, answer) = match self.dispatch(request).await {
             Ok(answer) => (200, answer),
             Err(error) => {
                 let status = error.kind.answer().status;
@@ -133,30 +121,31 @@
                 (status, answer.unwrap_or(EMPTY_ANSWER))
             }
         };
-        let mut response = Response::from_data(answer.body).with_status_code(status);
-        if let Ok(header) = Header::from_bytes("content-type", answer.content_type) {
-            response.add_header(header);
-        }
-        // An operator that left misses the answer.
-        drop(request.respond(response));
+        let mut response = Response::new(CallBody::whole(answer.body));
+        let failed = StatusCode::INTERNAL_SERVER_ERROR;
+        *response.status_mut() = StatusCode::from_u16(status).unwrap_or(failed);
+        response.headers_mut().insert(
+            http::header::CONTENT_TYPE,
+            http::HeaderValue::from_static(answer.content_type),
+        );
+        response
     }
 
-    fn dispatch(&self, request: &mut Request) -> Result<OperatorAnswer> {
-        let url: Box<str> = request.url().into();
-        let path = url.split('?').next().unwrap_or(&url);
-        match (request.method(), path) {
-            (Method::Post, "/v1/targets") => self.announce(request),
-            (Method::Get, "/v1/status") => self.status(),
-            (Method::Get, "/v1/snapshot") => self.snapshot(),
-            (Method::Get, path) if path.starts_with(OUTCOME_PATH) => self.outcome(path),
-            (Method::Post, "/v1/drain") => self.drain(),
+    async fn dispatch(&self, request: Request<Incoming>) -> Result<OperatorAnswer> {
+        let (parts, body) = request.into_parts();
+        match (&parts.method, parts.uri.path()) {
+            (&Method::POST, "/v1/targets") => self.announce(body).await,
+            (&Method::GET, "/v1/status") => self.status().await,
+            (&Method::GET, "/v1/snapshot") => self.snapshot().await,
+            (&Method::GET, path) if path.starts_with(OUTCOME_PATH) => self.outcome(path),
+            (&Method::POST, "/v1/drain") => self.drain(),
             _ => Err(KindError::new(ErrorKind::RouteUnknown, "no such path")),
         }
     }
 
-    fn announce(&self, request: &mut Request) -> Result<OperatorAnswer> {
-        let body = read_body(request)?;
-        let announcement: TargetAnnouncement = serde_json::from_slice(&body)
+    async fn announce(&self, body: Incoming) -> Result<OperatorAnswer> {
+        let body = self.read_body(body).await?;
+        let announcement: TargetAnnouncement = serde_json::from_slice(body.bytes())
             .map_err(|error| KindError::new(ErrorKind::RequestInvalid, error.to_string()))?;
         let change = self.core.beside.announce(announcement)?;
         if let Some(change) = &change {
@@ -166,19 +155,33 @@
                 change.service,
                 change.state
             );
-            self.tell(ControlEvent::TargetsChanged)?;
+            self.tell(ControlEvent::TargetsChanged).await?;
         }
         OperatorAnswer::json(&change.is_some())
     }
 
-    fn status(&self) -> Result<OperatorAnswer> {
+    /// The whole body, within its size and time.
+    async fn read_body(&self, incoming: Incoming) -> Result<CallBody> {
+        let patience = self.core.settings.idle_timeout();
+        let bounds = BodyBounds {
+            max_bytes: MAX_BODY_BYTES as u64,
+            idle_timeout: patience,
+        };
+        let mut body = CallBody::from_caller(incoming, bounds);
+        // Bytes that trickle in would satisfy the idle time for hours.
+        let read = timeout(patience, body.read_ahead(MAX_BODY_BYTES)).await;
+        read.map_err(|elapsed| KindError::new(ErrorKind::IdleTimeout, elapsed.to_string()))??;
+        Ok(body)
+    }
+
+    async fn status(&self) -> Result<OperatorAnswer> {
         let (sender, receiver) = oneshot::channel();
-        self.tell(ControlEvent::Status(sender))?;
-        let report = receiver.blocking_recv().map_err(|error| stopping(&error))?;
+        self.tell(ControlEvent::Status(sender)).await?;
+        let report = receiver.await.map_err(|error| stopping(&error))?;
         OperatorAnswer::json(&report)
     }
 
-    fn snapshot(&self) -> Result<OperatorAnswer> {
+    async fn snapshot(&self) -> Result<OperatorAnswer> {
         let state = self.core.state.load_full();
         let state = state.ok_or_else(|| {
             KindError::new(
@@ -186,9 +189,14 @@
                 "this daemon holds no configuration yet",
             )
         })?;
+        let permit = self.encoders.acquire().await;
+        let _permit = permit.map_err(|error| stopping(&error))?;
+        // Encoding a large state takes milliseconds, in which calls must go on.
+        let encoding = spawn_blocking(move || StateSnapshot::of(&state).encode());
+        let body = encoding.await.map_err(|error| stopping(&error))??;
         Ok(OperatorAnswer {
             content_type: "application/octet-stream",
-            body: StateSnapshot::of(&state).encode()?,
+            body,
         })
     }
 
@@ -205,10 +213,9 @@
         OperatorAnswer::json(&true)
     }
 
-    fn tell(&self, event: ControlEvent) -> Result<()> {
-        self.events
-            .blocking_send(event)
-            .map_err(|error| stopping(&error))
+    async fn tell(&self, event: ControlEvent) -> Result<()> {
+        let told = self.events.send(event).await;
+        told.map_err(|error| stopping(&error))
     }
 }
 
@@ -217,20 +224,6 @@
     body: Vec::new(),
 };
 
-fn read_body(request: &mut Request) -> Result<Vec<u8>> {
-    let mut body = Vec::new();
-    let mut bounded = request.as_reader().take(MAX_BODY_BYTES + 1);
-    bounded
-        .read_to_end(&mut body)
-        .map_err(|error| KindError::new(ErrorKind::RequestInvalid, error.to_string()))?;
-    model::ensure(
-        body.len() as u64 <= MAX_BODY_BYTES,
-        ErrorKind::BodyTooLarge,
-        "an announcement is small",
-    )?;
-    Ok(body)
-}
-
 fn stopping(error: &dyn std::error::Error) -> KindError {
     KindError::new(
         ErrorKind::Draining,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -15,11 +15,12 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::accept::bind;
 use crate::control::{ControlEvent, ControlLoop};
 use crate::core::DaemonCore;
-use crate::listener::{bind, serve_callers};
+use crate::listener::serve_callers;
 use crate::log_jobs::LogDesk;
-use crate::operator::{OperatorDesk, OperatorServer};
+use crate::operator::{OperatorDesk, serve_operators};
 use crate::peers::serve_daemons;
 use crate::settings::DaemonSettings;
 
@@ -41,7 +42,6 @@
     core: Arc<DaemonCore>,
     runtime: Runtime,
     events: mpsc::Sender<ControlEvent>,
-    operator: OperatorServer,
     listeners: CancellationToken,
     stop: CancellationToken,
     parts: TaskTracker,
@@ -77,26 +77,21 @@
             .map_err(|error| KindError::new(ErrorKind::LocalFailed, error.to_string()))?;
         let callers = runtime.block_on(bind(settings.caller_address))?;
         let peers = runtime.block_on(bind(settings.peer_address))?;
+        let operators = runtime.block_on(bind(settings.operator_address))?;
         settings.caller_address = local_address(&callers)?;
         settings.peer_address = local_address(&peers)?;
+        settings.operator_address = local_address(&operators)?;
         let core = Arc::new(DaemonCore::new(settings, clock)?);
         let (events, receiver) = mpsc::channel(EVENT_QUEUE);
-        let stop = CancellationToken::new();
-        let desk = OperatorDesk {
-            core: Arc::clone(&core),
-            events: events.clone(),
-            stop: stop.clone(),
-        };
-        let operator = OperatorServer::start(core.settings.operator_address, &desk)?;
         let daemon = Self {
             core,
             runtime,
             events,
-            operator,
             listeners: CancellationToken::new(),
-            stop,
+            stop: CancellationToken::new(),
             parts: TaskTracker::new(),
         };
+        daemon.spawn_operators(operators);
         daemon.spawn_parts(callers, peers, receiver, log);
         Ok(daemon)
     }
@@ -121,9 +116,16 @@
         self.parts.spawn_on(serving, handle);
     }
 
+    fn spawn_operators(&self, listener: TcpListener) {
+        let core = Arc::clone(&self.core);
+        let desk = OperatorDesk::new(core, self.events.clone(), self.stop.clone());
+        let serving = serve_operators(desk, listener, self.listeners.clone());
+        self.parts.spawn_on(serving, self.runtime.handle());
+    }
+
     /// The address for operators and targets.
     pub fn operator_address(&self) -> SocketAddr {
-        self.operator.address()
+        self.core.settings.operator_address
     }
 
     /// The state shared by the daemon's parts.
@@ -151,12 +153,8 @@
         let drained = self.runtime.block_on(self.drain(force));
         self.runtime.block_on(self.leave());
         let Self {
-            runtime,
-            operator,
-            events,
-            ..
+            runtime, events, ..
         } = self;
-        drop(operator);
         drop(events);
         runtime.shutdown_timeout(BLOCKING_TIMEOUT);
         log::info!("stopped");
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -75,6 +75,7 @@
 number_settings! {
     worker_threads, "threads", 2, 1, 32, "Threads that serve calls.";
     caller_connections, "connections", 1024, 1, 20000, "Connections from callers at once.";
+    operator_connections, "connections", 64, 4, 1024, "Connections from operators and targets beside this daemon at once.";
     peer_connections, "connections", 2048, 1, 20000, "Connections from other daemons at once.";
     header_timeout_ms, "ms", 5000, 50, 60000, "Time for the headers of a call to arrive.";
     idle_timeout_ms, "ms", 15000, 50, 600_000, "Time without a byte after which a body is cut off.";
