--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use limits::{LimitGate, LoadShedder};
+use members::{TargetChange, TargetState};
 use model::{CallCount, DaemonId, ErrorKind, IncarnationNumber, KindError, SharedClock};
 use once::HolderId;
 use once::home::HandedOutcome;
@@ -17,8 +18,9 @@
 use route::{PickerConfig, RetryPolicy, TargetPicker};
 use serde::de::DeserializeOwned;
 use smallvec::SmallVec;
-use spread::{FreshnessCase, FreshnessReport};
+use spread::freshness::TimedFreshness;
 use tokio_util::task::TaskTracker;
+use trace::{DEFAULT_MEMORY, EventClass, EventKind, EventRing, ProcessIdentity};
 use wire::{PeerPool, WireLimits};
 
 use crate::beside::BesideDesk;
@@ -26,7 +28,7 @@
 use crate::counters::{CounterBoard, Result};
 use crate::key_control::{OnceMessage, send_settlement};
 use crate::key_desk::{KeyDesk, RunBook};
-use crate::peer::{ControlAck, ControlBatch, ControlMessage, PeerRequest};
+use crate::peer::{ControlBatch, ControlMessage, PeerRequest};
 use crate::settings::DaemonSettings;
 
 /// Time for the next home to take an outcome.
@@ -51,7 +53,7 @@
     /// The state that the table was built from, for operators.
     pub state: ArcSwapOption<ConfigState>,
     /// How current the configuration is.
-    pub freshness: ArcSwap<FreshnessReport>,
+    pub freshness: ArcSwap<TimedFreshness>,
     /// Where members are reached.
     pub addresses: ArcSwap<AddressBook>,
     /// Targets beside this daemon.
@@ -66,6 +68,8 @@
     pub pool: PeerPool,
     /// Counters.
     pub counters: CounterBoard,
+    /// Events for the time line.
+    trace: Mutex<EventRing>,
     /// Tasks that are joined at the end.
     pub tasks: TaskTracker,
     picker: Mutex<TargetPicker>,
@@ -86,17 +90,18 @@
             incarnation,
         };
         let keys = Arc::new(KeyDesk::new(me, &clock));
+        let process = ProcessIdentity {
+            daemon: id,
+            incarnation,
+            name: settings.daemon_name(),
+            domain: settings.domain.clone(),
+        };
         let tasks = TaskTracker::new();
         let picker_config = PickerConfig {
             domain: settings.domain.clone(),
             region: SmallVec::new(),
         };
         let random = || SmallRng::from_rng(&mut rand::rng());
-        let absent = FreshnessReport {
-            case: FreshnessCase::Absent,
-            proof_age: None,
-            outage_age: None,
-        };
         let queue = CallCount(settings.numbers.queue_calls);
         let answer_bounds = BodyBounds {
             max_bytes: u64::MAX,
@@ -111,7 +116,7 @@
             incarnation,
             table: ArcSwapOption::empty(),
             state: ArcSwapOption::empty(),
-            freshness: ArcSwap::from_pointee(absent),
+            freshness: ArcSwap::from_pointee(TimedFreshness::ABSENT),
             addresses: ArcSwap::default(),
             beside: BesideDesk::new(
                 queue,
@@ -134,6 +139,7 @@
             retries: Mutex::new(RetryPolicy::new()),
             limits: Mutex::new(LimitGate::new(id, Arc::clone(&clock))),
             shedder: Mutex::new(LoadShedder::new(Arc::clone(&clock), random())),
+            trace: Mutex::new(EventRing::new(process, DEFAULT_MEMORY, Arc::clone(&clock))),
             draining: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
             settings,
@@ -150,14 +156,19 @@
         request: &PeerRequest,
         patience: Duration,
     ) -> model::Result<T> {
-        let address = self.addresses.load().get(&daemon).copied();
-        let address = address
-            .ok_or_else(|| KindError::new(ErrorKind::PeerUnavailable, "the daemon has left"))?;
+        let address = self.address_of(daemon)?;
         let asking = tokio::time::timeout(patience, self.pool.ask(address, request));
-        asking.await.unwrap_or_else(|elapsed| {
-            let detail = format!("{address}: {elapsed}");
-            Err(KindError::new(ErrorKind::OutcomeUnknown, detail))
-        })
+        asking
+            .await
+            .unwrap_or_else(|elapsed| Err(late(address, &elapsed)))
+    }
+
+    /// Where a live daemon is reached.
+    ///
+    /// Kinds: `PeerUnavailable`.
+    pub fn address_of(&self, daemon: DaemonId) -> model::Result<SocketAddr> {
+        let address = self.addresses.load().get(&daemon).copied();
+        address.ok_or_else(|| KindError::new(ErrorKind::PeerUnavailable, "the daemon has left"))
     }
 
     /// Sends an outcome to the home that took its book over.
@@ -175,11 +186,42 @@
         let batch = ControlBatch {
             from: self.id,
             address: self.settings.peer_address,
+            stamp: self.trace().stamp(),
             messages: vec![ControlMessage::Once(wire::encode_message(message)?)],
         };
         let request = PeerRequest::Control(batch);
-        let _: ControlAck = self.ask(to, &request, SETTLEMENT_TIMEOUT).await?;
-        Ok(())
+        let address = self.address_of(to)?;
+        let telling = tokio::time::timeout(SETTLEMENT_TIMEOUT, self.pool.tell(address, &request));
+        telling
+            .await
+            .unwrap_or_else(|elapsed| Err(late(address, &elapsed)))
+    }
+
+    /// Events for the time line.
+    pub fn trace(&self) -> MutexGuard<'_, EventRing> {
+        self.trace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes a change of state: in the log lines and on the time line.
+    pub fn note(&self, kind: EventKind, detail: &str) {
+        if kind.class() == EventClass::Faults {
+            log::warn!("{kind} {detail}");
+        } else {
+            log::info!("{kind} {detail}");
+        }
+        self.trace().record(kind, detail);
+    }
+
+    /// Notes that a target beside this daemon changed.
+    pub fn note_target(&self, change: &TargetChange) {
+        let kind = match change.state {
+            // A cold start is no change that calls could notice.
+            TargetState::Starting => return,
+            TargetState::Ready => EventKind::TargetReady,
+            TargetState::Draining => EventKind::TargetDraining,
+            TargetState::Gone => EventKind::TargetGone,
+        };
+        self.note(kind, &format!("{}/{}", change.service, change.target));
     }
 
     /// Choice of targets.
@@ -228,6 +270,10 @@
     }
 }
 
+fn late(address: SocketAddr, elapsed: &tokio::time::error::Elapsed) -> KindError {
+    KindError::new(ErrorKind::OutcomeUnknown, format!("{address}: {elapsed}"))
+}
+
 /// A number above that of any earlier run: the wall time in milliseconds.
 fn incarnation_now(clock: &SharedClock) -> IncarnationNumber {
     let since = clock.wall().duration_since(std::time::UNIX_EPOCH);
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -7,11 +7,12 @@
 //! - `GET /v1/status`: this daemon, the fleet, the members
 //! - `GET /v1/snapshot`: the accepted configuration, encoded
 //! - `GET /v1/outcome/ID`: the verdict on a change, or null
+//! - `GET /v1/timeline?since_ms=N`: the events of all daemons
 //! - `POST /v1/drain`: begins a planned stop
 
 use std::sync::Arc;
 
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use members::TargetAnnouncement;
 use model::{ChangeId, ErrorKind, KindError};
@@ -27,12 +28,13 @@
 use crate::body::{BodyBounds, CallBody};
 use crate::control::ControlEvent;
 use crate::core::DaemonCore;
+use crate::timeline::{collect_timeline, read_since};
 
 /// Results of answering an operator.
 pub type Result<T> = model::Result<T>;
 
-/// Snapshots encoded at once; the others wait.
-const SNAPSHOTS_AT_ONCE: usize = 2;
+/// Large answers made at once; the others wait.
+const HEAVY_AT_ONCE: usize = 2;
 /// Largest headers in bytes.
 const MAX_HEADER_BYTES: usize = 8 << 10;
 /// Largest body in bytes.
@@ -46,7 +48,7 @@
     core: Arc<DaemonCore>,
     events: mpsc::Sender<ControlEvent>,
     stop: CancellationToken,
-    encoders: Arc<Semaphore>,
+    heavy: Arc<Semaphore>,
 }
 
 /// Serves operators until `token` is cancelled, then lets open requests end.
@@ -107,7 +109,7 @@
             core,
             events,
             stop,
-            encoders: Arc::new(Semaphore::new(SNAPSHOTS_AT_ONCE)),
+            heavy: Arc::new(Semaphore::new(HEAVY_AT_ONCE)),
         }
     }
 
@@ -137,6 +139,7 @@
             (&Method::POST, "/v1/targets") => self.announce(body).await,
             (&Method::GET, "/v1/status") => self.status().await,
             (&Method::GET, "/v1/snapshot") => self.snapshot().await,
+            (&Method::GET, "/v1/timeline") => self.timeline(&parts.uri).await,
             (&Method::GET, path) if path.starts_with(OUTCOME_PATH) => self.outcome(path),
             (&Method::POST, "/v1/drain") => self.drain(),
             _ => Err(KindError::new(ErrorKind::RouteUnknown, "no such path")),
@@ -149,12 +152,7 @@
             .map_err(|error| KindError::new(ErrorKind::RequestInvalid, error.to_string()))?;
         let change = self.core.beside.announce(announcement)?;
         if let Some(change) = &change {
-            log::info!(
-                "target {} of {} is {}",
-                change.target,
-                change.service,
-                change.state
-            );
+            self.core.note_target(change);
             self.tell(ControlEvent::TargetsChanged).await?;
         }
         OperatorAnswer::json(&change.is_some())
@@ -189,7 +187,7 @@
                 "this daemon holds no configuration yet",
             )
         })?;
-        let permit = self.encoders.acquire().await;
+        let permit = self.heavy.acquire().await;
         let _permit = permit.map_err(|error| stopping(&error))?;
         // Encoding a large state takes milliseconds, in which calls must go on.
         let encoding = spawn_blocking(move || StateSnapshot::of(&state).encode());
@@ -208,6 +206,13 @@
         OperatorAnswer::json(&state.and_then(|state| state.outcome_of(id)))
     }
 
+    async fn timeline(&self, uri: &Uri) -> Result<OperatorAnswer> {
+        let span = read_since(&uri.to_string())?;
+        let permit = self.heavy.acquire().await;
+        let _permit = permit.map_err(|error| stopping(&error))?;
+        OperatorAnswer::json(&collect_timeline(&self.core, span).await)
+    }
+
     fn drain(&self) -> Result<OperatorAnswer> {
         self.stop.cancel();
         OperatorAnswer::json(&true)
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -48,6 +48,8 @@
     pub members: u32,
     /// Daemons at each version, the newest first.
     pub versions: Vec<VersionReport>,
+    /// Failure domains with members of which no log reader is heard.
+    pub silent_domains: Vec<DomainName>,
     /// Daemons that lag, the worst first; at most a few are named.
     pub laggards: Vec<LaggardReport>,
     /// Age of this report in milliseconds.
@@ -147,7 +149,8 @@
     ) -> Self {
         let freshness = spread.freshness();
         let version = core.table.load().as_ref().map(|table| table.version());
-        let members: Vec<MemberReport> = members.members().iter().map(report_member).collect();
+        let mut members: Vec<MemberReport> = members.members().iter().map(report_member).collect();
+        members.sort_unstable_by(|left, right| left.name.cmp(&right.name));
         Self {
             daemon: core.id,
             name: core.settings.name.clone(),
@@ -218,6 +221,7 @@
                 daemons: count.daemons,
             })
             .collect(),
+        silent_domains: summary.silent_domains.to_vec(),
         laggards: summary
             .sum
             .laggards
--- a/crates/spread/tests/distribution.rs
+++ b/crates/spread/tests/distribution.rs
@@ -7,6 +7,7 @@
 use harness::actor::{Node, nodes};
 use harness::{Fleet, FleetShape};
 use model::{DaemonId, ErrorKind, FakeClock, IncarnationNumber};
+use quetzal_spread::message::{AgeMillis, LogView};
 use quetzal_spread::{
     FakeReplica, FreshnessCase, HeadUpdate, LogState, ReplicaHead, SpreadAlarm, SpreadMember,
     SpreadMessage, SpreadNode, SpreadOutput, SpreadSettings, UpdateBody,
@@ -27,6 +28,16 @@
     fleet
 }
 
+fn lone_node(clock: &FakeClock, own: SpreadMember) -> SpreadNode<FakeReplica> {
+    SpreadNode::new(
+        SpreadSettings::default(),
+        clock.shared(),
+        SmallRng::seed_from_u64(1),
+        FakeReplica::new(),
+        own,
+    )
+}
+
 #[test]
 fn a_change_is_in_force_everywhere_within_the_target() {
     for seed in 0..5 {
@@ -69,6 +80,43 @@
     }
 }
 
+#[test]
+fn an_answer_is_dated_from_its_question() {
+    let clock = FakeClock::new();
+    let [own, peer] = [1, 2].map(|id| SpreadMember {
+        id: DaemonId(id),
+        domain: "domain-1".parse().unwrap(),
+        region: "region-1".parse().unwrap(),
+        run: IncarnationNumber(1),
+    });
+    let mut node = lone_node(&clock, own);
+    node.set_members(std::slice::from_ref(&peer));
+    let head = node.head();
+    node.on_peer_message(peer.id, SpreadMessage::NoUpdate { head: Some(head) });
+    let asked = |output: &SpreadOutput| match output {
+        SpreadOutput::Send {
+            message: SpreadMessage::Compare { question, .. },
+            ..
+        } => Some(*question),
+        _ => None,
+    };
+    let question = node.on_tick().iter().find_map(asked).unwrap();
+    clock.advance(Duration::from_secs(4));
+    let view = LogView {
+        proof_age: Some(AgeMillis(1000)),
+        outage_age: None,
+    };
+    let answer = SpreadMessage::Compared {
+        question,
+        head,
+        view,
+    };
+    node.on_peer_message(peer.id, answer);
+    let report = node.freshness();
+    assert_eq!(report.case, FreshnessCase::Current);
+    assert_eq!(report.proof_age, Some(Duration::from_secs(5)));
+}
+
 #[test]
 fn nothing_is_read_before_the_members_are_known() {
     let clock = FakeClock::new();
@@ -78,13 +126,7 @@
         region: "region-1".parse().unwrap(),
         run: IncarnationNumber(1),
     };
-    let mut node = SpreadNode::new(
-        SpreadSettings::default(),
-        clock.shared(),
-        SmallRng::seed_from_u64(1),
-        FakeReplica::new(),
-        own,
-    );
+    let mut node = lone_node(&clock, own);
     let reads = |node: &mut SpreadNode<FakeReplica>| {
         clock.advance(Duration::from_secs(2));
         let outputs = node.on_tick();
@@ -175,3 +217,32 @@
     assert_eq!(outputs, [SpreadOutput::Alarm(refused)]);
     assert_eq!(node.head(), head);
 }
+
+#[test]
+fn an_update_that_cannot_be_applied_is_not_pulled_again_at_once() {
+    let mut fleet = fleet(3, 1);
+    let clock = fleet.clock.clone();
+    let node = fleet.slots[0].actor.as_mut().unwrap();
+    let head = node.head();
+    let newer = ReplicaHead {
+        next: head.next.next(),
+        ..head
+    };
+    let peer = DaemonId(9);
+    let broken = SpreadMessage::Update(HeadUpdate {
+        base: head,
+        target: newer,
+        body: UpdateBody(b"broken".as_slice().into()),
+    });
+    let outputs = node.on_peer_message(peer, broken);
+    let refused = SpreadAlarm::UpdateRefused(ErrorKind::SnapshotInvalid);
+    assert_eq!(outputs, [SpreadOutput::Alarm(refused)]);
+    let hint = SpreadMessage::NoUpdate { head: Some(newer) };
+    assert!(node.on_peer_message(peer, hint.clone()).is_empty());
+    clock.advance(Duration::from_secs(6));
+    let pull = SpreadOutput::Send {
+        to: peer,
+        message: SpreadMessage::Pull { base: head },
+    };
+    assert!(node.on_peer_message(peer, hint).contains(&pull));
+}
