--- a/crates/daemon/tests/bounds.rs
+++ b/crates/daemon/tests/bounds.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use fleet::assault::{many_headers, stalled, trickle};
 use fleet::target::TestTarget;
 use fleet::{ALLOWANCES, Fleet, PATIENCE, PLANS, await_true, raw_exchange};
 
@@ -111,3 +112,23 @@
     });
     drop(idle);
 }
+
+#[test]
+fn trickling_headers_and_a_thousand_stalled_callers_leave_room_for_others() {
+    let (fleet, _studio) = start();
+    let callers = fleet.daemons[0].callers;
+    let slow = trickle(callers, b"GET /studio/x HTTP/1.1\r\nx: ", b"a");
+    assert!(!slow.starts_with("HTTP/1.1 200"), "{slow}");
+    let many = many_headers(callers);
+    assert!(many.starts_with("HTTP/1.1 431"), "{many}");
+    let half_a_body = b"PUT /studio/x HTTP/1.1\r\nhost: a\r\nquetzal-customer: nile\r\ncontent-length: 20000\r\n\r\nx";
+    for bytes in [&b""[..], b"GET /studio/x HTTP/1.1\r\n", half_a_body] {
+        let held = stalled(callers, 1000, bytes);
+        await_true("room for a caller", || {
+            fleet
+                .try_call(0, "GET", "/studio/x", None, Vec::new())
+                .is_ok_and(|response| response.status().is_success())
+        });
+        drop(held);
+    }
+}
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod assault;
 pub mod target;
 
 use std::io::Write as _;
@@ -46,6 +47,7 @@
 pub struct DaemonProcess {
     pub name: String,
     pub callers: SocketAddr,
+    pub peers: SocketAddr,
     pub operators: SocketAddr,
     settings: PathBuf,
     child: Option<Child>,
@@ -84,6 +86,7 @@
                 let mut daemon = DaemonProcess {
                     name: format!("daemon-{index}"),
                     callers: ports[0],
+                    peers: ports[1],
                     operators: ports[2],
                     settings,
                     child: None,
@@ -215,17 +218,28 @@
 
 impl DaemonProcess {
     pub fn start(&mut self) {
-        let log = std::env::var("QUETZAL_TEST_LOG").unwrap_or_else(|_| "off".to_owned());
+        let log = std::env::var("QUETZAL_TEST_LOG");
+        let output = match &log {
+            Ok(_) => Stdio::inherit(),
+            Err(_) => Stdio::from(std::fs::File::create(self.log_file()).unwrap()),
+        };
+        let level = log.unwrap_or_else(|_| "info,quetzal_daemon=trace".to_owned());
         let child = Command::new(env!("CARGO_BIN_EXE_quetzald"))
             .arg("--settings")
             .arg(&self.settings)
-            .env("RUST_LOG", log)
+            .env("RUST_LOG", level)
             .stdin(Stdio::null())
+            .stderr(output)
             .spawn()
             .unwrap();
         self.child = Some(child);
     }
 
+    /// What the process logs, unless `QUETZAL_TEST_LOG` shows it.
+    pub fn log_file(&self) -> PathBuf {
+        self.settings.with_extension("log")
+    }
+
     /// The process, while it runs.
     pub fn id(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
