Name every mistake of the settings, and hold page and help to the code

Cause: the help stopped at its first paragraph and named no exit code; no page named the settings; the texts' rows were written twice. A daemon whose peer address is IPv6 and that has no name ended in a panic; an unsound name was replaced in silence; three listeners could be set to one address.

Change: one list for texts beside that of numbers; `settings_page` makes the printed list and the page's table of both. Names are checked and made of IPv6 addresses; equal listener addresses are named.

--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -243,7 +243,7 @@
 fn settings(index: usize, log_url: &str) -> Result<DaemonSettings> {
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
     Ok(DaemonSettings {
-        name: format!("daemon-{}", index + 1).into(),
+        name: format!("daemon-{}", index + 1).parse()?,
         domain: DOMAINS[index % DOMAINS.len()].parse()?,
         region: "cairo".parse()?,
         log_url: log_url.into(),
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -211,7 +211,7 @@
 
 fn daemon_settings(log_url: &str) -> DaemonSettings {
     DaemonSettings {
-        name: "daemon-1".into(),
+        name: "daemon-1".parse().unwrap(),
         domain: "cairo-a".parse().unwrap(),
         region: "cairo".parse().unwrap(),
         log_url: log_url.into(),
--- a/crates/daemon/benches/latency.rs
+++ b/crates/daemon/benches/latency.rs
@@ -98,7 +98,7 @@
 fn start_daemon(index: usize, log_url: &str) -> RunningDaemon {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let settings = DaemonSettings {
-        name: format!("daemon-{index}").into(),
+        name: format!("daemon-{index}").parse().unwrap(),
         domain: "cairo-a".parse().expect("a name"),
         region: "cairo".parse().expect("a name"),
         log_url: log_url.into(),
--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -19,14 +19,31 @@
 /// Exit code of a stop that cut calls off.
 const FORCED_EXIT: u8 = 12;
 
+/// What follows the options in the help.
+const HELP_FOOTER: &str = "\
+Examples:
+  quetzald --list-settings
+  quetzald --settings daemon.jsonc --check
+  quetzald --settings daemon.jsonc
+
+A settings file that suffices:
+  { \"domain\": \"cairo-a\", \"log_url\": \"http://127.0.0.1:7400\",
+  \"caller_address\": \"127.0.0.1:7401\",
+  \"operator_address\": \"127.0.0.1:7402\",
+  \"peer_address\": \"127.0.0.1:7403\" }
+
+SIGTERM or SIGINT drains and stops; a second one cuts off what still runs.
+
+Exit codes:
+  0   stopped with all calls ended, or the settings are in order
+  1   the command line is wrong
+  2   the settings are wrong or missing
+  11  a file or an address of this machine failed
+  12  stopped with calls cut off";
+
 /// Runs the daemon beside a target: proxy, distributor and member.
-///
-/// SIGTERM or SIGINT drains and stops; a second one cuts off what still runs.
-/// Exit codes: 0 drained, 2 settings wrong, 11 address in use, 12 forced.
-///
-/// Example: quetzald --settings daemon.jsonc
 #[derive(Bpaf, Clone, Debug)]
-#[bpaf(options, version)]
+#[bpaf(options, version, footer(help_footer()))]
 pub struct DaemonCommand {
     /// File with the settings, JSON with comments
     #[bpaf(argument("FILE"), complete_shell(bpaf::ShellComp::File { mask: None }))]
@@ -37,6 +54,13 @@
     list_settings: bool,
 }
 
+/// The footer with its line breaks; bare ones would fold it or hide its end.
+fn help_footer() -> bpaf::Doc {
+    let mut doc = bpaf::Doc::default();
+    doc.text(&HELP_FOOTER.replace('\n', "\n "));
+    doc
+}
+
 impl DaemonCommand {
     /// Runs the command to its end.
     pub fn run(self) -> Result<ExitCode> {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -488,7 +488,7 @@
         id: core.id,
         incarnation: core.incarnation,
         profile: members::MemberProfile {
-            name: settings.daemon_name(),
+            name: settings.name.clone(),
             peer_address: settings.peer_address,
             caller_address: settings.caller_address,
             domain: settings.domain.clone(),
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -93,7 +93,7 @@
         let process = ProcessIdentity {
             daemon: id,
             incarnation,
-            name: settings.daemon_name(),
+            name: settings.name.clone(),
             domain: settings.domain.clone(),
         };
         let tasks = TaskTracker::new();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod request;
 pub mod run;
 pub mod settings;
+pub mod settings_page;
 pub mod status;
 pub mod target_client;
 pub mod targets;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -2,16 +2,16 @@
 //!
 //! Addresses, failure domain and log are named in the file; everything else
 //! has a default. [`NumberSettings::ROWS`] is the one list of numbers with
-//! unit, default and range, from which the checks and the printed help come.
+//! unit, default and range, from which the checks, the printed help and the
+//! page come ([`crate::settings_page`]).
 //! Every mistake of a file is told at once, with line and column.
 
-use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use jsonc_parser::ast::Value;
 use jsonc_parser::common::Ranged;
-use model::{DaemonId, DaemonName, DomainName, KindError, RegionName};
+use model::{DaemonId, DaemonName, DomainName, RegionName};
 use plans::lists::ListProblem;
 use plans::reader::{DocumentReader, FieldMap};
 use xxhash_rust::xxh3::xxh3_64;
@@ -92,7 +92,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DaemonSettings {
     /// Name for people.
-    pub name: Box<str>,
+    pub name: DaemonName,
     /// Failure domain that the daemon's VM belongs to.
     pub domain: DomainName,
     /// Region that the failure domain belongs to.
@@ -113,17 +113,43 @@
     pub numbers: NumberSettings,
 }
 
-const TEXT_FIELDS: &[&str] = &[
-    "name",
-    "domain",
-    "region",
-    "log_url",
-    "caller_address",
-    "peer_address",
-    "operator_address",
-    "peers",
-    "metrics_address",
-];
+/// A setting that is no number.
+#[derive(Clone, Copy, Debug)]
+pub struct TextRow {
+    /// Name in the file.
+    pub name: &'static str,
+    /// Form of the value.
+    pub form: &'static str,
+    /// Value where the file names none; none if the file must name one.
+    pub default: Option<&'static str>,
+    /// What it decides.
+    pub meaning: &'static str,
+}
+
+/// Declares the settings that are no numbers with form, default and meaning.
+macro_rules! text_settings {
+    ($($name:literal, $form:literal, $default:expr, $meaning:literal;)+) => {
+        /// Every setting that is no number, in the order of the help.
+        pub const TEXT_ROWS: &[TextRow] = &[$(TextRow {
+            name: $name,
+            form: $form,
+            default: $default,
+            meaning: $meaning,
+        },)+];
+    };
+}
+
+text_settings! {
+    "name", "name", Some("the peer address"), "Name for people.";
+    "domain", "name", None, "Failure domain of the daemon's VM.";
+    "region", "name", Some("main"), "Region of the failure domain.";
+    "log_url", "URL", None, "Log service, such as http://127.0.0.1:7400.";
+    "caller_address", "IP:port", None, "Where callers reach the daemon.";
+    "peer_address", "IP:port", None, "Where other daemons reach the daemon.";
+    "operator_address", "IP:port", None, "Where operators and the targets beside it reach the daemon.";
+    "peers", "[IP:port]", Some("none"), "Peers to ask when the log service is down.";
+    "metrics_address", "IP:port", Some("none"), "Where counters go as UDP datagrams.";
+}
 
 impl DaemonSettings {
     /// Reads settings; `file` names them in mistakes.
@@ -142,15 +168,6 @@
         DaemonId(xxh3_64(self.peer_address.to_string().as_bytes()))
     }
 
-    /// The daemon's name as other daemons know it; the peer address if `name` is no sound name.
-    pub fn daemon_name(&self) -> DaemonName {
-        let named = self.name.parse();
-        named.unwrap_or_else(|_: KindError| {
-            let address = self.peer_address.to_string();
-            address.parse().expect("an address is a sound name")
-        })
-    }
-
     /// Time for headers to arrive.
     pub fn header_timeout(&self) -> Duration {
         Duration::from_millis(self.numbers.header_timeout_ms.into())
@@ -175,42 +192,20 @@
     pub fn log_retention(&self) -> Duration {
         Duration::from_secs(self.numbers.log_retention_s.into())
     }
-
-    /// The table of all settings, for people.
-    pub fn help() -> String {
-        let mut text = String::from(
-            "name              text       default: the peer address\n\
-             domain            text       required, the failure domain\n\
-             region            text       default: main\n\
-             log_url           address    required, such as http://127.0.0.1:7400\n\
-             caller_address    IP:port    required\n\
-             peer_address      IP:port    required\n\
-             operator_address  IP:port    required\n\
-             peers             [IP:port]  default: none; asked when the log service is down\n\
-             metrics_address   IP:port    default: none; counters as UDP datagrams\n",
-        );
-        for row in NumberSettings::ROWS {
-            // Writing to a String cannot fail.
-            let _ = writeln!(
-                text,
-                "{:18}{:11}default: {}, {} to {}; {}",
-                row.name, row.unit, row.default, row.low, row.high, row.meaning
-            );
-        }
-        text
-    }
 }
 
+/// How mistakes call the whole file.
+const FILE_WORDS: &str = "the settings file";
+
 fn read_settings(reader: &mut DocumentReader<'_>) -> Option<DaemonSettings> {
     let root = reader.root()?;
     let number_names = NumberSettings::ROWS.iter().map(|row| row.name);
-    let known: Vec<&str> = TEXT_FIELDS.iter().copied().chain(number_names).collect();
-    let fields = reader.fields(&root, "the settings", &known);
+    let text_names = TEXT_ROWS.iter().map(|row| row.name);
+    let known: Vec<&str> = text_names.chain(number_names).collect();
+    let fields = reader.fields(&root, FILE_WORDS, &known);
 
     let required = |reader: &mut DocumentReader<'_>, name: &str| {
-        reader
-            .required(&fields, name, "the settings", &root)
-            .cloned()
+        reader.required(&fields, name, FILE_WORDS, &root).cloned()
     };
     let domain = required(reader, "domain").and_then(|value| reader.parse_string(&value, "domain"));
     let log_url = required(reader, "log_url").and_then(|value| read_url(reader, &value));
@@ -222,8 +217,8 @@
         .and_then(|value| read_address(reader, &value, "operator_address"));
 
     let name = match fields.get("name") {
-        Some(value) => reader.string(value, "name").map(Box::from),
-        None => peer_address.map(|address| address.to_string().into()),
+        Some(value) => reader.parse_string(value, "name"),
+        None => peer_address.map(name_of),
     };
     let region = match fields.get("region") {
         Some(value) => reader.parse_string(value, "region"),
@@ -237,6 +232,12 @@
         .get("metrics_address")
         .and_then(|value| read_address(reader, value, "metrics_address"));
     let numbers = NumberSettings::read(reader, &fields);
+    let listeners = [
+        ("caller_address", caller_address),
+        ("peer_address", peer_address),
+        ("operator_address", operator_address),
+    ];
+    check_apart(reader, &fields, &listeners);
     Some(DaemonSettings {
         name: name?,
         domain: domain?,
@@ -251,6 +252,33 @@
     })
 }
 
+/// A name made of an address, without the brackets of an IPv6 address.
+fn name_of(address: SocketAddr) -> DaemonName {
+    let text = address
+        .to_string()
+        .replace(['[', ']'], "")
+        .replace('%', "-");
+    text.parse().expect("these characters make a sound name")
+}
+
+/// Notes listeners that would share an address; port 0 takes a free one.
+fn check_apart(
+    reader: &mut DocumentReader<'_>,
+    fields: &FieldMap<'_>,
+    listeners: &[(&str, Option<SocketAddr>)],
+) {
+    for (index, (name, address)) in listeners.iter().enumerate() {
+        let fixed = address.filter(|address| address.port() != 0);
+        let earlier = listeners[..index]
+            .iter()
+            .find(|(_, other)| fixed.is_some() && *other == fixed);
+        if let (Some((other, _)), Some(value)) = (earlier, fields.get(*name)) {
+            let message = format!("\"{name}\" is the address of \"{other}\" too");
+            reader.note(value.start(), message);
+        }
+    }
+}
+
 fn read_url(reader: &mut DocumentReader<'_>, value: &Value<'_>) -> Option<Box<str>> {
     let url = reader.string(value, "log_url")?;
     if url.starts_with("http://") {
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -153,7 +153,7 @@
         members.sort_unstable_by(|left, right| left.name.cmp(&right.name));
         Self {
             daemon: core.id,
-            name: core.settings.name.clone(),
+            name: core.settings.name.as_str().into(),
             domain: core.settings.domain.clone(),
             incarnation: core.incarnation,
             version: version.unwrap_or_default(),
