--- a/crates/limits/src/shed.rs
+++ b/crates/limits/src/shed.rs
@@ -3,7 +3,7 @@
 //! Under overload the gates decide who runs: the most important class first,
 //! then customers in turn. A proxy follows what they decide. For each service,
 //! customer and class it counts calls and those that ran, and sheds the part
-//! beyond [`PASS_FACTOR`] times the latter. So reports are shed first and
+//! beyond twice the latter. So reports are shed first and
 //! bookings last, one who floods before the others, hopeless calls cost no way
 //! to a target, and the gates still see more than they can run, so that
 //! nothing is shed once they take it again.
