Serve stand-ins through hyper: tiny_http leaves connections waiting

Cause: a test of real daemons failed now and then: a call of 0.3 s ran into its deadline of 5 s, a publication waited for 90 s. tiny_http spreads connections over threads; two that come at once may share one idle thread, and the second waits for as long as the first stays open. Change: one small stand-in server over hyper for the log service, the demo's targets and the tests' targets.

--- a/crates/cli/src/cmd/log.rs
+++ b/crates/cli/src/cmd/log.rs
@@ -91,8 +91,7 @@
     let log = Arc::new(MemoryLog::new(settings, SystemClock::shared()));
     let server = serve(&log, address)?;
     println!("log service on http://{}", server.address());
-    server.join();
-    Ok(ExitCode::SUCCESS)
+    server.serve_forever()
 }
 
 fn set_faults(address: SocketAddr, faults: LogFaults) -> Result<ExitCode> {
--- a/crates/cli/src/demo_target.rs
+++ b/crates/cli/src/demo_target.rs
@@ -6,34 +6,37 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use feed::stand_in::{StandInAnswer, StandInRequest, StandInServer};
 use members::{TargetAnnouncement, TargetState};
 use model::{CallCount, ErrorKind, IncarnationNumber, KindError, ServiceName, TargetName};
-use tiny_http::{Response, Server};
 
 use crate::config::Result;
 
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Largest body of a call.
+const MAX_BODY_BYTES: usize = 1 << 20;
 /// Step in which the heartbeat looks for the end.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
 /// A target while it runs; stops and joins its threads when dropped.
 pub struct DemoTarget {
-    server: Arc<Server>,
+    _server: StandInServer,
     stop: Arc<AtomicBool>,
-    threads: Vec<JoinHandle<()>>,
+    heartbeat: Option<JoinHandle<()>>,
 }
 
 impl DemoTarget {
     /// Starts a target of `service` beside the daemon at `operator`.
     pub fn start(target: &TargetName, service: &ServiceName, operator: SocketAddr) -> Result<Self> {
-        let failed = |detail: String| KindError::new(ErrorKind::LocalFailed, detail);
-        let server = Server::http("127.0.0.1:0").map_err(|error| failed(error.to_string()))?;
-        let address = server.server_addr().to_ip();
+        let name = target.clone();
+        let answer = move |request: StandInRequest| answer_call(&name, &request);
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = StandInServer::start(any_port, MAX_BODY_BYTES, Arc::new(answer))?;
         let announcement = TargetAnnouncement {
             target: target.clone(),
             service: service.clone(),
-            address: address.ok_or_else(|| failed("no IP address".to_owned()))?,
+            address: server.address(),
             slots: CallCount(10),
             connections: CallCount(130),
             state: TargetState::Ready,
@@ -41,19 +44,14 @@
             incarnation: IncarnationNumber(1),
         };
         announce(operator, &announcement)?;
-        let server = Arc::new(server);
         let stop = Arc::new(AtomicBool::new(false));
-        let name = target.clone();
-        let answering = Arc::clone(&server);
         let stopping = Arc::clone(&stop);
-        let threads = vec![
-            thread::spawn(move || answer_calls(&answering, &name)),
-            thread::spawn(move || repeat_announcement(operator, &announcement, &stopping)),
-        ];
+        let heartbeat =
+            thread::spawn(move || repeat_announcement(operator, &announcement, &stopping));
         Ok(Self {
-            server,
+            _server: server,
             stop,
-            threads,
+            heartbeat: Some(heartbeat),
         })
     }
 }
@@ -61,18 +59,16 @@
 impl Drop for DemoTarget {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::SeqCst);
-        self.server.unblock();
-        for thread in self.threads.drain(..) {
-            drop(thread.join());
+        if let Some(heartbeat) = self.heartbeat.take() {
+            drop(heartbeat.join());
         }
     }
 }
 
-fn answer_calls(server: &Server, name: &TargetName) {
-    while let Ok(request) = server.recv() {
-        let text = format!("{} {} by {name}\n", request.method(), request.url());
-        // A caller that left misses its answer.
-        drop(request.respond(Response::from_string(text)));
+fn answer_call(name: &TargetName, request: &StandInRequest) -> StandInAnswer {
+    StandInAnswer {
+        status: 200,
+        body: format!("{} {} by {name}\n", request.method, request.path).into_bytes(),
     }
 }
 
--- a/crates/daemon/tests/fleet/target.rs
+++ b/crates/daemon/tests/fleet/target.rs
@@ -8,12 +8,14 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use feed::stand_in::{StandInAnswer, StandInRequest, StandInServer};
 use members::{TargetAnnouncement, TargetState};
 use model::{CallCount, IncarnationNumber};
-use tiny_http::{Response, Server};
 
 use super::DaemonProcess;
 
+/// Largest body of a call.
+const MAX_BODY_BYTES: usize = 16 << 20;
 /// Calls that a target runs at once.
 const WORKERS: usize = 10;
 
@@ -26,7 +28,7 @@
     pub broken: Arc<AtomicUsize>,
     operator: SocketAddr,
     announcement: TargetAnnouncement,
-    server: Arc<Server>,
+    _server: StandInServer,
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -34,28 +36,27 @@
 impl TestTarget {
     /// A target of `service` beside `daemon`, which takes `delay` for each call.
     pub fn start(name: &str, service: &str, daemon: &DaemonProcess, delay: Duration) -> Self {
-        let server = Arc::new(Server::http("127.0.0.1:0").unwrap());
+        let ran = Arc::new(Mutex::new(Vec::new()));
+        let broken = Arc::new(AtomicUsize::new(0));
+        let book = (name.to_owned(), Arc::clone(&ran), Arc::clone(&broken));
+        let answer = move |request: StandInRequest| {
+            let (name, ran, broken) = &book;
+            answer_call(name, ran, broken, delay, &request)
+        };
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = StandInServer::start(any_port, MAX_BODY_BYTES, Arc::new(answer)).unwrap();
         let announcement = TargetAnnouncement {
             target: name.parse().unwrap(),
             service: service.parse().unwrap(),
-            address: server.server_addr().to_ip().unwrap(),
+            address: server.address(),
             slots: CallCount(WORKERS as u32),
             connections: CallCount(100),
             state: TargetState::Ready,
             load: 0.0,
             incarnation: IncarnationNumber(1),
         };
-        let ran = Arc::new(Mutex::new(Vec::new()));
-        let broken = Arc::new(AtomicUsize::new(0));
         let stop = Arc::new(AtomicBool::new(false));
-        let mut threads: Vec<JoinHandle<()>> = (0..WORKERS)
-            .map(|_| {
-                let (server, ran, broken) =
-                    (Arc::clone(&server), Arc::clone(&ran), Arc::clone(&broken));
-                let name = name.to_owned();
-                thread::spawn(move || answer(&server, &name, &ran, &broken, delay))
-            })
-            .collect();
+        let mut threads = Vec::new();
         let operator = daemon.operators;
         announce(operator, &announcement);
         let (repeated, stopping) = (announcement.clone(), Arc::clone(&stop));
@@ -75,7 +76,7 @@
             broken,
             operator,
             announcement,
-            server,
+            _server: server,
             stop,
             threads,
         }
@@ -97,35 +98,33 @@
 impl Drop for TestTarget {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::SeqCst);
-        for _ in 0..WORKERS {
-            self.server.unblock();
-        }
         for thread in self.threads.drain(..) {
             thread.join().unwrap();
         }
     }
 }
 
-fn answer(
-    server: &Server,
+fn answer_call(
     name: &str,
     ran: &Mutex<Vec<String>>,
     broken: &AtomicUsize,
     delay: Duration,
-) {
-    while let Ok(mut request) = server.recv() {
-        let mut body = Vec::new();
-        let length = request.body_length();
-        let read = request.as_reader().read_to_end(&mut body);
-        if read.is_err() || length.is_some_and(|length| body.len() < length) {
-            broken.fetch_add(1, Ordering::SeqCst);
-            continue;
-        }
-        thread::sleep(delay);
-        let line = format!("{} {}", request.method(), request.url());
-        ran.lock().unwrap().push(line.clone());
-        let text = format!("{line} by {name} {} bytes", body.len());
-        drop(request.respond(Response::from_string(text)));
+    request: &StandInRequest,
+) -> StandInAnswer {
+    let Ok(body) = &request.body else {
+        broken.fetch_add(1, Ordering::SeqCst);
+        return StandInAnswer {
+            status: 400,
+            body: Vec::new(),
+        };
+    };
+    thread::sleep(delay);
+    let line = format!("{} {}", request.method, request.path);
+    ran.lock().unwrap().push(line.clone());
+    let text = format!("{line} by {name} {} bytes", body.len());
+    StandInAnswer {
+        status: 200,
+        body: text.into_bytes(),
     }
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod port;
 pub mod rate;
 pub mod serve;
+pub mod stand_in;
 mod wire_format;
 
 pub use http_log::HttpLog;
