--- a/crates/members/src/gossip.rs
+++ b/crates/members/src/gossip.rs
@@ -24,6 +24,8 @@
 pub(crate) const URGENT_BURST: u32 = 8;
 /// Bytes of framing for which a message made for gossip counts besides its updates.
 const GOSSIP_OVERHEAD: usize = 100;
+/// Bytes for updates below which a message waits while many updates do.
+const CROWDED_BYTES: usize = 600;
 /// Bytes of updates in one message made for gossip.
 const GOSSIP_BYTES: usize = 1_200;
 
@@ -161,7 +163,7 @@
 
     /// Passes news on without waiting for the next tick, a bounded number of times a second.
     pub(crate) fn gossip_urgently(&mut self, now: Instant, outputs: &mut Vec<MemberOutput>) {
-        if self.urgent_rounds.available(now) > 0 {
+        if !self.queue.is_crowded() && self.urgent_rounds.available(now) > 0 {
             self.urgent_rounds.spend(1);
             self.gossip(now, outputs);
         }
@@ -169,8 +171,18 @@
 
     /// Passes news on to a few random members.
     pub(crate) fn gossip(&mut self, now: Instant, outputs: &mut Vec<MemberOutput>) {
-        for id in self.random_peers(GOSSIP_FANOUT) {
+        let crowded = self.queue.is_crowded();
+        // Few large messages leave more of the rate to the updates than many small ones.
+        let (fanout, least) = if crowded {
+            (1, CROWDED_BYTES)
+        } else {
+            (GOSSIP_FANOUT, 0)
+        };
+        for id in self.random_peers(fanout) {
             let room = self.gossip_bytes.available(now).min(GOSSIP_BYTES);
+            if room < least {
+                break;
+            }
             let updates = self.take_updates(room);
             let Some(entry) = self.table.get(id) else {
                 continue;
--- a/crates/members/src/message.rs
+++ b/crates/members/src/message.rs
@@ -144,6 +144,16 @@
         }
     }
 
+    /// Whether whoever knows one of the two learns nothing from the other.
+    pub fn tells_same(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Dead { .. }, Self::Dead { .. }) => {
+                self.id() == other.id() && self.stamp() == other.stamp()
+            }
+            _ => self == other,
+        }
+    }
+
     /// Whether the member itself tells this, rather than others about it.
     pub fn is_own_word(&self) -> bool {
         matches!(self, Self::Alive(_) | Self::Heartbeat(_))
--- a/crates/members/src/own.rs
+++ b/crates/members/src/own.rs
@@ -86,7 +86,9 @@
         if same && !load_moved {
             return;
         }
-        let jitter = self.rng.random_range(1.0..1.5);
+        // Daemons that started together spread their first news of loads.
+        let least = if same { 1.0 } else { 0.1 };
+        let jitter = self.rng.random_range(least..1.5);
         self.load_at = now + LOAD_INTERVAL.mul_f64(jitter);
         let digests = self.digests.clone();
         if same {
--- a/crates/members/src/queue.rs
+++ b/crates/members/src/queue.rs
@@ -19,7 +19,7 @@
 /// Least number of times that an accusation is passed on; its accuser tells the accused itself.
 const MIN_ACCUSATIONS: u32 = 2;
 /// Least number of times that a death is passed on.
-const MIN_DEATHS: u32 = 7;
+const MIN_DEATHS: u32 = 5;
 /// Least number of times that another short update is passed on.
 const MIN_TRANSMITS: u32 = 4;
 
@@ -99,7 +99,7 @@
         let Some(queued) = self.updates.get_mut(&key) else {
             return;
         };
-        if queued.update == *update {
+        if queued.update.tells_same(update) {
             queued.sent += 1;
             if queued.sent >= queued.limit {
                 self.updates.remove(&key);
--- a/crates/members/src/table.rs
+++ b/crates/members/src/table.rs
@@ -345,9 +345,13 @@
         if accusers.contains(&by) || accusers.len() >= MAX_ACCUSERS {
             return false;
         }
+        // Two are enough, unless both are of one domain and this one is not.
         let domain = self.domain(by);
-        let heard = |other: &DaemonId| self.domain(*other) == domain;
-        accusers.len() < 2 || !accusers.iter().any(heard)
+        let first = accusers.first().map(|other| self.domain(*other));
+        let alike = accusers
+            .iter()
+            .all(|other| Some(self.domain(*other)) == first);
+        accusers.len() < 2 || (alike && first != Some(domain))
     }
 
     fn set_entry(&mut self, entry: MemberEntry) {
