--- a/crates/members/benches/membership.rs
+++ b/crates/members/benches/membership.rs
@@ -119,11 +119,6 @@
     &[lost_domain],
     &[cut_region, herd],
 ];
-3] = [
-    &[steady, crashes, drains, slow_daemon],
-    &[slow_domain, lost_domain],
-    &[cut_region, herd],
-];
 
 /// Runs a chain of scenarios in one fleet.
 fn run_chain(size: FleetSize, chain: &[Scenario], seed: u64) -> Vec<Figure> {
