Issue and close keys at the callers' address

Cause: `KeyHome::close` answered nobody: staff with a payment that hangs had no way to make sure that it never runs; docs named `POST /.quetzal/keys`, which did not exist.

Change: `key_service` answers /.quetzal/keys and /.quetzal/close under the customer's headers and a limit of 1,000 requests a second over the fleet; `key_close` goes to the key's home (`PeerRequest::Close`), sends again while a range moves, and asks earlier homes where the home is too new (`KeyHome::recall_close`). A forgotten answer now tells its first status.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -21,6 +21,7 @@
 use crate::body::{BodyBounds, BodyFault, CallBody};
 use crate::core::DaemonCore;
 use crate::dispatch::{Dispatch, dispatch};
+use crate::key_service::{is_key_call, serve_key_call};
 use crate::keyed::run_keyed;
 use crate::peer::{CallHead, CallRefusal, pack_headers};
 use crate::request::CallRequest;
@@ -78,6 +79,9 @@
     )?;
     let (parts, incoming) = request.into_parts();
     let call = CallRequest::read(&parts)?;
+    if is_key_call(&call) {
+        return serve_key_call(core, table, &call).await;
+    }
     let grant = table.admit(&call.customer, &call.secret, &call.method, &call.path)?;
     let key = read_key(&call, &grant, case)?;
     let result = run_granted(core, &call, &grant, &parts.headers, incoming, key).await;
@@ -276,7 +280,8 @@
     }
 }
 
-fn limit_refusal(refusal: LimitRefusal) -> CallRefusal {
+/// A refusal of the limits, as the caller gets it.
+pub fn limit_refusal(refusal: LimitRefusal) -> CallRefusal {
     CallRefusal {
         retry_after: Some(refusal.retry_after),
         ..KindError::new(refusal.kind, "refused by the plan's limits").into()
--- /dev/null
+++ b/crates/daemon/src/key_service.rs
@@ -0,0 +1,137 @@
+//! Keys for callers and staff, at the callers' address.
+//!
+//! - `POST /.quetzal/keys`: issues a key that this daemon decides about
+//! - `POST /.quetzal/close`: closes the key named by `Idempotency-Key` for good
+//!
+//! Both need a customer's headers, as calls do: a customer closes its own keys
+//! only. A share of the fleet's limits keeps closings from filling the homes.
+
+use std::sync::Arc;
+
+use limits::{LimitTicket, PlanLimit};
+use model::{CallCount, CallRate, CustomerName, ErrorKind, KindError};
+use once::{CallKey, CloseVerdict};
+use plans::RouteTable;
+use route::TargetLoad;
+use serde_json::{Value, json};
+
+use crate::beside::{Result, TargetAnswer};
+use crate::body::CallBody;
+use crate::call::limit_refusal;
+use crate::core::DaemonCore;
+use crate::key_close::close_key;
+use crate::keyed::refuse;
+use crate::peer::{HeaderPair, ResponseHead};
+use crate::request::CallRequest;
+
+/// Path before those answered here.
+const SERVICE_PATH: &str = "/.quetzal/";
+/// Name under which the limits count these requests.
+const SERVICE_NAME: &str = ".quetzal";
+/// Requests of one customer to the whole fleet.
+const SERVICE_LIMIT: PlanLimit = PlanLimit {
+    rate: CallRate(1000.0),
+    calls: CallCount(200),
+};
+
+/// Whether the call is answered here and not by a target.
+pub fn is_key_call(call: &CallRequest) -> bool {
+    call.path.starts_with(SERVICE_PATH)
+}
+
+/// Answers a call to one of the paths.
+///
+/// Kinds: `RouteUnknown`, `MethodUnknown`, `CustomerUnknown`, `KeyMissing`,
+/// `RateExceeded`, `ConcurrencyExceeded`, and those of the key's home.
+pub async fn serve_key_call(
+    core: &Arc<DaemonCore>,
+    table: &RouteTable,
+    call: &CallRequest,
+) -> Result<TargetAnswer> {
+    let customer = table.customer(&call.customer);
+    let customer = customer.filter(|entry| entry.verify_key(&call.secret));
+    let unknown = "the customer is unknown or its key is wrong";
+    let customer = customer.ok_or_else(|| KindError::new(ErrorKind::CustomerUnknown, unknown))?;
+    let path = &call.path[SERVICE_PATH.len()..];
+    model::ensure(
+        matches!(path, "keys" | "close"),
+        ErrorKind::RouteUnknown,
+        "only keys and close are here",
+    )?;
+    model::ensure(
+        &*call.method == "POST",
+        ErrorKind::MethodUnknown,
+        "use POST",
+    )?;
+
+    let service = SERVICE_NAME.parse()?;
+    let admitted = core.limits().admit(&customer.name, &service, SERVICE_LIMIT);
+    let _hold = LimitHold {
+        core: Arc::clone(core),
+        ticket: Some(admitted.map_err(limit_refusal)?),
+    };
+    match path {
+        "keys" => issue(core),
+        _ => close(core, &customer.name, call).await,
+    }
+}
+
+/// A place among the limits, given back even if the caller leaves first.
+struct LimitHold {
+    core: Arc<DaemonCore>,
+    ticket: Option<LimitTicket>,
+}
+
+impl Drop for LimitHold {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.core.limits().release(ticket);
+        }
+    }
+}
+
+fn issue(core: &DaemonCore) -> Result<TargetAnswer> {
+    core.counters.count("keys-issued");
+    let key = core.keys.issue()?;
+    Ok(answer(&json!({ "key": key.to_string() })))
+}
+
+async fn close(
+    core: &Arc<DaemonCore>,
+    customer: &CustomerName,
+    call: &CallRequest,
+) -> Result<TargetAnswer> {
+    core.counters.count("keys-closed");
+    let missing = "name the key in the Idempotency-Key header";
+    let text = call.key.as_deref();
+    let text = text.ok_or_else(|| KindError::new(ErrorKind::KeyMissing, missing))?;
+    let key: CallKey = text.parse()?;
+    let named = key.to_string();
+    let verdict = close_key(core, customer, key).await;
+    let (outcome, status) = match verdict {
+        CloseVerdict::NeverRan => ("never-ran", None),
+        CloseVerdict::Running => ("running", None),
+        // Zero stands for a status that is no longer known.
+        CloseVerdict::Ran(status) => ("ran", Some(status).filter(|status| *status != 0)),
+        CloseVerdict::MayHaveRun => ("may-have-run", None),
+        CloseVerdict::Refused(refusal) => return Err(refuse(refusal)),
+    };
+    let body = json!({ "key": named, "outcome": outcome, "status": status });
+    Ok(answer(&body))
+}
+
+fn answer(body: &Value) -> TargetAnswer {
+    let content_type = HeaderPair {
+        name: "content-type".into(),
+        value: Box::from(&b"application/json"[..]),
+    };
+    TargetAnswer {
+        head: ResponseHead {
+            status: 200,
+            headers: vec![content_type],
+            load: TargetLoad::default(),
+            waited: std::time::Duration::ZERO,
+        },
+        body: CallBody::whole(body.to_string().into_bytes()),
+    }
+}
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -401,7 +401,8 @@
     }
 }
 
-fn refuse(refusal: KeyRefusal) -> CallRefusal {
+/// A refusal of a key's home, as the caller gets it.
+pub fn refuse(refusal: KeyRefusal) -> CallRefusal {
     CallRefusal {
         proof: refusal.proof,
         by_home: true,
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -11,7 +11,8 @@
 use once::home::HandoverPage;
 use once::permit::PermitRequest;
 use once::{
-    CallKey, DispatchPass, DispatchPermit, HolderId, KeyCall, KeyRefusal, RunProof, StoredAnswer,
+    CallKey, DispatchPass, DispatchPermit, HolderId, KeyCall, KeyDigest, KeyRefusal, RunProof,
+    StoredAnswer,
 };
 use route::{RetryMark, TargetLoad};
 use serde::{Deserialize, Serialize};
@@ -42,6 +43,8 @@
     Recall(Box<KeyCall>),
     /// Asks for the events of the last milliseconds; answered with a report.
     Timeline(u64),
+    /// Closes a key for good; answered with an optional [`once::CloseVerdict`].
+    Close(Box<KeyClosing>),
     /// A page of a key book; answered with a result of [`once::StageAnswer`].
     Stage {
         /// The home that leaves.
@@ -51,6 +54,17 @@
     },
 }
 
+/// A key that shall never run again.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct KeyClosing {
+    /// The key.
+    pub key: CallKey,
+    /// Its digest together with the customer.
+    pub digest: KeyDigest,
+    /// Whether the receiver is asked as an earlier home.
+    pub earlier: bool,
+}
+
 /// What an earlier home of a key remembers about it.
 #[derive(Debug, Deserialize, Serialize)]
 pub enum RecallAnswer {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -15,6 +15,7 @@
 use crate::body::CallBody;
 use crate::control::ControlEvent;
 use crate::core::DaemonCore;
+use crate::key_close::close_here;
 use crate::keyed::{recall_here, run_at_home};
 use crate::peer::{CallAnswer, CallHead, PeerRequest};
 
@@ -87,6 +88,10 @@
             let answer = recall_here(core, &call);
             responder.answer_whole(&answer).await
         }
+        PeerRequest::Close(closing) => {
+            let answer = close_here(core, &closing);
+            responder.answer_whole(&answer).await
+        }
         PeerRequest::Stage { from, page } => {
             let answer = core.keys.home().stage(from, *page);
             responder.answer_whole(&answer).await
--- a/crates/daemon/tests/fleet/target.rs
+++ b/crates/daemon/tests/fleet/target.rs
@@ -24,6 +24,10 @@
     pub ran: Arc<Mutex<Vec<String>>>,
     /// Bodies that broke off.
     pub broken: Arc<AtomicUsize>,
+    /// While set, calls that have begun do not end.
+    pub held: Arc<AtomicBool>,
+    /// Calls that have begun.
+    pub begun: Arc<AtomicUsize>,
     operator: SocketAddr,
     announcement: TargetAnnouncement,
     server: Arc<Server>,
@@ -48,12 +52,22 @@
         let ran = Arc::new(Mutex::new(Vec::new()));
         let broken = Arc::new(AtomicUsize::new(0));
         let stop = Arc::new(AtomicBool::new(false));
+        let held = Arc::new(AtomicBool::new(false));
+        let begun = Arc::new(AtomicUsize::new(0));
         let mut threads: Vec<JoinHandle<()>> = (0..WORKERS)
             .map(|_| {
                 let (server, ran, broken) =
                     (Arc::clone(&server), Arc::clone(&ran), Arc::clone(&broken));
                 let name = name.to_owned();
-                thread::spawn(move || answer(&server, &name, &ran, &broken, delay))
+                let (held, begun) = (Arc::clone(&held), Arc::clone(&begun));
+                let wait = move || {
+                    begun.fetch_add(1, Ordering::SeqCst);
+                    thread::sleep(delay);
+                    while held.load(Ordering::SeqCst) {
+                        thread::sleep(Duration::from_millis(10));
+                    }
+                };
+                thread::spawn(move || answer(&server, &name, &ran, &broken, wait))
             })
             .collect();
         let operator = daemon.operators;
@@ -73,6 +87,8 @@
             name: name.to_owned(),
             ran,
             broken,
+            held,
+            begun,
             operator,
             announcement,
             server,
@@ -97,6 +113,7 @@
 impl Drop for TestTarget {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::SeqCst);
+        self.held.store(false, Ordering::SeqCst);
         for _ in 0..WORKERS {
             self.server.unblock();
         }
@@ -111,7 +128,7 @@
     name: &str,
     ran: &Mutex<Vec<String>>,
     broken: &AtomicUsize,
-    delay: Duration,
+    wait: impl Fn(),
 ) {
     while let Ok(mut request) = server.recv() {
         let mut body = Vec::new();
@@ -121,7 +138,7 @@
             broken.fetch_add(1, Ordering::SeqCst);
             continue;
         }
-        thread::sleep(delay);
+        wait();
         let line = format!("{} {}", request.method(), request.url());
         ran.lock().unwrap().push(line.clone());
         let text = format!("{line} by {name} {} bytes", body.len());
--- a/crates/once/src/home/keys.rs
+++ b/crates/once/src/home/keys.rs
@@ -155,7 +155,8 @@
             print: RequestPrint(0),
         };
         let book = self.book_of(&call).ok();
-        if let Some(entry) = book.and_then(|id| self.entry_in(id, &call)) {
+        let entry = book.and_then(|id| self.entry_in(id, &call));
+        if let Some(entry) = entry {
             // Closing asks about the key, whatever its request was.
             call.print = RequestPrint(entry.print.into());
         }
@@ -164,14 +165,7 @@
                 self.set_state(ticket, KeyState::Withdrawn);
                 CloseVerdict::NeverRan
             }
-            KeyVerdict::Running => CloseVerdict::Running,
-            KeyVerdict::Finished(answer) => CloseVerdict::Ran(answer.status),
-            KeyVerdict::Refused(refusal) => match refusal.error.kind {
-                ErrorKind::KeyWithdrawn => CloseVerdict::NeverRan,
-                ErrorKind::AnswerForgotten => CloseVerdict::Ran(0),
-                ErrorKind::OutcomeUnknown => CloseVerdict::MayHaveRun,
-                _ => CloseVerdict::Refused(refusal),
-            },
+            verdict => close_verdict(verdict, entry),
         }
     }
 
@@ -313,3 +307,18 @@
         }
     }
 }
+
+/// What a verdict on a key that does not run says to whoever closes it.
+pub(super) fn close_verdict(verdict: KeyVerdict, entry: Option<KeyEntry>) -> CloseVerdict {
+    match verdict {
+        // A call that began is settled by whoever runs it.
+        KeyVerdict::Run(_) | KeyVerdict::Running => CloseVerdict::Running,
+        KeyVerdict::Finished(answer) => CloseVerdict::Ran(answer.status),
+        KeyVerdict::Refused(refusal) => match refusal.error.kind {
+            ErrorKind::KeyWithdrawn => CloseVerdict::NeverRan,
+            ErrorKind::AnswerForgotten => CloseVerdict::Ran(entry.map_or(0, |entry| entry.status)),
+            ErrorKind::OutcomeUnknown => CloseVerdict::MayHaveRun,
+            _ => CloseVerdict::Refused(refusal),
+        },
+    }
+}
--- a/crates/once/src/home/recall.rs
+++ b/crates/once/src/home/recall.rs
@@ -7,10 +7,11 @@
 
 use super::book::{BookGate, KeyBook, seconds};
 use super::entry::{KeyEntry, KeyState, short_print};
-use super::keys::KeyHome;
-use super::verdict::{KeyCall, KeyVerdict};
-use crate::key::CallKey;
+use super::keys::{KeyHome, close_verdict};
+use super::verdict::{CloseVerdict, KeyCall, KeyVerdict};
+use crate::key::{CallKey, KeyDigest};
 use crate::lease::LogStamp;
+use crate::print::RequestPrint;
 
 impl KeyHome {
     /// What this home knows for certain about a caller's key; never [`KeyVerdict::Run`].
@@ -45,6 +46,19 @@
         self.key_count += 1;
         Some(self.verdict_of(entry, call))
     }
+
+    /// Closes a caller's key of an earlier term, if this home can tell about it.
+    pub fn recall_close(&mut self, key: &CallKey, digest: KeyDigest) -> Option<CloseVerdict> {
+        let entry = self.range_entry(digest);
+        let call = KeyCall {
+            key: key.clone(),
+            digest,
+            // Closing asks about the key, whatever its request was.
+            print: RequestPrint(entry.map_or(0, |entry| entry.print.into())),
+        };
+        let verdict = self.recall(&call)?;
+        Some(close_verdict(verdict, entry))
+    }
 }
 
 /// Whether the book, whose term has ended, was the only one that could run keys of `time`.
--- a/crates/once/src/home/verdict.rs
+++ b/crates/once/src/home/verdict.rs
@@ -109,7 +109,7 @@
 }
 
 /// What closing a key found.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum CloseVerdict {
     /// It never ran and never will.
     NeverRan,
--- a/crates/once/tests/homes.rs
+++ b/crates/once/tests/homes.rs
@@ -11,9 +11,9 @@
     HolderRow, KeyRange, LeaseTerm, LeaseView, LogStamp, TermEpoch, TermRef,
 };
 use quetzal_once::{
-    BookId, CallKey, HolderId, HolderStatus, HomeAnswer, HomeSettings, IssuerMove, KeyCall,
-    KeyDigest, KeyHome, KeyRouter, KeyVerdict, PrintHasher, RequestPrint, RunOutcome, RunProof,
-    RunTicket, StageAnswer, StoredAnswer, TermUpdate,
+    BookId, CallKey, CloseVerdict, HolderId, HolderStatus, HomeAnswer, HomeSettings, IssuerMove,
+    KeyCall, KeyDigest, KeyHome, KeyRouter, KeyVerdict, PrintHasher, RequestPrint, RunOutcome,
+    RunProof, RunTicket, StageAnswer, StoredAnswer, TermUpdate,
 };
 use quickcheck::quickcheck;
 
@@ -344,6 +344,40 @@
     }
 }
 
+#[test]
+fn ended_home_closes_the_keys_it_knows() {
+    let clock = FakeClock::new();
+    let key = |last: &str| {
+        let text = format!("019b76da-a800-7000-8000-00000000000{last}");
+        text.parse::<CallKey>().expect("a key")
+    };
+    let calls = ["1", "2", "3"].map(|last| call(key(last), 5));
+    let mut home = home(&clock, 1, HomeSettings::default());
+    for call in &calls {
+        let range = call.digest.range();
+        home.on_term(held_term(&clock, range, 3, 0, None));
+    }
+    let ticket = begin(&mut home, &calls[1]);
+    home.settle(ticket, answer(10));
+    begin(&mut home, &calls[2]);
+    for call in &calls {
+        let term = TermRef::new(call.digest.range(), TermEpoch(3));
+        home.on_term(TermUpdate::Ended(term));
+    }
+    let closed = calls
+        .iter()
+        .map(|call| home.recall_close(&call.key, call.digest));
+    let wanted = [
+        CloseVerdict::NeverRan,
+        CloseVerdict::Ran(201),
+        CloseVerdict::Running,
+    ];
+    assert!(closed.eq(wanted.map(Some)));
+    // The first is withdrawn for good, whatever its request.
+    let refused = home.recall(&calls[0]).as_ref().and_then(refusal);
+    assert_eq!(refused, Some((ErrorKind::KeyWithdrawn, RunProof::NotRun)));
+}
+
 #[test]
 fn handed_book_of_a_term_that_did_not_follow_is_not_used() {
     let clock = FakeClock::new();
