Close peers' connections that hold no stream

Cause: a stranger that completed the h2 handshake and then fell silent kept its place for ever, since only clients closed idle connections; 2,048 of them shut the fleet out. In a planned stop such a connection, which never answers the ping, held the listener until the stop's own timeout. A failed accept was tried again at once, and a connection beyond the bound went uncounted.

Conclusion: every listener now gives places back by itself.

--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -13,7 +13,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -22,6 +22,8 @@
 
 /// Time for the head of an exchange to arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// One exchange that a peer opened.
 #[derive(Debug)]
@@ -102,10 +104,14 @@
             () = token.cancelled() => break,
         };
         let Ok((socket, peer)) = accepted else {
+            // Usually files are used up; another try at once would fail too.
+            sleep(ACCEPT_PAUSE).await;
             continue;
         };
         // Without a free permit the socket is dropped, which the peer sees at once.
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            let kind = ErrorKind::ConnectionsExceeded;
+            refused(KindError::new(kind, format!("{peer} is one too many")));
             continue;
         };
         let (handle, refused) = (handle.clone(), refused.clone());
@@ -141,7 +147,15 @@
     };
     let mut connection = connection?;
     let mut stopping = false;
+    let mut was_idle = false;
+    // Held once more by every open stream.
+    let open = Arc::new(());
     loop {
+        let patience = if stopping {
+            limits.connect_timeout
+        } else {
+            limits.idle_timeout
+        };
         let request = tokio::select! {
             request = connection.accept() => request,
             () = token.cancelled(), if !stopping => {
@@ -149,6 +163,15 @@
                 connection.graceful_shutdown();
                 continue;
             }
+            () = sleep(patience) => {
+                let is_idle = Arc::strong_count(&open) == 1;
+                if is_idle && was_idle {
+                    let detail = format!("{peer} holds a connection without streams");
+                    return Err(KindError::new(ErrorKind::IdleTimeout, detail));
+                }
+                was_idle = is_idle;
+                continue;
+            }
         };
         let Some(request) = request else {
             return Ok(());
@@ -157,12 +180,15 @@
         let Ok((request, response)) = request else {
             return Ok(());
         };
+        was_idle = false;
         let (handle, refused) = (handle.clone(), refused.clone());
+        let open = Arc::clone(&open);
         streams.spawn(async move {
             match open_stream(request, response, peer, limits).await {
                 Ok(stream) => handle(stream).await,
                 Err(error) => refused(error),
             }
+            drop(open);
         });
     }
 }
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -10,7 +10,8 @@
 use quetzal_wire::codec::{encode_frame, take_frame};
 use quetzal_wire::{PeerPool, PeerStream, WireLimits, serve_peers};
 use quickcheck::quickcheck;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -187,6 +188,44 @@
     server.stop().await;
 }
 
+#[tokio::test]
+async fn a_stranger_without_streams_makes_room_and_does_not_hold_up_the_end() {
+    let limits = WireLimits {
+        max_connections: 1,
+        idle_timeout: Duration::from_millis(40),
+        connect_timeout: Duration::from_millis(200),
+        ..WireLimits::default()
+    };
+    let server = EchoServer::start(limits).await;
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
+    let mut stranger = TcpStream::connect(server.address).await.unwrap();
+    stranger.write_all(preface).await.unwrap();
+    // The server closes while the stranger still holds its side.
+    let mut read = Vec::new();
+    drop(stranger.read_to_end(&mut read).await);
+    let pool = PeerPool::new(limits);
+    let answer = loop {
+        // The place is free a moment after the close.
+        if let Ok(open) = pool.open(server.address, &"first").await {
+            open.sender.finish().unwrap();
+            break open.answer.head().await;
+        }
+    };
+    let (head, _): (String, _) = answer.unwrap();
+    assert_eq!(head, "first");
+    assert!(
+        server
+            .refused
+            .lock()
+            .unwrap()
+            .contains(&ErrorKind::IdleTimeout)
+    );
+    pool.close().await;
+    let mut late = TcpStream::connect(server.address).await.unwrap();
+    drop(late.write_all(preface).await);
+    server.stop().await;
+}
+
 quickcheck! {
     fn frames_survive_any_split(text: String, cut: usize) -> bool {
         let frame = encode_frame(&text, 1 << 20).unwrap();
