--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -23,6 +23,7 @@
 const HELP_FOOTER: &str = "\
 Examples:
   quetzald --list-settings
+  quetzald --list-settings --json
   quetzald --settings daemon.jsonc --check
   quetzald --settings daemon.jsonc
 
@@ -52,6 +53,8 @@
     check: bool,
     /// List every setting with unit, default and range
     list_settings: bool,
+    /// Print the list as JSON
+    json: bool,
 }
 
 /// The footer with its line breaks; bare ones would fold it or hide its end.
@@ -64,6 +67,10 @@
 impl DaemonCommand {
     /// Runs the command to its end.
     pub fn run(self) -> Result<ExitCode> {
+        if self.list_settings && self.json {
+            println!("{:#}", DaemonSettings::help_json());
+            return Ok(ExitCode::SUCCESS);
+        }
         if self.list_settings {
             print!("{}", DaemonSettings::help());
             return Ok(ExitCode::SUCCESS);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,13 +14,14 @@
 use model::{DaemonId, DaemonName, DomainName, RegionName};
 use plans::lists::ListProblem;
 use plans::reader::{DocumentReader, FieldMap};
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The settings, or every mistake of the file.
 pub type Result<T> = std::result::Result<T, Vec<ListProblem>>;
 
 /// A number among the settings.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize)]
 pub struct NumberRow {
     /// Name in the file.
     pub name: &'static str,
@@ -114,7 +115,7 @@
 }
 
 /// A setting that is no number.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize)]
 pub struct TextRow {
     /// Name in the file.
     pub name: &'static str,
--- a/crates/daemon/src/settings_page.rs
+++ b/crates/daemon/src/settings_page.rs
@@ -5,6 +5,8 @@
 
 use std::fmt::Write as _;
 
+use serde_json::{Value, json};
+
 use crate::settings::{DaemonSettings, NumberSettings, TEXT_ROWS};
 
 impl DaemonSettings {
@@ -24,6 +26,11 @@
         text
     }
 
+    /// The same for programs.
+    pub fn help_json() -> Value {
+        json!({ "texts": TEXT_ROWS, "numbers": NumberSettings::ROWS })
+    }
+
     /// The same as a table of the page.
     pub fn page_table() -> String {
         let mut text = String::from(
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -4,6 +4,7 @@
 use std::process::{Command, Output};
 
 use quetzal_daemon::DaemonSettings;
+use serde_json::Value;
 
 const SOUND: &str = r#"{ // comments are allowed
   "domain": "cairo-a", "log_url": "http://127.0.0.1:7400",
@@ -64,6 +65,21 @@
     insta::assert_snapshot!("unknown_option", run(None, &["--setings", "x"]));
 }
 
+#[test]
+fn programs_read_the_same_list() {
+    let output = Command::new(env!("CARGO_BIN_EXE_quetzald"))
+        .args(["--list-settings", "--json"])
+        .output()
+        .unwrap();
+    let list: Value = serde_json::from_slice(&output.stdout).unwrap();
+    let row = &list["numbers"][0];
+    assert_eq!(row["name"], "worker_threads");
+    assert_eq!(row["low"], 1);
+    let count = |group: &str| list[group].as_array().unwrap().len();
+    let lines = DaemonSettings::help().lines().count();
+    assert_eq!(count("texts") + count("numbers"), lines);
+}
+
 #[test]
 fn a_daemon_without_a_name_takes_its_address() {
     let settings = DaemonSettings::parse("daemon.jsonc", SOUND).unwrap();
