--- a/crates/daemon/tests/fleet/target.rs
+++ b/crates/daemon/tests/fleet/target.rs
@@ -26,6 +26,10 @@
     pub ran: Arc<Mutex<Vec<String>>>,
     /// Bodies that broke off.
     pub broken: Arc<AtomicUsize>,
+    /// While set, calls that have begun do not end.
+    pub held: Arc<AtomicBool>,
+    /// Calls that have begun.
+    pub begun: Arc<AtomicUsize>,
     operator: SocketAddr,
     announcement: TargetAnnouncement,
     _server: StandInServer,
@@ -38,10 +42,20 @@
     pub fn start(name: &str, service: &str, daemon: &DaemonProcess, delay: Duration) -> Self {
         let ran = Arc::new(Mutex::new(Vec::new()));
         let broken = Arc::new(AtomicUsize::new(0));
+        let held = Arc::new(AtomicBool::new(false));
+        let begun = Arc::new(AtomicUsize::new(0));
         let book = (name.to_owned(), Arc::clone(&ran), Arc::clone(&broken));
+        let (holding, counted) = (Arc::clone(&held), Arc::clone(&begun));
         let answer = move |request: StandInRequest| {
             let (name, ran, broken) = &book;
-            answer_call(name, ran, broken, delay, &request)
+            let wait = || {
+                counted.fetch_add(1, Ordering::SeqCst);
+                thread::sleep(delay);
+                while holding.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(10));
+                }
+            };
+            answer_call(name, ran, broken, wait, &request)
         };
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = StandInServer::start(any_port, MAX_BODY_BYTES, Arc::new(answer)).unwrap();
@@ -74,6 +88,8 @@
             name: name.to_owned(),
             ran,
             broken,
+            held,
+            begun,
             operator,
             announcement,
             _server: server,
@@ -98,6 +114,7 @@
 impl Drop for TestTarget {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::SeqCst);
+        self.held.store(false, Ordering::SeqCst);
         for thread in self.threads.drain(..) {
             thread.join().unwrap();
         }
@@ -108,7 +125,7 @@
     name: &str,
     ran: &Mutex<Vec<String>>,
     broken: &AtomicUsize,
-    delay: Duration,
+    wait: impl Fn(),
     request: &StandInRequest,
 ) -> StandInAnswer {
     let Ok(body) = &request.body else {
@@ -118,7 +135,7 @@
             body: Vec::new(),
         };
     };
-    thread::sleep(delay);
+    wait();
     let line = format!("{} {}", request.method, request.path);
     ran.lock().unwrap().push(line.clone());
     let text = format!("{line} by {name} {} bytes", body.len());
