--- a/crates/daemon/src/beside.rs
+++ b/crates/daemon/src/beside.rs
@@ -24,12 +24,14 @@
 use crate::body::{BodyBounds, BodyEnd, CallBody};
 use crate::gate::{GatePass, TargetGate};
 use crate::key_desk::KeyDesk;
-use crate::peer::{CallHead, CallRefusal, ResponseHead, pack_headers};
+use crate::peer::{CallHead, CallRefusal, HeaderPair, ResponseHead, pack_headers};
 use crate::target_client::TargetClient;
 
 /// An answer, or why there is none.
 pub type Result<T> = std::result::Result<T, CallRefusal>;
 
+/// Prefix of the headers that this system sets.
+const OWN_PREFIX: &str = "quetzal-";
 /// Time for a target to take a connection before it counts as crashed.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -266,7 +268,7 @@
         }
         let head = ResponseHead {
             status: parts.status.as_u16(),
-            headers: pack_headers(&parts.headers),
+            headers: without_own(pack_headers(&parts.headers)),
             load: gate.load(),
             waited: pass.waited,
         };
@@ -328,6 +330,13 @@
     announcement.state < TargetState::Draining
 }
 
+/// Drops the headers that only this system sets: a target that passes on what
+/// it was answered itself must not speak for its own call.
+fn without_own(mut headers: Vec<HeaderPair>) -> Vec<HeaderPair> {
+    headers.retain(|pair| !pair.name.starts_with(OWN_PREFIX));
+    headers
+}
+
 fn refuse(gate: &TargetGate, error: KindError) -> CallRefusal {
     let come_again = error.kind.answer().not_run && error.kind.answer().retryable;
     CallRefusal {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -31,7 +31,7 @@
 use crate::peer::{ControlBatch, ControlMessage};
 use crate::replica::PlansReplica;
 use crate::status::StatusReport;
-use crate::targets::publish_targets;
+use crate::targets::TargetBook;
 
 /// Time between two ticks of the loop.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -68,6 +68,7 @@
     spread: SpreadNode<PlansReplica>,
     members: MemberNode,
     keys: KeyControl,
+    targets: TargetBook,
     courier: ControlCourier,
     desk: LogDesk,
     /// Addresses of peers that wrote to us, before the membership knows them.
@@ -103,6 +104,7 @@
         Self {
             courier: ControlCourier::new(Arc::clone(&core)),
             keys: KeyControl::new(Arc::clone(&core), desk.clone(), random()),
+            targets: TargetBook::default(),
             spread,
             members,
             desk,
@@ -435,7 +437,7 @@
         self.core.limits().set_members(&ids);
         self.publish_runs(&views);
         self.core.addresses.store(Arc::new(addresses));
-        publish_targets(&self.core, self.members.all_targets());
+        self.targets.publish(&self.core, self.members.all_targets());
     }
 
     /// Tells the keys' side which runs of daemons are alive.
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -15,7 +15,7 @@
 use plans::{ConfigState, RouteTable};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use route::{PickerConfig, RetryPolicy, TargetPicker};
+use route::{PickerConfig, RetryBook, TargetPicker};
 use serde::de::DeserializeOwned;
 use smallvec::SmallVec;
 use spread::freshness::TimedFreshness;
@@ -73,7 +73,7 @@
     /// Tasks that are joined at the end.
     pub tasks: TaskTracker,
     picker: Mutex<TargetPicker>,
-    retries: Mutex<RetryPolicy>,
+    retries: Mutex<RetryBook>,
     limits: Mutex<LimitGate>,
     shedder: Mutex<LoadShedder>,
     draining: AtomicBool,
@@ -136,7 +136,7 @@
                 Arc::clone(&clock),
                 random(),
             )),
-            retries: Mutex::new(RetryPolicy::new()),
+            retries: Mutex::new(RetryBook::new()),
             limits: Mutex::new(LimitGate::new(id, Arc::clone(&clock))),
             shedder: Mutex::new(LoadShedder::new(Arc::clone(&clock), random())),
             trace: Mutex::new(EventRing::new(process, DEFAULT_MEMORY, Arc::clone(&clock))),
@@ -230,7 +230,7 @@
     }
 
     /// Retries and their budgets.
-    pub fn retries(&self) -> MutexGuard<'_, RetryPolicy> {
+    pub fn retries(&self) -> MutexGuard<'_, RetryBook> {
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -20,6 +20,9 @@
 /// Daemons that an attempt of the call has failed at.
 type TriedList = SmallVec<[DaemonId; 4]>;
 
+/// When to come again if no target is willing.
+const ABSENCE_WAIT: Duration = Duration::from_secs(1);
+
 /// A call that is ready to be sent.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -42,7 +45,7 @@
         deadline,
         ticket,
     } = call;
-    core.retries().on_first(head.mark);
+    core.retries().policy(&head.service).on_first(head.mark);
     head.streamed = body.copy().is_none();
     let mut body = Some(body);
     let mut tried = TriedList::new();
@@ -67,7 +70,7 @@
             mark: head.mark,
             remaining: deadline.remaining(core.clock.now()),
         };
-        let verdict = core.retries().decide(&failure);
+        let verdict = core.retries().policy(&head.service).decide(&failure);
         match verdict {
             RetryVerdict::Again(mark) => head.mark = mark,
             RetryVerdict::Stop(kind) if kind == refusal.error.kind => return Err(refusal),
@@ -109,15 +112,18 @@
 
 fn pick(core: &DaemonCore, head: &CallHead, tried: &[DaemonId]) -> Result<PickTicket> {
     let mut picker = core.picker();
-    let fresh = picker.pick(&head.service, tried);
-    // With every target tried, one that was merely busy may have room by now.
-    let ticket = fresh.or_else(|| picker.pick(&head.service, &[]));
-    ticket.ok_or_else(|| {
-        let detail = format!("no target of {} is present and willing", head.service);
-        CallRefusal {
-            retry_after: Some(Duration::from_secs(1)),
-            ..KindError::new(ErrorKind::TargetAbsent, detail).into()
+    let mut pick = |tried: &[DaemonId]| {
+        if head.idempotent {
+            picker.pick(&head.service, tried)
+        } else {
+            picker.pick_proven(&head.service, tried)
         }
+    };
+    // With every target tried, one that was merely busy may have room by now.
+    let ticket = pick(tried).or_else(|| pick(&[]));
+    ticket.ok_or_else(|| CallRefusal {
+        retry_after: Some(ABSENCE_WAIT),
+        ..picker.absence(&head.service).into()
     })
 }
 
@@ -132,10 +138,10 @@
 fn finish_attempt(core: &DaemonCore, ticket: &PickTicket, refusal: &CallRefusal) {
     let kind = refusal.error.kind;
     core.counters.count_error(kind);
-    let result = if kind.answer().not_run {
+    let result = if refusal.proof == RunProof::NotRun {
         CallResult::NotRun(kind)
     } else {
-        CallResult::Failed
+        CallResult::Lost
     };
     let outcome = CallOutcome {
         latency: core.clock.now() - ticket.picked,
