Measure what each role costs and keep docs/CAPACITY.md

The target's size decided no design yet, since nobody could see what a role costs at it. The new crate runs the state machines of distribution, membership, limits, keys and plans at three small sizes and at the target's, counts bytes, messages, tables and log requests, and lays a line through the small sizes. The bench prints the tables of the page, and fails when page and counts part or a budget is exceeded; a test does the same for the two smallest sizes and the arithmetic.

--- /dev/null
+++ b/crates/capacity/src/budget.rs
@@ -0,0 +1,193 @@
+//! The counted figures of all roles against the target's budget.
+//!
+//! Any daemon distributes, is a member and keeps shares of limits; ten of them
+//! are homes of keys besides. A plain daemon is charged with the most that any
+//! one was counted with in each role, a home with its own figures and the mean
+//! of the others'. The sum of the most in every role is told beside them and
+//! not judged: homes, readers and keepers are chosen by different hashes, so
+//! hardly a daemon comes to it.
+
+use crate::figure::{FigureRow, rounded};
+use crate::model::RunRows;
+
+/// Control bytes a daemon may send and receive in a second.
+const CONTROL_BYTES: f64 = 10_000.0;
+/// Memory of a daemon, in kB.
+const MEMORY_KB: f64 = 32_000.0;
+/// Time for a change, and for news of a lost VM, in ms.
+const CONVERGENCE_MS: f64 = 15_000.0;
+/// Requests that the log takes in a second.
+const LOG_REQUESTS: f64 = 300.0;
+/// Of a hundred calls, one may take longer than the added 1.1 ms.
+const LATE_CALLS: f64 = 1.0;
+/// Seconds of a day, and changes in it.
+const DAY_S: f64 = 86_400.0;
+const DAY_CHANGES: f64 = 250.0;
+
+/// A sum of figures and the most that it may be.
+#[derive(Clone, Debug)]
+pub struct BudgetLine {
+    /// What is limited.
+    pub what: &'static str,
+    /// The role whose part is charged, or all.
+    pub role: &'static str,
+    /// The part.
+    pub found: f64,
+    /// The limit of the whole, on the line of the sum.
+    pub most: Option<f64>,
+    /// Its unit.
+    pub unit: &'static str,
+    /// Whether a sum above the limit is a failure.
+    pub is_judged: bool,
+}
+
+impl BudgetLine {
+    /// Whether the sum is above its limit.
+    pub fn is_above(&self) -> bool {
+        self.most.is_some_and(|most| self.found > most)
+    }
+
+    /// Whether the sum is above a limit that is judged.
+    pub fn is_exceeded(&self) -> bool {
+        self.is_judged && self.is_above()
+    }
+}
+
+/// A part of a budget: the role and what it is charged with.
+type PartName = (&'static str, &'static str);
+
+const PLAIN_PARTS: [PartName; 3] = [
+    ("distributor", "control at rest, most of one"),
+    ("member", "control, sent and received"),
+    ("share keeper", "control, most of one"),
+];
+
+const HOME_PARTS: [PartName; 5] = [
+    ("distributor", "control at rest, mean"),
+    ("member", "control, sent and received"),
+    ("share keeper", "control, mean"),
+    ("key home", "permits fetched"),
+    ("key home", "lease records read"),
+];
+
+const WORST_PARTS: [PartName; 5] = [
+    ("distributor", "control at rest, most of one"),
+    ("member", "control, sent and received"),
+    ("share keeper", "control, most of one"),
+    ("key home", "permits fetched"),
+    ("key home", "lease records read"),
+];
+
+const MEMORY_PARTS: [PartName; 4] = [
+    ("member", "table of members"),
+    ("key home", "tables of keys"),
+    ("key home", "stored answers"),
+    ("proxy", "snapshot with a full past"),
+];
+
+const LOG_PARTS: [PartName; 4] = [
+    ("source reader", "reads of the log, all"),
+    ("member", "requests to the log, all"),
+    ("key home", "lease appends, all"),
+    ("key home", "lease reads, all"),
+];
+
+const TIMES: [PartName; 3] = [
+    ("distributor", "a change in force on all"),
+    ("operator's command", "a change shown as in force on all"),
+    ("member", "a crash known by 99%"),
+];
+
+/// All budgets, each with its parts before its sum.
+pub fn budget(runs: &[RunRows]) -> Vec<BudgetLine> {
+    let rows: Vec<&FigureRow> = runs.iter().flat_map(|run| &run.rows).collect();
+    let mut lines = Vec::new();
+    let changes = ("distributor", change_bytes(&rows));
+    let kinds: [(&'static str, &[PartName], bool); 3] = [
+        ("control of a plain daemon", &PLAIN_PARTS, true),
+        ("control of a home of keys", &HOME_PARTS, true),
+        ("control, the most of each role", &WORST_PARTS, false),
+    ];
+    for (what, names, is_judged) in kinds {
+        let mut control = parts(&rows, names);
+        control.push(changes);
+        add_sum(&mut lines, what, "B/s", control, CONTROL_BYTES);
+        let sum = lines.last_mut().expect("a sum was added");
+        sum.is_judged = is_judged;
+    }
+    let memory = parts(&rows, &MEMORY_PARTS);
+    add_sum(
+        &mut lines,
+        "counted memory of one daemon",
+        "kB",
+        memory,
+        MEMORY_KB,
+    );
+    let mut log = parts(&rows, &LOG_PARTS);
+    log.push(("operator's command", DAY_CHANGES / DAY_S));
+    add_sum(&mut lines, "requests to the log", "1/s", log, LOG_REQUESTS);
+    for (role, found) in parts(&rows, &TIMES) {
+        lines.push(limit("time", role, found, "ms", CONVERGENCE_MS));
+    }
+    let late = parts(&rows, &[("key home", "calls that wait for a permit")]);
+    for (role, found) in late {
+        lines.push(limit("calls that wait", role, found, "%", LATE_CALLS));
+    }
+    lines
+}
+
+/// Bytes a second for the changes of a day, by one daemon.
+fn change_bytes(rows: &[&FigureRow]) -> f64 {
+    let parts = parts(rows, &[("distributor", "bytes of one change")]);
+    parts.iter().map(|part| part.1).sum::<f64>() * DAY_CHANGES / DAY_S
+}
+
+fn parts(rows: &[&FigureRow], names: &[PartName]) -> Vec<(&'static str, f64)> {
+    let charge = |name: &PartName| {
+        let same = |row: &&&FigureRow| (row.role, row.what) == *name;
+        let row = rows.iter().find(same);
+        (
+            name.0,
+            row.expect("every part of a budget is run").counted(),
+        )
+    };
+    names.iter().map(charge).collect()
+}
+
+fn add_sum(
+    lines: &mut Vec<BudgetLine>,
+    what: &'static str,
+    unit: &'static str,
+    parts: Vec<(&'static str, f64)>,
+    most: f64,
+) {
+    let sum = parts.iter().map(|part| part.1).sum();
+    for (role, found) in parts {
+        lines.push(BudgetLine {
+            what,
+            role,
+            found: rounded(found),
+            most: None,
+            unit,
+            is_judged: false,
+        });
+    }
+    lines.push(limit(what, "all roles on one", sum, unit, most));
+}
+
+fn limit(
+    what: &'static str,
+    role: &'static str,
+    found: f64,
+    unit: &'static str,
+    most: f64,
+) -> BudgetLine {
+    BudgetLine {
+        what,
+        role,
+        found: rounded(found),
+        most: Some(most),
+        unit,
+        is_judged: true,
+    }
+}
--- /dev/null
+++ b/crates/capacity/src/home_run.rs
@@ -0,0 +1,120 @@
+//! A key home's memory, as counted by the home itself.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use model::{ClockPort, CustomerName, DaemonId, FakeClock, IncarnationNumber};
+use quetzal_once::lease::{KeyRange, LeaseTerm, LogStamp, TermEpoch};
+use quetzal_once::{
+    CallKey, HolderId, HomeSettings, KeyCall, KeyDigest, KeyHome, KeyVerdict, RequestPrint,
+    RunOutcome, StoredAnswer, TermUpdate,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::figure::CountedFigure;
+
+const SEED: u64 = 63;
+const ANSWER_BYTES: usize = 300;
+/// Calls between two ticks of the home.
+const TICK_CALLS: u64 = 512;
+/// Step in which the tables' memory is told.
+const STEP_BYTES: f64 = 500_000.0;
+/// Term of a lease that outlasts the run.
+const FAR: Duration = Duration::from_secs(3600);
+
+/// Figures of a home that takes `rate` calls a second with callers' own keys.
+pub fn run(rate: usize) -> Vec<CountedFigure> {
+    let clock = FakeClock::new();
+    let settings = HomeSettings::default();
+    let mut home = KeyHome::new(holder(), settings, clock.shared());
+    let valid_until = clock.now() + FAR;
+    for range in KeyRange::all() {
+        home.on_term(TermUpdate::Held {
+            range,
+            term: first_term(),
+            valid_until,
+        });
+    }
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let pause = Duration::from_secs(1) / rate as u32;
+    let calls = settings.window.as_secs() * rate as u64;
+    let mut refused = 0_u64;
+    let mut answers = VecDeque::new();
+    for number in 0..calls + calls / 8 {
+        clock.advance(pause);
+        let call = timed_call(&clock, &mut rng);
+        if let KeyVerdict::Run(ticket) = home.begin(&call) {
+            let answer = answer();
+            answers.push_back(Arc::downgrade(&answer));
+            home.settle(ticket, RunOutcome::Done(answer));
+        } else {
+            refused += 1;
+        }
+        if number.is_multiple_of(TICK_CALLS) {
+            home.on_tick(Some(LogStamp::from(clock.wall())));
+        }
+    }
+    let counts = home.counts();
+    // Room in a table depends on where hashes fall; its whole size does not.
+    let tables_kb = (counts.tables.0 as f64 / STEP_BYTES).ceil() * STEP_BYTES / 1e3;
+    let kept = answers.iter().filter(|answer| answer.strong_count() > 0);
+    vec![
+        CountedFigure::new("key home", "keys held", "keys", counts.keys as f64),
+        CountedFigure::new("key home", "tables of keys", "kB", tables_kb),
+        CountedFigure::new(
+            "key home",
+            "stored answers",
+            "kB",
+            counts.answers.0 as f64 / 1e3,
+        ),
+        CountedFigure::new("key home", "answers kept", "answers", kept.count() as f64),
+        CountedFigure::new(
+            "key home",
+            "calls refused for want of room",
+            "calls",
+            refused as f64,
+        ),
+    ]
+}
+
+fn holder() -> HolderId {
+    HolderId::new(DaemonId(1), IncarnationNumber(1))
+}
+
+fn first_term() -> LeaseTerm {
+    LeaseTerm {
+        holder: holder(),
+        epoch: TermEpoch(1),
+        prior: TermEpoch::NONE,
+        begun: LogStamp(0),
+        renewed: LogStamp(u64::MAX / 4),
+        lease_ms: 8000,
+        skew_ms: 2000,
+        owns_after: None,
+    }
+}
+
+fn answer() -> Arc<StoredAnswer> {
+    Arc::new(StoredAnswer {
+        status: 201,
+        headers: Box::default(),
+        body: vec![b'x'; ANSWER_BYTES].into(),
+    })
+}
+
+/// A call whose key carries the time.
+fn timed_call(clock: &FakeClock, rng: &mut SmallRng) -> KeyCall {
+    let since = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis() as u64;
+    let random: [u8; 10] = rng.random();
+    let uuid = uuid::Builder::from_unix_timestamp_millis(millis, &random).into_uuid();
+    let key: CallKey = uuid.to_string().parse().expect("a UUID is a key");
+    let customer: CustomerName = "agency".parse().expect("a sound name");
+    KeyCall {
+        digest: KeyDigest::of(&customer, &key),
+        key,
+        print: RequestPrint(1),
+    }
+}
--- /dev/null
+++ b/crates/capacity/src/member_run.rs
@@ -0,0 +1,85 @@
+//! Membership, as counted in a fleet of state machines.
+
+use std::time::Duration;
+
+use quetzal_members::{LoadLevel, MemberState, TargetState};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::figure::CountedFigure;
+use crate::member_fleet::{Fleet, plain_link, target_of};
+
+const SEED: u64 = 62;
+const DOMAINS: usize = 5;
+const REGIONS: usize = 2;
+const LOSS: f64 = 0.01;
+/// Time between join records of one daemon, for a log that keeps records five minutes.
+const RECORD_INTERVAL: Duration = Duration::from_secs(100);
+const WARM: Duration = Duration::from_secs(20);
+const SPAN: Duration = RECORD_INTERVAL;
+/// Targets that announce another load in each second.
+const LOAD_SHARE: f64 = 0.1;
+/// Longest wait for news of a crash.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Figures of a fleet of `daemons`.
+pub fn run(daemons: usize) -> Vec<CountedFigure> {
+    let mut fleet = Fleet::new(daemons, DOMAINS, REGIONS, SEED);
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    fleet.record_interval = RECORD_INTERVAL;
+    fleet.start_all();
+    run_loaded(&mut fleet, WARM, &mut rng);
+    fleet.link = plain_link(LOSS);
+    fleet.reset_counts();
+    let begin = fleet.clock.elapsed().as_secs() as usize;
+    run_loaded(&mut fleet, SPAN, &mut rng);
+    let seconds = SPAN.as_secs_f64();
+    // Each message is received by one daemon too, so a daemon carries twice what it sends.
+    let sent = fleet.slots.iter().map(|slot| slot.bytes).sum::<u64>() as f64;
+    let messages = fleet.slots.iter().map(|slot| slot.messages).sum::<u64>() as f64;
+    let daemon_seconds = seconds * daemons as f64;
+    let counts = &fleet.seconds[begin..];
+    let log = counts.iter().map(|second| second.reads + second.appends);
+    let log = log.sum::<u64>() as f64 / seconds;
+    let memory = fleet.running().map(|node| node.footprint().0).max();
+    let memory = memory.unwrap_or(0) as f64 / 1000.0;
+    let crash = crash_time(&mut fleet);
+    vec![
+        CountedFigure::new(
+            "member",
+            "control, sent and received",
+            "B/s",
+            2.0 * sent / daemon_seconds,
+        ),
+        CountedFigure::new("member", "messages sent", "1/s", messages / daemon_seconds),
+        CountedFigure::new("member", "table of members", "kB", memory),
+        CountedFigure::new("member", "requests to the log, all", "1/s", log),
+        CountedFigure::new(
+            "member",
+            "a crash known by 99%",
+            "ms",
+            crash.as_millis() as f64,
+        ),
+    ]
+}
+
+fn run_loaded(fleet: &mut Fleet, span: Duration, rng: &mut SmallRng) {
+    for _ in 0..span.as_secs() {
+        for index in 0..fleet.slots.len() {
+            if rng.random_bool(LOAD_SHARE) {
+                let mut digest = target_of(index, TargetState::Ready);
+                digest.load = LoadLevel(rng.random_range(0..=8));
+                fleet.node(index).set_targets(vec![digest]);
+            }
+        }
+        fleet.run_for(Duration::from_secs(1));
+    }
+}
+
+fn crash_time(fleet: &mut Fleet) -> Duration {
+    fleet.crash(0);
+    let known = fleet.run_until(LIMIT, |fleet| {
+        fleet.share_holding(0, |state| state == MemberState::Dead) >= 0.99
+    });
+    known.unwrap_or(LIMIT)
+}
--- /dev/null
+++ b/crates/capacity/src/plan_run.rs
@@ -0,0 +1,132 @@
+//! The configuration's bytes on the wire and in the log.
+
+use std::fmt::Write;
+use std::time::SystemTime;
+
+use model::LogOffset;
+use plans::{
+    ChangeMeta, ChangeRecord, ConfigRecord, ConfigReplica, EntryEdit, EntryValue, ListPair,
+};
+
+use crate::figure::CountedFigure;
+
+const SERVICES: usize = 35;
+const PLANS: usize = 5;
+/// Changes before the measurement: one window of the past is full.
+const CHANGES: usize = 520;
+
+/// Figures with this many customers.
+pub fn run(customers: usize) -> Vec<CountedFigure> {
+    let mut replica = ConfigReplica::new();
+    let lists = lists_of(customers);
+    let base = replica.state().base();
+    let first = ChangeRecord::between(replica.state(), base, &lists, meta(0));
+    let first = first.expect("sound lists differ from none");
+    append(&mut replica, 0, &first);
+    let fresh = snapshot_len(&mut replica);
+    let mut bytes = 0;
+    for change in 1..=CHANGES {
+        bytes += change_once(&mut replica, change);
+    }
+    let full = snapshot_len(&mut replica);
+    vec![
+        CountedFigure::new(
+            "operator's command",
+            "record of one change",
+            "B",
+            bytes as f64 / CHANGES as f64,
+        ),
+        CountedFigure::new("proxy", "snapshot without past", "kB", fresh as f64 / 1e3),
+        CountedFigure::new(
+            "proxy",
+            "snapshot with a full past",
+            "kB",
+            full as f64 / 1e3,
+        ),
+    ]
+}
+
+/// Changes one customer's plan; tells the bytes of the record.
+fn change_once(replica: &mut ConfigReplica, change: usize) -> usize {
+    let entries = replica.state().lists().entries();
+    let place = change * 7 % entries.len();
+    let (entry, mut value) = entries.into_iter().nth(place).expect("the place is within");
+    match &mut value {
+        EntryValue::Customer(customer) => {
+            let plan = format!("plan-{}", change % PLANS);
+            customer.plan = plan.parse().expect("a sound name");
+        }
+        EntryValue::Service(rule) => rule.timeout_ms = 100 + change as u64 as u32,
+        EntryValue::Allowance(allowance) => allowance.rate_per_s = 1 + change as u32,
+    }
+    let edit = EntryEdit {
+        entry,
+        after: Some(value),
+    };
+    let record = ChangeRecord::new(replica.state().base(), vec![edit], meta(change));
+    append(replica, change, &record)
+}
+
+fn append(replica: &mut ConfigReplica, offset: usize, record: &ChangeRecord) -> usize {
+    let body = record.encode().expect("a bounded change");
+    let bytes = body.len();
+    let record = ConfigRecord {
+        offset: LogOffset(offset as u64),
+        at: SystemTime::UNIX_EPOCH,
+        body: body.into(),
+    };
+    replica.fold(record).expect("the next record");
+    bytes
+}
+
+fn snapshot_len(replica: &mut ConfigReplica) -> usize {
+    replica.snapshot_bytes().expect("a bounded state").len()
+}
+
+fn meta(change: usize) -> ChangeMeta {
+    let id = format!("{change:032x}");
+    ChangeMeta {
+        id: id.parse().expect("32 hexadecimal digits are an id"),
+        author: "operator@host".parse().expect("a sound name"),
+        note: "another plan for a customer".into(),
+    }
+}
+
+/// Lists with this many customers, 35 services and five plans.
+pub fn lists_of(customer_count: usize) -> ListPair {
+    let key = "5e884898da28047151d0e56f8dc6292773603d0d6aabbdd62a11ef721d1542d8";
+    let mut customers = Vec::new();
+    for index in 0..customer_count {
+        let plan = index % PLANS;
+        customers.push(format!(
+            "\"customer-{index:04}\": {{ \"plan\": \"plan-{plan}\", \"key_sha256\": \"{key}\" }}"
+        ));
+    }
+    let mut services = Vec::new();
+    let mut allowances = Vec::new();
+    for index in 0..SERVICES {
+        let mut service = String::new();
+        write!(
+            service,
+            "\"service-{index:02}\": {{ \"path\": \"/service-{index:02}\", \"timeout_ms\": 2000, \
+             \"kind\": \"booking\", \"methods\": {{ \"GET\": {{ \"idempotent\": true }}, \
+             \"POST\": {{ \"idempotent\": false }} }} }}"
+        )
+        .expect("writing to a string never fails");
+        services.push(service);
+        allowances.push(format!(
+            "\"service-{index:02}\": {{ \"methods\": [\"GET\", \"POST\"], \"rate_per_s\": 50, \
+             \"calls_at_once\": 20 }}"
+        ));
+    }
+    let allowances = allowances.join(",");
+    let plan = |index: usize| format!("\"plan-{index}\": {{ {allowances} }}");
+    let plans: Vec<String> = (0..PLANS).map(plan).collect();
+    let plans_text = format!("{{ \"customers\": {{ {} }} }}", customers.join(","));
+    let allowances_text = format!(
+        "{{ \"services\": {{ {} }}, \"plans\": {{ {} }} }}",
+        services.join(","),
+        plans.join(",")
+    );
+    ListPair::parse(&plans_text, &allowances_text).expect("the lists are valid")
+}
