Time and weigh the state machines in the capacity bench

Processor time of each part of a call and heap memory of each table are printed with their date. Resident memory showed nothing, since freed pages are used again; an instrumented allocator counts the heap instead.

--- a/crates/capacity/src/budget.rs
+++ b/crates/capacity/src/budget.rs
@@ -31,6 +31,8 @@
     pub what: &'static str,
     /// The role whose part is charged, or all.
     pub role: &'static str,
+    /// The figure that is charged, or the sum.
+    pub part: &'static str,
     /// The part.
     pub found: f64,
     /// The limit of the whole, on the line of the sum.
@@ -56,6 +58,9 @@
 /// A part of a budget: the role and what it is charged with.
 type PartName = (&'static str, &'static str);
 
+/// A part with its charge.
+type PartCharge = (&'static str, &'static str, f64);
+
 const PLAIN_PARTS: [PartName; 3] = [
     ("distributor", "control at rest, most of one"),
     ("member", "control, sent and received"),
@@ -102,7 +107,7 @@
 pub fn budget(runs: &[RunRows]) -> Vec<BudgetLine> {
     let rows: Vec<&FigureRow> = runs.iter().flat_map(|run| &run.rows).collect();
     let mut lines = Vec::new();
-    let changes = ("distributor", change_bytes(&rows));
+    let changes = ("distributor", "changes of a day", change_bytes(&rows));
     let kinds: [(&'static str, &[PartName], bool); 3] = [
         ("control of a plain daemon", &PLAIN_PARTS, true),
         ("control of a home of keys", &HOME_PARTS, true),
@@ -124,14 +129,24 @@
         MEMORY_KB,
     );
     let mut log = parts(&rows, &LOG_PARTS);
-    log.push(("operator's command", DAY_CHANGES / DAY_S));
+    log.push((
+        "operator's command",
+        "changes of a day",
+        DAY_CHANGES / DAY_S,
+    ));
     add_sum(&mut lines, "requests to the log", "1/s", log, LOG_REQUESTS);
-    for (role, found) in parts(&rows, &TIMES) {
-        lines.push(limit("time", role, found, "ms", CONVERGENCE_MS));
+    for (role, part, found) in parts(&rows, &TIMES) {
+        lines.push(limit("time", (role, part), found, "ms", CONVERGENCE_MS));
     }
     let late = parts(&rows, &[("key home", "calls that wait for a permit")]);
-    for (role, found) in late {
-        lines.push(limit("calls that wait", role, found, "%", LATE_CALLS));
+    for (role, part, found) in late {
+        lines.push(limit(
+            "calls that wait",
+            (role, part),
+            found,
+            "%",
+            LATE_CALLS,
+        ));
     }
     lines
 }
@@ -139,15 +154,16 @@
 /// Bytes a second for the changes of a day, by one daemon.
 fn change_bytes(rows: &[&FigureRow]) -> f64 {
     let parts = parts(rows, &[("distributor", "bytes of one change")]);
-    parts.iter().map(|part| part.1).sum::<f64>() * DAY_CHANGES / DAY_S
+    parts.iter().map(|part| part.2).sum::<f64>() * DAY_CHANGES / DAY_S
 }
 
-fn parts(rows: &[&FigureRow], names: &[PartName]) -> Vec<(&'static str, f64)> {
+fn parts(rows: &[&FigureRow], names: &[PartName]) -> Vec<PartCharge> {
     let charge = |name: &PartName| {
         let same = |row: &&&FigureRow| (row.role, row.what) == *name;
         let row = rows.iter().find(same);
         (
             name.0,
+            name.1,
             row.expect("every part of a budget is run").counted(),
         )
     };
@@ -158,26 +174,27 @@
     lines: &mut Vec<BudgetLine>,
     what: &'static str,
     unit: &'static str,
-    parts: Vec<(&'static str, f64)>,
+    parts: Vec<PartCharge>,
     most: f64,
 ) {
-    let sum = parts.iter().map(|part| part.1).sum();
-    for (role, found) in parts {
+    let sum = parts.iter().map(|part| part.2).sum();
+    for (role, part, found) in parts {
         lines.push(BudgetLine {
             what,
             role,
+            part,
             found: rounded(found),
             most: None,
             unit,
             is_judged: false,
         });
     }
-    lines.push(limit(what, "all roles on one", sum, unit, most));
+    lines.push(limit(what, ("all", "sum"), sum, unit, most));
 }
 
 fn limit(
     what: &'static str,
-    role: &'static str,
+    (role, part): PartName,
     found: f64,
     unit: &'static str,
     most: f64,
@@ -185,6 +202,7 @@
     BudgetLine {
         what,
         role,
+        part,
         found: rounded(found),
         most: Some(most),
         unit,
--- /dev/null
+++ b/crates/capacity/src/call_costs.rs
@@ -0,0 +1,174 @@
+//! Processor time and heap memory of the parts of a call.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use model::{
+    CallClass, CallCount, CallRate, ClockPort, CustomerName, DaemonId, DomainName, FakeClock,
+    ServiceName,
+};
+use quetzal_limits::{LimitGate, PlanLimit};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use route::{
+    AdmissionGate, CallId, CallOutcome, CallResult, CallTicket, GateConfig, LeftCall, PickerConfig,
+    TargetPicker, TargetState, TargetView,
+};
+
+use crate::costs::{CALLS, HeapGauge, kilobytes, mean_time, memory_of};
+
+/// Services, among which targets are divided.
+const SERVICES: usize = 35;
+
+fn service(index: usize) -> ServiceName {
+    let name = format!("service-{:02}", index % SERVICES);
+    name.parse().expect("a sound name")
+}
+
+fn domain(index: usize) -> DomainName {
+    let name = format!("domain-{}", index % 5);
+    name.parse().expect("a sound name")
+}
+
+/// A picker that knows this many targets over all services.
+fn picker_of(targets: usize, clock: &FakeClock) -> TargetPicker {
+    let config = PickerConfig {
+        domain: domain(0),
+        region: smallvec::smallvec![domain(0), domain(1), domain(2)],
+    };
+    let mut picker = TargetPicker::new(config, clock.shared(), SmallRng::seed_from_u64(65));
+    let view = |index: usize| TargetView {
+        target: format!("target-{index}").parse().expect("a sound name"),
+        daemon: DaemonId(index as u64 + 1),
+        domain: domain(index),
+        slots: CallCount(10),
+        connections: CallCount(130),
+        state: TargetState::Ready,
+        load: None,
+        since: clock.now(),
+    };
+    for number in 0..SERVICES {
+        let own = (0..targets).filter(|index| index % SERVICES == number);
+        let views: Vec<TargetView> = own.map(view).collect();
+        picker.set_targets(&service(number), &views);
+    }
+    picker
+}
+
+pub fn picker_memory(targets: usize, heap: HeapGauge) -> String {
+    let clock = FakeClock::new();
+    memory_of(heap, || picker_of(targets, &clock))
+}
+
+pub fn pick_time(targets: usize, _: HeapGauge) -> String {
+    let clock = FakeClock::new();
+    let mut picker = picker_of(targets, &clock);
+    let services: Vec<ServiceName> = (0..SERVICES).map(service).collect();
+    mean_time(CALLS, |call| {
+        clock.advance(Duration::from_micros(100));
+        let service = &services[call as usize % SERVICES];
+        let ticket = picker.pick(service, &[]).expect("a target is ready");
+        let outcome = CallOutcome {
+            latency: Duration::from_millis(12),
+            waited: Duration::ZERO,
+            result: CallResult::Done,
+            load: None,
+        };
+        picker.finish(&ticket, &outcome);
+    })
+}
+
+/// A gate for limits, and the keys used there.
+struct LimitedUse {
+    clock: FakeClock,
+    gate: LimitGate,
+    customers: Vec<CustomerName>,
+    service: ServiceName,
+}
+
+impl LimitedUse {
+    fn new(keys: usize) -> Self {
+        let clock = FakeClock::new();
+        let mut gate = LimitGate::new(DaemonId(1), clock.shared());
+        gate.set_members(&[DaemonId(1), DaemonId(2)]);
+        let customer = |index: usize| -> CustomerName {
+            format!("customer-{index}").parse().expect("a sound name")
+        };
+        Self {
+            clock,
+            gate,
+            customers: (0..keys).map(customer).collect(),
+            service: service(0),
+        }
+    }
+
+    fn call(&mut self, call: u32) {
+        self.clock.advance(Duration::from_micros(10));
+        let limit = PlanLimit {
+            rate: CallRate(1e6),
+            calls: CallCount(1000),
+        };
+        let customer = &self.customers[call as usize % self.customers.len()];
+        if let Ok(ticket) = self.gate.admit(customer, &self.service, limit) {
+            self.gate.release(ticket);
+        }
+    }
+}
+
+pub fn limit_time(keys: usize, _: HeapGauge) -> String {
+    let mut used = LimitedUse::new(keys);
+    mean_time(CALLS, |call| used.call(call))
+}
+
+pub fn limit_memory(keys: usize, heap: HeapGauge) -> String {
+    let mut used = LimitedUse::new(keys);
+    let before = heap();
+    for call in 0..keys as u32 {
+        used.call(call);
+    }
+    kilobytes(heap().saturating_sub(before))
+}
+
+fn gate_of(slots: usize, clock: &FakeClock) -> AdmissionGate {
+    let slots = CallCount(slots as u32);
+    let config = GateConfig {
+        slots,
+        connections: CallCount(130),
+        queue: slots,
+    };
+    AdmissionGate::new(config, clock.shared())
+}
+
+fn ticket_of(number: u64, clock: &FakeClock) -> CallTicket {
+    CallTicket {
+        call: CallId(number),
+        customer: "agency".parse().expect("a sound name"),
+        class: CallClass::Read,
+        deadline: clock.now() + Duration::from_secs(1),
+    }
+}
+
+pub fn gate_time(slots: usize, _: HeapGauge) -> String {
+    let clock = FakeClock::new();
+    let mut gate = gate_of(slots, &clock);
+    mean_time(CALLS, |number| {
+        let ticket = ticket_of(u64::from(number), &clock);
+        let answer = gate.enter(&ticket);
+        clock.advance(Duration::from_millis(1));
+        let ended = gate.leave(LeftCall {
+            call: ticket.call,
+            failed: false,
+        });
+        (answer, ended)
+    })
+}
+
+pub fn gate_memory(slots: usize, heap: HeapGauge) -> String {
+    let clock = FakeClock::new();
+    let before = heap();
+    let mut gate = gate_of(slots, &clock);
+    for number in 0..2 * slots as u64 {
+        black_box(gate.enter(&ticket_of(number, &clock)));
+    }
+    kilobytes(heap().saturating_sub(before))
+}
--- a/crates/capacity/src/home_run.rs
+++ b/crates/capacity/src/home_run.rs
@@ -39,10 +39,9 @@
     }
     let mut rng = SmallRng::seed_from_u64(SEED);
     let pause = Duration::from_secs(1) / rate as u32;
-    let calls = settings.window.as_secs() * rate as u64;
     let mut refused = 0_u64;
     let mut answers = VecDeque::new();
-    for number in 0..calls + calls / 8 {
+    for number in 0..calls(rate) {
         clock.advance(pause);
         let call = timed_call(&clock, &mut rng);
         if let KeyVerdict::Run(ticket) = home.begin(&call) {
@@ -79,6 +78,12 @@
     ]
 }
 
+/// Calls of a run: a window of them and an eighth more.
+pub fn calls(rate: usize) -> u64 {
+    let calls = HomeSettings::default().window.as_secs() * rate as u64;
+    calls + calls / 8
+}
+
 fn holder() -> HolderId {
     HolderId::new(DaemonId(1), IncarnationNumber(1))
 }
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -12,11 +12,13 @@
 //! from here: the crate exists for the page and its bench.
 
 pub mod budget;
+pub mod costs;
 pub mod figure;
 pub mod model;
 pub mod page;
 pub mod slope;
 
+mod call_costs;
 #[path = "../../limits/benches/limits/fleet.rs"]
 #[allow(dead_code, reason = "the bench of limits reads more figures")]
 mod fleet;
--- a/crates/capacity/src/member_run.rs
+++ b/crates/capacity/src/member_run.rs
@@ -17,11 +17,18 @@
 const RECORD_INTERVAL: Duration = Duration::from_secs(100);
 const WARM: Duration = Duration::from_secs(20);
 const SPAN: Duration = RECORD_INTERVAL;
+/// Time of a whole run, the crash left out.
+pub const RUN_TIME: Duration = WARM.saturating_add(SPAN);
 /// Targets that announce another load in each second.
 const LOAD_SHARE: f64 = 0.1;
 /// Longest wait for news of a crash.
 const LIMIT: Duration = Duration::from_secs(30);
 
+/// A fleet without load, some seconds after its start.
+pub fn warm(daemons: usize) -> Fleet {
+    Fleet::warm(daemons, DOMAINS, REGIONS, SEED, Duration::from_secs(25))
+}
+
 /// Figures of a fleet of `daemons`.
 pub fn run(daemons: usize) -> Vec<CountedFigure> {
     let mut fleet = Fleet::new(daemons, DOMAINS, REGIONS, SEED);
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -10,6 +10,10 @@
 const BEGIN: &str = "<!-- counted: begin -->";
 const END: &str = "<!-- counted: end -->";
 
+/// Lines of the page around the timed table, which no test compares.
+const TIMED_BEGIN: &str = "<!-- timed: begin -->";
+const TIMED_END: &str = "<!-- timed: end -->";
+
 /// The counted tables: each run over its sizes, then the budget.
 pub fn tables(runs: &[RunRows], budget: &[BudgetLine]) -> String {
     let mut parts: Vec<String> = runs
@@ -61,7 +65,7 @@
 
 fn budget_table(budget: &[BudgetLine]) -> Table {
     let mut table = markdown();
-    table.set_header(["budget", "role", "unit", "found", "most", ""]);
+    table.set_header(["budget", "role", "part", "unit", "found", "most", ""]);
     for line in budget {
         let mark = match line.most {
             None => "",
@@ -72,6 +76,7 @@
         table.add_row([
             line.what.to_owned(),
             line.role.to_owned(),
+            line.part.to_owned(),
             line.unit.to_owned(),
             shown(line.found),
             line.most.map_or(String::new(), shown),
@@ -88,14 +93,17 @@
     Some(tables.trim())
 }
 
-/// The page with `tables` in place of those that it holds.
-pub fn rewritten(page: &str, tables: &str) -> Option<String> {
-    let (before, rest) = page.split_once(BEGIN)?;
-    let (_, after) = rest.split_once(END)?;
-    Some(format!(
-        "{before}{BEGIN}\n\n{}\n\n{END}{after}",
-        tables.trim()
-    ))
+/// The page with these counted and timed tables in place of those that it holds.
+pub fn rewritten(page: &str, counted: &str, timed: &str) -> Option<String> {
+    let page = replaced(page, (BEGIN, END), counted)?;
+    replaced(&page, (TIMED_BEGIN, TIMED_END), timed)
+}
+
+fn replaced(page: &str, (begin, end): (&str, &str), text: &str) -> Option<String> {
+    let (before, rest) = page.split_once(begin)?;
+    let (_, after) = rest.split_once(end)?;
+    let text = text.trim();
+    Some(format!("{before}{begin}\n\n{text}\n\n{end}{after}"))
 }
 
 /// The cells of the lines of every table in `text`, without blanks around them.
--- a/crates/capacity/src/plan_run.rs
+++ b/crates/capacity/src/plan_run.rs
@@ -17,12 +17,7 @@
 
 /// Figures with this many customers.
 pub fn run(customers: usize) -> Vec<CountedFigure> {
-    let mut replica = ConfigReplica::new();
-    let lists = lists_of(customers);
-    let base = replica.state().base();
-    let first = ChangeRecord::between(replica.state(), base, &lists, meta(0));
-    let first = first.expect("sound lists differ from none");
-    append(&mut replica, 0, &first);
+    let mut replica = replica_of(customers);
     let fresh = snapshot_len(&mut replica);
     let mut bytes = 0;
     for change in 1..=CHANGES {
@@ -46,7 +41,18 @@
     ]
 }
 
-/// Changes one customer's plan; tells the bytes of the record.
+/// A replica whose first record brought lists with this many customers.
+pub fn replica_of(customers: usize) -> ConfigReplica {
+    let mut replica = ConfigReplica::new();
+    let lists = lists_of(customers);
+    let base = replica.state().base();
+    let first = ChangeRecord::between(replica.state(), base, &lists, meta(0));
+    let first = first.expect("sound lists differ from none");
+    append(&mut replica, 0, &first);
+    replica
+}
+
+/// Changes one entry; tells the bytes of the record.
 fn change_once(replica: &mut ConfigReplica, change: usize) -> usize {
     let entries = replica.state().lists().entries();
     let place = change * 7 % entries.len();
@@ -56,7 +62,7 @@
             let plan = format!("plan-{}", change % PLANS);
             customer.plan = plan.parse().expect("a sound name");
         }
-        EntryValue::Service(rule) => rule.timeout_ms = 100 + change as u64 as u32,
+        EntryValue::Service(rule) => rule.timeout_ms = 100 + change as u32,
         EntryValue::Allowance(allowance) => allowance.rate_per_s = 1 + change as u32,
     }
     let edit = EntryEdit {
@@ -93,7 +99,7 @@
 }
 
 /// Lists with this many customers, 35 services and five plans.
-pub fn lists_of(customer_count: usize) -> ListPair {
+fn lists_of(customer_count: usize) -> ListPair {
     let key = "5e884898da28047151d0e56f8dc6292773603d0d6aabbdd62a11ef721d1542d8";
     let mut customers = Vec::new();
     for index in 0..customer_count {
