--- a/crates/capacity/src/member_run.rs
+++ b/crates/capacity/src/member_run.rs
@@ -1,5 +1,8 @@
 //! Membership, as counted in a fleet of state machines.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
 
 use quetzal_members::{LoadLevel, MemberState, TargetState};
@@ -19,6 +22,8 @@
 const SPAN: Duration = RECORD_INTERVAL;
 /// Time of a whole run, the crash left out.
 pub const RUN_TIME: Duration = WARM.saturating_add(SPAN);
+/// Time after which a connection that is not used is closed.
+const IDLE_TIME: Duration = Duration::from_secs(60);
 /// Targets that announce another load in each second.
 const LOAD_SHARE: f64 = 0.1;
 /// Longest wait for news of a crash.
@@ -39,7 +44,10 @@
     fleet.link = plain_link(LOSS);
     fleet.reset_counts();
     let begin = fleet.clock.elapsed().as_secs() as usize;
-    run_loaded(&mut fleet, SPAN, &mut rng);
+    run_loaded(&mut fleet, SPAN.saturating_sub(IDLE_TIME), &mut rng);
+    let peers = watch_peers(&mut fleet);
+    run_loaded(&mut fleet, IDLE_TIME, &mut rng);
+    let peers = peers.borrow().len() as f64 / daemons as f64;
     let seconds = SPAN.as_secs_f64();
     // Each message is received by one daemon too, so a daemon carries twice what it sends.
     let sent = fleet.slots.iter().map(|slot| slot.bytes).sum::<u64>() as f64;
@@ -59,6 +67,7 @@
             2.0 * sent / daemon_seconds,
         ),
         CountedFigure::new("member", "messages sent", "1/s", messages / daemon_seconds),
+        CountedFigure::new("member", "peers sent to within 60 s", "peers", peers),
         CountedFigure::new("member", "table of members", "kB", memory),
         CountedFigure::new("member", "requests to the log, all", "1/s", log),
         CountedFigure::new(
@@ -70,6 +79,21 @@
     ]
 }
 
+/// Pairs of sender and receiver.
+type PeerPairs = Rc<RefCell<BTreeSet<(usize, usize)>>>;
+
+/// Notes from now on who sends to whom.
+fn watch_peers(fleet: &mut Fleet) -> PeerPairs {
+    let pairs = PeerPairs::default();
+    let noted = Rc::clone(&pairs);
+    let mut link = plain_link(LOSS);
+    fleet.link = Box::new(move |ends, rng| {
+        noted.borrow_mut().insert((ends.from, ends.to));
+        link(ends, rng)
+    });
+    pairs
+}
+
 fn run_loaded(fleet: &mut Fleet, span: Duration, rng: &mut SmallRng) {
     for _ in 0..span.as_secs() {
         for index in 0..fleet.slots.len() {
