Go on after a lost log by a rebase: distributor and replica

Cause: heads were ordered by log offset, which starts anew after a loss, so a rebase could not be spread, and nobody searched the new log for one.

A diverged daemon takes a rebased update from peers and still nothing else.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -376,7 +376,7 @@
         self.core.counters.count("alarms");
         let kind = match alarm {
             SpreadAlarm::LogDown(_) => EventKind::LogDown,
-            SpreadAlarm::LogUp => EventKind::LogUp,
+            SpreadAlarm::LogUp | SpreadAlarm::LogRebased { .. } => EventKind::LogUp,
             SpreadAlarm::LogDiverged { .. } => EventKind::LogDiverged,
             SpreadAlarm::ReaderStarted => EventKind::ReaderTookOver,
             SpreadAlarm::FreshnessChanged(FreshnessCase::CutOff) => EventKind::StaleEntered,
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -10,8 +10,8 @@
 use model::{ConfigVersion, ErrorKind, KindError, LogOffset};
 use plans::head::{ConfigRecord, StateHash, StateHead};
 use plans::replica::{ConfigReplica, UpdateOutcome};
-use plans::{ChangeVerdict, ConfigState, StateUpdate};
-use spread::replica::{FoldReport, ReplicaHead, ReplicaPort, Result, UpdateBody};
+use plans::{ChangeVerdict, ConfigState, LogRecovery, StateSnapshot, StateUpdate};
+use spread::replica::{FoldReport, ReplicaHead, ReplicaPort, Result, SearchOutcome, UpdateBody};
 
 /// Heads remembered, so that a peer's head can be told from an unknown one.
 const MAX_HEADS: usize = 256;
@@ -23,6 +23,7 @@
     replica: Mutex<ConfigReplica>,
     heads: VecDeque<StateHead>,
     stuck: Option<KindError>,
+    search: Option<LogRecovery>,
 }
 
 impl PlansReplica {
@@ -54,18 +55,29 @@
 
     fn find_head(&self, base: &ReplicaHead) -> Option<StateHead> {
         let fits = |head: &&StateHead| {
-            head.next_offset == base.next && short_hash(head.hash) == base.state_hash
+            head.folded == base.position && short_hash(head.hash) == base.state_hash
         };
         self.heads.iter().rev().find(fits).copied()
     }
 
     fn take(&mut self, update: &StateUpdate) -> Result<bool> {
         let outcome = self.lock().take_update(update)?;
-        if outcome == UpdateOutcome::Advanced {
+        Ok(self.note_outcome(outcome))
+    }
+
+    /// Takes a state that a search found; `false` if it may not take our state's place.
+    fn take_rebased(&mut self, state: ConfigState) -> bool {
+        let taken = self.lock().take_state(state);
+        taken.is_ok_and(|outcome| self.note_outcome(outcome))
+    }
+
+    fn note_outcome(&mut self, outcome: UpdateOutcome) -> bool {
+        let advanced = outcome == UpdateOutcome::Advanced;
+        if advanced {
             self.stuck = None;
             self.remember();
         }
-        Ok(outcome == UpdateOutcome::Advanced)
+        advanced
     }
 }
 
@@ -74,6 +86,10 @@
         self.head().next_offset
     }
 
+    fn position(&self) -> ConfigVersion {
+        self.head().folded
+    }
+
     fn version(&self) -> ConfigVersion {
         self.head().version
     }
@@ -85,12 +101,7 @@
     fn fold(&mut self, records: &[LogRecord]) -> FoldReport {
         let mut report = FoldReport::default();
         for record in records {
-            let record = ConfigRecord {
-                offset: record.offset,
-                at: record.at,
-                body: record.body.clone(),
-            };
-            let folded = self.lock().fold(record);
+            let folded = self.lock().fold(config_record(record));
             match folded {
                 Ok(ChangeVerdict::Accepted { .. }) => report.accepted += 1,
                 Ok(ChangeVerdict::Refused(_)) => report.refused += 1,
@@ -114,10 +125,45 @@
     }
 
     fn apply_update(&mut self, body: &UpdateBody) -> Result<bool> {
-        let config = bincode::config::standard().with_limit::<{ 16 << 20 }>();
-        let (update, _) = bincode::serde::decode_from_slice(&body.0, config)
-            .map_err(|error| KindError::new(ErrorKind::FrameInvalid, error.to_string()))?;
-        self.take(&update)
+        self.take(&decode_update(body)?)
+    }
+
+    fn is_rebase(&self, body: &UpdateBody) -> bool {
+        let Ok(StateUpdate::Snapshot(bytes)) = decode_update(body) else {
+            return false;
+        };
+        let snapshot = StateSnapshot::decode(&bytes);
+        let origin = snapshot.map(|snapshot| snapshot.into_state().origin().version);
+        origin.is_ok_and(|version| version > self.head().folded)
+    }
+
+    fn search_from(&mut self, first: LogOffset) {
+        self.search = Some(LogRecovery::new(self.head(), first));
+    }
+
+    fn search(&mut self, records: &[LogRecord]) -> SearchOutcome {
+        let Some(mut search) = self.search.take() else {
+            return SearchOutcome::Searching(LogOffset::default());
+        };
+        for record in records {
+            match search.fold(&config_record(record)) {
+                Ok(Some(state)) => {
+                    if self.take_rebased(state) {
+                        return SearchOutcome::Found;
+                    }
+                }
+                Ok(None) => {}
+                // The record needs a newer release.
+                Err(_) => break,
+            }
+        }
+        let next = search.next_offset();
+        self.search = Some(search);
+        SearchOutcome::Searching(next)
+    }
+
+    fn end_search(&mut self) {
+        self.search = None;
     }
 
     fn snapshot(&self) -> Box<[u8]> {
@@ -130,6 +176,21 @@
     }
 }
 
+fn config_record(record: &LogRecord) -> ConfigRecord {
+    ConfigRecord {
+        offset: record.offset,
+        at: record.at,
+        body: record.body.clone(),
+    }
+}
+
+fn decode_update(body: &UpdateBody) -> Result<StateUpdate> {
+    let config = bincode::config::standard().with_limit::<{ 16 << 20 }>();
+    bincode::serde::decode_from_slice(&body.0, config)
+        .map(|(update, _)| update)
+        .map_err(|error| KindError::new(ErrorKind::FrameInvalid, error.to_string()))
+}
+
 /// The part of a state's hash that travels with heads.
 fn short_hash(hash: StateHash) -> u64 {
     let bytes = hash.as_bytes().first_chunk::<8>();
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -186,6 +186,11 @@
         Self(offset.0.saturating_add(1))
     }
 
+    /// How many records lead to it; 0 for [`Self::NONE`].
+    pub fn number(self) -> u64 {
+        self.0
+    }
+
     /// The offset of the change that made this version.
     pub fn offset(self) -> Option<LogOffset> {
         self.0.checked_sub(1).map(LogOffset)
--- a/crates/spread/src/fake.rs
+++ b/crates/spread/src/fake.rs
@@ -1,9 +1,10 @@
 //! A small replica for tests, benches and embedders' own tests.
 //!
 //! A record is text, `key=value`; one without `=` is refused, and one that
-//! begins with [`NEWER_RULES`] stops the fold. The state keeps
-//! the last value of each key. A delta is taken for smaller than the whole
-//! state while it has fewer entries.
+//! begins with [`NEWER_RULES`] stops the fold. `rebase NUMBER key=value` makes
+//! that value the whole state at that position, if the position is higher. The
+//! state keeps the last value of each key. A delta is taken for smaller than the
+//! whole state while it has fewer entries.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -12,11 +13,16 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::replica::{FoldReport, ReplicaHead, ReplicaPort, Result, UpdateBody};
+use crate::replica::{
+    FoldReport, ReplicaHead, ReplicaPort, Result, SearchOutcome, UpdateBody, record_hash,
+};
 
 /// Begin of a record that this release cannot fold.
 pub const NEWER_RULES: &[u8] = b"rules 2:";
 
+/// Begin of a rebase.
+const REBASE: &str = "rebase ";
+
 /// Entries that a delta may reach back over.
 const MAX_HISTORY: usize = 256;
 
@@ -24,21 +30,33 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 struct FakeState {
     next: LogOffset,
+    position: ConfigVersion,
+    /// Position and hash of the first record or the last rebase.
+    origin: (ConfigVersion, u64),
     version: ConfigVersion,
     values: BTreeMap<Box<str>, Box<str>>,
 }
 
+/// What a record does, if it is not refused.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+enum FakeChange {
+    Set(Box<str>, Box<str>),
+    Rebase(ConfigVersion, Box<str>, Box<str>),
+}
+
 /// One record of the past; `change` is none if it was refused.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct FakeEntry {
     offset: LogOffset,
-    change: Option<(Box<str>, Box<str>)>,
+    hash: u64,
+    position: ConfigVersion,
+    change: Option<FakeChange>,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
 enum FakeUpdate {
     Delta {
-        base: LogOffset,
+        base: ConfigVersion,
         base_hash: u64,
         entries: Vec<FakeEntry>,
     },
@@ -51,7 +69,8 @@
     state: FakeState,
     values_hash: u64,
     history: VecDeque<FakeEntry>,
-    hashes: BTreeMap<LogOffset, u64>,
+    hashes: BTreeMap<ConfigVersion, u64>,
+    search: Option<Box<FakeReplica>>,
 }
 
 impl FakeReplica {
@@ -77,15 +96,53 @@
         }
     }
 
+    /// What the next record does; `None` if it is refused.
+    fn judge(&self, text: &str) -> Option<FakeChange> {
+        let Some(rest) = text.strip_prefix(REBASE) else {
+            let (key, value) = text.split_once('=')?;
+            return Some(FakeChange::Set(key.into(), value.into()));
+        };
+        let (number, change) = rest.split_once(' ')?;
+        let (key, value) = change.split_once('=')?;
+        let number = number.parse::<u64>().ok()?.checked_sub(1)?;
+        let position = ConfigVersion::at(LogOffset(number));
+        let rises = position > self.state.position;
+        rises.then(|| FakeChange::Rebase(position, key.into(), value.into()))
+    }
+
+    fn entry(&self, record: &LogRecord) -> FakeEntry {
+        let change = self.judge(&String::from_utf8_lossy(&record.body));
+        let position = match change {
+            Some(FakeChange::Rebase(position, ..)) => position,
+            _ => ConfigVersion::at(LogOffset(self.state.position.number())),
+        };
+        FakeEntry {
+            offset: record.offset,
+            hash: record_hash(record),
+            position,
+            change,
+        }
+    }
+
     fn take(&mut self, entry: FakeEntry) {
-        self.hashes.insert(self.state.next, self.hash());
+        self.hashes.insert(self.state.position, self.hash());
         self.state.next = entry.offset.next();
-        if let Some((key, value)) = &entry.change {
-            self.state.version = ConfigVersion::at(entry.offset);
-            let last = self.state.values.insert(key.clone(), value.clone());
-            let gone = last.map_or(0, |last| entry_hash(key, &last));
-            let gained = entry_hash(key, value);
-            self.values_hash = self.values_hash.wrapping_sub(gone).wrapping_add(gained);
+        self.state.position = entry.position;
+        if self.state.origin == Default::default() {
+            self.state.origin = (entry.position, entry.hash);
+        }
+        match &entry.change {
+            Some(FakeChange::Set(key, value)) => self.set(key, value),
+            Some(FakeChange::Rebase(_, key, value)) => {
+                self.state.origin = (entry.position, entry.hash);
+                self.state.values.clear();
+                self.values_hash = 0;
+                self.history.clear();
+                self.hashes.clear();
+                self.set(key, value);
+                return;
+            }
+            None => {}
         }
         self.history.push_back(entry);
         if self.history.len() > MAX_HISTORY {
@@ -94,17 +151,38 @@
         }
     }
 
+    fn set(&mut self, key: &str, value: &str) {
+        self.state.version = self.state.position;
+        let last = self.state.values.insert(key.into(), value.into());
+        let gone = last.map_or(0, |last| entry_hash(key, &last));
+        let gained = entry_hash(key, value);
+        self.values_hash = self.values_hash.wrapping_sub(gone).wrapping_add(gained);
+    }
+
+    /// Takes a newer state of the same log, or one rebased past ours.
+    fn take_state(&mut self, state: FakeState) -> Result<bool> {
+        if state.position <= self.state.position {
+            return Ok(false);
+        }
+        let empty = self.state == FakeState::default();
+        let same = state.origin == self.state.origin;
+        let follows = empty || same || state.origin.0 > self.state.position;
+        model::ensure(follows, ErrorKind::LogDiverged, "a state of another log")?;
+        *self = Self::of_state(state);
+        Ok(true)
+    }
+
     fn delta_since(&self, base: &ReplicaHead) -> Option<FakeUpdate> {
-        let known = *self.hashes.get(&base.next)?;
+        let known = *self.hashes.get(&base.position)?;
         if known != base.state_hash {
             return None;
         }
         let entries = self.history.iter();
         Some(FakeUpdate::Delta {
-            base: base.next,
+            base: base.position,
             base_hash: known,
             entries: entries
-                .filter(|entry| entry.offset >= base.next)
+                .filter(|entry| entry.position > base.position)
                 .cloned()
                 .collect(),
         })
@@ -116,13 +194,22 @@
         self.state.next
     }
 
+    fn position(&self) -> ConfigVersion {
+        self.state.position
+    }
+
     fn version(&self) -> ConfigVersion {
         self.state.version
     }
 
     fn hash(&self) -> u64 {
-        let FakeState { next, version, .. } = self.state;
-        xxh3_64(&encode(&(next, version, self.values_hash)))
+        let FakeState {
+            position,
+            origin,
+            version,
+            ..
+        } = self.state;
+        xxh3_64(&encode(&(position, origin, version, self.values_hash)))
     }
 
     fn fold(&mut self, records: &[LogRecord]) -> FoldReport {
@@ -131,28 +218,22 @@
             if record.body.starts_with(NEWER_RULES) {
                 break;
             }
-            let text = String::from_utf8_lossy(&record.body);
-            let change = text
-                .split_once('=')
-                .map(|(key, value)| (key.into(), value.into()));
-            match change {
+            let entry = self.entry(record);
+            match entry.change {
                 Some(_) => report.accepted += 1,
                 None => report.refused += 1,
             }
-            self.take(FakeEntry {
-                offset: record.offset,
-                change,
-            });
+            self.take(entry);
         }
         report
     }
 
     fn update_since(&self, base: &ReplicaHead) -> Option<UpdateBody> {
-        if base.next >= self.state.next {
+        if base.position >= self.state.position {
             return None;
         }
         let fewer = |entries: u64| entries < self.state.values.len() as u64;
-        let short = fewer(self.state.next.0 - base.next.0);
+        let short = fewer(self.state.position.number() - base.position.number());
         let delta = self.delta_since(base).filter(|_| short);
         let update = delta.unwrap_or_else(|| FakeUpdate::Whole(self.state.clone()));
         Some(UpdateBody(encode(&update)))
@@ -160,17 +241,13 @@
 
     fn apply_update(&mut self, body: &UpdateBody) -> Result<bool> {
         match decode(&body.0)? {
-            FakeUpdate::Whole(state) if state.next > self.state.next => {
-                *self = Self::of_state(state);
-                Ok(true)
-            }
-            FakeUpdate::Whole(_) => Ok(false),
+            FakeUpdate::Whole(state) => self.take_state(state),
             FakeUpdate::Delta {
                 base,
                 base_hash,
                 entries,
             } => {
-                let fits = base == self.state.next && base_hash == self.hash();
+                let fits = base == self.state.position && base_hash == self.hash();
                 model::ensure(fits, ErrorKind::SnapshotInvalid, "another base")?;
                 for entry in entries {
                     self.take(entry);
@@ -180,17 +257,45 @@
         }
     }
 
+    fn is_rebase(&self, body: &UpdateBody) -> bool {
+        let update = decode::<FakeUpdate>(&body.0);
+        matches!(update, Ok(FakeUpdate::Whole(state)) if state.origin.0 > self.state.position)
+    }
+
+    fn search_from(&mut self, first: LogOffset) {
+        let mut search = Self::new();
+        search.state.next = first;
+        self.search = Some(Box::new(search));
+    }
+
+    fn search(&mut self, records: &[LogRecord]) -> SearchOutcome {
+        let mut search = self.search.take().unwrap_or_default();
+        for record in records {
+            let next = search.state.next;
+            search.fold(std::slice::from_ref(record));
+            let found = search.state.origin.0 > self.state.position;
+            if found && self.take_state(search.state.clone()) == Ok(true) {
+                return SearchOutcome::Found;
+            }
+            if search.state.next == next {
+                break;
+            }
+        }
+        let next = search.state.next;
+        self.search = Some(search);
+        SearchOutcome::Searching(next)
+    }
+
+    fn end_search(&mut self) {
+        self.search = None;
+    }
+
     fn snapshot(&self) -> Box<[u8]> {
         encode(&self.state)
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<bool> {
-        let state = decode::<FakeState>(snapshot)?;
-        if state.next <= self.state.next {
-            return Ok(false);
-        }
-        *self = Self::of_state(state);
-        Ok(true)
+        self.take_state(decode(snapshot)?)
     }
 }
 
--- a/crates/spread/src/freshness.rs
+++ b/crates/spread/src/freshness.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use model::{DomainName, LogOffset};
+use model::{ConfigVersion, DomainName};
 
 use crate::message::{AgeMillis, LogView};
 use crate::settings::{OutageQuorum, SpreadSettings};
@@ -93,7 +93,7 @@
 /// A proof for a head that this daemon has not reached yet.
 #[derive(Clone, Copy, Debug)]
 struct PendingProof {
-    next: LogOffset,
+    position: ConfigVersion,
     proven_at: Instant,
 }
 
@@ -105,32 +105,41 @@
 }
 
 impl FreshnessTracker {
-    /// The log was proven at `proven_at` to end at `next`; this daemon is at `own`.
-    pub fn prove(&mut self, next: LogOffset, proven_at: Instant, own: LogOffset) {
-        if own >= next {
+    /// The log was proven at `proven_at` to end at `position`; this daemon is at `own`.
+    pub fn prove(&mut self, position: ConfigVersion, proven_at: Instant, own: ConfigVersion) {
+        if own >= position {
             self.proven_at = self.proven_at.max(Some(proven_at));
             return;
         }
         let newer = |pending: &PendingProof| pending.proven_at >= proven_at;
         if !self.pending.as_ref().is_some_and(newer) {
-            self.pending = Some(PendingProof { next, proven_at });
+            self.pending = Some(PendingProof {
+                position,
+                proven_at,
+            });
         }
     }
 
     /// This daemon reached `own`; a pending proof may hold now.
-    pub fn reach(&mut self, own: LogOffset) {
+    pub fn reach(&mut self, own: ConfigVersion) {
         if let Some(pending) = self.pending
-            && own >= pending.next
+            && own >= pending.position
         {
             self.pending = None;
-            self.prove(pending.next, pending.proven_at, own);
+            self.prove(pending.position, pending.proven_at, own);
         }
     }
 
-    /// Takes the view of a peer at `next`, asked at `asked_at`.
-    pub fn learn(&mut self, view: LogView, next: LogOffset, asked_at: Instant, own: LogOffset) {
+    /// Takes the view of a peer at `position`, asked at `asked_at`.
+    pub fn learn(
+        &mut self,
+        view: LogView,
+        position: ConfigVersion,
+        asked_at: Instant,
+        own: ConfigVersion,
+    ) {
         if let Some(proven_at) = moment(asked_at, view.proof_age) {
-            self.prove(next, proven_at, own);
+            self.prove(position, proven_at, own);
         }
         if let Some(outage_at) = moment(asked_at, view.outage_age) {
             self.outage_at = self.outage_at.max(Some(outage_at));
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -31,6 +31,7 @@
 mod peers;
 mod questions;
 pub mod reader;
+mod recovery;
 pub mod replica;
 mod reports;
 pub mod roster;
@@ -49,7 +50,9 @@
 };
 pub use node::SpreadNode;
 pub use reader::LogState;
-pub use replica::{FoldReport, HeadUpdate, ReplicaHead, ReplicaPort, UpdateBody, record_hash};
+pub use replica::{
+    FoldReport, HeadUpdate, ReplicaHead, ReplicaPort, SearchOutcome, UpdateBody, record_hash,
+};
 pub use roster::{MemberRoster, SpreadMember};
 pub use settings::{OutageQuorum, SpreadSettings};
 pub use snapshots::SnapshotRecord;
--- a/crates/spread/src/message.rs
+++ b/crates/spread/src/message.rs
@@ -69,8 +69,8 @@
 /// A snapshot known to be in the log.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SnapshotMark {
-    /// The head's next offset.
-    pub next: LogOffset,
+    /// The head's position.
+    pub position: ConfigVersion,
     /// Time since the append.
     pub age: AgeMillis,
 }
@@ -259,6 +259,14 @@
         /// Next offset of this daemon.
         held_next: LogOffset,
     },
+    /// This daemon goes on with a state that a rebase moved past the one held.
+    #[display("log rebased: version {version}, it goes on at {next}")]
+    LogRebased {
+        /// Where the log goes on.
+        next: LogOffset,
+        /// The version that the rebase made, or a later one.
+        version: ConfigVersion,
+    },
     /// Records expired before this daemon read them.
     #[display("records before {first} expired, this daemon holds {held_next}")]
     LogGap {
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -20,6 +20,7 @@
 };
 use crate::questions::QuestionTable;
 use crate::reader::{ConfigReader, LogState};
+use crate::recovery::RecoverySearch;
 use crate::replica::{HeadUpdate, ReplicaHead, ReplicaPort};
 use crate::roster::{MemberRoster, SpreadMember};
 use crate::settings::SpreadSettings;
@@ -45,6 +46,7 @@
     pub(crate) in_force: ConfigVersion,
     pub(crate) applied_at: Instant,
     pub(crate) reader: ConfigReader,
+    pub(crate) recovery: RecoverySearch,
     pub(crate) snapshots: SnapshotKeeper,
     pub(crate) freshness: FreshnessTracker,
     pub(crate) roots: RootTable,
@@ -142,6 +144,7 @@
             in_force: ConfigVersion::NONE,
             applied_at: now,
             reader: ConfigReader::new(),
+            recovery: RecoverySearch::default(),
             snapshots: SnapshotKeeper::default(),
             freshness: FreshnessTracker::default(),
             roots: RootTable::default(),
@@ -293,6 +296,7 @@
         }
         self.acting = acting;
         self.reader.stop();
+        self.end_recovery();
         self.last_state = LogState::Unknown;
         self.timers.next_beat = now;
         let alarm = if acting {
--- a/crates/spread/src/peers.rs
+++ b/crates/spread/src/peers.rs
@@ -7,7 +7,6 @@
 
 use crate::message::{OutputList, SpreadAlarm, SpreadMessage, SpreadOutput};
 use crate::node::{NewerHead, SpreadNode};
-use crate::reader::LogState;
 use crate::replica::{HeadUpdate, MAX_UPDATE_BYTES, ReplicaHead, ReplicaPort};
 use crate::source::refused;
 
@@ -68,7 +67,7 @@
                 self.hear_head(from, &head, outputs, now);
                 if let Some(asked_at) = self.questions.answer(from, question) {
                     self.freshness
-                        .learn(view, head.next, asked_at, self.head.next);
+                        .learn(view, head.position, asked_at, self.head.position);
                 }
             }
             SpreadMessage::Pull { base } => self.answer_pull(from, &base, outputs, now),
@@ -159,18 +158,13 @@
     }
 
     fn pull_from(&mut self, peer: DaemonId, outputs: &mut OutputList, now: Instant) {
-        if self.holds_last() || !self.pull.start(peer, now) {
+        if !self.pull.start(peer, now) {
             return;
         }
         let message = SpreadMessage::Pull { base: self.head };
         outputs.push(SpreadOutput::Send { to: peer, message });
     }
 
-    /// Whether the log contradicts this daemon, which then takes nothing new.
-    fn holds_last(&self) -> bool {
-        matches!(self.reader.state(), LogState::Diverged(_))
-    }
-
     fn answer_pull(
         &mut self,
         to: DaemonId,
@@ -245,14 +239,20 @@
         now: Instant,
     ) {
         self.pull.finish(from);
-        if self.holds_last() || !update.target.is_newer_than(&self.head) {
+        if !update.target.is_newer_than(&self.head) {
             return;
         }
+        if self.holds_last() && !self.replica.is_rebase(&update.body) {
+            self.pull.defer(now + REFUSED_PAUSE);
+            return;
+        }
+        let before = self.head;
         match self.replica.apply_update(&update.body) {
             Ok(true) => {
                 self.load(now);
                 self.adopt(update.target.last_record, outputs, now);
                 self.check_target(&update.target, outputs);
+                self.follow_rebase(&before, outputs);
             }
             Ok(false) => {}
             Err(error) if update.base == self.head => {
@@ -273,7 +273,9 @@
         self.pull.finish(from);
         match head {
             None => self.empty_answers += 1,
-            Some(head) if !self.is_loaded() && head.next == self.head.next => self.load(now),
+            Some(head) if !self.is_loaded() && head.position == self.head.position => {
+                self.load(now)
+            }
             Some(head) => self.hear_head(from, &head, outputs, now),
         }
     }
--- a/crates/spread/src/reader.rs
+++ b/crates/spread/src/reader.rs
@@ -3,7 +3,8 @@
 //! The reader never trusts that the log is the one it read before. After each
 //! failure, and from time to time, it reads its own last record again; a
 //! shorter log or another record there means that the log lost its tail or
-//! began anew. The daemon then holds what it has and says so.
+//! began anew. The daemon then holds what it has, says so, and searches the log
+//! for a rebase, see `recovery`.
 
 use std::time::{Duration, Instant};
 
@@ -279,7 +280,7 @@
 }
 
 /// Whether the records follow one another from the offset asked for.
-fn is_sound(batch: &RecordBatch, from: LogOffset) -> bool {
+pub(crate) fn is_sound(batch: &RecordBatch, from: LogOffset) -> bool {
     let start = from.0;
     batch
         .records
--- a/crates/spread/src/replica.rs
+++ b/crates/spread/src/replica.rs
@@ -2,8 +2,9 @@
 //!
 //! The replica is a deterministic fold over the config stream: every daemon
 //! that has folded the same records holds the same state. A [`ReplicaHead`]
-//! names such a state by the offset of the next record, and carries hashes so
-//! that two daemons, or a daemon and the log, notice when they differ.
+//! names such a state by its position, which keeps rising over a rebase, and by
+//! the offset at which the log goes on. It carries hashes so that two daemons, or
+//! a daemon and the log, notice when they differ.
 
 use std::fmt::Debug;
 
@@ -27,6 +28,9 @@
     /// Offset of the first record that is not folded in.
     fn next_offset(&self) -> LogOffset;
 
+    /// Number of the last record folded; unlike the offset it rises over a rebase too.
+    fn position(&self) -> ConfigVersion;
+
     /// Version of the last accepted change.
     fn version(&self) -> ConfigVersion;
 
@@ -43,6 +47,19 @@
     /// Applies an update whole; `false` if it leads to no newer state.
     fn apply_update(&mut self, body: &UpdateBody) -> Result<bool>;
 
+    /// Whether the update leads to a state that a rebase has moved past this one.
+    fn is_rebase(&self, body: &UpdateBody) -> bool;
+
+    /// Begins to search another log, whose first record is at `first`, for a rebase.
+    fn search_from(&mut self, first: LogOffset);
+
+    /// Folds the next records of the other log beside this state; takes over the
+    /// state that a rebase in it has moved past this one.
+    fn search(&mut self, records: &[LogRecord]) -> SearchOutcome;
+
+    /// Forgets the search.
+    fn end_search(&mut self);
+
     /// The whole state.
     fn snapshot(&self) -> Box<[u8]>;
 
@@ -59,6 +76,15 @@
     pub refused: u32,
 }
 
+/// What a search for a rebase came to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SearchOutcome {
+    /// No rebase yet; the search goes on at this offset.
+    Searching(LogOffset),
+    /// The replica now holds the rebased state.
+    Found,
+}
+
 /// A delta or snapshot, encoded by the replica.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpdateBody(pub Box<[u8]>);
@@ -68,6 +94,8 @@
 pub struct ReplicaHead {
     /// Offset of the first record that is not folded in.
     pub next: LogOffset,
+    /// Number of the last record folded; heads are ordered by it.
+    pub position: ConfigVersion,
     /// Version of the last accepted change.
     pub version: ConfigVersion,
     /// Hash of the state.
@@ -81,20 +109,26 @@
     pub fn of(replica: &dyn ReplicaPort, last_record: u64) -> Self {
         Self {
             next: replica.next_offset(),
+            position: replica.position(),
             version: replica.version(),
             state_hash: replica.hash(),
             last_record,
         }
     }
 
-    /// Whether this state follows `other` in the log.
+    /// Whether this state has folded more than `other`, or was rebased past it.
     pub fn is_newer_than(&self, other: &Self) -> bool {
-        self.next > other.next
+        self.position > other.position
+    }
+
+    /// Numbers that rebases skipped; another log goes on at other offsets.
+    pub(crate) fn skipped(&self) -> u64 {
+        self.position.number().wrapping_sub(self.next.0)
     }
 
-    /// Whether both name the same place in the log but differ in state.
+    /// Whether both name the same position but differ in state.
     pub fn contradicts(&self, other: &Self) -> bool {
-        self.next == other.next && self.state_hash != other.state_hash
+        self.position == other.position && self.state_hash != other.state_hash
     }
 }
 
--- a/crates/spread/src/reports.rs
+++ b/crates/spread/src/reports.rs
@@ -175,9 +175,9 @@
             return;
         }
         if let Some(asked_at) = asked_at {
-            let own = self.head.next;
+            let own = self.head.position;
             self.freshness
-                .learn(report.view, report.head.next, asked_at, own);
+                .learn(report.view, report.head.position, asked_at, own);
             let age = report.down_age.map(Duration::from);
             let down_at = age.and_then(|age| asked_at.checked_sub(age));
             self.freshness.witness(&report.domain, down_at, now);
--- a/crates/spread/src/snapshots.rs
+++ b/crates/spread/src/snapshots.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use feed::port::{ReadAnswer, Result as LogResult};
-use model::{ErrorKind, KindError, LogOffset, RecordCount};
+use model::{ConfigVersion, ErrorKind, KindError, LogOffset, RecordCount};
 use rand::Rng;
 use rand::rngs::SmallRng;
 use serde::{Deserialize, Serialize};
@@ -107,13 +107,13 @@
 enum StepKind {
     FindEnd,
     Look { offset: LogOffset, looks: u32 },
-    Append { next: LogOffset },
+    Append { position: ConfigVersion },
 }
 
 /// The newest snapshot known to be in the log.
 #[derive(Clone, Copy, Debug)]
 struct KnownSnapshot {
-    next: LogOffset,
+    position: ConfigVersion,
     written_at: Instant,
 }
 
@@ -134,7 +134,7 @@
     /// The newest snapshot known, for other readers.
     pub fn mark(&self, now: Instant) -> Option<SnapshotMark> {
         self.known.map(|known| SnapshotMark {
-            next: known.next,
+            position: known.position,
             age: now.saturating_duration_since(known.written_at).into(),
         })
     }
@@ -142,15 +142,19 @@
     /// Another reader knows of a snapshot.
     pub fn learn(&mut self, mark: SnapshotMark, now: Instant) {
         let written_at = now.checked_sub(Duration::from(mark.age)).unwrap_or(now);
-        self.note(mark.next, written_at);
+        self.note(mark.position, written_at);
     }
 
-    fn note(&mut self, next: LogOffset, written_at: Instant) {
+    fn note(&mut self, position: ConfigVersion, written_at: Instant) {
         let older = |known: &KnownSnapshot| {
-            known.next > next || known.next == next && known.written_at >= written_at
+            known.position > position
+                || known.position == position && known.written_at >= written_at
         };
         if !self.known.as_ref().is_some_and(older) {
-            self.known = Some(KnownSnapshot { next, written_at });
+            self.known = Some(KnownSnapshot {
+                position,
+                written_at,
+            });
         }
     }
 
@@ -219,7 +223,7 @@
                     return self.look_before(offset, batch.first, looks - 1, now);
                 };
                 let written_at = now.checked_sub(age).unwrap_or(now);
-                self.note(found.head.next, written_at);
+                self.note(found.head.position, written_at);
                 self.end_search(now);
                 KeeperVerdict::Found(Box::new(found))
             }
@@ -269,7 +273,10 @@
         now: Instant,
     ) -> bool {
         let needed = self.known.is_none_or(|known| {
-            let changes = head.next.0.saturating_sub(known.next.0);
+            let changes = head
+                .position
+                .number()
+                .saturating_sub(known.position.number());
             let age = now.saturating_duration_since(known.written_at);
             changes >= settings.snapshot_changes || age >= settings.snapshot_age
         });
@@ -315,7 +322,7 @@
         self.step = Some(KeeperStep {
             tag,
             kind: StepKind::Append {
-                next: snapshot.head.next,
+                position: snapshot.head.position,
             },
             deadline: now + STEP_TIMEOUT,
         });
@@ -331,10 +338,10 @@
         let Some(step) = self.step.take_if(|step| step.tag == tag) else {
             return;
         };
-        if let StepKind::Append { next } = step.kind
+        if let StepKind::Append { position } = step.kind
             && answer.is_ok()
         {
-            self.note(next, now);
+            self.note(position, now);
         }
         self.due_since = None;
         self.next_at = Some(now + SEARCH_PAUSE);
--- a/crates/spread/src/source.rs
+++ b/crates/spread/src/source.rs
@@ -6,7 +6,7 @@
 use model::{ErrorKind, LogOffset};
 
 use crate::message::{AppendResult, LogTag, OutputList, SpreadAlarm, SpreadOutput};
-use crate::node::{SpreadNode, StartStage};
+use crate::node::{NewerHead, SpreadNode, StartStage};
 use crate::reader::{LogState, ReadVerdict};
 use crate::replica::{ReplicaHead, ReplicaPort, record_hash};
 use crate::snapshots::{KeeperVerdict, SnapshotRecord};
@@ -22,6 +22,8 @@
                 .reader
                 .answer(settings, &mut self.rng, &self.head, tag, answer, now);
             self.take_verdict(verdict, &mut outputs, now);
+        } else if self.recovery.awaits(tag) {
+            self.take_search(answer, &mut outputs, now);
         } else {
             let needed = self.needed_snapshot();
             let clock = self.clock.as_ref();
@@ -63,6 +65,7 @@
             return;
         }
         self.read_config(outputs, now);
+        self.tick_recovery(outputs, now);
         if self.is_loaded() && self.reader.state() == LogState::Up {
             self.write_snapshot(outputs, now);
         }
@@ -124,8 +127,8 @@
             ReadVerdict::Ignored | ReadVerdict::Failed => {}
             ReadVerdict::Confirmed(proven_at) => {
                 self.load(now);
-                let next = self.head.next;
-                self.freshness.prove(next, proven_at, next);
+                let position = self.head.position;
+                self.freshness.prove(position, proven_at, position);
             }
             ReadVerdict::Fold {
                 records,
@@ -133,13 +136,20 @@
             } => {
                 self.fold(&records, outputs, now);
                 if let (Some(proven_at), Some(last)) = (complete_at, records.last()) {
-                    let next = last.offset.next();
-                    self.freshness.prove(next, proven_at, self.head.next);
+                    self.prove_end(last, proven_at);
                 }
             }
         }
     }
 
+    /// The log ended with `last` at `proven_at`; proves nothing if the fold stopped before.
+    fn prove_end(&mut self, last: &LogRecord, proven_at: Instant) {
+        if self.head.next == last.offset.next() {
+            let position = self.head.position;
+            self.freshness.prove(position, proven_at, position);
+        }
+    }
+
     fn fold(&mut self, records: &[LogRecord], outputs: &mut OutputList, now: Instant) {
         self.replica.fold(records);
         let next = self.replica.next_offset();
@@ -157,11 +167,13 @@
         if self.is_loaded() && !record.head.is_newer_than(&self.head) {
             return;
         }
+        let before = self.head;
         match self.replica.restore(&record.state) {
             Ok(true) => {
                 self.load(now);
                 self.adopt(record.head.last_record, outputs, now);
                 self.check_target(&record.head, outputs);
+                self.follow_rebase(&before, outputs);
                 self.reader.restart(now);
             }
             Ok(false) => {}
@@ -183,8 +195,8 @@
         let version = self.head.version;
         self.head = ReplicaHead::of(&self.replica, last_record);
         self.cached_update = None;
-        self.freshness.reach(self.head.next);
-        let reached = |newer: &mut crate::node::NewerHead| newer.head.next <= self.head.next;
+        self.freshness.reach(self.head.position);
+        let reached = |newer: &mut NewerHead| !newer.head.is_newer_than(&self.head);
         self.newest_seen.take_if(reached);
         if self.head.version != version && self.is_serving() {
             self.applied_at = now;
@@ -195,7 +207,8 @@
 
     /// Checks that an update led where its maker said.
     pub(crate) fn check_target(&self, target: &ReplicaHead, outputs: &mut OutputList) {
-        let same = self.head.next == target.next && self.head.state_hash == target.state_hash;
+        let same =
+            self.head.position == target.position && self.head.state_hash == target.state_hash;
         if !same {
             outputs.push(refused(ErrorKind::SnapshotInvalid));
         }
--- a/crates/spread/tests/distribution.rs
+++ b/crates/spread/tests/distribution.rs
@@ -6,7 +6,7 @@
 
 use harness::actor::{Node, nodes};
 use harness::{Fleet, FleetShape};
-use model::{DaemonId, ErrorKind, FakeClock, IncarnationNumber};
+use model::{ConfigVersion, DaemonId, ErrorKind, FakeClock, IncarnationNumber};
 use quetzal_spread::message::{AgeMillis, LogView};
 use quetzal_spread::{
     FakeReplica, FreshnessCase, HeadUpdate, LogState, ReplicaHead, SpreadAlarm, SpreadMember,
@@ -226,6 +226,7 @@
     let head = node.head();
     let newer = ReplicaHead {
         next: head.next.next(),
+        position: ConfigVersion::at(head.next),
         ..head
     };
     let peer = DaemonId(9);
--- a/crates/spread/tests/parts.rs
+++ b/crates/spread/tests/parts.rs
@@ -200,10 +200,11 @@
         proof_age: Some(AgeMillis(500)),
         outage_age: None,
     };
-    tracker.learn(view, LogOffset(9), clock.now(), LogOffset(8));
+    let [own, proven] = [8, 9].map(|number| ConfigVersion::at(LogOffset(number)));
+    tracker.learn(view, proven, clock.now(), own);
     let case = |tracker: &FreshnessTracker| tracker.report(true, &settings, clock.now()).case;
     assert_eq!(case(&tracker), FreshnessCase::CutOff);
-    tracker.reach(LogOffset(9));
+    tracker.reach(proven);
     assert_eq!(case(&tracker), FreshnessCase::Current);
     clock.advance(settings.cut_off_after);
     assert_eq!(case(&tracker), FreshnessCase::CutOff);
--- /dev/null
+++ b/crates/spread/tests/rebase.rs
@@ -0,0 +1,188 @@
+//! The log loses records or begins anew, and a rebase leads on.
+
+mod harness;
+
+use std::time::Duration;
+
+use harness::actor::{Node, nodes};
+use harness::{Fleet, FleetShape};
+use model::{ConfigVersion, LogOffset};
+use quetzal_spread::{FreshnessCase, LogState, SpreadSettings};
+use quickcheck::QuickCheck;
+
+const DAEMONS: usize = 12;
+
+/// Random histories of one run.
+const HISTORIES: u64 = 60;
+
+/// Longest time from the append of a rebase until it is in force everywhere,
+/// with one search and the updates after it.
+const REBASE_LIMIT: Duration = Duration::from_secs(3);
+
+fn fleet(seed: u64) -> Fleet<Node> {
+    let settings = SpreadSettings::default();
+    let shape = FleetShape::sized(DAEMONS, seed);
+    let mut fleet = Fleet::new(shape, Duration::from_secs(1), nodes(settings));
+    for change in 0..5 {
+        fleet.publish(&format!("key-{change}=old"));
+    }
+    fleet.run_for(Duration::from_secs(8));
+    assert_eq!(fleet.lagging(version(5)), 0);
+    fleet
+}
+
+fn version(number: u64) -> ConfigVersion {
+    ConfigVersion::at(LogOffset(number - 1))
+}
+
+/// Appends a rebase to the position `number`.
+fn rebase(fleet: &mut Fleet<Node>, number: u64) -> ConfigVersion {
+    fleet.publish(&format!("rebase {number} key-0=rebased"));
+    version(number)
+}
+
+fn live(fleet: &Fleet<Node>) -> impl Iterator<Item = &Node> {
+    fleet.slots.iter().filter_map(|slot| slot.actor.as_ref())
+}
+
+/// All daemons hold the same state at `position`, and it is the log's.
+fn assert_one_state(fleet: &Fleet<Node>, position: ConfigVersion) {
+    let head = live(fleet).next().expect("one lives").head();
+    assert_eq!(head.position, position);
+    for node in live(fleet) {
+        assert_eq!(node.head(), head);
+        assert_eq!(node.freshness().case, FreshnessCase::Current);
+    }
+}
+
+#[test]
+fn a_log_that_lost_its_tail_goes_on_with_a_rebase() {
+    let mut fleet = fleet(21);
+    fleet.log.stream("config").truncate(3);
+    fleet.publish("key-9=foreign");
+    fleet.run_for(Duration::from_secs(45));
+    assert!(live(&fleet).all(|node| node.head().version == version(5)));
+    let rebased = rebase(&mut fleet, 100);
+    fleet.converge(rebased, REBASE_LIMIT);
+    assert_eq!(fleet.lagging(rebased), 0);
+    fleet.publish("key-1=new");
+    fleet.run_for(Duration::from_secs(10));
+    assert_one_state(&fleet, version(101));
+    let node = live(&fleet).next().expect("one lives");
+    let values = ["key-0", "key-1", "key-9"].map(|key| node.replica().value(key));
+    assert_eq!(values, [Some("rebased"), Some("new"), None]);
+}
+
+#[test]
+fn an_empty_log_takes_a_rebase_while_some_daemons_are_down() {
+    let mut fleet = fleet(22);
+    fleet.log.streams.clear();
+    fleet.run_for(Duration::from_secs(45));
+    assert!(live(&fleet).all(|node| node.head().version == version(5)));
+    for place in [0, 4, 5, 9] {
+        fleet.kill(place);
+    }
+    let rebased = rebase(&mut fleet, 100);
+    // The other readers may have to notice first that some are gone.
+    fleet.converge(rebased, Duration::from_secs(10));
+    assert_eq!(fleet.lagging(rebased), 0);
+    for place in [0, 4, 5, 9] {
+        fleet.start(place, Duration::from_millis(500));
+    }
+    fleet.announce_members();
+    fleet.run_for(Duration::from_secs(20));
+    assert_one_state(&fleet, rebased);
+    let snapshots = &fleet.log.stream("snapshots").records;
+    assert!(!snapshots.is_empty());
+}
+
+#[test]
+fn a_rebase_appended_twice_counts_once() {
+    let mut fleet = fleet(23);
+    fleet.log.stream("config").truncate(4);
+    fleet.run_for(Duration::from_secs(10));
+    let rebased = rebase(&mut fleet, 100);
+    rebase(&mut fleet, 100);
+    fleet.run_for(Duration::from_secs(10));
+    assert!(live(&fleet).all(|node| node.head().version == rebased));
+    assert_one_state(&fleet, version(101));
+}
+
+#[test]
+fn a_reader_of_the_old_log_that_was_paused_follows() {
+    for place in 0..DAEMONS {
+        let mut fleet = fleet(24);
+        fleet.pause(place);
+        fleet.log.streams.clear();
+        fleet.run_for(Duration::from_secs(12));
+        let rebased = rebase(&mut fleet, 100);
+        for change in 0..6 {
+            fleet.publish(&format!("key-{change}=new"));
+        }
+        fleet.run_for(Duration::from_secs(10));
+        fleet.resume(place);
+        fleet.run_for(Duration::from_secs(10));
+        assert!(fleet.lagging(rebased) == 0, "daemon {place}");
+        assert_one_state(&fleet, version(106));
+    }
+}
+
+#[test]
+fn no_rebase_to_a_version_that_was_reached_is_taken() {
+    let mut fleet = fleet(25);
+    fleet.log.streams.clear();
+    rebase(&mut fleet, 4);
+    fleet.publish("key-0=foreign");
+    fleet.run_for(Duration::from_secs(45));
+    for node in live(&fleet) {
+        assert_eq!(node.head().version, version(5));
+        assert!(!node.is_reading() || matches!(node.log_state(), LogState::Diverged(_)));
+    }
+}
+
+#[test]
+fn a_search_reads_at_a_bounded_rate_and_in_batches() {
+    let mut fleet = fleet(26);
+    fleet.log.streams.clear();
+    for change in 0..1000 {
+        fleet.publish(&format!("other-{change}=foreign"));
+    }
+    fleet.run_for(Duration::from_secs(40));
+    let readers = live(&fleet).filter(|node| node.is_reading()).count() as u64;
+    fleet.reset_counts();
+    fleet.run_for(Duration::from_secs(20));
+    let most = readers * 20 * 5 / 2;
+    assert!(fleet.log.reads <= most, "{} reads", fleet.log.reads);
+    let rebased = rebase(&mut fleet, 3000);
+    fleet.converge(rebased, REBASE_LIMIT);
+    assert_eq!(fleet.lagging(rebased), 0);
+}
+
+/// Whatever is lost and when, no daemon goes back and all end at the rebase.
+fn losses_revert_nothing(seed: u64, losses: Vec<(u8, u8, u16)>) -> bool {
+    let mut fleet = fleet(seed);
+    let mut number = 100;
+    for (lost, place, wait) in losses.into_iter().take(4) {
+        let place = usize::from(place) % DAEMONS;
+        fleet.log.stream("config").truncate(usize::from(lost % 8));
+        fleet.pause(place);
+        fleet.run_for(Duration::from_millis(u64::from(wait % 8000)));
+        number += 100;
+        rebase(&mut fleet, number);
+        fleet.publish(&format!("key-{lost}={wait}"));
+        fleet.resume(place);
+        fleet.run_for(Duration::from_millis(u64::from(wait % 3000)));
+    }
+    let rebased = rebase(&mut fleet, number + 100);
+    fleet.run_for(Duration::from_secs(60));
+    let head = fleet.slots[0].actor.as_ref().map(Node::head);
+    let same = live(&fleet).all(|node| Some(node.head()) == head);
+    fleet.lagging(rebased) == 0 && same
+}
+
+#[test]
+fn losses_in_any_order_revert_nothing() {
+    QuickCheck::new()
+        .tests(HISTORIES)
+        .quickcheck(losses_revert_nothing as fn(u64, Vec<(u8, u8, u16)>) -> bool);
+}
