Add quetzal rebase; test a lost log with real daemons

Cause: after a lost log the operators had to stop the whole fleet, empty the streams and publish anew, an outage of all calls.

--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -14,6 +14,7 @@
 pub mod log;
 pub mod publish;
 pub mod pull;
+pub mod rebase;
 pub mod status;
 pub mod timeline;
 pub mod undo;
@@ -58,6 +59,9 @@
     /// Take one version back
     #[bpaf(command, footer("Example: quetzal undo 418"))]
     Undo(#[bpaf(external(undo::undo_args))] undo::UndoArgs),
+    /// Lead the daemons on after the log lost records
+    #[bpaf(command, footer("Example: quetzal rebase -m \"log restored\""))]
+    Rebase(#[bpaf(external(rebase::rebase_args))] rebase::RebaseArgs),
     /// List the accepted changes
     #[bpaf(command, footer("Example: quetzal history -n 5 --patch"))]
     History(#[bpaf(external(history::history_args))] history::HistoryArgs),
@@ -83,6 +87,7 @@
             Self::Publish(args) => publish::run(&args),
             Self::Pull(args) => pull::run(&args),
             Self::Undo(args) => undo::run(&args),
+            Self::Rebase(args) => rebase::run(&args),
             Self::History(args) => history::run(&args),
             Self::Status(args) => status::run(&args),
             Self::Timeline(args) => timeline::run(&args),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod output;
 mod publication;
+mod rebase_log;
 
 fn main() -> ExitCode {
     let command = cmd::command().run();
--- a/crates/cli/src/publication.rs
+++ b/crates/cli/src/publication.rs
@@ -16,17 +16,17 @@
 use crate::config::Result;
 
 /// Stream of the operators' changes.
-const CONFIG_STREAM: &str = "config";
+pub const CONFIG_STREAM: &str = "config";
 /// Tries of an append whose answer does not come; the change counts once.
 const APPEND_TRIES: u32 = 5;
 /// Time before the second try; doubles with each.
 const APPEND_PAUSE: Duration = Duration::from_millis(100);
 /// Records asked for at once.
-const READ_LIMIT: RecordCount = RecordCount(256);
+pub const READ_LIMIT: RecordCount = RecordCount(256);
 /// Time between two looks for the verdict.
-const VERDICT_INTERVAL: Duration = Duration::from_millis(50);
+pub const VERDICT_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for the verdict on an appended change.
-const VERDICT_TIMEOUT: Duration = Duration::from_secs(8);
+pub const VERDICT_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// A change that was accepted.
 #[derive(Debug)]
@@ -80,7 +80,7 @@
     /// Kinds: those of a refusal; `ChangeUnknown`, `LogOverRate`.
     pub fn publish(mut self, change: &ChangeRecord) -> Result<Publication> {
         let since = Instant::now();
-        let appended = self.append(&change.encode()?);
+        let appended = append_record(&self.log, &self.stream, &change.encode()?);
         let version = appended.and_then(|()| self.await_verdict(change.id));
         let version = version.map_err(|error| name_change(error, change.id))?;
         Ok(Publication {
@@ -126,27 +126,6 @@
         Ok(())
     }
 
-    /// Appends a record; an answer that is lost is asked for again.
-    fn append(&self, body: &[u8]) -> Result<()> {
-        let mut lost = None;
-        let mut refused = None;
-        for attempt in 0..APPEND_TRIES {
-            match self.log.append(&self.stream, body) {
-                Ok(_) => return Ok(()),
-                Err(error) if error.kind == ErrorKind::RequestInvalid => return Err(error),
-                Err(error) if error.kind == ErrorKind::LogOverRate => refused = Some(error),
-                Err(error) => lost = Some(error),
-            }
-            thread::sleep(APPEND_PAUSE * 2_u32.pow(attempt));
-        }
-        match (lost, refused) {
-            // Nothing was taken: the rate was met each time.
-            (None, Some(error)) => Err(error),
-            // The change may have been taken; the stream will tell, or the daemon.
-            _ => Ok(()),
-        }
-    }
-
     fn await_verdict(&mut self, id: ChangeId) -> Result<ConfigVersion> {
         let started = Instant::now();
         while started.elapsed() < VERDICT_TIMEOUT {
@@ -158,8 +137,7 @@
                 Some(ChangeVerdict::Ignored) | None => thread::sleep(VERDICT_INTERVAL),
             }
         }
-        let detail = "the log service did not tell whether it took the change";
-        Err(KindError::new(ErrorKind::ChangeUnknown, detail))
+        Err(change_unknown())
     }
 
     /// The verdict by the stream, or by the daemon while the stream cannot be read.
@@ -181,8 +159,35 @@
     }
 }
 
+/// Appends a record; an answer that is lost is asked for again.
+pub fn append_record(log: &SharedLog, stream: &StreamName, body: &[u8]) -> Result<()> {
+    let mut lost = None;
+    let mut refused = None;
+    for attempt in 0..APPEND_TRIES {
+        match log.append(stream, body) {
+            Ok(_) => return Ok(()),
+            Err(error) if error.kind == ErrorKind::RequestInvalid => return Err(error),
+            Err(error) if error.kind == ErrorKind::LogOverRate => refused = Some(error),
+            Err(error) => lost = Some(error),
+        }
+        thread::sleep(APPEND_PAUSE * 2_u32.pow(attempt));
+    }
+    match (lost, refused) {
+        // Nothing was taken: the rate was met each time.
+        (None, Some(error)) => Err(error),
+        // The change may have been taken; the stream will tell, or the daemon.
+        _ => Ok(()),
+    }
+}
+
+/// The error for a record that was neither taken nor refused in time.
+pub fn change_unknown() -> KindError {
+    let detail = "the log service did not tell whether it took the change";
+    KindError::new(ErrorKind::ChangeUnknown, detail)
+}
+
 /// Tells how to publish a change again whose outcome is unknown.
-fn name_change(error: KindError, id: ChangeId) -> KindError {
+pub fn name_change(error: KindError, id: ChangeId) -> KindError {
     if error.kind != ErrorKind::ChangeUnknown {
         return error;
     }
--- a/crates/cli/tests/publishing.rs
+++ b/crates/cli/tests/publishing.rs
@@ -256,6 +256,31 @@
     assert_eq!(state.status.code(), Some(3));
 }
 
+#[test]
+fn a_rebase_leads_on_after_the_log_lost_records() {
+    let bed = TestBed::start();
+    let mut text = play(&bed, &["init lists", "publish lists -m first"]);
+    bed.edit(
+        "lists/allowances.jsonc",
+        "\"rate_per_s\": 200",
+        "\"rate_per_s\": 250",
+    );
+    text += &play(&bed, &["publish lists -m more", "rebase -m early"]);
+    bed.truncate_log(1);
+    bed.await_text("diverged");
+    bed.copy_dir("lists", "late");
+    text += &play(&bed, &["publish lists -m lost", "rebase -m restored"]);
+    bed.await_text("configuration current");
+    text += &play(&bed, &["rebase late", "history", "pull lists"]);
+    bed.edit(
+        "lists/allowances.jsonc",
+        "\"rate_per_s\": 250",
+        "\"rate_per_s\": 300",
+    );
+    text += &play(&bed, &["publish lists -m next", "history"]);
+    insta::assert_snapshot!(text);
+}
+
 #[test]
 fn another_daemon_is_asked_if_the_first_is_gone() {
     let bed = TestBed::start();
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use daemon::settings::NumberSettings;
 use daemon::{DaemonSettings, RunningDaemon};
 use feed::{LogFaults, LogServer, LogSettings, MemoryLog, serve};
-use model::SystemClock;
+use model::{LogOffset, SystemClock};
 use tempfile::TempDir;
 use tiny_http::{Method, Request, Response, Server};
 use tokio_util::sync::CancellationToken;
@@ -84,6 +84,25 @@
         memory.set_faults(faults);
     }
 
+    /// Loses all records of the config stream from `end` on.
+    pub fn truncate_log(&self, end: u64) {
+        let (memory, _) = self.log.as_ref().unwrap();
+        memory.truncate(&"config".parse().unwrap(), LogOffset(end));
+    }
+
+    /// Waits until the status of the daemon says `text`.
+    pub fn await_text(&self, text: &str) {
+        let started = Instant::now();
+        while started.elapsed() < START_TIMEOUT {
+            let status = self.run(&["status"]);
+            if String::from_utf8_lossy(&status.stdout).contains(text) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        panic!("the status never said {text}");
+    }
+
     /// The command, to be run in the scratch folder.
     pub fn command(&self, arguments: &[&str]) -> Command {
         let operator = self.operator_address();
--- /dev/null
+++ b/crates/daemon/tests/lost_log.rs
@@ -0,0 +1,57 @@
+//! Real daemons whose log loses its tail: they hold what they have, and a
+//! rebase leads them on.
+
+mod fleet;
+
+use std::time::Instant;
+
+use feed::LogPort;
+use fleet::{ALLOWANCES, Fleet, PLANS, await_true};
+use model::{ChangeId, ConfigVersion, LogOffset};
+use plans::{ChangeMeta, ListPair, RebaseRecord, StreamRecord};
+use uuid::Uuid;
+
+const DAEMON_COUNT: usize = 6;
+
+#[test]
+fn a_rebase_is_in_force_on_every_daemon_and_nothing_reverts() {
+    let mut fleet = Fleet::start(DAEMON_COUNT, &["cairo-a", "cairo-b", "cairo-c"], "");
+    fleet.publish(PLANS, ALLOWANCES);
+    let renamed = PLANS.replace("delta", "sinai");
+    let held = fleet.publish(&renamed, ALLOWANCES);
+    let stream = "config".parse().unwrap();
+    fleet.memory.truncate(&stream, LogOffset(1));
+    await_true("divergence", || {
+        let readers = (0..DAEMON_COUNT).filter_map(|index| fleet.status(index));
+        let mut logs = readers.filter_map(|status| status.log);
+        logs.any(|log| log.contains("diverged"))
+    });
+    fleet.daemons[4].kill();
+    assert!(fleet.status(0).is_some_and(|status| status.version == held));
+
+    let lists = ListPair::parse(&renamed, ALLOWANCES).unwrap();
+    let version = ConfigVersion::at(LogOffset(1000));
+    let meta = ChangeMeta {
+        id: ChangeId(Uuid::now_v7()),
+        author: "test".parse().unwrap(),
+        note: "".into(),
+    };
+    let base = ConfigVersion::at(LogOffset(0));
+    let record = RebaseRecord::new(base, version, lists.clone(), meta);
+    let body = StreamRecord::Rebase(record).encode().unwrap();
+    let started = Instant::now();
+    fleet.memory.append(&stream, &body).unwrap();
+    fleet.await_all("rebase", |status| {
+        assert!(status.version >= held);
+        status.version == version
+    });
+    println!("rebase in force everywhere in {:?}", started.elapsed());
+    assert!((0..4).all(|index| *fleet.state(index).lists() == lists));
+
+    fleet.daemons[4].start();
+    let appended = fleet.append_change(PLANS, ALLOWANCES);
+    assert!(appended > version);
+    fleet.await_all("the change after it", |status| {
+        status.version == appended && &*status.freshness == "current"
+    });
+}
--- a/crates/plans/src/recovery.rs
+++ b/crates/plans/src/recovery.rs
@@ -6,7 +6,7 @@
 //! state may then take the place of the old one. Without a rebase it never
 //! hands out a state, however long the new log grows.
 
-use model::LogOffset;
+use model::{ConfigVersion, LogOffset};
 
 use crate::head::{ConfigRecord, StateHead};
 use crate::state::{ConfigState, Result};
@@ -44,6 +44,13 @@
         self.next
     }
 
+    /// The last record folded: the base of a rebase that is appended next.
+    pub fn base(&self) -> ConfigVersion {
+        let last = self.next.0.checked_sub(1).map(LogOffset);
+        let by_offset = last.map_or(ConfigVersion::NONE, ConfigVersion::at);
+        self.candidate.as_ref().map_or(by_offset, ConfigState::base)
+    }
+
     /// Takes the next record; tells the state to go on with once a rebase allows it.
     ///
     /// A record at another offset is passed over.
--- a/crates/spread/src/peers.rs
+++ b/crates/spread/src/peers.rs
@@ -274,7 +274,7 @@
         match head {
             None => self.empty_answers += 1,
             Some(head) if !self.is_loaded() && head.position == self.head.position => {
-                self.load(now)
+                self.load(now);
             }
             Some(head) => self.hear_head(from, &head, outputs, now),
         }
--- a/crates/spread/src/recovery.rs
+++ b/crates/spread/src/recovery.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use feed::port::{LogRecord, ReadAnswer, RecordBatch, Result as LogResult};
-use model::LogOffset;
+use model::{ConfigVersion, LogOffset};
 
 use crate::message::{LogRead, LogTag, OutputList, SpreadAlarm, SpreadOutput};
 use crate::node::SpreadNode;
@@ -213,7 +213,7 @@
         self.end_recovery();
         // An open read asks from an offset of the log before.
         self.reader.stop();
-        if before.position != Default::default() {
+        if before.position != ConfigVersion::NONE {
             let (next, version) = (self.head.next, self.head.version);
             let alarm = SpreadAlarm::LogRebased { next, version };
             outputs.push(SpreadOutput::Alarm(alarm));
--- a/crates/spread/tests/sessions.rs
+++ b/crates/spread/tests/sessions.rs
@@ -261,5 +261,12 @@
     session.fleet.announce_members();
     session.run(40);
     session.show_freshness();
+    session.publish("rebase 100 plan-0=gold");
+    session.run(5);
+    session.show_streams();
+    session.publish("plan-1=silver");
+    session.run(5);
+    session.show_freshness();
+    session.show_fleet(5);
     insta::assert_snapshot!(session.text());
 }
