--- a/crates/spread/tests/rebase.rs
+++ b/crates/spread/tests/rebase.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use harness::actor::{Node, nodes};
@@ -158,26 +159,45 @@
     assert_eq!(fleet.lagging(rebased), 0);
 }
 
+/// The hash of the state that was seen at each position.
+#[derive(Default)]
+struct SeenStates(BTreeMap<ConfigVersion, u64>);
+
+impl SeenStates {
+    /// Runs the fleet; `false` if two daemons held different states of one position.
+    fn watch(&mut self, fleet: &mut Fleet<Node>, millis: u16) -> bool {
+        (0..millis / 50).all(|_| {
+            fleet.run_for(Duration::from_millis(50));
+            live(fleet).all(|node| {
+                let head = node.head();
+                *self.0.entry(head.position).or_insert(head.state_hash) == head.state_hash
+            })
+        })
+    }
+}
+
 /// Whatever is lost and when, no daemon goes back and all end at the rebase.
 fn losses_revert_nothing(seed: u64, losses: Vec<(u8, u8, u16)>) -> bool {
     let mut fleet = fleet(seed);
     let mut number = 100;
+    let mut seen = SeenStates::default();
+    let mut one_state = true;
     for (lost, place, wait) in losses.into_iter().take(4) {
         let place = usize::from(place) % DAEMONS;
         fleet.log.stream("config").truncate(usize::from(lost % 8));
         fleet.pause(place);
-        fleet.run_for(Duration::from_millis(u64::from(wait % 8000)));
+        one_state &= seen.watch(&mut fleet, wait % 8000);
         number += 100;
         rebase(&mut fleet, number);
         fleet.publish(&format!("key-{lost}={wait}"));
         fleet.resume(place);
-        fleet.run_for(Duration::from_millis(u64::from(wait % 3000)));
+        one_state &= seen.watch(&mut fleet, wait % 3000);
     }
     let rebased = rebase(&mut fleet, number + 100);
-    fleet.run_for(Duration::from_secs(60));
+    one_state &= seen.watch(&mut fleet, 60_000);
     let head = fleet.slots[0].actor.as_ref().map(Node::head);
     let same = live(&fleet).all(|node| Some(node.head()) == head);
-    fleet.lagging(rebased) == 0 && same
+    fleet.lagging(rebased) == 0 && same && one_state
 }
 
 #[test]
@@ -186,3 +206,30 @@
         .tests(HISTORIES)
         .quickcheck(losses_revert_nothing as fn(u64, Vec<(u8, u8, u16)>) -> bool);
 }
+
+/// Times from the append of a rebase until it is in force, with states that are pulled.
+fn rebase_times(daemons: usize) -> Vec<Duration> {
+    let settings = SpreadSettings {
+        large_update: 0,
+        ..SpreadSettings::default()
+    };
+    let shape = FleetShape::sized(daemons, 27);
+    let mut fleet = Fleet::new(shape, Duration::from_secs(1), nodes(settings));
+    fleet.publish("key-0=old");
+    fleet.run_for(Duration::from_secs(8));
+    fleet.log.streams.clear();
+    fleet.run_for(Duration::from_secs(20));
+    let rebased = rebase(&mut fleet, 100);
+    let times = fleet.converge(rebased, Duration::from_secs(20));
+    assert_eq!(times.len(), daemons);
+    times
+}
+
+#[test]
+fn a_large_rebased_state_is_pulled_within_seconds() {
+    for daemons in [14, 100] {
+        let last = rebase_times(daemons)[daemons - 1];
+        println!("{daemons} daemons: {last:?}");
+        assert!(last <= REBASE_LIMIT);
+    }
+}
