Test that a rebased reader reads on at once and takes a rebase from peers

Cause: two deliberate faults, a reader that is not restarted after a rebase and a diverged reader that refuses rebased updates, passed the tests.

Change: one test publishes at once after the rebase, between two checks of the last record; a new one loses the log again before half of the readers saw the rebase, so that only peers can tell them.

--- a/crates/spread/tests/rebase.rs
+++ b/crates/spread/tests/rebase.rs
@@ -61,13 +61,17 @@
     let mut fleet = fleet(21);
     fleet.log.stream("config").truncate(3);
     fleet.publish("key-9=foreign");
-    fleet.run_for(Duration::from_secs(45));
+    // The rebase comes between two checks of the last record, which are 5 s apart.
+    fleet.run_for(Duration::from_secs(42));
     assert!(live(&fleet).all(|node| node.head().version == version(5)));
     let rebased = rebase(&mut fleet, 100);
     fleet.converge(rebased, REBASE_LIMIT);
     assert_eq!(fleet.lagging(rebased), 0);
     fleet.publish("key-1=new");
-    fleet.run_for(Duration::from_secs(10));
+    fleet.converge(version(101), Duration::from_secs(1));
+    assert_eq!(fleet.lagging(version(101)), 0);
+    // Proofs of freshness come down the trees meanwhile.
+    fleet.run_for(Duration::from_secs(5));
     assert_one_state(&fleet, version(101));
     let node = live(&fleet).next().expect("one lives");
     let values = ["key-0", "key-1", "key-9"].map(|key| node.replica().value(key));
@@ -128,6 +132,31 @@
     }
 }
 
+#[test]
+fn a_diverged_reader_takes_a_rebase_from_peers_if_the_log_is_lost_again() {
+    let mut fleet = fleet(28);
+    fleet.log.streams.clear();
+    fleet.run_for(Duration::from_secs(10));
+    let readers = (0..DAEMONS).filter(|place| {
+        let node = fleet.slots[*place].actor.as_ref();
+        node.is_some_and(Node::is_reading)
+    });
+    let half = readers.collect::<Vec<_>>().into_iter().step_by(2);
+    let half = half.collect::<Vec<_>>();
+    for place in &half {
+        fleet.pause(*place);
+    }
+    let rebased = rebase(&mut fleet, 100);
+    fleet.run_for(Duration::from_secs(4));
+    assert_eq!(fleet.lagging(rebased), half.len());
+    fleet.log.streams.clear();
+    for place in &half {
+        fleet.resume(*place);
+    }
+    fleet.converge(rebased, REBASE_LIMIT);
+    assert_eq!(fleet.lagging(rebased), 0);
+}
+
 #[test]
 fn no_rebase_to_a_version_that_was_reached_is_taken() {
     let mut fleet = fleet(25);
@@ -180,21 +209,21 @@
 fn losses_revert_nothing(seed: u64, losses: Vec<(u8, u8, u16)>) -> bool {
     let mut fleet = fleet(seed);
     let mut number = 100;
-    let mut seen = SeenStates::default();
+    let mut states = SeenStates::default();
     let mut one_state = true;
     for (lost, place, wait) in losses.into_iter().take(4) {
         let place = usize::from(place) % DAEMONS;
         fleet.log.stream("config").truncate(usize::from(lost % 8));
         fleet.pause(place);
-        one_state &= seen.watch(&mut fleet, wait % 8000);
+        one_state &= states.watch(&mut fleet, wait % 8000);
         number += 100;
         rebase(&mut fleet, number);
         fleet.publish(&format!("key-{lost}={wait}"));
         fleet.resume(place);
-        one_state &= seen.watch(&mut fleet, wait % 3000);
+        one_state &= states.watch(&mut fleet, wait % 3000);
     }
     let rebased = rebase(&mut fleet, number + 100);
-    one_state &= seen.watch(&mut fleet, 60_000);
+    one_state &= states.watch(&mut fleet, 60_000);
     let head = fleet.slots[0].actor.as_ref().map(Node::head);
     let same = live(&fleet).all(|node| Some(node.head()) == head);
     fleet.lagging(rebased) == 0 && same && one_state
