--- /dev/null
+++ b/crates/spread/tests/rebase.rs
@@ -0,0 +1,264 @@
+//! The log loses records or begins anew, and a rebase leads on.
+
+mod harness;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use harness::actor::{Node, nodes};
+use harness::{Fleet, FleetShape};
+use model::{ConfigVersion, LogOffset};
+use quetzal_spread::{FreshnessCase, LogState, SpreadSettings};
+use quickcheck::QuickCheck;
+
+const DAEMONS: usize = 12;
+
+/// Random histories of one run.
+const HISTORIES: u64 = 60;
+
+/// Longest time from the append of a rebase until it is in force everywhere,
+/// with one search and the updates after it.
+const REBASE_LIMIT: Duration = Duration::from_secs(3);
+
+fn fleet(seed: u64) -> Fleet<Node> {
+    let settings = SpreadSettings::default();
+    let shape = FleetShape::sized(DAEMONS, seed);
+    let mut fleet = Fleet::new(shape, Duration::from_secs(1), nodes(settings));
+    for change in 0..5 {
+        fleet.publish(&format!("key-{change}=old"));
+    }
+    fleet.run_for(Duration::from_secs(8));
+    assert_eq!(fleet.lagging(version(5)), 0);
+    fleet
+}
+
+fn version(number: u64) -> ConfigVersion {
+    ConfigVersion::at(LogOffset(number - 1))
+}
+
+/// Appends a rebase to the position `number`.
+fn rebase(fleet: &mut Fleet<Node>, number: u64) -> ConfigVersion {
+    fleet.publish(&format!("rebase {number} key-0=rebased"));
+    version(number)
+}
+
+fn live(fleet: &Fleet<Node>) -> impl Iterator<Item = &Node> {
+    fleet.slots.iter().filter_map(|slot| slot.actor.as_ref())
+}
+
+/// All daemons hold the same state at `position`, and it is the log's.
+fn assert_one_state(fleet: &Fleet<Node>, position: ConfigVersion) {
+    let head = live(fleet).next().expect("one lives").head();
+    assert_eq!(head.position, position);
+    for node in live(fleet) {
+        assert_eq!(node.head(), head);
+        assert_eq!(node.freshness().case, FreshnessCase::Current);
+    }
+}
+
+#[test]
+fn a_log_that_lost_its_tail_goes_on_with_a_rebase() {
+    let mut fleet = fleet(21);
+    fleet.log.stream("config").truncate(3);
+    fleet.publish("key-9=foreign");
+    // The rebase comes between two checks of the last record, which are 5 s apart.
+    fleet.run_for(Duration::from_secs(42));
+    assert!(live(&fleet).all(|node| node.head().version == version(5)));
+    let rebased = rebase(&mut fleet, 100);
+    fleet.converge(rebased, REBASE_LIMIT);
+    assert_eq!(fleet.lagging(rebased), 0);
+    fleet.publish("key-1=new");
+    fleet.converge(version(101), Duration::from_secs(1));
+    assert_eq!(fleet.lagging(version(101)), 0);
+    // Proofs of freshness come down the trees meanwhile.
+    fleet.run_for(Duration::from_secs(5));
+    assert_one_state(&fleet, version(101));
+    let node = live(&fleet).next().expect("one lives");
+    let values = ["key-0", "key-1", "key-9"].map(|key| node.replica().value(key));
+    assert_eq!(values, [Some("rebased"), Some("new"), None]);
+}
+
+#[test]
+fn an_empty_log_takes_a_rebase_while_some_daemons_are_down() {
+    let mut fleet = fleet(22);
+    fleet.log.streams.clear();
+    fleet.run_for(Duration::from_secs(45));
+    assert!(live(&fleet).all(|node| node.head().version == version(5)));
+    for place in [0, 4, 5, 9] {
+        fleet.kill(place);
+    }
+    let rebased = rebase(&mut fleet, 100);
+    // The other readers may have to notice first that some are gone.
+    fleet.converge(rebased, Duration::from_secs(10));
+    assert_eq!(fleet.lagging(rebased), 0);
+    for place in [0, 4, 5, 9] {
+        fleet.start(place, Duration::from_millis(500));
+    }
+    fleet.announce_members();
+    fleet.run_for(Duration::from_secs(20));
+    assert_one_state(&fleet, rebased);
+    let snapshots = &fleet.log.stream("snapshots").records;
+    assert!(!snapshots.is_empty());
+}
+
+#[test]
+fn a_rebase_appended_twice_counts_once() {
+    let mut fleet = fleet(23);
+    fleet.log.stream("config").truncate(4);
+    fleet.run_for(Duration::from_secs(10));
+    let rebased = rebase(&mut fleet, 100);
+    rebase(&mut fleet, 100);
+    fleet.run_for(Duration::from_secs(10));
+    assert!(live(&fleet).all(|node| node.head().version == rebased));
+    assert_one_state(&fleet, version(101));
+}
+
+#[test]
+fn a_reader_of_the_old_log_that_was_paused_follows() {
+    for place in 0..DAEMONS {
+        let mut fleet = fleet(24);
+        fleet.pause(place);
+        fleet.log.streams.clear();
+        fleet.run_for(Duration::from_secs(12));
+        let rebased = rebase(&mut fleet, 100);
+        for change in 0..6 {
+            fleet.publish(&format!("key-{change}=new"));
+        }
+        fleet.run_for(Duration::from_secs(10));
+        fleet.resume(place);
+        fleet.run_for(Duration::from_secs(10));
+        assert!(fleet.lagging(rebased) == 0, "daemon {place}");
+        assert_one_state(&fleet, version(106));
+    }
+}
+
+#[test]
+fn a_diverged_reader_takes_a_rebase_from_peers_if_the_log_is_lost_again() {
+    let mut fleet = fleet(28);
+    fleet.log.streams.clear();
+    fleet.run_for(Duration::from_secs(10));
+    let readers = (0..DAEMONS).filter(|place| {
+        let node = fleet.slots[*place].actor.as_ref();
+        node.is_some_and(Node::is_reading)
+    });
+    let half = readers.collect::<Vec<_>>().into_iter().step_by(2);
+    let half = half.collect::<Vec<_>>();
+    for place in &half {
+        fleet.pause(*place);
+    }
+    let rebased = rebase(&mut fleet, 100);
+    fleet.run_for(Duration::from_secs(4));
+    assert_eq!(fleet.lagging(rebased), half.len());
+    fleet.log.streams.clear();
+    for place in &half {
+        fleet.resume(*place);
+    }
+    fleet.converge(rebased, REBASE_LIMIT);
+    assert_eq!(fleet.lagging(rebased), 0);
+}
+
+#[test]
+fn no_rebase_to_a_version_that_was_reached_is_taken() {
+    let mut fleet = fleet(25);
+    fleet.log.streams.clear();
+    rebase(&mut fleet, 4);
+    fleet.publish("key-0=foreign");
+    fleet.run_for(Duration::from_secs(45));
+    for node in live(&fleet) {
+        assert_eq!(node.head().version, version(5));
+        assert!(!node.is_reading() || matches!(node.log_state(), LogState::Diverged(_)));
+    }
+}
+
+#[test]
+fn a_search_reads_at_a_bounded_rate_and_in_batches() {
+    let mut fleet = fleet(26);
+    fleet.log.streams.clear();
+    for change in 0..1000 {
+        fleet.publish(&format!("other-{change}=foreign"));
+    }
+    fleet.run_for(Duration::from_secs(40));
+    let readers = live(&fleet).filter(|node| node.is_reading()).count() as u64;
+    fleet.reset_counts();
+    fleet.run_for(Duration::from_secs(20));
+    let most = readers * 20 * 5 / 2;
+    assert!(fleet.log.reads <= most, "{} reads", fleet.log.reads);
+    let rebased = rebase(&mut fleet, 3000);
+    fleet.converge(rebased, REBASE_LIMIT);
+    assert_eq!(fleet.lagging(rebased), 0);
+}
+
+/// The hash of the state that was seen at each position.
+#[derive(Default)]
+struct SeenStates(BTreeMap<ConfigVersion, u64>);
+
+impl SeenStates {
+    /// Runs the fleet; `false` if two daemons held different states of one position.
+    fn watch(&mut self, fleet: &mut Fleet<Node>, millis: u16) -> bool {
+        (0..millis / 50).all(|_| {
+            fleet.run_for(Duration::from_millis(50));
+            live(fleet).all(|node| {
+                let head = node.head();
+                *self.0.entry(head.position).or_insert(head.state_hash) == head.state_hash
+            })
+        })
+    }
+}
+
+/// Whatever is lost and when, no daemon goes back and all end at the rebase.
+fn losses_revert_nothing(seed: u64, losses: Vec<(u8, u8, u16)>) -> bool {
+    let mut fleet = fleet(seed);
+    let mut number = 100;
+    let mut states = SeenStates::default();
+    let mut one_state = true;
+    for (lost, place, wait) in losses.into_iter().take(4) {
+        let place = usize::from(place) % DAEMONS;
+        fleet.log.stream("config").truncate(usize::from(lost % 8));
+        fleet.pause(place);
+        one_state &= states.watch(&mut fleet, wait % 8000);
+        number += 100;
+        rebase(&mut fleet, number);
+        fleet.publish(&format!("key-{lost}={wait}"));
+        fleet.resume(place);
+        one_state &= states.watch(&mut fleet, wait % 3000);
+    }
+    let rebased = rebase(&mut fleet, number + 100);
+    one_state &= states.watch(&mut fleet, 60_000);
+    let head = fleet.slots[0].actor.as_ref().map(Node::head);
+    let same = live(&fleet).all(|node| Some(node.head()) == head);
+    fleet.lagging(rebased) == 0 && same && one_state
+}
+
+#[test]
+fn losses_in_any_order_revert_nothing() {
+    QuickCheck::new()
+        .tests(HISTORIES)
+        .quickcheck(losses_revert_nothing as fn(u64, Vec<(u8, u8, u16)>) -> bool);
+}
+
+/// Times from the append of a rebase until it is in force, with states that are pulled.
+fn rebase_times(daemons: usize) -> Vec<Duration> {
+    let settings = SpreadSettings {
+        large_update: 0,
+        ..SpreadSettings::default()
+    };
+    let shape = FleetShape::sized(daemons, 27);
+    let mut fleet = Fleet::new(shape, Duration::from_secs(1), nodes(settings));
+    fleet.publish("key-0=old");
+    fleet.run_for(Duration::from_secs(8));
+    fleet.log.streams.clear();
+    fleet.run_for(Duration::from_secs(20));
+    let rebased = rebase(&mut fleet, 100);
+    let times = fleet.converge(rebased, Duration::from_secs(20));
+    assert_eq!(times.len(), daemons);
+    times
+}
+
+#[test]
+fn a_large_rebased_state_is_pulled_within_seconds() {
+    for daemons in [14, 100] {
+        let last = rebase_times(daemons)[daemons - 1];
+        println!("{daemons} daemons: {last:?}");
+        assert!(last <= REBASE_LIMIT);
+    }
+}
