Pause a key home with real daemons; let staff choose the outage quorum

Change: a test stops a daemon with SIGSTOP past its lease and wakes it; the setting outage_quorum. Before and after: no such test -> 24 keys sent to a fleet with a paused home, none ran twice after it woke. Conclusion: the fence holds for a real pause.

--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -252,6 +252,7 @@
         operator_address: any_port,
         peers: Vec::new(),
         metrics_address: None,
+        outage_quorum: Default::default(),
         numbers: NumberSettings::default(),
     })
 }
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -239,6 +239,7 @@
         operator_address: any_port(),
         peers: Vec::new(),
         metrics_address: None,
+        outage_quorum: Default::default(),
         numbers: NumberSettings::default(),
     }
 }
--- a/crates/daemon/benches/latency.rs
+++ b/crates/daemon/benches/latency.rs
@@ -107,6 +107,7 @@
         operator_address: any,
         peers: Vec::new(),
         metrics_address: None,
+        outage_quorum: Default::default(),
         numbers: NumberSettings::default(),
     };
     RunningDaemon::start(settings).expect("a daemon")
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -90,6 +90,7 @@
         };
         let spread_settings = SpreadSettings {
             cut_off_after: core.settings.stale_after(),
+            outage_quorum: core.settings.outage_quorum,
             snapshot_age: core.settings.log_retention() / JOINS_WITHIN_RETENTION,
             ..SpreadSettings::default()
         };
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -15,6 +15,7 @@
 use plans::lists::ListProblem;
 use plans::reader::{DocumentReader, FieldMap};
 use serde::Serialize;
+use spread::OutageQuorum;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The settings, or every mistake of the file.
@@ -110,6 +111,8 @@
     pub peers: Vec<SocketAddr>,
     /// Where counters are sent as UDP datagrams, if anywhere.
     pub metrics_address: Option<SocketAddr>,
+    /// Which failure domains must witness an outage of the log before calls go on.
+    pub outage_quorum: OutageQuorum,
     /// Everything with a default.
     pub numbers: NumberSettings,
 }
@@ -150,6 +153,7 @@
     "operator_address", "IP:port", None, "Where operators and the targets beside it reach the daemon.";
     "peers", "[IP:port]", Some("none"), "Peers to ask when the log service is down.";
     "metrics_address", "IP:port", Some("none"), "Where counters go as UDP datagrams.";
+    "outage_quorum", "every or majority", Some("every"), "Failure domains that must witness an outage of the log before calls go on without it.";
 }
 
 impl DaemonSettings {
@@ -232,6 +236,10 @@
     let metrics_address = fields
         .get("metrics_address")
         .and_then(|value| read_address(reader, value, "metrics_address"));
+    let outage_quorum = match fields.get("outage_quorum") {
+        Some(value) => read_quorum(reader, value),
+        None => Some(OutageQuorum::default()),
+    };
     let numbers = NumberSettings::read(reader, &fields);
     let listeners = [
         ("caller_address", caller_address),
@@ -249,6 +257,7 @@
         operator_address: operator_address?,
         peers,
         metrics_address,
+        outage_quorum: outage_quorum?,
         numbers,
     })
 }
@@ -288,6 +297,17 @@
     reader.fail(value.start(), "\"log_url\" must start with http://")
 }
 
+fn read_quorum(reader: &mut DocumentReader<'_>, value: &Value<'_>) -> Option<OutageQuorum> {
+    match reader.string(value, "outage_quorum")? {
+        "every" => Some(OutageQuorum::Every),
+        "majority" => Some(OutageQuorum::Majority),
+        _ => reader.fail(
+            value.start(),
+            "\"outage_quorum\" is \"every\" or \"majority\"",
+        ),
+    }
+}
+
 fn read_address(
     reader: &mut DocumentReader<'_>,
     value: &Value<'_>,
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -261,10 +261,22 @@
 
     /// Sends SIGTERM, which begins a planned stop.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Stops the process without its knowledge, as a VM that is paused.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.child.as_ref().unwrap().id();
-        let sent = Command::new("kill")
-            .args(["-TERM", &id.to_string()])
-            .status();
+        let sent = Command::new("kill").args([name, &id.to_string()]).status();
         assert!(sent.unwrap().success());
     }
 
--- a/crates/daemon/tests/keys.rs
+++ b/crates/daemon/tests/keys.rs
@@ -135,3 +135,49 @@
         assert_eq!(runs_of([&one, &two], &path), 1, "key {index}");
     }
 }
+
+#[test]
+fn a_home_paused_past_its_lease_runs_nothing_late() {
+    let (fleet, one, two) = fleet_with_deals();
+    let keys: Vec<String> = (0..24).map(|_| Uuid::now_v7().to_string()).collect();
+    fleet.daemons[2].pause();
+    // The callers' proxies wait for the paused home until their deadline.
+    let first: Vec<String> = std::thread::scope(|scope| {
+        let calls: Vec<_> = keys
+            .iter()
+            .enumerate()
+            .map(|(index, key)| {
+                let fleet = &fleet;
+                scope.spawn(move || {
+                    fleet.outcome(3, "POST", &format!("/deals/paused-{index}"), Some(key))
+                })
+            })
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+    await_true("the ranges have other homes", || {
+        (0..8).all(|_| {
+            let key = Uuid::now_v7().to_string();
+            fleet
+                .outcome(3, "POST", "/deals/after", Some(&key))
+                .starts_with("200")
+        })
+    });
+    fleet.daemons[2].resume();
+    fleet.await_members(4);
+    for (index, key) in keys.iter().enumerate() {
+        let path = format!("/deals/paused-{index}");
+        for proxy in 0..4 {
+            fleet.outcome(proxy, "POST", &path, Some(key));
+        }
+        let runs = runs_of([&one, &two], &path);
+        assert!(runs <= 1, "key {index} ran {runs} times");
+        assert!(runs == 1 || !first[index].starts_with("200"), "key {index}");
+    }
+    let refused = first.iter().filter(|outcome| !outcome.starts_with("200"));
+    println!(
+        "{} of {} calls met the paused home",
+        refused.count(),
+        keys.len()
+    );
+}
