--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use bpaf::Bpaf;
-use daemon::settings::NumberSettings;
+use daemon::settings::{NumberSettings, OutageQuorum};
 use daemon::{DaemonSettings, RunningDaemon};
 use feed::{LogServer, LogSettings, MemoryLog, serve};
 use model::{ChangeId, ConfigVersion, ErrorKind, KindError, SystemClock};
@@ -252,7 +252,7 @@
         operator_address: any_port,
         peers: Vec::new(),
         metrics_address: None,
-        outage_quorum: Default::default(),
+        outage_quorum: OutageQuorum::default(),
         numbers: NumberSettings::default(),
     })
 }
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use daemon::settings::NumberSettings;
+use daemon::settings::{NumberSettings, OutageQuorum};
 use daemon::{DaemonSettings, RunningDaemon};
 use feed::{LogFaults, LogServer, LogSettings, MemoryLog, serve};
 use model::{LogOffset, SystemClock};
@@ -239,7 +239,7 @@
         operator_address: any_port(),
         peers: Vec::new(),
         metrics_address: None,
-        outage_quorum: Default::default(),
+        outage_quorum: OutageQuorum::default(),
         numbers: NumberSettings::default(),
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -15,7 +15,7 @@
 use plans::lists::ListProblem;
 use plans::reader::{DocumentReader, FieldMap};
 use serde::Serialize;
-use spread::OutageQuorum;
+pub use spread::OutageQuorum;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The settings, or every mistake of the file.
