--- a/crates/capacity/src/limit_run.rs
+++ b/crates/capacity/src/limit_run.rs
@@ -1,10 +1,16 @@
 //! Limits of customers, as counted in a fleet of gates that share them.
 
+use std::time::Duration;
+
 use crate::figure::CountedFigure;
 use crate::fleet::Fleet;
 use crate::scenario::{BYTES, Scenario, Spread};
 use crate::ways::Way;
 
+/// Seconds after the start in which all customers are new.
+const START_TIME: Duration = Duration::from_secs(30);
+const START_FROM: Duration = Duration::from_secs(20);
+
 /// Figures with `daemons` over which each customer's calls come in.
 pub fn run(daemons: usize) -> Vec<CountedFigure> {
     let [_, all_proxies] = BYTES;
@@ -13,7 +19,13 @@
         spread: Spread::Proxies(daemons),
         ..all_proxies
     };
+    let starting = Scenario {
+        time: START_TIME,
+        bytes_from: START_FROM,
+        ..scenario
+    };
     let customers = scenario.customers as f64;
+    let start = Fleet::new(Way::Shares, starting).run();
     let figures = Fleet::new(Way::Shares, scenario).run();
     vec![
         CountedFigure::new("share keeper", "control, mean", "B/s", figures.bytes_mean),
@@ -35,5 +47,11 @@
             "%",
             figures.settled.max(0.0) * 100.0,
         ),
+        CountedFigure::new(
+            "share keeper",
+            "control 20 to 30 s after a start, most of one",
+            "B/s",
+            start.bytes_most,
+        ),
     ]
 }
