--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -31,7 +31,7 @@
 use crate::peer::{ControlBatch, ControlMessage};
 use crate::replica::PlansReplica;
 use crate::status::StatusReport;
-use crate::targets::publish_targets;
+use crate::targets::TargetBook;
 
 /// Time between two ticks of the loop.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -68,6 +68,7 @@
     spread: SpreadNode<PlansReplica>,
     members: MemberNode,
     keys: KeyControl,
+    targets: TargetBook,
     courier: ControlCourier,
     desk: LogDesk,
     /// Addresses of peers that wrote to us, before the membership knows them.
@@ -89,6 +90,7 @@
         };
         let spread_settings = SpreadSettings {
             cut_off_after: core.settings.stale_after(),
+            outage_quorum: core.settings.outage_quorum,
             snapshot_age: core.settings.log_retention() / JOINS_WITHIN_RETENTION,
             ..SpreadSettings::default()
         };
@@ -103,6 +105,7 @@
         Self {
             courier: ControlCourier::new(Arc::clone(&core)),
             keys: KeyControl::new(Arc::clone(&core), desk.clone(), random()),
+            targets: TargetBook::default(),
             spread,
             members,
             desk,
@@ -376,7 +379,7 @@
         self.core.counters.count("alarms");
         let kind = match alarm {
             SpreadAlarm::LogDown(_) => EventKind::LogDown,
-            SpreadAlarm::LogUp => EventKind::LogUp,
+            SpreadAlarm::LogUp | SpreadAlarm::LogRebased { .. } => EventKind::LogUp,
             SpreadAlarm::LogDiverged { .. } => EventKind::LogDiverged,
             SpreadAlarm::ReaderStarted => EventKind::ReaderTookOver,
             SpreadAlarm::FreshnessChanged(FreshnessCase::CutOff) => EventKind::StaleEntered,
@@ -435,7 +438,7 @@
         self.core.limits().set_members(&ids);
         self.publish_runs(&views);
         self.core.addresses.store(Arc::new(addresses));
-        publish_targets(&self.core, self.members.all_targets());
+        self.targets.publish(&self.core, self.members.all_targets());
     }
 
     /// Tells the keys' side which runs of daemons are alive.
