--- a/crates/cli/src/cmd/publish.rs
+++ b/crates/cli/src/cmd/publish.rs
@@ -18,7 +18,7 @@
 use crate::client::DaemonClient;
 use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
 use crate::folder::{FolderArgs, ListFolder, folder_args};
-use crate::follow::await_force;
+use crate::follow::follow;
 use crate::output::{outln, print_json};
 use crate::publication::{ConfigLog, Publication, show_refusal};
 
@@ -68,14 +68,12 @@
     let before = state.lists_at(folder.base)?;
     let publication = log.publish(&change)?;
     catch_up(&folder, &before, &publication)?;
-    let wait = Duration::from_secs(args.wait);
-    let report = await_force(&client, &publication, wait, |report| {
-        if !args.json {
-            outln!("{}", report.line());
-        }
-    })?;
-    report.show(args.json)?;
-    Ok(report.exit_code())
+    follow(
+        &client,
+        &publication,
+        Duration::from_secs(args.wait),
+        args.json,
+    )
 }
 
 /// Brings the folder to the accepted version, with what others changed before it.
--- a/crates/cli/src/cmd/rebase.rs
+++ b/crates/cli/src/cmd/rebase.rs
@@ -16,7 +16,7 @@
 use crate::client::DaemonClient;
 use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
 use crate::folder::ListFolder;
-use crate::follow::await_force;
+use crate::follow::follow;
 use crate::output::outln;
 use crate::rebase_log::RebaseLog;
 
@@ -68,14 +68,12 @@
     if let Some(folder) = folder {
         folder.update(&folder.lists, version)?;
     }
-    let wait = Duration::from_secs(args.wait);
-    let report = await_force(&client, &publication, wait, |report| {
-        if !args.json {
-            outln!("{}", report.line());
-        }
-    })?;
-    report.show(args.json)?;
-    Ok(report.exit_code())
+    follow(
+        &client,
+        &publication,
+        Duration::from_secs(args.wait),
+        args.json,
+    )
 }
 
 /// Whether the daemon finds the log diverged or heard of one that does.
--- a/crates/cli/src/cmd/undo.rs
+++ b/crates/cli/src/cmd/undo.rs
@@ -13,7 +13,7 @@
 
 use crate::client::DaemonClient;
 use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
-use crate::follow::await_force;
+use crate::follow::follow;
 use crate::output::outln;
 use crate::publication::{ConfigLog, show_refusal};
 
@@ -63,8 +63,10 @@
         }
     }
     let publication = log.publish(&change)?;
-    let wait = Duration::from_secs(args.wait);
-    let report = await_force(&client, &publication, wait, |_| {})?;
-    report.show(args.json)?;
-    Ok(report.exit_code())
+    follow(
+        &client,
+        &publication,
+        Duration::from_secs(args.wait),
+        args.json,
+    )
 }
--- a/crates/cli/src/follow.rs
+++ b/crates/cli/src/follow.rs
@@ -70,6 +70,22 @@
     }
 }
 
+/// Follows a publication, prints how far it got, and gives the exit code that tells it.
+pub fn follow(
+    client: &DaemonClient,
+    publication: &Publication,
+    wait: Duration,
+    json: bool,
+) -> Result<ExitCode> {
+    let report = await_force(client, publication, wait, |report| {
+        if !json {
+            outln!("{}", report.line());
+        }
+    })?;
+    report.show(json)?;
+    Ok(report.exit_code())
+}
+
 /// Follows a version until it is in force on every proxy or `wait` is over.
 pub fn await_force(
     client: &DaemonClient,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -11,18 +11,19 @@
 use std::time::Duration;
 
 use limits::LimitOutput;
-use members::{MemberChange, MemberNode, MemberOutput, MemberSettings, MemberState, MemberView};
+use members::{MemberNode, MemberOutput, MemberSettings, MemberView};
 use model::DaemonId;
 use once::HolderId;
 use plans::RouteTable;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde::Serialize;
-use spread::{FreshnessCase, SpreadAlarm, SpreadMember, SpreadNode, SpreadOutput, SpreadSettings};
+use spread::{SpreadMember, SpreadNode, SpreadOutput, SpreadSettings};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 use trace::EventKind;
 
+use crate::alarms::{note_alarm, note_member};
 use crate::core::{AddressBook, DaemonCore};
 use crate::courier::ControlCourier;
 use crate::key_control::{HandoverDone, KeyControl, OnceSends};
@@ -281,7 +282,7 @@
                     self.desk.append(owner, append.stream, append.body);
                 }
                 SpreadOutput::Applied(_) => self.apply_table(),
-                SpreadOutput::Alarm(alarm) => self.on_alarm(&alarm),
+                SpreadOutput::Alarm(alarm) => note_alarm(&self.core, &alarm),
             }
         }
     }
@@ -306,7 +307,7 @@
                 MemberOutput::Changed(change) => {
                     self.targets_stale = true;
                     self.core.counters.count("member-changes");
-                    self.note_member(change);
+                    note_member(&self.core, change);
                     self.know_members();
                 }
                 MemberOutput::Superseded => {
@@ -362,46 +363,6 @@
             .note(EventKind::ConfigApplied, &version.to_string());
     }
 
-    fn note_member(&self, change: MemberChange) {
-        if change.before == Some(change.state) {
-            return;
-        }
-        let kind = match change.state {
-            MemberState::Alive => EventKind::Joined,
-            MemberState::Suspect => EventKind::Suspected,
-            MemberState::Dead => EventKind::Died,
-            MemberState::Left => EventKind::Left,
-        };
-        self.core.note(kind, &change.id.to_string());
-    }
-
-    fn on_alarm(&self, alarm: &SpreadAlarm) {
-        self.core.counters.count("alarms");
-        let kind = match alarm {
-            SpreadAlarm::LogDown(_) => EventKind::LogDown,
-            SpreadAlarm::LogUp | SpreadAlarm::LogRebased { .. } => EventKind::LogUp,
-            SpreadAlarm::LogDiverged { .. } => EventKind::LogDiverged,
-            SpreadAlarm::ReaderStarted => EventKind::ReaderTookOver,
-            SpreadAlarm::FreshnessChanged(FreshnessCase::CutOff) => EventKind::StaleEntered,
-            SpreadAlarm::FreshnessChanged(FreshnessCase::Current) => EventKind::StaleLeft,
-            SpreadAlarm::LogGap { .. }
-            | SpreadAlarm::LogStuck(_)
-            | SpreadAlarm::PeerContradicts { .. } => {
-                log::error!("{alarm}");
-                return;
-            }
-            SpreadAlarm::MessageRefused { kind, .. } => {
-                self.core.counters.count_error(*kind);
-                return;
-            }
-            _ => {
-                log::info!("{alarm}");
-                return;
-            }
-        };
-        self.core.note(kind, &alarm.to_string());
-    }
-
     fn on_targets_changed(&mut self) {
         self.members.set_targets(self.core.beside.digests());
         self.targets_stale = true;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 //! adapters share is in [`core`], and [`run`] starts and stops it all.
 
 pub mod accept;
+pub mod alarms;
 pub mod answer;
 pub mod beside;
 pub mod body;
