Find out a log that regrew in one wait; let a wide loss end in deaths

Cause: (1) a log that lost its tail and grew past the old end while a long poll waited was read on. Their first two accusers were one of their own failure domain and one of another, which closed the list, while a loss of much of a domain asks for two other domains. Change: the reader checks its last record again before it folds what a poll brought; a second other domain always joins the accusers. Conclusion: both ways to hold on to a wrong view are closed.

--- a/crates/members/src/table.rs
+++ b/crates/members/src/table.rs
@@ -23,7 +23,7 @@
 /// How long a dead or left member is remembered.
 pub const TOMBSTONE_RETENTION: Duration = Duration::from_secs(3 * 3600);
 /// Most accusers remembered for one suspicion.
-pub const MAX_ACCUSERS: usize = 4;
+pub const MAX_ACCUSERS: usize = 6;
 
 /// What is held of a member.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -345,13 +345,20 @@
         if accusers.contains(&by) || accusers.len() >= MAX_ACCUSERS {
             return false;
         }
-        // Two are enough, unless both are of one domain and this one is not.
+        // Two are enough, unless fewer than two other domains accuse and this is
+        // one more: the loss of a domain is judged by the other domains alone.
+        let own = Some(&entry.profile().domain);
+        let mut others: SmallVec<[&DomainName; MAX_ACCUSERS]> = SmallVec::new();
+        for domain in accusers.iter().map(|other| self.domain(*other)) {
+            if let Some(domain) = domain.filter(|_| domain != own)
+                && !others.contains(&domain)
+            {
+                others.push(domain);
+            }
+        }
         let domain = self.domain(by);
-        let first = accusers.first().map(|other| self.domain(*other));
-        let alike = accusers
-            .iter()
-            .all(|other| Some(self.domain(*other)) == first);
-        accusers.len() < 2 || (alike && first != Some(domain))
+        let another = domain != own && domain.is_none_or(|domain| !others.contains(&domain));
+        accusers.len() < 2 || (others.len() < 2 && another)
     }
 
     fn set_entry(&mut self, entry: MemberEntry) {
--- a/crates/members/tests/table.rs
+++ b/crates/members/tests/table.rs
@@ -185,3 +185,30 @@
     assert!(table.get(DaemonId(8)).is_none());
     assert_eq!(table.live_count(), MAX_MEMBERS - 1);
 }
+
+#[test]
+fn two_other_domains_join_the_accusers_whatever_the_order() {
+    // Members 0 and 3 share a failure domain; 1 and 2 are of two others.
+    let first = stamp(1, 1);
+    for order in [[3, 1, 2], [1, 3, 2], [3, 2, 1], [2, 3, 1]] {
+        let now = Instant::now();
+        let mut table = MemberTable::default();
+        for id in 0..4 {
+            table.apply(&MemberUpdate::Alive(record(id, first)), now);
+        }
+        for by in order.map(DaemonId) {
+            let id = DaemonId(0);
+            table.apply(
+                &MemberUpdate::Suspect {
+                    id,
+                    stamp: first,
+                    by,
+                },
+                now,
+            );
+        }
+        let accusers = table.get(DaemonId(0)).unwrap().accusers.clone();
+        assert!(accusers.contains(&DaemonId(1)), "{order:?}: {accusers:?}");
+        assert!(accusers.contains(&DaemonId(2)), "{order:?}: {accusers:?}");
+    }
+}
--- a/crates/spread/src/reader.rs
+++ b/crates/spread/src/reader.rs
@@ -1,7 +1,8 @@
 //! Reading the config stream: long polls, checks of the last record, back-off.
 //!
 //! The reader never trusts that the log is the one it read before. After each
-//! failure, and from time to time, it reads its own last record again; a
+//! failure, from time to time, and before it folds what a long poll brought, it
+//! reads its own last record again; a
 //! shorter log or another record there means that the log lost its tail or
 //! began anew. The daemon then holds what it has, says so, and searches the log
 //! for a rebase, see `recovery`.
@@ -73,6 +74,8 @@
     pending: Option<PendingRead>,
     next_at: Option<Instant>,
     verified_at: Option<Instant>,
+    /// Where the stream began when our last record was found expired.
+    expired_first: Option<LogOffset>,
     failed_at: Option<Instant>,
     failures: u32,
 }
@@ -85,6 +88,7 @@
             pending: None,
             next_at: None,
             verified_at: None,
+            expired_first: None,
             failed_at: None,
             failures: 0,
         }
@@ -223,10 +227,22 @@
         if let Some(other) = find_other_record(&batch.records, head) {
             return self.hold(LogState::Diverged(other), now);
         }
+        if !pending.verify && self.is_unchecked(head, &batch) {
+            // The log may have lost its end and grown past it while the read
+            // waited: these records come again together with the one before.
+            self.restart(now);
+            return ReadVerdict::Ignored;
+        }
         self.succeed(pending, now);
         judge_records(settings, head, pending.sent_at, batch)
     }
 
+    /// Whether the batch brings records behind a last record that can be checked.
+    fn is_unchecked(&self, head: &ReplicaHead, batch: &RecordBatch) -> bool {
+        let expired = self.expired_first.is_some_and(|first| first >= head.next);
+        !batch.records.is_empty() && head.last_record != 0 && !expired
+    }
+
     /// The record asked for has expired: harmless if it was only to be checked.
     fn judge_expired(
         &mut self,
@@ -236,6 +252,7 @@
         now: Instant,
     ) -> ReadVerdict {
         if first <= head.next && pending.from < head.next {
+            self.expired_first = Some(first);
             self.succeed(pending, now);
             return ReadVerdict::Ignored;
         }
