--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -33,6 +33,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     print_fleet(&status);
+    print_services(&status);
     print_members(&status.members);
     Ok(ExitCode::SUCCESS)
 }
@@ -64,6 +65,33 @@
     }
 }
 
+fn print_services(status: &StatusReport) {
+    for service in &status.services {
+        let ejected = match service.ejected.as_slice() {
+            [] => String::new(),
+            ejected => format!(", no calls for failures: {}", ejected.join(", ")),
+        };
+        outln!(
+            "service  {}: {} targets ready, shedding {:.1}{ejected}",
+            service.service,
+            service.ready,
+            service.shedding
+        );
+    }
+    for beside in &status.beside {
+        outln!(
+            "beside   {}: {} calls run, {} wait, {}% fail",
+            beside.target,
+            beside.in_flight,
+            beside.queued,
+            beside.failing
+        );
+    }
+    if !status.homes.is_empty() {
+        outln!("homes    of callers' keys: {}", status.homes.join(", "));
+    }
+}
+
 fn print_members(members: &[MemberReport]) {
     let mut table = Table::new();
     table.load_preset(NOTHING);
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -9,7 +9,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use limits::{LimitGate, LoadShedder};
 use members::{TargetChange, TargetState};
-use model::{CallCount, DaemonId, ErrorKind, IncarnationNumber, KindError, SharedClock};
+use model::{ByteCount, CallCount, DaemonId, ErrorKind, IncarnationNumber, KindError, SharedClock};
 use once::HolderId;
 use once::home::HandedOutcome;
 use plans::{ConfigState, RouteTable};
@@ -20,7 +20,7 @@
 use smallvec::SmallVec;
 use spread::freshness::TimedFreshness;
 use tokio_util::task::TaskTracker;
-use trace::{DEFAULT_MEMORY, EventClass, EventKind, EventRing, ProcessIdentity};
+use trace::{EventClass, EventKind, EventRing, ProcessIdentity};
 use wire::{PeerPool, WireLimits};
 
 use crate::beside::BesideDesk;
@@ -90,6 +90,7 @@
             incarnation,
         };
         let keys = Arc::new(KeyDesk::new(me, &clock));
+        let trace_memory = ByteCount(u64::from(settings.numbers.trace_memory_kb) * 1024);
         let process = ProcessIdentity {
             daemon: id,
             incarnation,
@@ -139,7 +140,7 @@
             retries: Mutex::new(RetryBook::new()),
             limits: Mutex::new(LimitGate::new(id, Arc::clone(&clock))),
             shedder: Mutex::new(LoadShedder::new(Arc::clone(&clock), random())),
-            trace: Mutex::new(EventRing::new(process, DEFAULT_MEMORY, Arc::clone(&clock))),
+            trace: Mutex::new(EventRing::new(process, trace_memory, Arc::clone(&clock))),
             draining: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
             settings,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -87,7 +87,7 @@
     stale_after_ms, "ms", 10000, 2000, 600_000, "Time without proof of a current configuration after which non-idempotent calls are refused.";
     drain_timeout_ms, "ms", 30000, 100, 600_000, "Time for calls in progress to end in a planned stop.";
     log_retention_s, "s", 86400, 60, 31_536_000, "How long the log service keeps records.";
-    trace_events, "events", 4096, 64, 65536, "Events kept for the time line.";
+    trace_memory_kb, "kB", 512, 16, 16384, "Memory for the events of the time line.";
 }
 
 /// Settings of one daemon.
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -35,6 +35,12 @@
     pub draining: bool,
     /// The fleet, as summed up on the way.
     pub fleet: FleetReport,
+    /// Daemons that are homes of callers' keys.
+    pub homes: Vec<Box<str>>,
+    /// Each service, as this proxy sees its targets.
+    pub services: Vec<ServiceReport>,
+    /// The targets beside this daemon.
+    pub beside: Vec<BesideReport>,
     /// Each member.
     pub members: Vec<MemberReport>,
     /// Counters since the start.
@@ -80,6 +86,32 @@
     pub age_ms: u64,
 }
 
+/// One service.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ServiceReport {
+    /// The service.
+    pub service: ServiceName,
+    /// Targets that are present and willing.
+    pub ready: u32,
+    /// Level of shedding at this proxy; 0 is none.
+    pub shedding: f32,
+    /// Daemons whose target gets no calls from here for its failures.
+    pub ejected: Vec<Box<str>>,
+}
+
+/// One target beside this daemon.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct BesideReport {
+    /// The target.
+    pub target: TargetName,
+    /// Calls that it runs.
+    pub in_flight: u32,
+    /// Calls that wait for a slot.
+    pub queued: u32,
+    /// Share of recent calls that failed, in percent.
+    pub failing: u8,
+}
+
 /// One member.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct MemberReport {
@@ -165,6 +197,9 @@
             log_url: core.settings.log_url.clone(),
             draining: core.is_draining(),
             fleet: report_fleet(spread, &members),
+            homes: report_homes(core, &members),
+            services: report_services(core, &members),
+            beside: report_beside(core),
             members,
             counters: core
                 .counters
@@ -176,6 +211,51 @@
     }
 }
 
+fn name_of(id: DaemonId, members: &[MemberReport]) -> Box<str> {
+    let found = members.iter().find(|member| member.daemon == id);
+    found.map_or_else(|| id.to_string().into(), |member| member.name.clone())
+}
+
+fn report_homes(core: &DaemonCore, members: &[MemberReport]) -> Vec<Box<str>> {
+    let homes = core.homes.load();
+    homes
+        .iter()
+        .map(|home| name_of(home.daemon, members))
+        .collect()
+}
+
+fn report_services(core: &DaemonCore, members: &[MemberReport]) -> Vec<ServiceReport> {
+    let live = members.iter().filter(|member| !member.draining);
+    let targets = live.flat_map(|member| &member.targets);
+    let mut ready: BTreeMap<&ServiceName, u32> = BTreeMap::new();
+    for target in targets.filter(|target| target.state == TargetState::Ready) {
+        *ready.entry(&target.service).or_default() += 1;
+    }
+    let picker = core.picker();
+    let services = ready.into_iter().map(|(service, ready)| ServiceReport {
+        service: service.clone(),
+        ready,
+        shedding: core.shedder().level(service),
+        ejected: picker
+            .ejected(service)
+            .into_iter()
+            .map(|daemon| name_of(daemon, members))
+            .collect(),
+    });
+    services.collect()
+}
+
+fn report_beside(core: &DaemonCore) -> Vec<BesideReport> {
+    let loads = core.beside.loads().into_iter();
+    let reports = loads.map(|(target, load)| BesideReport {
+        target,
+        in_flight: load.in_flight.0,
+        queued: load.queued.0,
+        failing: load.failing,
+    });
+    reports.collect()
+}
+
 fn report_member(view: &members::MemberView) -> MemberReport {
     let state = match view.state {
         MemberState::Alive => "alive",
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -18,7 +18,7 @@
   "peer_address": 7,
   "name": "daemon one",
   "worker_threads": 99,
-  "trace_event": 5,
+  "trace_memory": 5,
   "header_timeout_ms": "5s",
   "peers": ["127.0.0.1:1", "x"],
   "operator_address": "127.0.0.1:7402",
