--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`LogPort`] is all that the other areas know of the log service.
 //! [`HttpLog`] speaks its HTTP interface. [`MemoryLog`] keeps streams in
-//! memory, with retention, rates and faults on demand, and [`serve`] puts the
+//! memory, with retention, rates and faults on demand, and [`serve()`] puts the
 //! same HTTP interface in front of it for trials and tests:
 //!
 //! ```
