--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -21,11 +21,12 @@
 const MAX_KEY_BYTES: usize = 128;
 
 /// The head of a call, as the caller sent it.
-#[derive(Clone, Debug)]
+#[derive(Clone, derive_more::Debug)]
 pub struct CallRequest {
     /// The customer named; empty if none.
     pub customer: Box<str>,
     /// The customer's key; empty if none.
+    #[debug(skip)]
     pub secret: Box<str>,
     /// Method.
     pub method: Box<str>,
