Count a caller's call only until its caller leaves

Cause: an open call was counted up at its start and down at the end of its answer's body. A caller that left before the answer dropped the future between the two, so the count never came back to zero: every later planned stop waited for the drain timeout of 30 s and ended as forced (exit 12). Ruled out: leases (all were released within 2 s in the log of the daemon that hung). Change: the count is a guard that is dropped with the call, wherever it stands. Before: the new test of one caller that leaves failed after 35 s. After: the stop ends with code 0 after the notice of 3 s. Conclusion: found by the storm test; whatever is counted over an await needs a guard.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -19,7 +19,7 @@
 use crate::answer::{AnswerMark, pass_on, refuse};
 use crate::beside::{Result, TargetAnswer};
 use crate::body::{BodyBounds, BodyFault, CallBody};
-use crate::core::DaemonCore;
+use crate::core::{DaemonCore, OpenCall};
 use crate::dispatch::{Dispatch, dispatch};
 use crate::key_service::{is_key_call, serve_key_call};
 use crate::keyed::run_keyed;
@@ -32,10 +32,10 @@
 /// Serves one call.
 pub async fn serve_call(core: Arc<DaemonCore>, request: Request<Incoming>) -> Response<CallBody> {
     core.counters.count("calls");
-    core.open_call();
-    let ended = Arc::clone(&core);
+    // A caller that leaves drops this future wherever it stands.
+    let open = OpenCall::new(&core);
     let response = answer_or_refuse(core, request).await;
-    response.map(|body| body.watched(move |_| ended.close_call()))
+    response.map(|body| body.watched(move |_| drop(open)))
 }
 
 async fn answer_or_refuse(core: Arc<DaemonCore>, request: Request<Incoming>) -> Response<CallBody> {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -250,16 +250,6 @@
         self.draining.load(Ordering::Acquire)
     }
 
-    /// Counts a caller's call that begins; it ends with [`DaemonCore::close_call`].
-    pub fn open_call(&self) {
-        self.open_calls.fetch_add(1, Ordering::AcqRel);
-    }
-
-    /// Counts a call that ended.
-    pub fn close_call(&self) {
-        self.open_calls.fetch_sub(1, Ordering::AcqRel);
-    }
-
     /// Whether no caller's call is in progress.
     pub fn is_quiet(&self) -> bool {
         self.open_calls.load(Ordering::Acquire) == 0
@@ -271,6 +261,24 @@
     }
 }
 
+/// A caller's call in progress, counted until dropped.
+#[derive(Debug)]
+pub struct OpenCall(Arc<DaemonCore>);
+
+impl OpenCall {
+    /// Counts a call that begins.
+    pub fn new(core: &Arc<DaemonCore>) -> Self {
+        core.open_calls.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(core))
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.open_calls.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 fn late(address: SocketAddr, elapsed: &tokio::time::error::Elapsed) -> KindError {
     KindError::new(ErrorKind::OutcomeUnknown, format!("{address}: {elapsed}"))
 }
--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -2,6 +2,8 @@
 
 mod fleet;
 
+use std::io::Write as _;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -139,6 +141,24 @@
     });
 }
 
+#[test]
+fn a_planned_stop_does_not_wait_for_callers_that_left() {
+    let mut fleet = Fleet::start(2, &["cairo-a", "cairo-b"], "");
+    let target = TestTarget::start("catalog-1", "catalog", &fleet.daemons[0], Duration::ZERO);
+    fleet.publish(PLANS, ALLOWANCES);
+    await_targets(&fleet, 1);
+    target.held.store(true, Ordering::SeqCst);
+    let request = b"GET /catalog/left HTTP/1.1\r\nhost: a\r\nquetzal-customer: nile\r\n\r\n";
+    let mut caller = TcpStream::connect(fleet.daemons[1].callers).unwrap();
+    caller.write_all(request).unwrap();
+    await_true("the call runs", || target.begun.load(Ordering::SeqCst) == 1);
+    drop(caller);
+    target.held.store(false, Ordering::SeqCst);
+    fleet.daemons[1].terminate();
+    // A stop that has to cut calls off ends with another code.
+    assert!(fleet.daemons[1].wait().success());
+}
+
 fn call_until(
     stop: &AtomicBool,
     answered: &AtomicUsize,
