Say not-run of a keyed call only by its home, whatever refuses it first

Cause: refusals that come before the limits (no configuration, draining, cut off, forbidden by the plan, head unreadable) left by an earlier way than the place that weakens their proof. A key that had run and been answered was told not-run by any proxy that was draining or had just started. Ruled out: homes and handover (every false statement came from config-absent, config-stale or draining, none from a home). Change: the proof of every refusal of a request that names a key is weakened in one place, at the end.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -24,7 +24,7 @@
 use crate::key_service::{is_key_call, serve_key_call};
 use crate::keyed::run_keyed;
 use crate::peer::{CallHead, CallRefusal, pack_headers};
-use crate::request::CallRequest;
+use crate::request::{CallRequest, carries_key};
 
 /// Bytes of a body that are read before the call is sent, so that it can be repeated.
 const READ_AHEAD_BYTES: usize = 64 << 10;
@@ -39,8 +39,10 @@
 }
 
 async fn answer_or_refuse(core: Arc<DaemonCore>, request: Request<Incoming>) -> Response<CallBody> {
+    let keyed = carries_key(request.headers());
     let (mark, result) = answer_call(&core, request).await;
-    match result {
+    // A key may have been sent before, which only its home can tell about.
+    match result.map_err(|refusal| weaken(refusal, keyed)) {
         Ok(answer) => pass_on(&answer.head, answer.body, mark),
         Err(refusal) => {
             core.counters.count("refused");
@@ -84,9 +86,7 @@
     }
     let grant = table.admit(&call.customer, &call.secret, &call.method, &call.path)?;
     let key = read_key(&call, &grant, case)?;
-    let result = run_granted(core, &call, &grant, &parts.headers, incoming, key).await;
-    // A key may have been sent before, which only its home can tell about.
-    result.map_err(|refusal| weaken(refusal, call.key.is_some() && !grant.method.idempotent))
+    run_granted(core, &call, &grant, &parts.headers, incoming, key).await
 }
 
 async fn run_granted(
--- a/crates/daemon/tests/keys.rs
+++ b/crates/daemon/tests/keys.rs
@@ -83,6 +83,21 @@
     assert_eq!(runs_of([&one, &two], "/deals/d"), 0);
 }
 
+#[test]
+fn a_refusal_without_the_home_does_not_say_that_a_used_key_never_ran() {
+    let (fleet, one, two) = fleet_with_deals();
+    let key = Uuid::now_v7().to_string();
+    let answer = fleet.outcome(0, "POST", "/deals/once", Some(&key));
+    assert!(answer.starts_with("200"), "{answer}");
+    let forbidding = ALLOWANCES.replace(r#"["GET", "POST"]"#, r#"["GET"]"#);
+    fleet.publish(PLANS, &forbidding);
+    let refused = fleet.call(1, "POST", "/deals/once", Some(&key), Vec::new());
+    assert_eq!(refused.headers()["quetzal-error"], "plan-forbids");
+    assert_eq!(refused.headers()["quetzal-run"], "sending-not-run");
+    assert!(!refused.headers().contains_key("quetzal-not-run"));
+    assert_eq!(runs_of([&one, &two], "/deals/once"), 1);
+}
+
 #[test]
 fn a_key_stays_used_when_any_daemon_fails() {
     let (mut fleet, one, two) = fleet_with_deals();
