Judge drains by the test's own knowledge, and a planned stop by a call in progress

Cause: faults put into the code on a trial copy showed two checks that could not fail. The property of the gate asked the gate itself whether it drains, so a gate that forgets its drain passed it. A daemon that stopped as soon as its notice had passed, with calls in progress, passed every test. Change: the property keeps its own note of the drain. Conclusion: an oracle must not ask what it judges.

--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -3,7 +3,8 @@
 mod fleet;
 
 use std::io::Write as _;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -12,6 +13,9 @@
 use fleet::{ALLOWANCES, Fleet, PLANS, await_true};
 use members::TargetState;
 
+/// Longer than a daemon waits for others to learn of its drain.
+const CALL_OUTLASTS_NOTICE: Duration = Duration::from_millis(4200);
+
 fn await_targets(fleet: &Fleet, count: usize) {
     fleet.await_all("targets", |status| {
         let targets = status.members.iter().map(|member| member.targets.len());
@@ -141,6 +145,39 @@
     });
 }
 
+#[test]
+fn a_planned_stop_ends_the_calls_in_progress() {
+    let mut fleet = Fleet::start(3, &["cairo-a", "cairo-b"], "");
+    let target = TestTarget::start("catalog-1", "catalog", &fleet.daemons[0], Duration::ZERO);
+    fleet.publish(PLANS, ALLOWANCES);
+    await_targets(&fleet, 1);
+    target.held.store(true, Ordering::SeqCst);
+    let (proxy, held) = (fleet.daemons[1].callers, Arc::clone(&target.held));
+    let outcome = thread::scope(|scope| {
+        let calling = scope.spawn(move || call_for(&held, proxy));
+        await_true("the call runs", || target.begun.load(Ordering::SeqCst) == 1);
+        // The proxy of the call and the daemon beside its target stop together.
+        fleet.daemons[0].terminate();
+        fleet.daemons[1].terminate();
+        thread::sleep(CALL_OUTLASTS_NOTICE);
+        target.held.store(false, Ordering::SeqCst);
+        calling.join().unwrap()
+    });
+    assert_eq!(outcome, "GET /catalog/kept by catalog-1 0 bytes");
+    assert!(fleet.daemons[0].wait().success());
+    assert!(fleet.daemons[1].wait().success());
+}
+
+/// One call; its target is let go if it fails.
+fn call_for(held: &AtomicBool, proxy: SocketAddr) -> String {
+    let called = ureq::get(format!("http://{proxy}/catalog/kept"))
+        .header("quetzal-customer", "nile")
+        .call();
+    let text = called.and_then(|mut response| response.body_mut().read_to_string());
+    held.store(false, Ordering::SeqCst);
+    text.unwrap_or_else(|error| error.to_string())
+}
+
 #[test]
 fn a_planned_stop_does_not_wait_for_callers_that_left() {
     let mut fleet = Fleet::start(2, &["cairo-a", "cairo-b"], "");
@@ -159,11 +196,7 @@
     assert!(fleet.daemons[1].wait().success());
 }
 
-fn call_until(
-    stop: &AtomicBool,
-    answered: &AtomicUsize,
-    proxy: std::net::SocketAddr,
-) -> Vec<String> {
+fn call_until(stop: &AtomicBool, answered: &AtomicUsize, proxy: SocketAddr) -> Vec<String> {
     let agent: ureq::Agent = ureq::Agent::config_builder()
         .http_status_as_error(false)
         .build()
--- a/crates/route/tests/gate.rs
+++ b/crates/route/tests/gate.rs
@@ -31,6 +31,8 @@
     refused: u64,
     ended: u64,
     next: u64,
+    /// Known here and not asked of the gate.
+    drained: bool,
     sound: bool,
 }
 
@@ -45,6 +47,7 @@
             refused: 0,
             ended: 0,
             next: 0,
+            drained: false,
             sound: true,
         }
     }
@@ -61,7 +64,7 @@
                 self.refused += 1;
             }
         }
-        self.sound &= !self.gate.is_draining() || matches!(answer.admit, Admit::Refused(_));
+        self.sound &= !self.drained || matches!(answer.admit, Admit::Refused(_));
         self.refuse(answer.displaced);
     }
 
@@ -95,6 +98,12 @@
         }
     }
 
+    fn drain(&mut self) {
+        let refused = self.gate.drain();
+        self.drained = true;
+        self.refuse(refused);
+    }
+
     fn step(&mut self, code: u16) {
         let value = usize::from(code >> 4);
         match code % 16 {
@@ -106,8 +115,7 @@
                 self.refuse(expired);
             }
             13 if value.is_multiple_of(16) => {
-                let refused = self.gate.drain();
-                self.refuse(refused);
+                self.drain();
             }
             _ => self.clock.advance(Duration::from_millis(value as u64 % 50)),
         }
@@ -135,8 +143,7 @@
         for code in codes {
             watched.step(code);
         }
-        let refused = watched.gate.drain();
-        watched.refuse(refused);
+        watched.drain();
         while !watched.running.is_empty() {
             watched.leave(0, false);
         }
