Stop poison requests before they reach a third target

Cause: the report of a crash was queued and sent by the control loop at its next tick, up to 100 ms later, while the retry and the caller's next sending went to another target within a millisecond. Besides, one connect decided whether the target had crashed, so a listener that outlived its connections, or a target that was restarted at once, hid the crash.

Change: what is known of a suspect, with the others of its crashes, is a small record. The daemon beside the crashed target sends it directly to the daemons beside the other targets of the service, and the refusal waits for them, 100 ms at most. The refusal carries it to the proxy or home, whose next attempt carries it to the next target's daemon. Records carry their age, so that they do not keep each other alive. The broadcast is gone. A crash is found by six looks within 150 ms, or by an incarnation later than the one under which the request began. A call that its target refused to connect is no suspect any more; until now two dead targets could stop an innocent request. A request that is stopped already explains a crash alone. The refusal of a second attempt no longer says not-run when the first was lost.

Tests: lost and late reports, proxies one after the other, fresh keys through homes, targets under a supervisor, copies in flight, connections that break beside a living target, memory, and 19 messages a crash at 720 daemons with 20 targets. Test processes claim their ports with UDP sockets: daemons failed to start (address in use) when test processes ran side by side.

Conclusion: two targets at most, and messages that follow the service's targets.

--- a/crates/daemon/src/beside.rs
+++ b/crates/daemon/src/beside.rs
@@ -14,16 +14,15 @@
 use hyper::body::Incoming;
 use members::announce::{TargetAnnouncement, TargetChange, TargetRegistry, TargetState};
 use members::digest::TargetDigest;
-use model::{CallCount, ErrorKind, KindError, SharedClock, TargetName};
-use once::RequestPrint;
+use model::{CallCount, ErrorKind, IncarnationNumber, KindError, SharedClock, TargetName};
+use once::{RequestPrint, SuspectNews};
 use route::{GateConfig, TargetLoad};
-use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::task::TaskTracker;
 
 use crate::body::{BodyBounds, BodyEnd, CallBody};
+use crate::core::DaemonCore;
+use crate::flight::{RequestFlight, report_restart};
 use crate::gate::{GatePass, TargetGate};
-use crate::key_desk::KeyDesk;
 use crate::peer::{CallHead, CallRefusal, HeaderPair, ResponseHead, pack_headers};
 use crate::target_client::TargetClient;
 
@@ -32,8 +31,6 @@
 
 /// Prefix of the headers that this system sets.
 const OWN_PREFIX: &str = "quetzal-";
-/// Time for a target to take a connection before it counts as crashed.
-const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The targets beside this daemon.
 #[derive(Debug)]
@@ -42,8 +39,6 @@
     queue: CallCount,
     bounds: BodyBounds,
     client: TargetClient,
-    keys: Arc<KeyDesk>,
-    tasks: TaskTracker,
     state: Mutex<BesideState>,
 }
 
@@ -59,37 +54,16 @@
     gate: Arc<TargetGate>,
     pass: GatePass,
     address: SocketAddr,
+    run: IncarnationNumber,
     deadline: Instant,
 }
 
-/// A request in flight at a target, watched for crashes; ends when dropped.
-#[derive(Debug)]
-struct RequestFlight {
-    keys: Arc<KeyDesk>,
-    target: TargetName,
-    print: RequestPrint,
-    sound: bool,
-}
-
-impl RequestFlight {
-    /// Ends a request whose connection broke: looks whether the target is still there.
-    async fn end_broken(self, address: SocketAddr) {
-        let connecting = timeout(CRASH_PROBE_TIMEOUT, TcpStream::connect(address));
-        if !matches!(connecting.await, Ok(Ok(_))) {
-            let outputs = self.keys.poison().on_target_crashed(&self.target);
-            self.keys.note_poison(outputs);
-        }
-    }
-}
-
-impl Drop for RequestFlight {
-    fn drop(&mut self) {
-        let output = self
-            .keys
-            .poison()
-            .finish(&self.target, self.print, self.sound);
-        self.keys.note_poison(output);
-    }
+/// What ends with the body of an answer.
+struct AnswerWatch {
+    core: Arc<DaemonCore>,
+    pass: GatePass,
+    flight: RequestFlight,
+    address: SocketAddr,
 }
 
 /// A target's answer with its body.
@@ -103,18 +77,10 @@
 
 impl BesideDesk {
     /// A desk without targets; `queue` calls may wait for each, answers stay within `bounds`.
-    pub fn new(
-        queue: CallCount,
-        bounds: BodyBounds,
-        keys: Arc<KeyDesk>,
-        tasks: TaskTracker,
-        clock: SharedClock,
-    ) -> Self {
+    pub fn new(queue: CallCount, bounds: BodyBounds, clock: SharedClock) -> Self {
         Self {
             queue,
             bounds,
-            keys,
-            tasks,
             client: TargetClient::new(),
             state: Mutex::new(BesideState {
                 registry: TargetRegistry::new(Arc::clone(&clock)),
@@ -127,6 +93,7 @@
     /// Takes a target's announcement; tells what changed.
     pub fn announce(
         &self,
+        core: &Arc<DaemonCore>,
         announcement: TargetAnnouncement,
     ) -> model::Result<Option<TargetChange>> {
         let config = GateConfig {
@@ -135,11 +102,18 @@
             queue: self.queue,
         };
         let (target, state) = (announcement.target.clone(), announcement.state);
+        let (service, run) = (announcement.service.clone(), announcement.incarnation);
         let mut desk = self.lock();
+        let before = desk.registry.target(&target);
+        // A run that drained has ended as planned.
+        let crashed = before.is_some_and(|old| old.incarnation < run && is_willing(old));
         let change = desk.registry.announce(announcement)?;
         let gate = desk.open_gate(&target, config, &self.clock);
         drop(desk);
         gate.resize(config);
+        if crashed {
+            report_restart(core, service, target);
+        }
         match state {
             TargetState::Draining | TargetState::Gone => gate.drain(),
             TargetState::Starting | TargetState::Ready => {}
@@ -173,6 +147,12 @@
         desk.registry.drain_all()
     }
 
+    /// The run of a target that is present.
+    pub fn run_of(&self, target: &TargetName) -> Option<IncarnationNumber> {
+        let desk = self.lock();
+        desk.registry.target(target).map(|found| found.incarnation)
+    }
+
     /// Whether no call runs or waits beside any target.
     pub fn is_idle(&self) -> bool {
         self.lock().gates.values().all(|gate| gate.is_idle())
@@ -191,13 +171,14 @@
     /// Gives the call its slot, or refuses it before anything was sent to the target.
     pub async fn admit(&self, head: &CallHead) -> Result<AdmittedCall> {
         let deadline = self.clock.now() + head.remaining;
-        let (gate, address) = self.find(head)?;
+        let (gate, address, run) = self.find(head)?;
         let entered = gate.enter(&head.customer, head.class, deadline).await;
-        let pass = entered.map_err(|error| refuse(&gate, error))?;
+        let pass = entered.map_err(|error| refuse(&gate, error, SuspectNews::default()))?;
         Ok(AdmittedCall {
             gate,
             pass,
             address,
+            run,
             deadline,
         })
     }
@@ -205,6 +186,7 @@
     /// Runs an admitted call on its target.
     pub async fn run(
         &self,
+        core: &Arc<DaemonCore>,
         admitted: AdmittedCall,
         head: &CallHead,
         body: CallBody,
@@ -213,55 +195,52 @@
             gate,
             mut pass,
             address,
+            run,
             deadline,
         } = admitted;
-        let flight = self.start(head).map_err(|error| refuse(&gate, error))?;
+        let flight = start(core, head, run).map_err(|error| {
+            let news = core.keys.poison().news_of(RequestPrint(head.print));
+            refuse(&gate, error, news)
+        })?;
         let mut forward = head.clone();
         forward.remaining = deadline.saturating_duration_since(self.clock.now());
         let sending = self.client.send(address, &forward, body);
         match timeout(forward.remaining, sending).await {
-            Ok(Ok(response)) => Ok(self.answer_with(response, &gate, pass, flight, address)),
+            Ok(Ok(response)) => {
+                let watch = AnswerWatch {
+                    core: Arc::clone(core),
+                    pass,
+                    flight,
+                    address,
+                };
+                Ok(self.answer_with(response, &gate, watch))
+            }
             Ok(Err(error)) => {
                 pass.mark_failed();
-                flight.end_broken(address).await;
-                Err(refuse(&gate, error))
+                // A target that took no connection did not see this request.
+                if error.kind == ErrorKind::TargetAbsent {
+                    return Err(refuse(&gate, error, SuspectNews::default()));
+                }
+                let remaining = deadline.saturating_duration_since(self.clock.now());
+                let news = flight.end_broken(address, remaining).await;
+                Err(refuse(&gate, error, news))
             }
-            Err(_) => Err(refuse(&gate, out_of_time())),
+            Err(_) => Err(refuse(&gate, out_of_time(), SuspectNews::default())),
         }
     }
 
-    /// Lets a call go to the target: no request that crashes targets, no stale permit.
-    fn start(&self, head: &CallHead) -> model::Result<RequestFlight> {
-        let print = RequestPrint(head.print);
-        let target = head
-            .target
-            .clone()
-            .ok_or_else(|| KindError::new(ErrorKind::TargetAbsent, "no target named"))?;
-        self.keys.poison().start(&target, print)?;
-        // From here on the flight ends when it is dropped.
-        let flight = RequestFlight {
-            keys: Arc::clone(&self.keys),
-            target,
-            print,
-            sound: false,
-        };
-        if !head.idempotent {
-            let pass = head.pass.as_ref().ok_or_else(|| {
-                KindError::new(ErrorKind::PermitInvalid, "a keyed call without a permit")
-            })?;
-            self.keys.issuer().redeem(pass)?;
-        }
-        Ok(flight)
-    }
-
     fn answer_with(
         &self,
         response: Response<Incoming>,
-        gate: &Arc<TargetGate>,
-        mut pass: GatePass,
-        mut flight: RequestFlight,
-        address: SocketAddr,
+        gate: &TargetGate,
+        watch: AnswerWatch,
     ) -> TargetAnswer {
+        let AnswerWatch {
+            core,
+            mut pass,
+            mut flight,
+            address,
+        } = watch;
         let (parts, incoming) = response.into_parts();
         if parts.status.is_server_error() {
             pass.mark_failed();
@@ -272,19 +251,18 @@
             load: gate.load(),
             waited: pass.waited,
         };
-        let tasks = self.tasks.clone();
         let body = CallBody::from_target(incoming, self.bounds).watched(move |end| {
-            flight.sound = end == BodyEnd::Whole;
+            flight.set_sound(end == BodyEnd::Whole);
             if end == BodyEnd::Broken {
                 pass.mark_failed();
-                tasks.spawn(flight.end_broken(address));
+                core.tasks.spawn(flight.end_broken(address, Duration::ZERO));
             }
             drop(pass);
         });
         TargetAnswer { head, body }
     }
 
-    fn find(&self, head: &CallHead) -> Result<(Arc<TargetGate>, SocketAddr)> {
+    fn find(&self, head: &CallHead) -> Result<(Arc<TargetGate>, SocketAddr, IncarnationNumber)> {
         let desk = self.lock();
         let target = head
             .target
@@ -301,7 +279,8 @@
             TargetState::Starting | TargetState::Gone => return Err(absent("not ready")),
         }
         let gate = desk.gates.get(target).ok_or_else(|| absent("no gate"))?;
-        Ok((Arc::clone(gate), announcement.address))
+        let run = announcement.incarnation;
+        Ok((Arc::clone(gate), announcement.address, run))
     }
 
     fn lock(&self) -> MutexGuard<'_, BesideState> {
@@ -326,6 +305,23 @@
     }
 }
 
+/// Lets a call go to the target: no request that crashes targets, no stale permit.
+fn start(
+    core: &Arc<DaemonCore>,
+    head: &CallHead,
+    run: IncarnationNumber,
+) -> model::Result<RequestFlight> {
+    // From here on the flight ends when it is dropped.
+    let flight = RequestFlight::start(core, head, run)?;
+    if !head.idempotent {
+        let pass = head.pass.as_ref().ok_or_else(|| {
+            KindError::new(ErrorKind::PermitInvalid, "a keyed call without a permit")
+        })?;
+        core.keys.issuer().redeem(pass)?;
+    }
+    Ok(flight)
+}
+
 fn is_willing(announcement: &TargetAnnouncement) -> bool {
     announcement.state < TargetState::Draining
 }
@@ -337,11 +333,12 @@
     headers
 }
 
-fn refuse(gate: &TargetGate, error: KindError) -> CallRefusal {
+fn refuse(gate: &TargetGate, error: KindError, news: SuspectNews) -> CallRefusal {
     let come_again = error.kind.answer().not_run && error.kind.answer().retryable;
     CallRefusal {
         retry_after: come_again.then(|| gate.retry_after().max(Duration::from_millis(10))),
         load: Some(gate.load()),
+        news,
         ..error.into()
     }
 }
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use limits::{LimitRefusal, LimitTicket, LoadSign, PlanLimit, ShedTicket};
 use model::{CallClass, ErrorKind, KindError};
-use once::{CallKey, PrintHasher, RequestPrint, RunProof};
+use once::{CallKey, PrintHasher, RequestPrint, RunProof, SuspectNews};
 use plans::lists::CallKind;
 use plans::{CallGrant, RouteTable};
 use route::CallDeadline;
@@ -194,6 +194,7 @@
         idempotent: grant.method.idempotent,
         streamed: false,
         print: fingerprint(call, grant, headers, body),
+        news: SuspectNews::default(),
         key: None,
         pass: None,
     }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -180,8 +180,6 @@
         self.do_limits(outputs);
         let sends = self.keys.on_tick();
         self.do_once(sends);
-        let sends = self.keys.do_poison(self.core.keys.take_poison());
-        self.do_once(sends);
         let freshness = self.spread.timed_freshness();
         self.core.freshness.store(Arc::new(freshness));
     }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -9,7 +9,10 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use limits::{LimitGate, LoadShedder};
 use members::{TargetChange, TargetState};
-use model::{ByteCount, CallCount, DaemonId, ErrorKind, IncarnationNumber, KindError, SharedClock};
+use model::{
+    ByteCount, CallCount, DaemonId, ErrorKind, IncarnationNumber, KindError, ServiceName,
+    SharedClock,
+};
 use once::HolderId;
 use once::home::HandedOutcome;
 use plans::{ConfigState, RouteTable};
@@ -37,6 +40,9 @@
 /// Where each live member listens for peers.
 pub type AddressBook = HashMap<DaemonId, SocketAddr>;
 
+/// The daemons beside the targets of each service.
+pub type ServiceBook = HashMap<ServiceName, Vec<DaemonId>>;
+
 /// State shared by the tasks of one daemon.
 #[derive(Debug)]
 pub struct DaemonCore {
@@ -56,6 +62,8 @@
     pub freshness: ArcSwap<TimedFreshness>,
     /// Where members are reached.
     pub addresses: ArcSwap<AddressBook>,
+    /// The daemons beside the targets of each service.
+    pub services: ArcSwap<ServiceBook>,
     /// Targets beside this daemon.
     pub beside: BesideDesk,
     /// Keys, permits and poison requests.
@@ -119,13 +127,8 @@
             state: ArcSwapOption::empty(),
             freshness: ArcSwap::from_pointee(TimedFreshness::ABSENT),
             addresses: ArcSwap::default(),
-            beside: BesideDesk::new(
-                queue,
-                answer_bounds,
-                Arc::clone(&keys),
-                tasks.clone(),
-                Arc::clone(&clock),
-            ),
+            services: ArcSwap::default(),
+            beside: BesideDesk::new(queue, answer_bounds, Arc::clone(&clock)),
             keys,
             homes: ArcSwap::default(),
             runs: ArcSwap::default(),
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use model::{DaemonId, ErrorKind, KindError};
-use once::{RunProof, RunTicket};
+use once::{RequestPrint, RunProof, RunTicket};
 use route::{
     AttemptFailure, CallDeadline, CallOutcome, CallResult, FailureCause, PickTicket, RetryVerdict,
 };
@@ -13,6 +13,7 @@
 use crate::beside::{Result, TargetAnswer};
 use crate::body::{BodyEnd, CallBody};
 use crate::core::DaemonCore;
+use crate::crash_news::take_news;
 use crate::forward::forward;
 use crate::keyed::{revoke, take_pass};
 use crate::peer::{CallHead, CallRefusal};
@@ -39,6 +40,25 @@
     core: &Arc<DaemonCore>,
     call: Dispatch,
     body: CallBody,
+) -> Result<TargetAnswer> {
+    let mut lost = false;
+    let result = run_attempts(core, call, body, &mut lost).await;
+    result.map_err(|refusal| weaken(refusal, lost))
+}
+
+/// A refusal of the last attempt says nothing of an earlier one that was lost.
+fn weaken(mut refusal: CallRefusal, lost: bool) -> CallRefusal {
+    if lost && refusal.proof == RunProof::NotRun {
+        refusal.proof = RunProof::MayHaveRun;
+    }
+    refusal
+}
+
+async fn run_attempts(
+    core: &Arc<DaemonCore>,
+    call: Dispatch,
+    body: CallBody,
+    lost: &mut bool,
 ) -> Result<TargetAnswer> {
     let Dispatch {
         mut head,
@@ -49,17 +69,26 @@
     head.streamed = body.copy().is_none();
     let mut body = Some(body);
     let mut tried = TriedList::new();
+    let print = RequestPrint(head.print);
+    take_news(core, &head.news);
     loop {
         head.remaining = deadline.next_hop(core.clock.now())?;
+        core.keys.poison().check(print)?;
+        head.news = core.keys.poison().news_of(print);
         let picked = pick(core, &head, &tried)?;
         let daemon = picked.view.daemon;
         head.target = Some(picked.view.target.clone());
         let spare = body.as_ref().and_then(CallBody::copy);
         let refusal = match attempt(core, daemon, &mut head, ticket, &mut body).await {
-            Ok(answer) => return Ok(watch_answer(core, picked, answer)),
+            Ok(answer) => {
+                let suspect = (!head.news.is_empty()).then_some(print);
+                return Ok(watch_answer(core, picked, suspect, answer));
+            }
             Err(refusal) => refusal,
         };
         body = body.or(spare);
+        take_news(core, &refusal.news);
+        *lost |= refusal.proof != RunProof::NotRun;
         finish_attempt(core, &picked, &refusal);
         tried.push(daemon);
         let failure = AttemptFailure {
@@ -153,11 +182,19 @@
 }
 
 /// Tells the picker how the call ended once its answer is through.
-fn watch_answer(core: &Arc<DaemonCore>, ticket: PickTicket, answer: TargetAnswer) -> TargetAnswer {
+fn watch_answer(
+    core: &Arc<DaemonCore>,
+    ticket: PickTicket,
+    suspect: Option<RequestPrint>,
+    answer: TargetAnswer,
+) -> TargetAnswer {
     let TargetAnswer { head, body } = answer;
     let core = Arc::clone(core);
     let (load, waited, status) = (head.load, head.waited, head.status);
     let body = body.watched(move |end| {
+        if let Some(print) = suspect.filter(|_| end == BodyEnd::Whole) {
+            core.keys.poison().clear(&[print]);
+        }
         let result = match end {
             BodyEnd::Dropped => CallResult::Cancelled,
             BodyEnd::Broken => CallResult::Failed,
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -48,7 +48,7 @@
 ) -> Result<TargetAnswer> {
     let admitted = core.beside.admit(head).await?;
     let body = body.take().unwrap_or_else(|| CallBody::whole(Vec::new()));
-    core.beside.run(admitted, head, body).await
+    core.beside.run(core, admitted, head, body).await
 }
 
 /// Sends `request` to another daemon; a streamed body follows once it is admitted.
--- a/crates/daemon/src/key_control.rs
+++ b/crates/daemon/src/key_control.rs
@@ -14,8 +14,7 @@
 use once::home::{HandedOutcome, HandoverPage, KeySettlement};
 use once::lease::{KeyRange, LeaseView, TermRef, pick_homes, pick_successor};
 use once::{
-    BookId, HolderId, IssuerMove, LeaseKeeper, LeaseOutput, LeaseSettings, PoisonMessage,
-    PoisonOutput, StageAnswer, TermUpdate,
+    BookId, HolderId, IssuerMove, LeaseKeeper, LeaseOutput, LeaseSettings, StageAnswer, TermUpdate,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -43,7 +42,7 @@
 /// Time for a successor to take one page.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// What daemons tell one another about keys, leases and crashes.
+/// What daemons tell one another about keys and leases.
 #[derive(Debug, Deserialize, Serialize)]
 pub enum OnceMessage {
     /// Who holds which range.
@@ -54,8 +53,6 @@
     Move(IssuerMove),
     /// What came of a call whose book was handed over.
     Settlement(KeySettlement),
-    /// A crash, or a suspect that was cleared.
-    Poison(PoisonMessage),
 }
 
 /// Messages for other daemons.
@@ -177,31 +174,9 @@
                 let handed = self.core.keys.home().on_settlement(settlement);
                 handed.map(send_settlement).into_iter().collect()
             }
-            OnceMessage::Poison(message) => {
-                let outputs = self.core.keys.poison().on_message(&message);
-                self.do_poison(outputs)
-            }
         }
     }
 
-    /// Carries out what the watch for poison requests wants.
-    pub fn do_poison(&self, outputs: Vec<PoisonOutput>) -> OnceSends {
-        let mut sends = OnceSends::new();
-        for output in outputs {
-            match output {
-                PoisonOutput::Tell(message) => {
-                    let others = self.others().map(|holder| holder.daemon);
-                    sends.extend(others.map(|to| (to, OnceMessage::Poison(message.clone()))));
-                }
-                PoisonOutput::Stopped(print) => {
-                    self.core.counters.count("poison-stopped");
-                    self.core.note(EventKind::PoisonStopped, &print.to_string());
-                }
-            }
-        }
-        sends
-    }
-
     /// Takes note that a run of a daemon is over.
     pub fn on_holder_gone(&self, holder: HolderId) {
         self.core.keys.home().on_holder_gone(holder);
--- a/crates/daemon/src/key_desk.rs
+++ b/crates/daemon/src/key_desk.rs
@@ -13,7 +13,7 @@
 use once::router::HolderStatus;
 use once::{
     CallKey, HolderId, HomeAnswer, HomeSettings, KeyDigest, KeyHome, KeyRouter, PermitIssuer,
-    PermitPurse, PoisonOutput, PoisonWatch,
+    PermitPurse, PoisonWatch,
 };
 
 /// Runs of live daemons.
@@ -29,7 +29,7 @@
     issuer: Mutex<PermitIssuer>,
     router: Mutex<KeyRouter>,
     poison: Mutex<PoisonWatch>,
-    noted: Mutex<Vec<PoisonOutput>>,
+    reporting: tokio::sync::Mutex<()>,
 }
 
 impl KeyDesk {
@@ -44,7 +44,7 @@
             purse: Mutex::new(PermitPurse::new(me, shared())),
             issuer: Mutex::new(PermitIssuer::new(me, PermitSettings::default(), shared())),
             poison: Mutex::new(PoisonWatch::new(me, PoisonSettings::default(), shared())),
-            noted: Mutex::default(),
+            reporting: tokio::sync::Mutex::default(),
         }
     }
 
@@ -73,16 +73,9 @@
         self.poison.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Keeps what the watch wants done for the control loop.
-    pub fn note_poison(&self, outputs: impl IntoIterator<Item = PoisonOutput>) {
-        let mut noted = self.noted.lock().unwrap_or_else(PoisonError::into_inner);
-        noted.extend(outputs);
-    }
-
-    /// What the watch has wanted done since the last call.
-    pub fn take_poison(&self) -> Vec<PoisonOutput> {
-        let mut noted = self.noted.lock().unwrap_or_else(PoisonError::into_inner);
-        std::mem::take(&mut *noted)
+    /// Held while daemons are told of a crash; requests that share it wait for it.
+    pub fn reporting(&self) -> &tokio::sync::Mutex<()> {
+        &self.reporting
     }
 
     /// Where a call with `key` is decided, given the runs of live daemons.
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -21,6 +21,7 @@
 use crate::beside::{Result, TargetAnswer};
 use crate::body::{BodyEnd, CallBody};
 use crate::core::DaemonCore;
+use crate::crash_news::take_news;
 use crate::dispatch::{Dispatch, dispatch};
 use crate::forward::send_there;
 use crate::peer::{CallHead, CallRefusal, HeaderPair, PeerRequest, RecallAnswer, ResponseHead};
@@ -96,13 +97,15 @@
             core.counters.count("keyed-forwarded");
             head.remaining = deadline.next_hop(core.clock.now())?;
             head.streamed = body.copy().is_none();
+            head.news = core.keys.poison().news_of(RequestPrint(head.print));
             let patience = head.remaining + HOME_MARGIN;
             let request = PeerRequest::Keyed(Box::new(head));
             let mut body = Some(body);
             let sending = send_there(core, holder.daemon, request, &mut body);
             let answered = timeout(patience, sending).await;
-            answered
-                .unwrap_or_else(|_| Err(lost("no answer of the key's home before the deadline")))
+            let answer = answered
+                .unwrap_or_else(|_| Err(lost("no answer of the key's home before the deadline")));
+            answer.inspect_err(|refusal| take_news(core, &refusal.news))
         }
         HomeAnswer::Refused(refusal) => Err(refuse(refusal)),
     }
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -150,7 +150,7 @@
         let body = self.read_body(body).await?;
         let announcement: TargetAnnouncement = serde_json::from_slice(body.bytes())
             .map_err(|error| KindError::new(ErrorKind::RequestInvalid, error.to_string()))?;
-        let change = self.core.beside.announce(announcement)?;
+        let change = self.core.beside.announce(&self.core, announcement)?;
         if let Some(change) = &change {
             self.core.note_target(change);
             self.tell(ControlEvent::TargetsChanged).await?;
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -11,8 +11,8 @@
 use once::home::HandoverPage;
 use once::permit::PermitRequest;
 use once::{
-    CallKey, DispatchPass, DispatchPermit, HolderId, KeyCall, KeyDigest, KeyRefusal, RunProof,
-    StoredAnswer,
+    CallKey, DispatchPass, DispatchPermit, HolderId, KeyCall, KeyDigest, KeyRefusal, PoisonMessage,
+    RunProof, StoredAnswer, SuspectNews,
 };
 use route::{RetryMark, TargetLoad};
 use serde::{Deserialize, Serialize};
@@ -52,6 +52,8 @@
         /// The page.
         page: Box<HandoverPage>,
     },
+    /// Suspects of a crash, or cleared ones; answered with those that ran to their end.
+    Poison(PoisonMessage),
 }
 
 /// A key that shall never run again.
@@ -98,7 +100,7 @@
     Member(Vec<u8>),
     /// Shares of the plans' limits.
     Limit(Vec<u8>),
-    /// At most once: permits, handover, reports of crashes.
+    /// At most once: leases and handover.
     Once(Vec<u8>),
 }
 
@@ -154,6 +156,8 @@
     pub streamed: bool,
     /// Fingerprint of route and body, against requests that crash targets.
     pub print: u128,
+    /// What the sender knows of crashes under this request; nearly always nothing.
+    pub news: SuspectNews,
     /// The key of a non-idempotent call.
     pub key: Option<CallKey>,
     /// The right to start a non-idempotent call beside its target.
@@ -197,6 +201,8 @@
     pub proof: RunProof,
     /// Whether the home of the call's key gave the refusal.
     pub by_home: bool,
+    /// What is known of crashes under the request.
+    pub news: SuspectNews,
 }
 
 impl From<KindError> for CallRefusal {
@@ -207,6 +213,7 @@
             retry_after: None,
             load: None,
             by_home: false,
+            news: SuspectNews::default(),
         }
     }
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -15,6 +15,7 @@
 use crate::body::CallBody;
 use crate::control::ControlEvent;
 use crate::core::DaemonCore;
+use crate::crash_news::take_message;
 use crate::key_close::close_here;
 use crate::keyed::{recall_here, run_at_home};
 use crate::peer::{CallAnswer, CallHead, PeerRequest};
@@ -92,6 +93,10 @@
             let answer = close_here(core, &closing);
             responder.answer_whole(&answer).await
         }
+        PeerRequest::Poison(message) => {
+            let innocent = take_message(core, &message);
+            responder.answer_whole(&innocent).await
+        }
         PeerRequest::Stage { from, page } => {
             let answer = core.keys.home().stage(from, *page);
             responder.answer_whole(&answer).await
@@ -116,7 +121,7 @@
     };
     let running = core
         .beside
-        .run(admitted, head, CallBody::from_peer(receiver));
+        .run(core, admitted, head, CallBody::from_peer(receiver));
     if head.streamed {
         let mut sender = responder.answer(&CallAnswer::Admitted).await?;
         let result = tokio::select! {
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -1,13 +1,14 @@
 //! The targets that this daemon's calls may go to.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 use std::time::{Instant, SystemTime};
 
 use members::TargetView as KnownTarget;
 use model::{CallCount, DaemonId, DomainName, RegionName, ServiceName, TargetName};
 use route::{TargetLoad, TargetState, TargetView};
 
-use crate::core::DaemonCore;
+use crate::core::{DaemonCore, ServiceBook};
 
 /// One run of a target: where it is and since when it says that it is ready.
 type TargetRun = (DaemonId, TargetName, Option<SystemTime>);
@@ -32,6 +33,7 @@
             let view = self.convert(core, target);
             services.entry(service).or_default().push(view);
         }
+        core.services.store(Arc::new(daemons_of(&services)));
         let mut picker = core.picker();
         picker.set_region(&region);
         for service in picker.services() {
@@ -87,6 +89,19 @@
     since.unwrap_or(now)
 }
 
+fn daemons_of(services: &BTreeMap<ServiceName, Vec<TargetView>>) -> ServiceBook {
+    let beside = |views: &Vec<TargetView>| {
+        let mut daemons: Vec<DaemonId> = views.iter().map(|view| view.daemon).collect();
+        daemons.sort_unstable();
+        daemons.dedup();
+        daemons
+    };
+    let books = services.iter();
+    books
+        .map(|(service, views)| (service.clone(), beside(views)))
+        .collect()
+}
+
 fn domains_of(known: &[KnownTarget], region: &RegionName) -> Vec<DomainName> {
     let near = known.iter().filter(|target| target.region == *region);
     let mut domains: Vec<DomainName> = near.map(|target| target.domain.clone()).collect();
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -6,11 +6,11 @@
 pub mod target;
 
 use std::io::Write as _;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -310,6 +310,9 @@
 /// would otherwise take one before its daemon has started.
 fn free_ports() -> [SocketAddr; 3] {
     static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+    // Held while this process lives, so that test processes beside it take other ports
+    // even before the daemons have bound theirs.
+    static CLAIMED_PORTS: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
     const LOWEST_PORT: u16 = 12_000;
     const PORT_COUNT: u16 = 20_000;
     let start = (std::process::id() % u32::from(PORT_COUNT)) as u16;
@@ -317,7 +320,10 @@
         let step = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
         let port = LOWEST_PORT + (start.wrapping_add(step)) % PORT_COUNT;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
+        if let Ok(claim) = UdpSocket::bind(address)
+            && TcpListener::bind(address).is_ok()
+        {
+            CLAIMED_PORTS.lock().unwrap().push(claim);
             return address;
         }
     };
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -41,7 +41,7 @@
     HolderId, KeyRange, LeaseKeeper, LeaseOutput, LeaseSettings, LeaseView, TermUpdate,
 };
 pub use permit::{DispatchPass, DispatchPermit, PermitIssuer, PermitPurse};
-pub use poison::{PoisonMessage, PoisonOutput, PoisonWatch};
+pub use poison::{PoisonMessage, PoisonOutput, PoisonWatch, SuspectNews};
 pub use print::{PrintHasher, RequestPrint};
 pub use proof::RunProof;
 pub use router::{HolderStatus, HomeAnswer, IssuerMove, KeyRouter};
--- a/crates/once/src/poison/mod.rs
+++ b/crates/once/src/poison/mod.rs
@@ -1,13 +1,17 @@
 //! Requests that crash the targets that run them.
 //!
 //! Each daemon knows which requests are in flight at its targets. When one
-//! crashes, those are the suspects, and a [`CrashReport`] tells the
-//! other daemons. A request that is a suspect of two crashes is stopped, so at
-//! most two targets are lost to it.
+//! crashes, those are the suspects. What is known of a suspect travels as
+//! [`SuspectNews`] on three ways: at once to the daemons beside the other
+//! targets of the service, where it is admitted; with the refusal to the proxy
+//! that sent it; and with that proxy's next attempt to the next target. A
+//! request that is a suspect of two crashes is stopped, so at most two targets
+//! are lost to it, and the number of messages follows from the service's
+//! targets and not from the fleet.
 //!
 //! Requests that were in flight beside it must not be blamed. Three rules see
 //! to that: a request that has lately run to its end is never a suspect; a
-//! suspect that runs to its end is cleared, and the other daemons are told;
+//! suspect that runs to its end is cleared, and the service's daemons are told;
 //! and two suspects of one crash never run at one target at the same time, so
 //! that a second crash points at one of them only. Where two suspects were in
 //! flight at both targets all the same, both are stopped for a short time and
@@ -19,13 +23,21 @@
 pub use flight::FlightTable;
 pub use watch::{PoisonCounts, PoisonOutput, PoisonSettings, PoisonWatch};
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use crate::lease::HolderId;
 use crate::print::RequestPrint;
 
-/// Most suspects in one report.
+/// Most suspects in one message.
 pub const MAX_SUSPECTS: usize = 32;
+/// Crashes after which a request is stopped.
+const MAX_CRASHES: usize = 2;
+
+/// The crashes of one suspect.
+pub type CrashList = SmallVec<[CrashId; MAX_CRASHES]>;
 
 /// Identity of a crash.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -36,27 +48,46 @@
     pub number: u64,
 }
 
-/// Tells that a target crashed and what was in flight.
+/// What one daemon knows of one suspect.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct CrashReport {
-    /// Which crash.
-    pub crash: CrashId,
-    /// Requests in flight that have not lately run to their end.
-    pub suspects: Box<[RequestPrint]>,
-}
-
-/// Tells that a suspect ran to its end.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct SuspectCleared {
+pub struct SuspectRecord {
     /// The request.
     pub print: RequestPrint,
+    /// Crashes at which it was in flight, two at the most.
+    pub crashes: CrashList,
+    /// Whether another suspect shares both crashes, so that one is innocent.
+    pub doubtful: bool,
+    /// Time since the last of the crashes.
+    pub age: Duration,
+}
+
+impl SuspectRecord {
+    /// Whether two crashes name this request alone.
+    pub fn is_convicted(&self) -> bool {
+        self.crashes.len() >= MAX_CRASHES && !self.doubtful
+    }
+}
+
+/// What one daemon knows of some suspects, those of shared crashes together.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct SuspectNews {
+    /// A record for each suspect.
+    pub records: Vec<SuspectRecord>,
+}
+
+impl SuspectNews {
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
 }
 
-/// What daemons tell each other about crashes.
+/// What daemons beside targets of one service tell each other.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PoisonMessage {
-    /// A target crashed.
-    Crash(CrashReport),
-    /// A suspect is innocent.
-    Cleared(SuspectCleared),
+    /// A target crashed, or what is known of suspects.
+    Suspects(SuspectNews),
+    /// Suspects that ran to their end.
+    Cleared(Vec<RequestPrint>),
 }
--- a/crates/once/tests/poison.rs
+++ b/crates/once/tests/poison.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashMap;
 use std::fmt::Write;
+use std::time::Duration;
 
 use model::{DaemonId, ErrorKind, FakeClock, IncarnationNumber, TargetName};
-use quetzal_once::poison::{PoisonMessage, PoisonOutput, PoisonSettings, PoisonWatch};
+use quetzal_once::poison::{PoisonOutput, PoisonSettings, PoisonWatch};
 use quetzal_once::{HolderId, RequestPrint};
 use quickcheck::{Gen, QuickCheck};
 use rand::rngs::SmallRng;
@@ -16,21 +17,29 @@
     "deals-1".parse().expect("a sound name")
 }
 
-/// Watches that hear each other at once.
+/// Watches beside the targets of one service, and watches of proxies elsewhere.
 struct Fleet {
     clock: FakeClock,
     watches: Vec<PoisonWatch>,
+    beside: usize,
+    told: usize,
 }
 
 impl Fleet {
     fn new(size: u64) -> Self {
+        Self::with_proxies(size, 0)
+    }
+
+    fn with_proxies(beside: u64, proxies: u64) -> Self {
         let clock = FakeClock::new();
         let watch = |daemon| {
             let me = HolderId::new(DaemonId(daemon), IncarnationNumber(1));
             PoisonWatch::new(me, PoisonSettings::default(), clock.shared())
         };
         Self {
-            watches: (0..size).map(watch).collect(),
+            watches: (0..beside + proxies).map(watch).collect(),
+            beside: beside as usize,
+            told: 0,
             clock,
         }
     }
@@ -45,16 +54,38 @@
         self.tell(at, output.into_iter().collect());
     }
 
+    /// Carries out what a watch wants, with every message at its place at once.
     fn tell(&mut self, from: usize, outputs: Vec<PoisonOutput>) {
-        let mut told: Vec<(usize, PoisonMessage)> = messages(from, outputs);
-        while let Some((from, message)) = told.pop() {
-            for index in (0..self.watches.len()).filter(|index| *index != from) {
+        for output in outputs {
+            let PoisonOutput::Tell(message) = output else {
+                continue;
+            };
+            let mut innocent = Vec::new();
+            for index in (0..self.beside).filter(|index| *index != from) {
+                self.told += 1;
                 let outputs = self.watches[index].on_message(&message);
-                told.extend(messages(index, outputs));
+                innocent.extend(outputs.into_iter().filter_map(innocent_of).flatten());
             }
+            let cleared = self.watches[from].on_innocent(&innocent);
+            self.tell(from, cleared.into_iter().collect());
         }
     }
 
+    /// A proxy's attempt that crashes the target if it runs; returns what the target's
+    /// daemon wants told, or why it did not run.
+    fn attempt(&mut self, proxy: usize, at: usize) -> Result<Vec<PoisonOutput>, ErrorKind> {
+        self.watches[proxy]
+            .check(POISON)
+            .map_err(|error| error.kind)?;
+        let head = self.watches[proxy].news_of(POISON);
+        self.watches[at].on_news(&head);
+        let started = self.watches[at].start(&target_name(), POISON);
+        let outputs = started.map(|()| self.watches[at].on_target_crashed(&target_name()));
+        let refusal = self.watches[at].news_of(POISON);
+        self.watches[proxy].on_news(&refusal);
+        outputs.map_err(|error| error.kind)
+    }
+
     fn kind(&mut self, at: usize, print: RequestPrint) -> Option<ErrorKind> {
         self.watches[at]
             .start(&target_name(), print)
@@ -67,12 +98,11 @@
     }
 }
 
-fn messages(from: usize, outputs: Vec<PoisonOutput>) -> Vec<(usize, PoisonMessage)> {
-    let told = |output| match output {
-        PoisonOutput::Tell(message) => Some((from, message)),
-        PoisonOutput::Stopped(_) => None,
-    };
-    outputs.into_iter().filter_map(told).collect()
+fn innocent_of(output: PoisonOutput) -> Option<Vec<RequestPrint>> {
+    match output {
+        PoisonOutput::Innocent(prints) => Some(prints),
+        PoisonOutput::Tell(_) | PoisonOutput::Stopped(_) => None,
+    }
 }
 
 #[test]
@@ -166,6 +196,221 @@
     assert!(fleet.is_stopped(POISON));
 }
 
+#[test]
+fn lost_reports_do_not_let_one_proxy_reach_a_third_target() {
+    let mut fleet = Fleet::with_proxies(4, 1);
+    for at in 0..2 {
+        drop(fleet.attempt(4, at).expect("it runs"));
+    }
+    assert_eq!(fleet.attempt(4, 2), Err(ErrorKind::PoisonRequest));
+    // The proxy knew both crashes before the second target's daemon told anybody.
+    assert!(fleet.watches[1].check(POISON).is_err());
+    assert!(fleet.watches[4].check(POISON).is_err());
+}
+
+#[test]
+fn two_proxies_one_after_another_crash_two_targets() {
+    let mut fleet = Fleet::with_proxies(4, 3);
+    for (proxy, at) in [(4, 0), (5, 1)] {
+        let outputs = fleet.attempt(proxy, at).expect("it runs");
+        fleet.tell(at, outputs);
+    }
+    for (proxy, at) in [(4, 2), (5, 3), (6, 2)] {
+        assert_eq!(fleet.attempt(proxy, at), Err(ErrorKind::PoisonRequest));
+        // The refusal taught the proxy, which now refuses by itself.
+        assert!(fleet.watches[proxy].check(POISON).is_err());
+    }
+}
+
+#[test]
+fn head_of_a_repeated_attempt_replaces_a_lost_report() {
+    let mut fleet = Fleet::with_proxies(4, 2);
+    drop(fleet.attempt(4, 0).expect("it runs"));
+    let outputs = fleet.attempt(5, 1).expect("it runs");
+    fleet.tell(1, outputs);
+    assert_eq!(fleet.attempt(4, 2), Err(ErrorKind::PoisonRequest));
+}
+
+#[test]
+fn proxies_without_any_report_crash_two_targets_each() {
+    let mut fleet = Fleet::with_proxies(8, 2);
+    for (proxy, first) in [(8, 0), (9, 4)] {
+        let ran = (first..first + 4).filter(|at| fleet.attempt(proxy, *at).is_ok());
+        assert_eq!(ran.count(), 2);
+    }
+}
+
+#[test]
+fn late_report_counts_as_the_crash_that_it_tells() {
+    let mut fleet = Fleet::with_proxies(4, 2);
+    let late = fleet.attempt(4, 0).expect("it runs");
+    let outputs = fleet.attempt(5, 1).expect("it runs");
+    fleet.tell(1, outputs);
+    assert!(fleet.watches[2].check(POISON).is_ok());
+    fleet.tell(0, late.clone());
+    fleet.tell(0, late);
+    assert!((0..4).all(|beside| fleet.watches[beside].check(POISON).is_err()));
+}
+
+#[test]
+fn copies_in_flight_are_the_bound_of_what_crashes() {
+    let mut fleet = Fleet::new(8);
+    let copies = 5;
+    for at in 0..copies {
+        assert_eq!(fleet.kind(at, POISON), None);
+    }
+    for at in 0..copies {
+        fleet.crash(at);
+    }
+    assert!(fleet.is_stopped(POISON));
+    assert!((0..8).all(|at| fleet.kind(at, POISON).is_some()));
+}
+
+#[test]
+fn target_restarted_at_once_shows_its_crash_by_its_next_run() {
+    let mut fleet = Fleet::new(3);
+    for at in 0..2 {
+        assert_eq!(fleet.kind(at, POISON), None);
+        assert_eq!(fleet.watches[at].on_broken(&target_name(), POISON), None);
+        fleet.clock.advance(Duration::from_secs(1));
+        // What runs at the new run already has no part in it.
+        let fresh = RequestPrint(1 + at as u128);
+        assert_eq!(fleet.kind(at, fresh), None);
+        let outputs = fleet.watches[at].on_target_restarted(&target_name());
+        fleet.tell(at, outputs);
+        assert!(fleet.watches[2].news_of(fresh).is_empty());
+    }
+    assert!(fleet.is_stopped(POISON));
+}
+
+#[test]
+fn broken_connection_blames_nobody_while_the_target_lives() {
+    let mut fleet = Fleet::new(2);
+    let unlucky = RequestPrint(1);
+    for at in 0..2 {
+        assert_eq!(fleet.kind(at, unlucky), None);
+        assert_eq!(fleet.watches[at].on_broken(&target_name(), unlucky), None);
+        fleet.clock.advance(Duration::from_secs(60));
+        assert_eq!(
+            fleet.watches[at].on_target_restarted(&target_name()),
+            Vec::new()
+        );
+        fleet.crash(at);
+    }
+    assert!(fleet.watches[0].news_of(unlucky).is_empty());
+}
+
+#[test]
+fn one_crash_found_by_many_looks_is_one() {
+    let mut fleet = Fleet::new(2);
+    let prints = [POISON, RequestPrint(1), RequestPrint(2)];
+    for print in prints {
+        assert_eq!(fleet.kind(0, print), None);
+    }
+    for print in &prints[..2] {
+        assert_eq!(fleet.watches[0].on_broken(&target_name(), *print), None);
+    }
+    let late = RequestPrint(3);
+    let outputs = fleet.watches[0].on_crash_found(&target_name(), POISON);
+    fleet.tell(0, outputs);
+    // A connection of the dying listener breaks too, and adds a suspect but no crash.
+    assert_eq!(fleet.kind(0, late), None);
+    let outputs = fleet.watches[0].on_broken(&target_name(), late);
+    fleet.tell(0, outputs.expect("a crash explains it"));
+    let again = fleet.watches[0].on_broken(&target_name(), prints[2]);
+    assert_eq!(again, Some(Vec::new()));
+    for print in prints {
+        assert_eq!(
+            fleet.watches[0].on_crash_found(&target_name(), print),
+            Vec::new()
+        );
+        assert!(fleet.watches[1].check(print).is_ok());
+    }
+    let crash_of = |print| fleet.watches[1].news_of(print).records[0].crashes.clone();
+    assert_eq!(crash_of(late), crash_of(POISON));
+}
+
+#[test]
+fn break_that_is_seen_after_the_next_run_counts_all_the_same() {
+    let mut fleet = Fleet::new(3);
+    for at in 0..2 {
+        assert_eq!(fleet.kind(at, POISON), None);
+        let outputs = fleet.watches[at].on_target_restarted(&target_name());
+        assert_eq!(outputs, Vec::new());
+        let late = Duration::from_millis(if at == 0 { 50 } else { 500 });
+        fleet.clock.advance(late);
+        let outputs = fleet.watches[at].on_broken(&target_name(), POISON);
+        let found = || fleet.watches[at].on_restart_found(&target_name(), POISON);
+        let outputs = outputs.unwrap_or_else(found);
+        fleet.tell(at, outputs);
+    }
+    assert!(fleet.is_stopped(POISON));
+}
+
+#[test]
+fn innocent_is_not_blamed_by_what_its_own_proxy_knows() {
+    let mut fleet = Fleet::with_proxies(4, 1);
+    let innocent = RequestPrint(1);
+    for print in [POISON, innocent] {
+        assert_eq!(fleet.kind(0, print), None);
+    }
+    // The report is lost; only the innocent's proxy hears of the crash.
+    fleet.watches[0].on_target_crashed(&target_name());
+    let refusal = fleet.watches[0].news_of(innocent);
+    fleet.watches[4].on_news(&refusal);
+    let head = fleet.watches[4].news_of(innocent);
+    fleet.watches[1].on_news(&head);
+    assert_eq!(fleet.kind(1, innocent), None);
+    // The other suspect came along, so the two do not run together.
+    assert_eq!(fleet.kind(1, POISON), Some(ErrorKind::QueueFull));
+}
+
+#[test]
+fn news_that_go_round_do_not_prolong_the_memory() {
+    let mut fleet = Fleet::with_proxies(2, 1);
+    for at in 0..2 {
+        let outputs = fleet.attempt(2, at).expect("it runs");
+        fleet.tell(at, outputs);
+    }
+    let half = PoisonSettings::default().memory / 2;
+    for _ in 0..2 {
+        fleet.clock.advance(half);
+        for (from, to) in [(0, 1), (1, 2), (2, 0)] {
+            let news = fleet.watches[from].news_of(POISON);
+            fleet.watches[to].on_news(&news);
+        }
+    }
+    assert!(
+        fleet
+            .watches
+            .iter()
+            .all(|watch| watch.check(POISON).is_ok())
+    );
+}
+
+#[test]
+fn messages_of_a_crash_follow_the_service_and_not_the_fleet() {
+    let (beside, popular) = (20, RequestPrint(1));
+    let mut fleet = Fleet::with_proxies(beside, 700);
+    for at in 1..beside as usize {
+        assert_eq!(fleet.kind(at, popular), None);
+        fleet.finish(at, popular);
+    }
+    let others = beside as usize - 1;
+    for print in [POISON, popular] {
+        assert_eq!(fleet.kind(0, print), None);
+    }
+    fleet.crash(0);
+    // One report to each, and one message that clears the request which all know well.
+    assert_eq!(fleet.told, 2 * others);
+    assert_eq!(fleet.kind(1, POISON), None);
+    fleet.crash(1);
+    assert_eq!(fleet.told, 3 * others);
+    let proxy = 719;
+    assert_eq!(fleet.attempt(proxy, 5), Err(ErrorKind::PoisonRequest));
+    assert_eq!(fleet.told, 3 * others);
+}
+
 #[test]
 fn session_of_a_poison_request() {
     let (poison, upload, listing) = (
