Lead on over expired records and losses that no daemon remembers

Change: readers behind a gap search the log for a rebase as diverged ones do, and say so in status, alarm and sums. 'quetzal rebase DIR' works where no daemon holds a state and the log's first records have expired, past every number that offsets, records and daemons tell; it refuses, in one line each, what would take back changes unawares. A folder keeps a mark (version and chain hash) of the change it was made from: publish, pull and diff refuse another log, shorter or longer, and rebase takes that for the reason. Status shows the log's state as text in place of its debug form.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -77,7 +77,10 @@
             }
             if started.elapsed() > CATCH_UP_TIMEOUT {
                 let base = state.base();
-                let detail = format!("the daemon is at {base}, before {version}; ask another one");
+                let detail = format!(
+                    "the daemon is at {base}, before {version}; ask another one; \
+                     if all are, the log lost records: quetzal rebase DIR"
+                );
                 return Err(KindError::new(ErrorKind::ConfigStale, detail));
             }
             thread::sleep(CATCH_UP_INTERVAL);
--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -22,6 +22,7 @@
 use crate::client::DaemonClient;
 use crate::config::{DaemonArgs, Result};
 use crate::demo_target::DemoTarget;
+use crate::folder::FolderBase;
 use crate::follow::await_force;
 use crate::publication::ConfigLog;
 
@@ -173,7 +174,7 @@
         lists: &ListPair,
         note: &str,
     ) -> Result<ConfigVersion> {
-        let log = ConfigLog::open(&self.client, base)?;
+        let log = ConfigLog::open(&self.client, FolderBase::default())?;
         let meta = ChangeMeta {
             id: ChangeId(Uuid::now_v7()),
             author: author.parse()?,
--- a/crates/cli/src/cmd/diff.rs
+++ b/crates/cli/src/cmd/diff.rs
@@ -44,13 +44,14 @@
 /// Compares the folder with the lists from which it was made.
 pub fn run(args: &DiffArgs) -> Result<ExitCode> {
     let folder = ListFolder::open(&args.folder.dir)?;
-    let state = DaemonClient::new(&args.daemon).state_from(folder.base)?;
-    let before = state.lists_at(folder.base)?;
+    let state = DaemonClient::new(&args.daemon).state_from(folder.base.version)?;
+    folder.base.check(&state)?;
+    let before = state.lists_at(folder.base.version)?;
     let edits = before.edits_to(&folder.lists);
     let report = DiffReport {
-        base: folder.base,
+        base: folder.base.version,
         version: state.version(),
-        refusal: predict(&state, folder.base, &edits)?,
+        refusal: predict(&state, folder.base.version, &edits)?,
         edits,
     };
     if args.json {
--- a/crates/cli/src/cmd/publish.rs
+++ b/crates/cli/src/cmd/publish.rs
@@ -17,7 +17,7 @@
 
 use crate::client::DaemonClient;
 use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
-use crate::folder::{FolderArgs, ListFolder, folder_args};
+use crate::folder::{FolderArgs, FolderBase, ListFolder, folder_args};
 use crate::follow::follow;
 use crate::output::{outln, print_json};
 use crate::publication::{ConfigLog, Publication, show_refusal};
@@ -53,7 +53,7 @@
         author: args.author.author()?,
         note: args.author.note.as_str().into(),
     };
-    let change = ChangeRecord::between(state, folder.base, &folder.lists, meta)?;
+    let change = ChangeRecord::between(state, folder.base.version, &folder.lists, meta)?;
     if change.edits.is_empty() {
         return say_nothing_to_do(state.version(), args.json);
     }
@@ -62,10 +62,10 @@
         return Err(show_refusal(&refusal));
     }
     if !args.json {
-        let (id, author, base) = (change.id, &change.author, folder.base);
+        let (id, author, base) = (change.id, &change.author, folder.base.version);
         outln!("change {id} by {author} upon version {base}");
     }
-    let before = state.lists_at(folder.base)?;
+    let before = state.lists_at(folder.base.version)?;
     let publication = log.publish(&change)?;
     catch_up(&folder, &before, &publication)?;
     follow(
@@ -87,7 +87,7 @@
     for edit in accepted.edits_to(&merge.lists) {
         eprintln!("not published: {}", edit.entry);
     }
-    folder.update(&merge.lists, version)
+    folder.update(&merge.lists, FolderBase::at(&publication.state, version))
 }
 
 fn say_nothing_to_do(version: ConfigVersion, json: bool) -> Result<ExitCode> {
--- a/crates/cli/src/cmd/pull.rs
+++ b/crates/cli/src/cmd/pull.rs
@@ -16,7 +16,7 @@
 
 use crate::client::DaemonClient;
 use crate::config::{DaemonArgs, Result, daemon_args};
-use crate::folder::{FolderArgs, ListFolder, create_lists, folder_args, has_lists};
+use crate::folder::{FolderArgs, FolderBase, ListFolder, create_lists, folder_args, has_lists};
 use crate::output::outln;
 
 /// Arguments of `pull`.
@@ -45,22 +45,25 @@
 /// Merges the accepted lists into the folder.
 pub fn run(args: &PullArgs) -> Result<ExitCode> {
     let dir = &args.folder.dir;
-    let state = DaemonClient::new(&args.daemon).state()?;
+    let client = DaemonClient::new(&args.daemon);
+    let state = client.state()?;
     if state.version().offset().is_none() {
-        let detail = "nothing was published yet; begin with quetzal init DIR";
-        return Err(KindError::new(ErrorKind::ConfigAbsent, detail));
+        return Err(nothing_held(dir, &state));
     }
+    let base = FolderBase::at(&state, state.base());
     if !has_lists(dir) || args.choice == Some(ClashChoice::Force) {
-        create_lists(dir, state.lists(), state.base())?;
+        create_lists(dir, state.lists(), base)?;
         return Ok(finish(dir, &state));
     }
     let folder = ListFolder::open(dir)?;
+    let state = client.state_from(folder.base.version.max(state.base()))?;
+    folder.base.check(&state)?;
     let merge = merge_folder(&folder, &state)?;
     if args.choice.is_none() && !merge.clashes.is_empty() {
         return Err(show_clashes(&merge.clashes));
     }
     let lists = settle(&merge, args.choice);
-    folder.update(&lists, state.base())?;
+    folder.update(&lists, base)?;
     for edit in &merge.taken {
         outln!("took {}", edit.entry);
     }
@@ -70,12 +73,22 @@
     Ok(finish(dir, &state))
 }
 
+/// The error where the daemon holds no lists: nothing was published, or they are lost.
+fn nothing_held(dir: &Path, state: &ConfigState) -> KindError {
+    let folder = has_lists(dir).then(|| ListFolder::open(dir));
+    let checked = folder.map_or(Ok(()), |folder| folder?.base.check(state));
+    let detail = "no lists are in force here; if none were published yet, \
+                  begin with quetzal init DIR, else see quetzal status";
+    let absent = || KindError::new(ErrorKind::ConfigAbsent, detail);
+    checked.err().unwrap_or_else(absent)
+}
+
 /// Merges by the lists from which the folder was made, as far as they are remembered.
 fn merge_folder(folder: &ListFolder, state: &ConfigState) -> Result<ListMerge> {
     let base = if folder.lists == *state.lists() {
         state.lists().clone()
     } else {
-        state.lists_at(folder.base).map_err(|error| {
+        state.lists_at(folder.base.version).map_err(|error| {
             let advice = "--force takes the accepted lists and loses the folder's edits";
             KindError::new(error.kind, format!("{}; {advice}", error.detail))
         })?
--- a/crates/cli/src/cmd/rebase.rs
+++ b/crates/cli/src/cmd/rebase.rs
@@ -1,4 +1,5 @@
-//! quetzal rebase: leads the fleet on after the log lost records or began anew.
+//! quetzal rebase: leads the fleet on after the log lost records, began anew, or
+//! lost to expiry what no daemon read.
 //!
 //! Appends the lists that are in force, or those of a folder, with a version
 //! above every version known to the fleet. Exit codes are those of `publish`.
@@ -9,14 +10,15 @@
 
 use bpaf::Bpaf;
 use daemon::status::StatusReport;
-use model::{ChangeId, ConfigVersion, ErrorKind, LogOffset, ensure};
-use plans::{ChangeMeta, ConfigState, ListPair};
+use model::{ChangeId, ConfigVersion, LogOffset};
+use plans::ChangeMeta;
 use uuid::Uuid;
 
 use crate::client::DaemonClient;
 use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
-use crate::folder::ListFolder;
+use crate::folder::{FolderBase, ListFolder};
 use crate::follow::follow;
+use crate::loss::{LogLoss, RebaseCase};
 use crate::output::outln;
 use crate::rebase_log::RebaseLog;
 
@@ -34,7 +36,7 @@
     /// Seconds to wait until the version is in force everywhere
     #[bpaf(argument("SECONDS"), fallback(30), display_fallback)]
     wait: u64,
-    /// Rebase though no daemon reports that the log is diverged
+    /// Rebase though nobody reports a loss, or though changes may be taken back
     force: bool,
     /// Print JSON
     json: bool,
@@ -46,27 +48,43 @@
 /// Appends the rebase and follows it.
 pub fn run(args: &RebaseArgs) -> Result<ExitCode> {
     let client = DaemonClient::new(&args.daemon);
+    let folder = args.dir.as_deref().map(ListFolder::open).transpose()?;
     let status = client.status()?;
-    let needed = args.force || is_diverged(&status);
-    let detail = "no daemon reports that the log is diverged; ask another one, or use --force";
-    ensure(needed, ErrorKind::ChangeRefused, detail)?;
+    let reported = LogLoss::reported(&status);
     let state = client.state_from(highest_version(&status))?;
-    let folder = args.dir.as_deref().map(ListFolder::open).transpose()?;
-    let lists = choose_lists(&state, folder.as_ref())?;
-    let log = RebaseLog::open(&client, state.head())?;
-    let version = version_above(state.base().max(log.base()));
+    let known = folder
+        .as_ref()
+        .map_or(state.base(), |folder| folder.base.version.max(state.base()));
+    let follows = Some(&state).filter(|_| reported == LogLoss::None);
+    let log = RebaseLog::open(&client, known, follows)?;
+    let case = RebaseCase {
+        loss: reported.or_of_folder(folder.as_ref(), &log),
+        status: &status,
+        state: &state,
+        folder: folder.as_ref(),
+        log: &log,
+    };
+    case.check(args.force)?;
+    let (version, missing) = (version_above(case.highest()), case.missing());
+    let lists = folder
+        .as_ref()
+        .map_or(state.lists(), |folder| &folder.lists);
     let meta = ChangeMeta {
         id: ChangeId(Uuid::now_v7()),
         author: args.author.author()?,
         note: args.author.note.as_str().into(),
     };
+    if missing > 0 {
+        eprintln!("not kept: up to {missing} changes whose records no daemon read");
+    }
     if !args.json {
         let (id, author) = (meta.id, &meta.author);
         outln!("rebase {id} by {author} to version {version}");
     }
-    let publication = log.rebase(version, lists, meta)?;
+    let publication = log.rebase(version, lists.clone(), meta)?;
     if let Some(folder) = folder {
-        folder.update(&folder.lists, version)?;
+        let base = FolderBase::at(&publication.state, version);
+        folder.update(&folder.lists, base)?;
     }
     follow(
         &client,
@@ -76,14 +94,6 @@
     )
 }
 
-/// Whether the daemon finds the log diverged or heard of one that does.
-fn is_diverged(status: &StatusReport) -> bool {
-    let own = status.log.as_deref();
-    let mut laggards = status.fleet.laggards.iter();
-    own.is_some_and(|log| log.contains("diverged"))
-        || laggards.any(|lag| lag.reason.contains("diverged"))
-}
-
 /// The highest version that the daemon knows of in the fleet.
 fn highest_version(status: &StatusReport) -> ConfigVersion {
     let versions = status.fleet.versions.iter().map(|count| count.version);
@@ -92,17 +102,6 @@
     highest.max(status.version)
 }
 
-/// The folder's lists if they hold all that was accepted, else those in force.
-fn choose_lists(state: &ConfigState, folder: Option<&ListFolder>) -> Result<ListPair> {
-    let Some(folder) = folder else {
-        return Ok(state.lists().clone());
-    };
-    let (base, version) = (folder.base, state.version());
-    let detail = format!("the folder holds version {base}, in force is {version}; pull first");
-    ensure(base >= version, ErrorKind::ChangeConflict, &detail)?;
-    Ok(folder.lists.clone())
-}
-
 fn version_above(highest: ConfigVersion) -> ConfigVersion {
     ConfigVersion::at(LogOffset(highest.number() + VERSION_MARGIN))
 }
--- a/crates/cli/src/cmd/undo.rs
+++ b/crates/cli/src/cmd/undo.rs
@@ -13,6 +13,7 @@
 
 use crate::client::DaemonClient;
 use crate::config::{AuthorArgs, DaemonArgs, Result, author_args, daemon_args};
+use crate::folder::FolderBase;
 use crate::follow::follow;
 use crate::output::outln;
 use crate::publication::{ConfigLog, show_refusal};
@@ -41,7 +42,7 @@
 /// Publishes the change that takes the version back.
 pub fn run(args: &UndoArgs) -> Result<ExitCode> {
     let client = DaemonClient::new(&args.daemon);
-    let log = ConfigLog::open(&client, ConfigVersion::NONE)?;
+    let log = ConfigLog::open(&client, FolderBase::default())?;
     let state = log.state();
     let note = match args.author.note.as_str() {
         "" => format!("undo of version {}", args.version),
--- a/crates/cli/src/folder.rs
+++ b/crates/cli/src/folder.rs
@@ -4,13 +4,15 @@
 //! command that dies in between leaves lists that are newer than their
 //! version, and publishing those changes nothing twice.
 
+use std::fmt;
 use std::fs;
 use std::path::{Path, PathBuf};
+use std::str::FromStr;
 
 use bpaf::Bpaf;
 use model::{ConfigVersion, ErrorKind, KindError};
 use plans::lists::{ALLOWANCES_FILE, PLANS_FILE};
-use plans::{ListPair, ListProblem};
+use plans::{ChangeMark, ConfigState, ListPair, ListProblem};
 
 use crate::config::Result;
 
@@ -25,13 +27,71 @@
     pub dir: PathBuf,
 }
 
+/// What the lists of a folder were made from.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FolderBase {
+    /// The last record that its author had seen.
+    pub version: ConfigVersion,
+    /// The last accepted change up to it, by which its log is known again.
+    mark: Option<ChangeMark>,
+}
+
+impl FolderBase {
+    /// The base of lists that were made from `state` as it was at `version`.
+    pub fn at(state: &ConfigState, version: ConfigVersion) -> Self {
+        Self {
+            version,
+            mark: state.mark_at(version),
+        }
+    }
+
+    /// Checks that `state`, at the end of a log, has this base in its past.
+    ///
+    /// Fails with `LogDiverged` if the log ends before it or holds another change there.
+    pub fn check(&self, state: &ConfigState) -> Result<()> {
+        let (version, reached) = (self.version, state.base());
+        let lost = |detail: String| {
+            let advice = "if the log lost records, lead on with quetzal rebase DIR";
+            KindError::new(ErrorKind::LogDiverged, format!("{detail}; {advice}"))
+        };
+        if version > reached {
+            let detail = format!("the log ends at {reached}, before {version}");
+            return Err(lost(format!("{detail}, which the folder holds")));
+        }
+        let checked = self.mark.map_or(Ok(()), |mark| state.check_mark(&mark));
+        checked.map_err(|error| lost(format!("{}, the folder is of another", error.detail)))
+    }
+}
+
+impl fmt::Display for FolderBase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.version)?;
+        match &self.mark {
+            Some(mark) => write!(f, " {mark}"),
+            None => Ok(()),
+        }
+    }
+}
+
+impl FromStr for FolderBase {
+    type Err = KindError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let (version, mark) = text.split_once(' ').unwrap_or((text, ""));
+        Ok(Self {
+            version: version.parse()?,
+            mark: (!mark.is_empty()).then(|| mark.parse()).transpose()?,
+        })
+    }
+}
+
 /// A folder as it was read.
 #[derive(Clone, Debug)]
 pub struct ListFolder {
     /// The lists.
     pub lists: ListPair,
-    /// The version from which they were made.
-    pub base: ConfigVersion,
+    /// What they were made from.
+    pub base: FolderBase,
     dir: PathBuf,
     plans_text: String,
     allowances_text: String,
@@ -64,7 +124,7 @@
     ///
     /// Files that were edited since they were read are left alone; `pull`
     /// brings them up to date.
-    pub fn update(&self, lists: &ListPair, base: ConfigVersion) -> Result<()> {
+    pub fn update(&self, lists: &ListPair, base: FolderBase) -> Result<()> {
         if !self.is_unchanged()? {
             let dir = self.dir.display();
             eprintln!("{dir} was edited meanwhile; run quetzal pull {dir}");
@@ -117,7 +177,7 @@
 }
 
 /// Makes the folder with lists that equal the version `base`.
-pub fn create_lists(dir: &Path, lists: &ListPair, base: ConfigVersion) -> Result<()> {
+pub fn create_lists(dir: &Path, lists: &ListPair, base: FolderBase) -> Result<()> {
     let (plans, allowances) = lists.render();
     write_texts(dir, &plans, &allowances)?;
     write_base(dir, base)
@@ -131,10 +191,10 @@
 }
 
 /// The version from which the lists were made; none for a new folder.
-fn read_base(dir: &Path) -> Result<ConfigVersion> {
+fn read_base(dir: &Path) -> Result<FolderBase> {
     let file = dir.join(BASE_FILE);
     if !file.exists() {
-        return Ok(ConfigVersion::NONE);
+        return Ok(FolderBase::default());
     }
     let text = read(&file)?;
     text.trim().parse().map_err(|error: KindError| {
@@ -147,7 +207,7 @@
     })
 }
 
-fn write_base(dir: &Path, base: ConfigVersion) -> Result<()> {
+fn write_base(dir: &Path, base: FolderBase) -> Result<()> {
     write(&dir.join(BASE_FILE), &format!("{base}\n"))
 }
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod demo_target;
 mod folder;
 mod follow;
+mod loss;
 mod output;
 mod publication;
 mod rebase_log;
--- a/crates/cli/src/publication.rs
+++ b/crates/cli/src/publication.rs
@@ -9,11 +9,12 @@
 use std::time::{Duration, Instant};
 
 use feed::{ReadAnswer, RecordBatch, SharedLog};
-use model::{ChangeId, ConfigVersion, ErrorKind, KindError, RecordCount, StreamName, ensure};
+use model::{ChangeId, ConfigVersion, ErrorKind, KindError, RecordCount, StreamName};
 use plans::{ChangeRecord, ChangeRefusal, ChangeVerdict, ConfigRecord, ConfigState};
 
 use crate::client::DaemonClient;
 use crate::config::Result;
+use crate::folder::FolderBase;
 
 /// Stream of the operators' changes.
 pub const CONFIG_STREAM: &str = "config";
@@ -56,7 +57,7 @@
     /// Kinds: those of the log; `LogDiverged` (also if it ends before `base`),
     /// `RulesUnknown`; `ConfigStale` if the log no longer reaches back to the
     /// daemon's state.
-    pub fn open(client: &DaemonClient, base: ConfigVersion) -> Result<Self> {
+    pub fn open(client: &DaemonClient, base: FolderBase) -> Result<Self> {
         let mut opened = Self {
             log: client.log()?,
             client: client.clone(),
@@ -64,9 +65,7 @@
             state: client.state()?,
         };
         opened.catch_up()?;
-        let reached = opened.state.base();
-        let detail = format!("the log ends at {reached}, before {base}, which the folder holds");
-        ensure(reached >= base, ErrorKind::LogDiverged, &detail)?;
+        base.check(&opened.state)?;
         Ok(opened)
     }
 
@@ -197,7 +196,15 @@
 
 fn too_old(state: &ConfigState) -> KindError {
     let base = state.base();
-    let detail = format!("the daemon is at {base}, which the log no longer holds; ask another one");
+    if base == ConfigVersion::NONE {
+        let detail = "the daemon holds no configuration and the log's first records expired; \
+                      ask another one, or lead on with quetzal rebase DIR if none holds any";
+        return KindError::new(ErrorKind::LogDiverged, detail);
+    }
+    let detail = format!(
+        "the daemon is at {base}, which the log no longer holds; ask another one, \
+         or lead on with quetzal rebase if all are there"
+    );
     KindError::new(ErrorKind::ConfigStale, detail)
 }
 
--- a/crates/cli/src/rebase_log.rs
+++ b/crates/cli/src/rebase_log.rs
@@ -17,7 +17,7 @@
 use crate::config::Result;
 use crate::publication::{
     CONFIG_STREAM, Publication, READ_LIMIT, VERDICT_INTERVAL, VERDICT_TIMEOUT, append_record,
-    change_unknown, name_change,
+    change_unknown,
 };
 
 /// A log that lost records, read up to its end.
@@ -39,17 +39,31 @@
 }
 
 impl RebaseLog {
-    /// The log, searched in place of daemons that hold `held`.
+    /// The log, searched for a rebase past `known`.
+    ///
+    /// `follows` is a state of the same log, if the daemons hold one: the place to
+    /// begin where the first records have expired.
     ///
     /// Kinds: those of the log; `ChangeConflict` if it was rebased already.
-    pub fn open(client: &DaemonClient, held: StateHead) -> Result<Self> {
+    pub fn open(
+        client: &DaemonClient,
+        known: ConfigVersion,
+        follows: Option<&ConfigState>,
+    ) -> Result<Self> {
+        let held = StateHead {
+            folded: known,
+            ..StateHead::default()
+        };
         let mut opened = Self {
             log: client.log()?,
             stream: CONFIG_STREAM.parse()?,
             search: LogRecovery::new(held, LogOffset::default()),
         };
         if let ReadAnswer::Expired { first } = opened.read()? {
-            opened.search = LogRecovery::new(held, first);
+            opened.search = match follows.filter(|state| state.next_offset() >= first) {
+                Some(state) => LogRecovery::from_snapshot(held, state.clone()),
+                None => LogRecovery::new(held, first),
+            };
         }
         match opened.search_on(None)? {
             SearchResult::Found(state) => Err(rebased_by_other(&state)),
@@ -62,6 +76,21 @@
         self.search.base()
     }
 
+    /// The highest number that the log's end may have for any daemon.
+    pub fn reached(&self) -> ConfigVersion {
+        self.search.reached()
+    }
+
+    /// The offset after the last record.
+    pub fn next_offset(&self) -> LogOffset {
+        self.search.next_offset()
+    }
+
+    /// The state at the log's end, unless its first records have expired.
+    pub fn state(&self) -> Option<&ConfigState> {
+        self.search.folded()
+    }
+
     /// Appends the rebase to `version` and waits for its verdict.
     ///
     /// Kinds: `ChangeConflict` if another author came first, `ChangeUnknown`,
@@ -77,7 +106,7 @@
         let body = StreamRecord::Rebase(record).encode()?;
         let appended = append_record(&self.log, &self.stream, &body);
         let state = appended.and_then(|()| self.await_verdict(id));
-        let state = state.map_err(|error| name_change(error, id))?;
+        let state = state.map_err(tell_again)?;
         Ok(Publication {
             id,
             since,
@@ -154,6 +183,18 @@
     }
 }
 
+/// Tells how to go on with a rebase whose outcome is unknown.
+fn tell_again(error: KindError) -> KindError {
+    if error.kind != ErrorKind::ChangeUnknown {
+        return error;
+    }
+    let detail = format!(
+        "{}; run quetzal rebase again, it finds one that was taken",
+        error.detail
+    );
+    KindError::new(error.kind, detail)
+}
+
 fn rebased_by_other(state: &ConfigState) -> KindError {
     let version = state.origin().version;
     let detail = format!("the log was rebased to version {version} already");
--- /dev/null
+++ b/crates/cli/tests/lost_log.rs
@@ -0,0 +1,131 @@
+//! Sessions of operators after the log lost what the daemons need.
+
+mod support;
+
+use support::TestBed;
+
+/// Publishes `count` versions from the folder `lists`.
+fn publish_versions(bed: &TestBed, count: u32) {
+    bed.run(&["init", "lists"]);
+    for number in 0..count {
+        if number > 0 {
+            let from = format!("\"rate_per_s\": {}", 200 + number - 1);
+            let to = format!("\"rate_per_s\": {}", 200 + number);
+            bed.edit("lists/allowances.jsonc", &from, &to);
+        }
+        let published = bed.run(&["publish", "lists"]);
+        assert_eq!(published.status.code(), Some(0));
+    }
+}
+
+#[test]
+fn lists_in_a_folder_lead_on_when_no_daemon_holds_any_and_the_log_lacks_its_start() {
+    let mut bed = TestBed::start();
+    publish_versions(&bed, 4);
+    bed.copy_dir("lists", "older");
+    std::fs::write(bed.path("older/.quetzal-base"), "2\n").unwrap();
+    bed.restart_daemon(|bed| {
+        bed.expire_log("config", 2);
+        bed.expire_log("snapshots", u64::MAX);
+    });
+    bed.await_text("records before 2 expired");
+    let lines: [&[&str]; 8] = [
+        &["publish", "lists"],
+        &["pull", "fresh"],
+        &["rebase"],
+        &["rebase", "older"],
+        &["rebase", "lists", "-m", "records expired"],
+        &["rebase", "lists"],
+        &["publish", "lists"],
+        &["history"],
+    ];
+    let text: String = lines.iter().map(|line| bed.session(line)).collect();
+    insta::assert_snapshot!(text);
+    bed.await_text("configuration current");
+    bed.edit(
+        "lists/allowances.jsonc",
+        "\"rate_per_s\": 203",
+        "\"rate_per_s\": 300",
+    );
+    let next = bed.json(&["publish", "lists", "--json"]);
+    assert_eq!(next["version"], "1005");
+    assert_eq!(next["in_force"], 1);
+}
+
+/// Restarts all daemons on a log that began anew.
+fn begin_anew(bed: &mut TestBed) {
+    bed.restart_daemon(|bed| {
+        bed.truncate_stream("config", 0);
+        bed.truncate_stream("snapshots", 0);
+    });
+}
+
+#[test]
+fn a_folder_knows_of_a_loss_that_no_daemon_remembers() {
+    let mut bed = TestBed::start();
+    publish_versions(&bed, 4);
+    begin_anew(&mut bed);
+    bed.await_text("configuration current");
+    let mut text = String::new();
+    for line in [
+        "publish lists",
+        "pull lists",
+        "diff lists",
+        "rebase",
+        "rebase lists",
+    ] {
+        text += &bed.session(&line.split(' ').collect::<Vec<_>>());
+    }
+    bed.await_text("configuration current");
+    text += &bed.session(&["history"]);
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn what_was_published_on_the_new_log_is_not_taken_back_unawares() {
+    let mut bed = TestBed::start();
+    publish_versions(&bed, 2);
+    begin_anew(&mut bed);
+    bed.run(&["init", "new"]);
+    bed.edit(
+        "new/allowances.jsonc",
+        "\"rate_per_s\": 200",
+        "\"rate_per_s\": 7",
+    );
+    let mut text = bed.session(&["publish", "new", "--author", "omar"]);
+    for line in [
+        "publish lists",
+        "rebase lists",
+        "rebase lists --force",
+        "pull new",
+        "publish new",
+    ] {
+        text += &bed.session(&line.split(' ').collect::<Vec<_>>());
+    }
+    insta::assert_snapshot!(text);
+    assert!(
+        bed.read("lists/allowances.jsonc")
+            .contains("\"rate_per_s\": 201")
+    );
+}
+
+#[test]
+fn a_folder_knows_its_log_when_another_has_grown_past_it() {
+    let mut bed = TestBed::start();
+    publish_versions(&bed, 2);
+    bed.copy_dir("lists", "old");
+    begin_anew(&mut bed);
+    std::fs::remove_dir_all(bed.path("lists")).unwrap();
+    publish_versions(&bed, 4);
+    let text: String = [
+        "publish old",
+        "pull old",
+        "diff old",
+        "rebase old",
+        "rebase old --force",
+    ]
+    .iter()
+    .map(|line| bed.session(&line.split(' ').collect::<Vec<_>>()))
+    .collect();
+    insta::assert_snapshot!(text);
+}
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -86,8 +86,30 @@
 
     /// Loses all records of the config stream from `end` on.
     pub fn truncate_log(&self, end: u64) {
+        self.truncate_stream("config", end);
+    }
+
+    /// Loses all records of a stream from `end` on.
+    pub fn truncate_stream(&self, stream: &str, end: u64) {
+        let (memory, _) = self.log.as_ref().unwrap();
+        memory.truncate(&stream.parse().unwrap(), LogOffset(end));
+    }
+
+    /// Drops all records of a stream before `first`, as if they had expired.
+    pub fn expire_log(&self, stream: &str, first: u64) {
         let (memory, _) = self.log.as_ref().unwrap();
-        memory.truncate(&"config".parse().unwrap(), LogOffset(end));
+        memory.expire_before(&stream.parse().unwrap(), LogOffset(first));
+    }
+
+    /// Replaces the daemon by one that holds nothing, while the log does `change`.
+    pub fn restart_daemon(&mut self, change: impl FnOnce(&Self)) {
+        let force = CancellationToken::new();
+        force.cancel();
+        self.daemon.take().unwrap().stop(&force);
+        change(self);
+        let url = format!("http://{}", self.log_address());
+        self.daemon = Some(RunningDaemon::start(daemon_settings(&url)).unwrap());
+        self.await_status();
     }
 
     /// Waits until the status of the daemon says `text`.
--- a/crates/daemon/src/alarms.rs
+++ b/crates/daemon/src/alarms.rs
@@ -15,7 +15,9 @@
     match alarm {
         SpreadAlarm::LogDown(_) => note(core, EventKind::LogDown, alarm),
         SpreadAlarm::LogUp | SpreadAlarm::LogRebased { .. } => note(core, EventKind::LogUp, alarm),
-        SpreadAlarm::LogDiverged { .. } => note(core, EventKind::LogDiverged, alarm),
+        SpreadAlarm::LogDiverged { .. } | SpreadAlarm::LogGap { .. } => {
+            note(core, EventKind::LogDiverged, alarm);
+        }
         SpreadAlarm::ReaderStarted => note(core, EventKind::ReaderTookOver, alarm),
         SpreadAlarm::FreshnessChanged(FreshnessCase::CutOff) => {
             note(core, EventKind::StaleEntered, alarm);
@@ -23,9 +25,7 @@
         SpreadAlarm::FreshnessChanged(FreshnessCase::Current) => {
             note(core, EventKind::StaleLeft, alarm);
         }
-        SpreadAlarm::LogGap { .. }
-        | SpreadAlarm::LogStuck(_)
-        | SpreadAlarm::PeerContradicts { .. } => log::error!("{alarm}"),
+        SpreadAlarm::LogStuck(_) | SpreadAlarm::PeerContradicts { .. } => log::error!("{alarm}"),
         SpreadAlarm::MessageRefused { kind, .. } => core.counters.count_error(*kind),
         SpreadAlarm::UpdateRefused(kind) => {
             core.counters.count_error(*kind);
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -193,7 +193,7 @@
             proof_age_ms: freshness.proof_age.map(|age| age.as_millis() as u64),
             log: spread
                 .is_reading()
-                .then(|| format!("{:?}", spread.log_state()).to_lowercase().into()),
+                .then(|| spread.log_state().to_string().into()),
             log_url: core.settings.log_url.clone(),
             draining: core.is_draining(),
             fleet: report_fleet(spread, &members),
--- a/crates/feed/src/memory.rs
+++ b/crates/feed/src/memory.rs
@@ -181,6 +181,15 @@
         }
     }
 
+    /// Forgets every record before `first`, as if it had expired.
+    pub fn expire_before(&self, stream: &StreamName, first: LogOffset) {
+        if let Some(records) = self.lock().streams.get_mut(stream) {
+            let count = first.0.saturating_sub(records.first.0) as usize;
+            let gone = records.records.drain(..count.min(records.records.len()));
+            records.first.0 += gone.len() as u64;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, LogState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/plans/src/head.rs
+++ b/crates/plans/src/head.rs
@@ -47,6 +47,11 @@
         Self::of(&[&offset, &record.body])
     }
 
+    /// The hash with these bytes.
+    pub(crate) fn from_bytes(bytes: [u8; 16]) -> Self {
+        Self(bytes)
+    }
+
     /// The bytes of the hash.
     pub fn as_bytes(&self) -> &[u8] {
         &self.0
--- a/crates/plans/src/state.rs
+++ b/crates/plans/src/state.rs
@@ -286,6 +286,11 @@
         self.history.verdict_of(id)
     }
 
+    /// The version up to which changes are forgotten.
+    pub(crate) fn floor(&self) -> ConfigVersion {
+        self.history.floor()
+    }
+
     /// Recent accepted changes, oldest first.
     pub fn history(&self) -> impl DoubleEndedIterator<Item = &AcceptedChange> {
         self.history.changes()
--- a/crates/spread/src/acks.rs
+++ b/crates/spread/src/acks.rs
@@ -54,6 +54,9 @@
     /// It holds the version, but its table is not in force.
     #[display("not in force")]
     NotInForce,
+    /// Records that it did not read have expired in the log.
+    #[display("records expired unread")]
+    Gap,
 }
 
 /// A daemon that lags.
--- a/crates/spread/src/fake.rs
+++ b/crates/spread/src/fake.rs
@@ -71,6 +71,8 @@
     history: VecDeque<FakeEntry>,
     hashes: BTreeMap<ConfigVersion, u64>,
     search: Option<Box<FakeReplica>>,
+    /// The log's first records expired: only a rebase is a place to begin.
+    lacks_start: bool,
 }
 
 impl FakeReplica {
@@ -265,6 +267,7 @@
     fn search_from(&mut self, first: LogOffset) {
         let mut search = Self::new();
         search.state.next = first;
+        search.lacks_start = first != LogOffset::default();
         self.search = Some(Box::new(search));
     }
 
@@ -272,6 +275,11 @@
         let mut search = self.search.take().unwrap_or_default();
         for record in records {
             let next = search.state.next;
+            if search.lacks_start && !record.body.starts_with(REBASE.as_bytes()) {
+                search.state.next = record.offset.next();
+                continue;
+            }
+            search.lacks_start = false;
             search.fold(std::slice::from_ref(record));
             let found = search.state.origin.0 > self.state.position;
             if found && self.take_state(search.state.clone()) == Ok(true) {
--- a/crates/spread/src/message.rs
+++ b/crates/spread/src/message.rs
@@ -268,7 +268,10 @@
         version: ConfigVersion,
     },
     /// Records expired before this daemon read them.
-    #[display("records before {first} expired, this daemon holds {held_next}")]
+    #[display(
+        "records before {first} expired, this daemon holds {held_next}; \
+         if no peer and no snapshot has them, lead on with quetzal rebase"
+    )]
     LogGap {
         /// Lowest offset kept.
         first: LogOffset,
--- a/crates/spread/src/reader.rs
+++ b/crates/spread/src/reader.rs
@@ -9,6 +9,7 @@
 
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use feed::port::{LogRecord, ReadAnswer, RecordBatch, Result as LogResult};
 use model::{ErrorKind, LogOffset};
 use rand::Rng;
@@ -22,19 +23,25 @@
 const HELD_INTERVAL: Duration = Duration::from_secs(5);
 
 /// What this daemon knows of the config stream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum LogState {
     /// Not asked yet.
+    #[display("not asked yet")]
     Unknown,
     /// It answers.
+    #[display("up")]
     Up,
     /// It does not answer.
+    #[display("down: {_0}")]
     Down(ErrorKind),
     /// It is shorter than our head or holds another record there.
+    #[display("diverged: it ends or differs at {_0}")]
     Diverged(LogOffset),
     /// Records expired before they were read; the stream starts here.
+    #[display("of no use here: records before {_0} expired unread")]
     Gap(LogOffset),
     /// The replica cannot fold this record, as of a newer release.
+    #[display("of no use here: a newer release is needed for the record at {_0}")]
     Stuck(LogOffset),
 }
 
--- a/crates/spread/src/recovery.rs
+++ b/crates/spread/src/recovery.rs
@@ -1,4 +1,4 @@
-//! Searching a log that diverged for a rebase.
+//! Searching a log that diverged, or lacks unread records, for a rebase.
 //!
 //! A reader whose log lost records or began anew holds what it has, and beside
 //! that reads the log from its first record in batches at a bounded rate. The
@@ -147,9 +147,15 @@
         matches!(self.reader.state(), LogState::Diverged(_))
     }
 
-    /// Searches while the log is diverged.
+    /// Whether records expired that this daemon did not read. Unlike a diverged
+    /// one it takes every newer state, since it may stand behind the gap.
+    pub(crate) fn misses_records(&self) -> bool {
+        matches!(self.reader.state(), LogState::Gap(_))
+    }
+
+    /// Searches while the log is diverged or begins after what is held.
     pub(crate) fn tick_recovery(&mut self, outputs: &mut OutputList, now: Instant) {
-        if !self.holds_last() {
+        if !self.holds_last() && !self.misses_records() {
             self.end_recovery();
             return;
         }
--- a/crates/spread/src/source.rs
+++ b/crates/spread/src/source.rs
@@ -56,7 +56,7 @@
         if starting && !self.is_start_over(now) {
             return;
         }
-        let gap = matches!(self.reader.state(), LogState::Gap(_));
+        let gap = self.misses_records();
         let first_search = starting && !self.snapshots.has_searched();
         if first_search || gap || self.snapshots.is_searching() {
             self.search_snapshot(outputs, now);
--- a/crates/spread/src/tree.rs
+++ b/crates/spread/src/tree.rs
@@ -159,7 +159,9 @@
         let case = self.report_freshness(now).case;
         let waited = |since: Instant| now.saturating_duration_since(since);
         let diverged = matches!(self.log_state(), LogState::Diverged(_));
-        let (reason, age) = if case == FreshnessCase::Absent {
+        let (reason, age) = if self.misses_records() {
+            (LagReason::Gap, Duration::ZERO)
+        } else if case == FreshnessCase::Absent {
             (LagReason::Absent, waited(self.applied_at))
         } else if diverged {
             (LagReason::Diverged, Duration::ZERO)
--- a/crates/spread/tests/rebase.rs
+++ b/crates/spread/tests/rebase.rs
@@ -188,6 +188,111 @@
     assert_eq!(fleet.lagging(rebased), 0);
 }
 
+/// Records expire in an outage that no snapshot outlives, while others publish.
+fn lose_start(fleet: &mut Fleet<Node>, published: u64, kept: usize) {
+    fleet.log.down = true;
+    fleet.run_for(Duration::from_secs(5));
+    for change in 0..published {
+        fleet.publish(&format!("key-{change}=unread"));
+    }
+    fleet.log.stream("config").expire(kept);
+    fleet.log.stream("snapshots").expire(0);
+    fleet.log.down = false;
+}
+
+#[test]
+fn records_that_expired_unread_are_passed_by_a_rebase() {
+    let mut fleet = fleet(29);
+    lose_start(&mut fleet, 8, 3);
+    fleet.run_for(Duration::from_secs(20));
+    for node in live(&fleet) {
+        assert_eq!(node.head().version, version(5));
+        assert!(!node.is_reading() || node.log_state() == LogState::Gap(LogOffset(10)));
+    }
+    let rebased = rebase(&mut fleet, 100);
+    fleet.converge(rebased, REBASE_LIMIT);
+    assert_eq!(fleet.lagging(rebased), 0);
+    fleet.publish("key-1=new");
+    fleet.converge(version(101), Duration::from_secs(1));
+    fleet.run_for(Duration::from_secs(5));
+    assert_one_state(&fleet, version(101));
+}
+
+#[test]
+fn a_fleet_that_holds_nothing_begins_with_a_rebase_where_records_expired() {
+    let mut fleet = fleet(30);
+    for place in 0..DAEMONS {
+        fleet.kill(place);
+    }
+    fleet.log.stream("config").expire(2);
+    fleet.log.stream("snapshots").expire(0);
+    for place in 0..DAEMONS {
+        fleet.start(place, Duration::from_millis(500));
+    }
+    fleet.announce_members();
+    fleet.run_for(Duration::from_secs(20));
+    assert!(live(&fleet).all(|node| !node.is_serving()));
+    let rebased = rebase(&mut fleet, 100);
+    fleet.converge(rebased, Duration::from_secs(10));
+    fleet.run_for(Duration::from_secs(5));
+    assert_one_state(&fleet, rebased);
+}
+
+#[test]
+fn a_daemon_that_read_on_before_the_gap_follows_the_rebase_too() {
+    for place in 0..DAEMONS {
+        let mut fleet = fleet(31);
+        fleet.publish("key-7=read");
+        fleet.converge(version(6), Duration::from_secs(5));
+        fleet.pause(place);
+        for other in (0..DAEMONS).filter(|other| *other != place) {
+            fleet.kill(other);
+        }
+        fleet.log.stream("config").expire(1);
+        fleet.log.stream("snapshots").expire(0);
+        for other in (0..DAEMONS).filter(|other| *other != place) {
+            fleet.start(other, Duration::from_millis(500));
+        }
+        fleet.announce_members();
+        fleet.run_for(Duration::from_secs(10));
+        let rebased = rebase(&mut fleet, 100);
+        fleet.run_for(Duration::from_secs(10));
+        fleet.resume(place);
+        fleet.run_for(Duration::from_secs(20));
+        assert!(fleet.lagging(rebased) == 0, "daemon {place}");
+        assert_one_state(&fleet, rebased);
+    }
+}
+
+#[test]
+fn a_snapshot_beyond_the_end_of_the_log_proves_its_loss_to_daemons_that_held_nothing() {
+    let mut fleet = fleet(32);
+    for change in 5..75 {
+        fleet.publish(&format!("key-{change}=old"));
+    }
+    fleet.run_for(Duration::from_secs(20));
+    let written = &fleet.log.stream("snapshots").records;
+    assert!(written.len() > 1);
+    for place in 0..DAEMONS {
+        fleet.kill(place);
+    }
+    fleet.log.stream("config").truncate(74);
+    fleet.publish("key-0=foreign");
+    for place in 0..DAEMONS {
+        fleet.start(place, Duration::from_millis(500));
+    }
+    fleet.announce_members();
+    fleet.run_for(Duration::from_secs(30));
+    for node in live(&fleet) {
+        assert!(node.is_serving() && node.head().version > version(60));
+        assert_eq!(node.replica().value("key-0"), Some("old"));
+        assert!(!node.is_reading() || matches!(node.log_state(), LogState::Diverged(_)));
+    }
+    let rebased = rebase(&mut fleet, 1000);
+    fleet.converge(rebased, REBASE_LIMIT);
+    assert_eq!(fleet.lagging(rebased), 0);
+}
+
 /// The hash of the state that was seen at each position.
 #[derive(Default)]
 struct SeenStates(BTreeMap<ConfigVersion, u64>);
