--- a/crates/capacity/src/plan_run.rs
+++ b/crates/capacity/src/plan_run.rs
@@ -7,6 +7,8 @@
 use plans::{
     ChangeMeta, ChangeRecord, ConfigRecord, ConfigReplica, EntryEdit, EntryValue, ListPair,
 };
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use crate::figure::CountedFigure;
 
@@ -89,8 +91,14 @@
     replica.snapshot_bytes().expect("a bounded state").len()
 }
 
+/// 32 hexadecimal digits of random bytes, as ids and digests are: no encoding makes them shorter.
+fn random_digits(seed: usize) -> String {
+    let mut rng = SmallRng::seed_from_u64(seed as u64);
+    format!("{:032x}", rng.random::<u128>())
+}
+
 fn meta(change: usize) -> ChangeMeta {
-    let id = format!("{change:032x}");
+    let id = random_digits(change);
     ChangeMeta {
         id: id.parse().expect("32 hexadecimal digits are an id"),
         author: "operator@host".parse().expect("a sound name"),
@@ -100,10 +108,10 @@
 
 /// Lists with this many customers, 35 services and five plans.
 fn lists_of(customer_count: usize) -> ListPair {
-    let key = "5e884898da28047151d0e56f8dc6292773603d0d6aabbdd62a11ef721d1542d8";
     let mut customers = Vec::new();
     for index in 0..customer_count {
         let plan = index % PLANS;
+        let key = random_digits(index) + &random_digits(customer_count + index);
         customers.push(format!(
             "\"customer-{index:04}\": {{ \"plan\": \"plan-{plan}\", \"key_sha256\": \"{key}\" }}"
         ));
--- a/crates/plans/benches/fold.rs
+++ b/crates/plans/benches/fold.rs
@@ -16,6 +16,7 @@
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use sha2::{Digest, Sha256};
 
 const SERVICES: usize = 35;
 const CUSTOMERS: usize = 500;
@@ -38,11 +39,12 @@
 
 /// Lists with this many customers.
 fn lists_of(customer_count: usize) -> ListPair {
-    let key = "5e884898da28047151d0e56f8dc6292773603d0d6aabbdd62a11ef721d1542d8";
     let mut customers = String::new();
     for index in 0..customer_count {
         let comma = if index == 0 { "" } else { "," };
         let plan = index % PLANS;
+        // Digests are random bytes, which no encoding makes shorter.
+        let key = format!("{:x}", Sha256::digest(index.to_le_bytes()));
         write!(
             customers,
             "{comma}\"customer-{index:04}\": {{ \"plan\": \"plan-{plan}\", \"key_sha256\": \"{key}\" }}"
--- a/crates/plans/tests/invariants.rs
+++ b/crates/plans/tests/invariants.rs
@@ -18,8 +18,10 @@
     EntryValue, LogRecovery, RebaseRecord, RouteTable, StateHead, StateUpdate, StreamRecord,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
-use sha2::{Digest, Sha256};
-use support::{LogStub, change, hold_plan, meta, set_rate, template_log, template_pair};
+use support::{
+    LogStub, SNAPSHOT_HEAD_BYTES, change, deflated_snapshot, hold_plan, meta, plain_snapshot,
+    set_rate, template_log, template_pair,
+};
 
 const REPLICAS: usize = 4;
 
@@ -446,20 +448,22 @@
 }
 
 /// A snapshot whose digest is right although its content was changed.
-fn forge_snapshot(bytes: &[u8], changes: &[(u16, u8)]) -> Vec<u8> {
-    const HEAD_BYTES: usize = 36;
-    let mut content = bytes[HEAD_BYTES..].to_vec();
+fn forge_snapshot(bytes: &[u8], changes: &[(u16, u8)], plain: bool) -> Vec<u8> {
+    let deflated = &bytes[SNAPSHOT_HEAD_BYTES..];
+    let mut content = miniz_oxide::inflate::decompress_to_vec(deflated).unwrap();
     for (at, value) in changes {
         let index = usize::from(*at) % content.len();
         content[index] = *value;
     }
-    let digest = Sha256::digest(&content);
-    [&bytes[..4], &digest, &content].concat()
+    if plain {
+        return plain_snapshot(&content);
+    }
+    deflated_snapshot(&content, content.len())
 }
 
 #[test]
 fn forged_snapshots_are_refused_or_sound() {
-    fn holds(changes: Vec<(u16, u8)>) -> bool {
+    fn holds(changes: Vec<(u16, u8)>, plain: bool) -> bool {
         let mut log = template_log();
         let mut state = log.state();
         for number in 1..4 {
@@ -471,7 +475,8 @@
             );
             state.apply(&log.append(&body)).unwrap();
         }
-        let forged = forge_snapshot(&StateSnapshot::of(&state).encode().unwrap(), &changes);
+        let forged = StateSnapshot::of(&state).encode().unwrap();
+        let forged = forge_snapshot(&forged, &changes, plain);
         let Ok(snapshot) = StateSnapshot::decode(&forged) else {
             return true;
         };
@@ -489,8 +494,8 @@
             && RouteTable::build(&forged).version() == forged.version()
     }
     QuickCheck::new()
-        .tests(400)
-        .quickcheck(holds as fn(Vec<(u16, u8)>) -> bool);
+        .tests(800)
+        .quickcheck(holds as fn(Vec<(u16, u8)>, bool) -> bool);
 }
 
 #[test]
--- a/crates/plans/tests/sessions.rs
+++ b/crates/plans/tests/sessions.rs
@@ -455,7 +455,9 @@
     let remembered: usize = state.history().map(|change| change.before.len()).sum();
     assert!((1900..=2048).contains(&remembered), "{remembered}");
     let bytes = StateSnapshot::of(&state).encode().unwrap();
-    assert!(bytes.len() < quetzal_plans::snapshot::MAX_SNAPSHOT_BYTES / 2);
+    let deflated = &bytes[support::SNAPSHOT_HEAD_BYTES..];
+    let content = miniz_oxide::inflate::decompress_to_vec(deflated).unwrap();
+    assert!(content.len() < quetzal_plans::snapshot::MAX_SNAPSHOT_BYTES / 2);
     assert_eq!(StateSnapshot::decode(&bytes).unwrap().into_state(), state);
 }
 
--- a/crates/plans/tests/support/mod.rs
+++ b/crates/plans/tests/support/mod.rs
@@ -9,6 +9,27 @@
     ChangeMeta, ChangeRecord, ConfigRecord, ConfigState, EntryEdit, EntryName, EntryValue,
     ListPair, lists,
 };
+use sha2::{Digest, Sha256};
+
+/// Format, digest and size before a snapshot's deflated state.
+pub const SNAPSHOT_HEAD_BYTES: usize = 40;
+
+/// A snapshot of any content whose digest is right, in the older, plain encoding.
+pub fn plain_snapshot(content: &[u8]) -> Vec<u8> {
+    [b"QZS1", Sha256::digest(content).as_slice(), content].concat()
+}
+
+/// The same, deflated, with a size as claimed.
+pub fn deflated_snapshot(content: &[u8], size: usize) -> Vec<u8> {
+    let deflated = miniz_oxide::deflate::compress_to_vec(content, 6);
+    sized_snapshot(&deflated, size)
+}
+
+/// The same of any deflated bytes.
+pub fn sized_snapshot(deflated: &[u8], size: usize) -> Vec<u8> {
+    let body = [&(size as u32).to_le_bytes(), deflated].concat();
+    [b"QZS2", Sha256::digest(&body).as_slice(), &body].concat()
+}
 
 /// The pair of `quetzal init`.
 pub fn template_pair() -> ListPair {
