Bound the time line by events and narrow it at the daemons

Cause: 'quetzal timeline' took up to 390 kB from each daemon, 280 MB from 720, through one daemon that has 32 MB.

What is left out is told. The question is a new message; the older one is still answered.

Order by cause is unchanged.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -92,10 +92,10 @@
         self.get(&format!("/v1/outcome/{change}"))?.read_json_body()
     }
 
-    /// The events of the last `span` on all daemons.
-    pub fn timeline(&self, span: Duration) -> Result<FleetTimeline> {
-        let path = format!("/v1/timeline?since_ms={}", span.as_millis());
-        self.get(&path)?.read_json_body()
+    /// Events of all daemons; `parameters` name which.
+    pub fn timeline(&self, parameters: &str) -> Result<FleetTimeline> {
+        self.get(&format!("/v1/timeline?{parameters}"))?
+            .read_json_body()
     }
 
     /// The log service, as named or as the daemon uses it.
--- a/crates/cli/tests/demo.rs
+++ b/crates/cli/tests/demo.rs
@@ -111,6 +111,15 @@
         assert_eq!(applied.count(), 2, "{timeline}");
     }
     let scratch = tempfile::tempdir().unwrap();
+    let narrow = demo.run(&["timeline", "--service", "deals", "--process", "daemon-3"]);
+    assert!(narrow.contains("target-ready"), "{narrow}");
+    assert!(
+        narrow.lines().all(|line| line.contains("daemon-3")),
+        "{narrow}"
+    );
+    let newest = demo.run(&["timeline", "--domain", "cairo-a", "--events", "2"]);
+    let events = newest.lines().filter(|line| line.contains("  version "));
+    assert_eq!(events.count(), 2, "{newest}");
     let page = scratch.path().join("timeline.html");
     demo.run(&["timeline", "--html", page.to_str().unwrap()]);
     let page = std::fs::read_to_string(page).unwrap();
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -7,7 +7,8 @@
 //! - `GET /v1/status`: this daemon, the fleet, the members
 //! - `GET /v1/snapshot`: the accepted configuration, encoded
 //! - `GET /v1/outcome/ID`: the verdict on a change, or null
-//! - `GET /v1/timeline?since_ms=N`: the events of all daemons
+//! - `GET /v1/timeline?since_ms=N`: the events of all daemons; `events`, `service`,
+//!   `domain` and `process` narrow it
 //! - `POST /v1/drain`: begins a planned stop
 
 use std::sync::Arc;
@@ -28,7 +29,7 @@
 use crate::body::{BodyBounds, CallBody};
 use crate::control::ControlEvent;
 use crate::core::DaemonCore;
-use crate::timeline::{collect_timeline, read_since};
+use crate::timeline::{collect_timeline, read_query};
 
 /// Results of answering an operator.
 pub type Result<T> = model::Result<T>;
@@ -207,10 +208,10 @@
     }
 
     async fn timeline(&self, uri: &Uri) -> Result<OperatorAnswer> {
-        let span = read_since(&uri.to_string())?;
+        let query = read_query(uri.query().unwrap_or_default())?;
         let permit = self.heavy.acquire().await;
         let _permit = permit.map_err(|error| stopping(&error))?;
-        OperatorAnswer::json(&collect_timeline(&self.core, span).await)
+        OperatorAnswer::json(&collect_timeline(&self.core, query).await)
     }
 
     fn drain(&self) -> Result<OperatorAnswer> {
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -16,7 +16,7 @@
 };
 use route::{RetryMark, TargetLoad};
 use serde::{Deserialize, Serialize};
-use trace::HybridStamp;
+use trace::{EventQuery, HybridStamp};
 
 /// Results of reading a peer's head; the kind is `FrameInvalid`.
 pub type Result<T> = model::Result<T>;
@@ -41,7 +41,7 @@
     Revoke(DispatchPermit),
     /// Asks an earlier home about a key; answered with an optional [`RecallAnswer`].
     Recall(Box<KeyCall>),
-    /// Asks for the events of the last milliseconds; answered with a report.
+    /// Asks for the events of the last milliseconds, as older releases do.
     Timeline(u64),
     /// Closes a key for good; answered with an optional [`once::CloseVerdict`].
     Close(Box<KeyClosing>),
@@ -52,6 +52,8 @@
         /// The page.
         page: Box<HandoverPage>,
     },
+    /// Asks for some events; answered with a report.
+    Events(Box<EventQuery>),
 }
 
 /// A key that shall never run again.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -84,6 +84,10 @@
             let report = core.trace().since(Duration::from_millis(since_ms));
             responder.answer_whole(&report).await
         }
+        PeerRequest::Events(query) => {
+            let report = core.trace().select(&query);
+            responder.answer_whole(&report).await
+        }
         PeerRequest::Recall(call) => {
             let answer = recall_here(core, &call);
             responder.answer_whole(&answer).await
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -23,5 +23,7 @@
 pub use event::{EventClass, EventKind, MAX_DETAIL_BYTES, TraceEvent};
 pub use merge::{ProcessTrack, TimeLine, merge_reports};
 pub use page::render_page;
-pub use ring::{DEFAULT_MEMORY, EventRing, MAX_REPORT_EVENTS, ProcessIdentity, ProcessReport};
+pub use ring::{
+    DEFAULT_MEMORY, EventQuery, EventRing, MAX_REPORT_EVENTS, ProcessIdentity, ProcessReport,
+};
 pub use text::render_text;
--- a/crates/trace/src/ring.rs
+++ b/crates/trace/src/ring.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, SystemTime};
 
 use model::{
-    ByteCount, ConfigVersion, DaemonId, DaemonName, DomainName, IncarnationNumber, SharedClock,
+    ByteCount, ConfigVersion, DaemonId, DaemonName, DomainName, IncarnationNumber, ServiceName,
+    SharedClock,
 };
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +46,51 @@
     pub events: Vec<TraceEvent>,
 }
 
+/// Which events are asked for; what is not named is not judged.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EventQuery {
+    /// How far to look back, in milliseconds.
+    pub span_ms: u64,
+    /// Most events of one process, the newest.
+    pub most: u32,
+    /// Only events whose detail names this service.
+    pub service: Option<ServiceName>,
+    /// Only processes of this failure domain.
+    pub domain: Option<DomainName>,
+    /// Only the process of this name.
+    pub process: Option<DaemonName>,
+}
+
+impl EventQuery {
+    /// All events of the last `span`.
+    pub fn of(span: Duration) -> Self {
+        Self {
+            span_ms: span.as_millis() as u64,
+            most: MAX_REPORT_EVENTS as u32,
+            service: None,
+            domain: None,
+            process: None,
+        }
+    }
+
+    /// Whether it asks for events of this process.
+    pub fn is_for(&self, process: &ProcessIdentity) -> bool {
+        let domain = self.domain.as_ref();
+        let name = self.process.as_ref();
+        domain.is_none_or(|domain| *domain == process.domain)
+            && name.is_none_or(|name| *name == process.name)
+    }
+
+    fn is_about(&self, event: &TraceEvent) -> bool {
+        let in_word = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
+        let named = |service: &ServiceName| {
+            let mut words = event.detail.split(|letter| !in_word(letter));
+            words.any(|word| word == service.as_str())
+        };
+        self.service.as_ref().is_none_or(named)
+    }
+}
+
 /// The last events of one process.
 #[derive(Debug)]
 pub struct EventRing {
@@ -111,17 +157,24 @@
 
     /// The events of the last `span`, the newest [`MAX_REPORT_EVENTS`] at most.
     pub fn since(&mut self, span: Duration) -> ProcessReport {
+        self.select(&EventQuery::of(span))
+    }
+
+    /// The events asked for, the newest of them if there are too many.
+    pub fn select(&mut self, query: &EventQuery) -> ProcessReport {
         let wall = self.clock.wall();
         let begin = wall
-            .checked_sub(span)
+            .checked_sub(Duration::from_millis(query.span_ms))
             .and_then(|begin| begin.duration_since(SystemTime::UNIX_EPOCH).ok())
             .map_or(0, |passed| passed.as_millis() as u64);
+        let asks_here = query.is_for(&self.process);
         let asked = self
             .events
             .iter()
-            .filter(|event| event.stamp.wall_ms >= begin);
-        let surplus = asked.clone().count().saturating_sub(MAX_REPORT_EVENTS);
-        let lost = if self.newest_dropped.wall_ms >= begin {
+            .filter(|event| asks_here && event.stamp.wall_ms >= begin && query.is_about(event));
+        let most = MAX_REPORT_EVENTS.min(query.most as usize);
+        let surplus = asked.clone().count().saturating_sub(most);
+        let lost = if asks_here && self.newest_dropped.wall_ms >= begin {
             self.dropped
         } else {
             0
