--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -77,7 +77,10 @@
             }
             if started.elapsed() > CATCH_UP_TIMEOUT {
                 let base = state.base();
-                let detail = format!("the daemon is at {base}, before {version}; ask another one");
+                let detail = format!(
+                    "the daemon is at {base}, before {version}; ask another one; \
+                     if all are, the log lost records: quetzal rebase DIR"
+                );
                 return Err(KindError::new(ErrorKind::ConfigStale, detail));
             }
             thread::sleep(CATCH_UP_INTERVAL);
@@ -89,10 +92,10 @@
         self.get(&format!("/v1/outcome/{change}"))?.read_json_body()
     }
 
-    /// The events of the last `span` on all daemons.
-    pub fn timeline(&self, span: Duration) -> Result<FleetTimeline> {
-        let path = format!("/v1/timeline?since_ms={}", span.as_millis());
-        self.get(&path)?.read_json_body()
+    /// Events of all daemons; `parameters` name which.
+    pub fn timeline(&self, parameters: &str) -> Result<FleetTimeline> {
+        self.get(&format!("/v1/timeline?{parameters}"))?
+            .read_json_body()
     }
 
     /// The log service, as named or as the daemon uses it.
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -16,7 +16,7 @@
 };
 use route::{RetryMark, TargetLoad};
 use serde::{Deserialize, Serialize};
-use trace::HybridStamp;
+use trace::{EventQuery, HybridStamp};
 
 /// Results of reading a peer's head; the kind is `FrameInvalid`.
 pub type Result<T> = model::Result<T>;
@@ -41,7 +41,7 @@
     Revoke(DispatchPermit),
     /// Asks an earlier home about a key; answered with an optional [`RecallAnswer`].
     Recall(Box<KeyCall>),
-    /// Asks for the events of the last milliseconds; answered with a report.
+    /// Asks for the events of the last milliseconds, as older releases do.
     Timeline(u64),
     /// Closes a key for good; answered with an optional [`once::CloseVerdict`].
     Close(Box<KeyClosing>),
@@ -54,6 +54,8 @@
     },
     /// Suspects of a crash, or cleared ones; answered with those that ran to their end.
     Poison(PoisonMessage),
+    /// Asks for some events; answered with a report.
+    Events(Box<EventQuery>),
 }
 
 /// A key that shall never run again.
