Bound idle connections between daemons and ping only where it is waited for

A slot in the pool stayed for good after its connection. Every connection was also pinged twice after each use.

Change: both sides keep at most `peer_links` (160) connections; beyond it the least recently used idle one closes, on the accepting side by GOAWAY, so that no stream is lost. A link that closes takes no new stream. Slots go with their connections. A client's connection is boxed in its task. Pings follow open streams, exchanges and messages without acknowledgement, not acknowledged control messages. `PeerPool::forget`, which nobody called, is gone.

Conclusion: the number of connections ends at the bound, so memory no longer grows with the fleet through them.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -110,6 +110,7 @@
         };
         let wire_limits = WireLimits {
             max_connections: settings.numbers.peer_connections as usize,
+            max_links: settings.numbers.peer_links as usize,
             ..WireLimits::default()
         };
         Ok(Self {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -36,6 +36,7 @@
 ) {
     let limits = WireLimits {
         max_connections: core.settings.numbers.peer_connections as usize,
+        max_links: core.settings.numbers.peer_links as usize,
         ..WireLimits::default()
     };
     let counting = Arc::clone(&core);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -79,6 +79,7 @@
     caller_connections, "connections", 1024, 1, 20000, "Connections from callers at once.";
     operator_connections, "connections", 64, 4, 1024, "Connections from operators and targets beside this daemon at once.";
     peer_connections, "connections", 2048, 1, 20000, "Connections from other daemons at once.";
+    peer_links, "connections", 160, 16, 20000, "Connections kept to other daemons, and as many from them, while they carry no stream.";
     header_timeout_ms, "ms", 5000, 50, 60000, "Time for the headers of a call to arrive.";
     idle_timeout_ms, "ms", 15000, 50, 600_000, "Time without a byte after which a body is cut off.";
     max_header_bytes, "bytes", 16384, 8192, 65536, "Largest headers of a call.";
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -201,12 +201,7 @@
             services: report_services(core, &members),
             beside: report_beside(core),
             members,
-            counters: core
-                .counters
-                .read()
-                .into_iter()
-                .map(|(name, count)| (name.into(), count))
-                .collect(),
+            counters: report_counters(core),
         }
     }
 }
@@ -216,6 +211,14 @@
     found.map_or_else(|| id.to_string().into(), |member| member.name.clone())
 }
 
+fn report_counters(core: &DaemonCore) -> BTreeMap<Box<str>, u64> {
+    let mut counts = core.counters.read();
+    counts.insert("peer-links", core.pool.link_count() as u64);
+    counts.insert("peer-links-opened", core.pool.opened_count());
+    let named = counts.into_iter().map(|(name, count)| (name.into(), count));
+    named.collect()
+}
+
 fn report_homes(core: &DaemonCore, members: &[MemberReport]) -> Vec<Box<str>> {
     let homes = core.homes.load();
     homes
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -12,7 +12,7 @@
 
 use crate::Result;
 use crate::codec::{encode_frame, take_frame};
-use crate::pool::LinkUsage;
+use crate::links::StreamTicket;
 
 /// Sends body bytes as fast as the peer takes them.
 ///
@@ -22,15 +22,15 @@
 pub struct BodySender {
     stream: SendStream<Bytes>,
     finished: bool,
-    _usage: Option<Arc<LinkUsage>>,
+    _ticket: Option<Arc<StreamTicket>>,
 }
 
 impl BodySender {
-    pub(crate) fn new(stream: SendStream<Bytes>, usage: Option<Arc<LinkUsage>>) -> Self {
+    pub(crate) fn new(stream: SendStream<Bytes>, ticket: Option<Arc<StreamTicket>>) -> Self {
         Self {
             stream,
             finished: false,
-            _usage: usage,
+            _ticket: ticket,
         }
     }
 
@@ -104,16 +104,16 @@
     stream: RecvStream,
     early: BytesMut,
     unreleased: usize,
-    _usage: Option<Arc<LinkUsage>>,
+    _ticket: Option<Arc<StreamTicket>>,
 }
 
 impl BodyReceiver {
-    pub(crate) fn new(stream: RecvStream, usage: Option<Arc<LinkUsage>>) -> Self {
+    pub(crate) fn new(stream: RecvStream, ticket: Option<Arc<StreamTicket>>) -> Self {
         Self {
             stream,
             early: BytesMut::new(),
             unreleased: 0,
-            _usage: usage,
+            _ticket: ticket,
         }
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod body;
 pub mod codec;
+mod links;
 pub mod pool;
 pub mod server;
 
@@ -35,6 +36,8 @@
     pub max_streams: u32,
     /// Connections accepted at once.
     pub max_connections: usize,
+    /// Connections kept open without a stream, on each side.
+    pub max_links: usize,
     /// Bytes in flight on one stream.
     pub stream_window_bytes: u32,
     /// Bytes in flight on one connection.
@@ -43,7 +46,7 @@
     pub connect_timeout: Duration,
     /// A connection without streams is closed after this time.
     pub idle_timeout: Duration,
-    /// A connection is pinged this often; a missing pong closes it.
+    /// A connection on which somebody waits is pinged this often; a missing pong closes it.
     pub ping_interval: Duration,
 }
 
@@ -53,6 +56,7 @@
             max_head_bytes: 4 << 20,
             max_streams: 1024,
             max_connections: 2048,
+            max_links: 160,
             stream_window_bytes: 64 << 10,
             connection_window_bytes: 1 << 20,
             connect_timeout: Duration::from_secs(1),
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -1,9 +1,11 @@
 //! Connections to peers, one for each address, opened on demand.
+//!
+//! Their number is bounded and idle ones close; a slot lives as long as its
+//! connection.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
 use h2::client::{Connection, ResponseFuture, SendRequest};
@@ -13,15 +15,17 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, interval, timeout};
+use tokio::time::{interval, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::body::{BodyReceiver, BodySender, stream_error};
 use crate::codec::encode_frame;
+use crate::links::{LinkBook, LinkUsage, StreamKind, StreamTicket};
 use crate::{Result, WireLimits};
 
 type LinkSlot = Arc<tokio::sync::Mutex<Option<PeerLink>>>;
+type SlotMap = Mutex<HashMap<SocketAddr, LinkSlot>>;
 
 #[derive(Clone, Debug)]
 struct PeerLink {
@@ -29,40 +33,12 @@
     usage: Arc<LinkUsage>,
 }
 
-/// When a connection was last used; every open direction of a stream holds a clone.
-#[derive(Debug)]
-pub(crate) struct LinkUsage {
-    opened: Mutex<Instant>,
-}
-
-impl LinkUsage {
-    fn new() -> Arc<Self> {
-        Arc::new(Self {
-            opened: Mutex::new(Instant::now()),
-        })
-    }
-
-    fn touch(&self) {
-        *self.opened.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
-    }
-
-    /// Time since the last stream was opened; none while streams are open.
-    fn idle_time(self: &Arc<Self>) -> Duration {
-        // The link in its slot and the watcher hold one clone each.
-        const OWN_CLONES: usize = 2;
-        if Arc::strong_count(self) > OWN_CLONES {
-            return Duration::ZERO;
-        }
-        let opened = *self.opened.lock().unwrap_or_else(PoisonError::into_inner);
-        opened.elapsed()
-    }
-}
-
 /// Connections to peers; closes and joins them on [`PeerPool::close`].
 #[derive(Debug)]
 pub struct PeerPool {
     limits: WireLimits,
-    slots: Mutex<HashMap<SocketAddr, LinkSlot>>,
+    slots: Arc<SlotMap>,
+    book: Arc<LinkBook>,
     tracker: TaskTracker,
     token: CancellationToken,
 }
@@ -80,7 +56,7 @@
 #[derive(Debug)]
 pub struct PeerAnswer {
     response: ResponseFuture,
-    usage: Arc<LinkUsage>,
+    ticket: Arc<StreamTicket>,
     max_head_bytes: usize,
 }
 
@@ -90,7 +66,7 @@
     /// Kinds: `OutcomeUnknown`, `PeerUnavailable`, `FrameInvalid`, `FrameTooLarge`.
     pub async fn head<T: DeserializeOwned>(self) -> Result<(T, BodyReceiver)> {
         let response = self.response.await.map_err(stream_error)?;
-        let mut receiver = BodyReceiver::new(response.into_body(), Some(self.usage));
+        let mut receiver = BodyReceiver::new(response.into_body(), Some(self.ticket));
         let head = receiver.read_message(self.max_head_bytes).await?;
         Ok((head, receiver))
     }
@@ -101,7 +77,8 @@
     pub fn new(limits: WireLimits) -> Self {
         Self {
             limits,
-            slots: Mutex::new(HashMap::new()),
+            slots: Arc::default(),
+            book: Arc::new(LinkBook::new(limits.max_links)),
             tracker: TaskTracker::new(),
             token: CancellationToken::new(),
         }
@@ -111,17 +88,18 @@
     ///
     /// Kinds: `PeerUnavailable` (nothing was sent), `OutcomeUnknown`, `FrameTooLarge`.
     pub async fn open(&self, address: SocketAddr, head: &impl Serialize) -> Result<PeerExchange> {
-        let (mut requests, usage) = self.ready_link(address).await?;
+        let (mut requests, ticket) = self.ready_link(address, StreamKind::Exchange).await?;
+        let ticket = Arc::new(ticket);
         let (response, stream) = requests
             .send_request(new_request()?, false)
             .map_err(unavailable)?;
-        let mut sender = BodySender::new(stream, Some(Arc::clone(&usage)));
+        let mut sender = BodySender::new(stream, Some(Arc::clone(&ticket)));
         sender
             .send_message(head, self.limits.max_head_bytes)
             .await?;
         let answer = PeerAnswer {
             response,
-            usage,
+            ticket,
             max_head_bytes: self.limits.max_head_bytes,
         };
         Ok(PeerExchange { sender, answer })
@@ -144,25 +122,38 @@
 
     /// Sends one message that is whole in itself; the peer only acknowledges it.
     ///
-    /// Costs two frames there and one back, less than half of an exchange.
+    /// Costs two frames there and one back, less than half of an exchange, and
+    /// no pings afterwards.
     ///
     /// Kinds: `PeerUnavailable`, `OutcomeUnknown`, `FrameTooLarge`.
     pub async fn tell(&self, address: SocketAddr, head: &impl Serialize) -> Result<()> {
         let frame = encode_frame(head, self.limits.max_head_bytes)?;
-        let (mut requests, usage) = self.ready_link(address).await?;
+        let (mut requests, ticket) = self.ready_link(address, StreamKind::Message).await?;
         let (response, mut stream) = requests
             .send_request(new_request()?, false)
             .map_err(unavailable)?;
         stream.reserve_capacity(frame.len());
         stream.send_data(frame, true).map_err(stream_error)?;
-        let acknowledged = response.await.map_err(stream_error);
-        drop(usage);
-        acknowledged.map(drop)
+        response.await.map_err(stream_error)?;
+        ticket.acknowledge();
+        Ok(())
+    }
+
+    /// Connections that take new exchanges.
+    pub fn link_count(&self) -> usize {
+        self.book.count()
+    }
+
+    /// Connections opened since the start.
+    pub fn opened_count(&self) -> u64 {
+        self.book.opened()
     }
 
-    /// Drops the connection to a peer that left.
-    pub fn forget(&self, address: SocketAddr) {
-        self.slots().remove(&address);
+    /// Whether a connection to `address` takes new exchanges.
+    pub fn is_linked(&self, address: SocketAddr) -> bool {
+        let slots = self.slots();
+        let link = slots.get(&address).and_then(|slot| slot.try_lock().ok());
+        link.is_some_and(|link| link.as_ref().is_some_and(|link| link.usage.is_open()))
     }
 
     /// Peers with a slot, connected or not.
@@ -178,46 +169,91 @@
         self.tracker.wait().await;
     }
 
-    fn slots(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, LinkSlot>> {
-        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    fn slots(&self) -> MutexGuard<'_, HashMap<SocketAddr, LinkSlot>> {
+        lock(&self.slots)
     }
 
+    /// A connection with a stream entered.
     async fn ready_link(
         &self,
         address: SocketAddr,
-    ) -> Result<(SendRequest<Bytes>, Arc<LinkUsage>)> {
+        kind: StreamKind,
+    ) -> Result<(SendRequest<Bytes>, StreamTicket)> {
         let slot = Arc::clone(self.slots().entry(address).or_default());
         // The lock collapses simultaneous connection attempts into one.
         let mut link = slot.lock().await;
         if let Some(open) = &*link
+            && let Some(ticket) = open.usage.enter(kind)
             && let Ok(requests) = open.requests.clone().ready().await
         {
-            open.usage.touch();
-            return Ok((requests, Arc::clone(&open.usage)));
+            return Ok((requests, ticket));
         }
         *link = None;
-        let fresh = self.connect(address).await?;
-        let requests = fresh.requests.clone();
-        let usage = Arc::clone(&fresh.usage);
-        *link = Some(fresh);
+        let connected = self.connect(address, kind).await;
+        let Ok((requests, ticket)) = connected else {
+            drop(link);
+            remove_unused(&self.slots, address, slot);
+            return connected;
+        };
+        *link = Some(PeerLink {
+            requests: requests.clone(),
+            usage: Arc::clone(ticket.usage()),
+        });
         let requests = requests.ready().await.map_err(unavailable)?;
-        Ok((requests, usage))
+        Ok((requests, ticket))
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<PeerLink> {
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        kind: StreamKind,
+    ) -> Result<(SendRequest<Bytes>, StreamTicket)> {
         let attempt = timeout(self.limits.connect_timeout, handshake(address, self.limits));
         let (requests, connection) = attempt.await.map_err(|elapsed| {
             KindError::new(ErrorKind::PeerUnavailable, format!("{address}: {elapsed}"))
         })??;
-        let usage = LinkUsage::new();
-        let keeper = keep_link(
-            connection,
-            Arc::clone(&usage),
-            self.limits,
-            self.token.clone(),
-        );
-        self.tracker.spawn(keeper);
-        Ok(PeerLink { requests, usage })
+        let ticket = self.book.open(kind);
+        let usage = Arc::clone(ticket.usage());
+        let (slots, book) = (Arc::clone(&self.slots), Arc::clone(&self.book));
+        let (limits, token) = (self.limits, self.token.clone());
+        self.tracker.spawn(async move {
+            keep_link(connection, &usage, limits, token).await;
+            book.remove(&usage);
+            remove_ended(&slots, address, &usage);
+        });
+        Ok((requests, ticket))
+    }
+}
+
+fn lock(slots: &SlotMap) -> MutexGuard<'_, HashMap<SocketAddr, LinkSlot>> {
+    slots.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Removes the slot of a connection that has ended, unless another is being opened.
+fn remove_ended(slots: &SlotMap, address: SocketAddr, usage: &Arc<LinkUsage>) {
+    let mut slots = lock(slots);
+    let Some(slot) = slots.get(&address) else {
+        return;
+    };
+    let is_ended = slot.try_lock().is_ok_and(|link| {
+        link.as_ref()
+            .is_none_or(|link| Arc::ptr_eq(&link.usage, usage))
+    });
+    // Slots are cloned under the map's lock only, so this count is exact.
+    if is_ended && Arc::strong_count(slot) == 1 {
+        slots.remove(&address);
+    }
+}
+
+/// Removes the slot of a peer that could not be reached, unless others wait for it.
+fn remove_unused(slots: &SlotMap, address: SocketAddr, slot: LinkSlot) {
+    let mut slots = lock(slots);
+    drop(slot);
+    if slots
+        .get(&address)
+        .is_some_and(|slot| Arc::strong_count(slot) == 1)
+    {
+        slots.remove(&address);
     }
 }
 
@@ -225,7 +261,9 @@
     Request::post("http://peer/").body(()).map_err(local)
 }
 
-type LinkParts = (SendRequest<Bytes>, Connection<TcpStream, Bytes>);
+type PeerConnection = Connection<TcpStream, Bytes>;
+// Boxed, since a future that hands it on would hold it once for each hand.
+type LinkParts = (SendRequest<Bytes>, Box<PeerConnection>);
 
 async fn handshake(address: SocketAddr, limits: WireLimits) -> Result<LinkParts> {
     let failed = |error: std::io::Error| {
@@ -233,19 +271,20 @@
     };
     let socket = TcpStream::connect(address).await.map_err(failed)?;
     socket.set_nodelay(true).map_err(failed)?;
-    h2::client::Builder::new()
+    let (requests, connection) = h2::client::Builder::new()
         .initial_window_size(limits.stream_window_bytes)
         .initial_connection_window_size(limits.connection_window_bytes)
         .enable_push(false)
         .handshake(socket)
         .await
-        .map_err(unavailable)
+        .map_err(unavailable)?;
+    Ok((requests, Box::new(connection)))
 }
 
-/// Drives one connection until it fails, falls idle, or the pool closes.
+/// Drives one connection until it fails, is to close, or the pool closes.
 async fn keep_link(
-    mut connection: Connection<TcpStream, Bytes>,
-    usage: Arc<LinkUsage>,
+    mut connection: Box<PeerConnection>,
+    usage: &LinkUsage,
     limits: WireLimits,
     token: CancellationToken,
 ) {
@@ -253,28 +292,29 @@
     tokio::select! {
         _ = connection => {}
         () = watch_link(pings, usage, limits) => {}
+        () = usage.closed() => {}
         () = token.cancelled() => {}
     }
 }
 
 /// Ends when a pong is missing or the connection was not used for long.
-async fn watch_link(pings: Option<PingPong>, usage: Arc<LinkUsage>, limits: WireLimits) {
+async fn watch_link(pings: Option<PingPong>, usage: &LinkUsage, limits: WireLimits) {
     let Some(mut pings) = pings else { return };
     let mut ticks = interval(limits.ping_interval);
     ticks.tick().await;
     loop {
         ticks.tick().await;
-        if usage.idle_time() > limits.idle_timeout {
+        if usage.close_idle(limits.idle_timeout) {
             return;
         }
-        if usage.idle_time() < limits.ping_interval * 2
-            && !matches!(
-                timeout(limits.ping_interval, pings.ping(Ping::opaque())).await,
-                Ok(Ok(_))
-            )
-        {
+        if !usage.needs_ping(limits.ping_interval * 2) {
+            continue;
+        }
+        let pinged = timeout(limits.ping_interval, pings.ping(Ping::opaque()));
+        if !matches!(pinged.await, Ok(Ok(_))) {
             return;
         }
+        usage.confirm();
     }
 }
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,4 +1,8 @@
 //! Accepts exchanges from peers.
+//!
+//! Beyond the bound on idle connections the least recently used one is told to
+//! go away, which loses no stream: h2 lets open ones end, and the peer opens
+//! another connection for its next exchange.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,6 +22,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::{BodyReceiver, BodySender, stream_error};
+use crate::links::{LinkBook, LinkUsage, StreamKind};
 use crate::{Result, WireLimits};
 
 /// Time for the head of an exchange to arrive.
@@ -98,6 +103,7 @@
 {
     let tracker = TaskTracker::new();
     let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let book = Arc::new(LinkBook::new(limits.max_links));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -116,11 +122,23 @@
         };
         let (handle, refused) = (handle.clone(), refused.clone());
         let (token, streams) = (token.clone(), tracker.clone());
+        let book = Arc::clone(&book);
         tracker.spawn(async move {
-            let served = serve_connection(socket, peer, limits, token, streams, handle, &refused);
+            let first = book.open(StreamKind::Exchange);
+            let usage = Arc::clone(first.usage());
+            drop(first);
+            let serving = Serving {
+                peer,
+                limits,
+                token,
+                streams,
+                usage: Arc::clone(&usage),
+            };
+            let served = serve_connection(socket, serving, handle, &refused);
             if let Err(error) = served.await {
                 refused(error);
             }
+            book.remove(&usage);
             drop(permit);
         });
     }
@@ -128,12 +146,18 @@
     tracker.wait().await;
 }
 
-async fn serve_connection<H, F, R>(
-    socket: TcpStream,
+/// What the loop of one connection needs beside its socket.
+struct Serving {
     peer: SocketAddr,
     limits: WireLimits,
     token: CancellationToken,
     streams: TaskTracker,
+    usage: Arc<LinkUsage>,
+}
+
+async fn serve_connection<H, F, R>(
+    socket: TcpStream,
+    serving: Serving,
     handle: F,
     refused: &(impl Fn(KindError) + Clone + Send + Sync + 'static),
 ) -> Result<()>
@@ -142,14 +166,19 @@
     F: Fn(PeerStream<H>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = ()> + Send + 'static,
 {
+    let Serving {
+        peer,
+        limits,
+        token,
+        streams,
+        usage,
+    } = serving;
     let Ok(connection) = timeout(limits.connect_timeout, accept(socket, limits)).await else {
         return Ok(());
     };
     let mut connection = connection?;
     let mut stopping = false;
     let mut was_idle = false;
-    // Held once more by every open stream.
-    let open = Arc::new(());
     loop {
         let patience = if stopping {
             limits.connect_timeout
@@ -158,13 +187,13 @@
         };
         let request = tokio::select! {
             request = connection.accept() => request,
-            () = token.cancelled(), if !stopping => {
+            () = ended(&token, &usage), if !stopping => {
                 stopping = true;
                 connection.graceful_shutdown();
                 continue;
             }
             () = sleep(patience) => {
-                let is_idle = Arc::strong_count(&open) == 1;
+                let is_idle = usage.is_idle();
                 if is_idle && was_idle {
                     let detail = format!("{peer} holds a connection without streams");
                     return Err(KindError::new(ErrorKind::IdleTimeout, detail));
@@ -182,17 +211,26 @@
         };
         was_idle = false;
         let (handle, refused) = (handle.clone(), refused.clone());
-        let open = Arc::clone(&open);
+        // A connection that is to close still serves what has arrived.
+        let ticket = usage.enter(StreamKind::Exchange);
         streams.spawn(async move {
             match open_stream(request, response, peer, limits).await {
                 Ok(stream) => handle(stream).await,
                 Err(error) => refused(error),
             }
-            drop(open);
+            drop(ticket);
         });
     }
 }
 
+/// Waits until the server stops or the connection is one too many.
+async fn ended(token: &CancellationToken, usage: &LinkUsage) {
+    tokio::select! {
+        () = token.cancelled() => {}
+        () = usage.closed() => {}
+    }
+}
+
 async fn accept(socket: TcpStream, limits: WireLimits) -> Result<Connection<TcpStream, Bytes>> {
     // An error here leaves the socket slower, not wrong.
     drop(socket.set_nodelay(true));
