--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -85,7 +85,7 @@
         return serve_key_call(core, table, &call).await;
     }
     let grant = table.admit(&call.customer, &call.secret, &call.method, &call.path)?;
-    let key = read_key(&call, &grant, case)?;
+    let key = read_key(core, &call, &grant, case)?;
     run_granted(core, &call, &grant, &parts.headers, incoming, key).await
 }
 
@@ -146,6 +146,7 @@
 
 /// The key of a non-idempotent call; none for an idempotent one.
 fn read_key(
+    core: &DaemonCore,
     call: &CallRequest,
     grant: &CallGrant<'_>,
     case: FreshnessCase,
@@ -163,7 +164,9 @@
         KindError::new(ErrorKind::KeyMissing, detail)
     };
     let text = call.key.as_deref().ok_or_else(missing)?;
-    Ok(Some(text.parse()?))
+    let key = text.parse()?;
+    core.settings.untimed_keys.check(&key)?;
+    Ok(Some(key))
 }
 
 /// What a refusal given before the key's home was asked proves about the call.
