Refuse keys without a time; leave not-run to the key's home

Cause 1: a key that is neither a UUIDv7 nor issued could run twice when it was sent again after 240 s, against the promise that a key runs at most once. Closing such a key said never-ran even if it had run longer ago.

Change 1: such a key is refused as key-untimed (400), at once by the proxy and again by the home, which decides whatever the proxy's setting is; so is closing it. The answer is sending-not-run and names the ways out.

Cause 2: a proxy that refused a keyed call before it was admitted (draining, no configuration, unknown customer, route or plan, stale configuration, an unreadable head, a full listener) answered not-run, though the same key may have run through another proxy. A caller that trusts it pays twice with a fresh key.

Change 2: every refusal given before the home was asked says sending-not-run if the call names a key, unless its method is idempotent. A full listener, which reads no call, says so too and no longer sends quetzal-not-run.

A key whose time is older than what is remembered stays key-unknown, and the text now names the slow clock as a possible cause.

The printed list of settings has a wider second column, since "every or majority" ran into the next.

Conclusion: at most once has no exception unless an operator sets one.

--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use bpaf::Bpaf;
-use daemon::settings::{NumberSettings, OutageQuorum};
+use daemon::settings::{NumberSettings, OutageQuorum, UntimedKeys};
 use daemon::{DaemonSettings, RunningDaemon};
 use feed::{LogServer, LogSettings, MemoryLog, serve};
 use model::{ChangeId, ConfigVersion, ErrorKind, KindError, SystemClock};
@@ -253,6 +253,7 @@
         peers: Vec::new(),
         metrics_address: None,
         outage_quorum: OutageQuorum::default(),
+        untimed_keys: UntimedKeys::default(),
         numbers: NumberSettings::default(),
     })
 }
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use daemon::settings::{NumberSettings, OutageQuorum};
+use daemon::settings::{NumberSettings, OutageQuorum, UntimedKeys};
 use daemon::{DaemonSettings, RunningDaemon};
 use feed::{LogFaults, LogServer, LogSettings, MemoryLog, serve};
 use model::{LogOffset, SystemClock};
@@ -240,6 +240,7 @@
         peers: Vec::new(),
         metrics_address: None,
         outage_quorum: OutageQuorum::default(),
+        untimed_keys: UntimedKeys::default(),
         numbers: NumberSettings::default(),
     }
 }
--- a/crates/daemon/benches/latency.rs
+++ b/crates/daemon/benches/latency.rs
@@ -21,7 +21,7 @@
 use members::{TargetAnnouncement, TargetState};
 use model::{CallCount, ChangeId, IncarnationNumber, SystemClock};
 use plans::{ChangeMeta, ChangeRecord, ConfigState, ListPair};
-use quetzal_daemon::settings::{NumberSettings, OutageQuorum};
+use quetzal_daemon::settings::{NumberSettings, OutageQuorum, UntimedKeys};
 use quetzal_daemon::{DaemonSettings, RunningDaemon};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -108,6 +108,7 @@
         peers: Vec::new(),
         metrics_address: None,
         outage_quorum: OutageQuorum::default(),
+        untimed_keys: UntimedKeys::default(),
         numbers: NumberSettings::default(),
     };
     RunningDaemon::start(settings).expect("a daemon")
--- a/crates/daemon/src/accept.rs
+++ b/crates/daemon/src/accept.rs
@@ -29,9 +29,9 @@
 /// Results of binding; the kind is `LocalFailed`.
 pub type Result<T> = model::Result<T>;
 
-/// Answer to a connection beyond the bound.
+/// Answer to a connection beyond the bound; its call, unread, may name a key sent before.
 const FULL_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
-    quetzal-error: connections-exceeded\r\nquetzal-not-run: true\r\nretry-after: 1\r\n\
+    quetzal-error: connections-exceeded\r\nquetzal-run: sending-not-run\r\nretry-after: 1\r\n\
     content-length: 0\r\nconnection: close\r\n\r\n";
 /// Time for a connection beyond the bound to take its refusal.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -25,6 +25,7 @@
 use crate::keyed::run_keyed;
 use crate::peer::{CallHead, CallRefusal, pack_headers};
 use crate::request::CallRequest;
+use crate::request::names_key;
 
 /// Bytes of a body that are read before the call is sent, so that it can be repeated.
 const READ_AHEAD_BYTES: usize = 64 << 10;
@@ -56,7 +57,8 @@
 ) -> (AnswerMark, Result<TargetAnswer>) {
     let Some(table) = core.table.load_full() else {
         let error = KindError::new(ErrorKind::ConfigAbsent, "no configuration yet");
-        return (AnswerMark::NONE, Err(error.into()));
+        let refusal = weaken(error.into(), names_key(request.headers()));
+        return (AnswerMark::NONE, Err(refusal));
     };
     let case = core.freshness.load().case_at(core.clock.now());
     let mark = AnswerMark {
@@ -72,21 +74,28 @@
     case: FreshnessCase,
     request: Request<Incoming>,
 ) -> Result<TargetAnswer> {
+    let (parts, incoming) = request.into_parts();
+    // A key may have been sent before, which only its home can tell about.
+    let keyed = names_key(&parts.headers);
+    let unasked = |error: KindError| weaken(error.into(), keyed);
     model::ensure(
         !core.is_draining(),
         ErrorKind::Draining,
         "this daemon is draining",
-    )?;
-    let (parts, incoming) = request.into_parts();
-    let call = CallRequest::read(&parts)?;
+    )
+    .map_err(unasked)?;
+    let call = CallRequest::read(&parts).map_err(unasked)?;
     if is_key_call(&call) {
-        return serve_key_call(core, table, &call).await;
+        let served = serve_key_call(core, table, &call).await;
+        return served.map_err(|refusal| weaken(refusal, keyed));
     }
-    let grant = table.admit(&call.customer, &call.secret, &call.method, &call.path)?;
-    let key = read_key(&call, &grant, case)?;
+    let grant = table
+        .admit(&call.customer, &call.secret, &call.method, &call.path)
+        .map_err(unasked)?;
+    let keyed = keyed && !grant.method.idempotent;
+    let key = read_key(core, &call, &grant, case).map_err(|refusal| weaken(refusal, keyed))?;
     let result = run_granted(core, &call, &grant, &parts.headers, incoming, key).await;
-    // A key may have been sent before, which only its home can tell about.
-    result.map_err(|refusal| weaken(refusal, call.key.is_some() && !grant.method.idempotent))
+    result.map_err(|refusal| weaken(refusal, keyed))
 }
 
 async fn run_granted(
@@ -146,6 +155,7 @@
 
 /// The key of a non-idempotent call; none for an idempotent one.
 fn read_key(
+    core: &DaemonCore,
     call: &CallRequest,
     grant: &CallGrant<'_>,
     case: FreshnessCase,
@@ -163,7 +173,9 @@
         KindError::new(ErrorKind::KeyMissing, detail)
     };
     let text = call.key.as_deref().ok_or_else(missing)?;
-    Ok(Some(text.parse()?))
+    let key = text.parse()?;
+    core.settings.untimed_keys.check(&key)?;
+    Ok(Some(key))
 }
 
 /// What a refusal given before the key's home was asked proves about the call.
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -89,7 +89,7 @@
             daemon: id,
             incarnation,
         };
-        let keys = Arc::new(KeyDesk::new(me, &clock));
+        let keys = Arc::new(KeyDesk::new(me, settings.untimed_keys, &clock));
         let trace_memory = ByteCount(u64::from(settings.numbers.trace_memory_kb) * 1024);
         let process = ProcessIdentity {
             daemon: id,
--- a/crates/daemon/src/key_desk.rs
+++ b/crates/daemon/src/key_desk.rs
@@ -13,7 +13,7 @@
 use once::router::HolderStatus;
 use once::{
     CallKey, HolderId, HomeAnswer, HomeSettings, KeyDigest, KeyHome, KeyRouter, PermitIssuer,
-    PermitPurse, PoisonOutput, PoisonWatch,
+    PermitPurse, PoisonOutput, PoisonWatch, UntimedKeys,
 };
 
 /// Runs of live daemons.
@@ -34,8 +34,11 @@
 
 impl KeyDesk {
     /// A desk that knows nothing yet.
-    pub fn new(me: HolderId, clock: &SharedClock) -> Self {
-        let settings = HomeSettings::default();
+    pub fn new(me: HolderId, untimed_keys: UntimedKeys, clock: &SharedClock) -> Self {
+        let settings = HomeSettings {
+            untimed_keys,
+            ..HomeSettings::default()
+        };
         let shared = || Arc::clone(clock);
         Self {
             me,
--- a/crates/daemon/src/key_service.rs
+++ b/crates/daemon/src/key_service.rs
@@ -106,6 +106,7 @@
     let text = call.key.as_deref();
     let text = text.ok_or_else(|| KindError::new(ErrorKind::KeyMissing, missing))?;
     let key: CallKey = text.parse()?;
+    core.settings.untimed_keys.check(&key)?;
     let named = key.to_string();
     let verdict = close_key(core, customer, key).await;
     let (outcome, status) = match verdict {
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -78,6 +78,11 @@
     }
 }
 
+/// Whether the call names a key, readable or not.
+pub fn names_key(headers: &HeaderMap) -> bool {
+    headers.contains_key(KEY_HEADER)
+}
+
 fn text<'head>(headers: &'head HeaderMap, name: &HeaderName) -> Result<&'head str> {
     let mut values = headers.get_all(name).iter();
     let Some(value) = values.next() else {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -12,6 +12,7 @@
 use jsonc_parser::ast::Value;
 use jsonc_parser::common::Ranged;
 use model::{DaemonId, DaemonName, DomainName, RegionName};
+pub use once::UntimedKeys;
 use plans::lists::ListProblem;
 use plans::reader::{DocumentReader, FieldMap};
 use serde::Serialize;
@@ -113,6 +114,8 @@
     pub metrics_address: Option<SocketAddr>,
     /// Which failure domains must witness an outage of the log before calls go on.
     pub outage_quorum: OutageQuorum,
+    /// Whether keys that are neither a `UUIDv7` nor issued may run.
+    pub untimed_keys: UntimedKeys,
     /// Everything with a default.
     pub numbers: NumberSettings,
 }
@@ -154,6 +157,7 @@
     "peers", "[IP:port]", Some("none"), "Peers to ask when the log service is down.";
     "metrics_address", "IP:port", Some("none"), "Where counters go as UDP datagrams.";
     "outage_quorum", "every or majority", Some("every"), "Failure domains that must witness an outage of the log before calls go on without it.";
+    "untimed_keys", "refused or once-per-window", Some("refused"), "What becomes of an Idempotency-Key that is neither a UUIDv7 nor issued; once-per-window lets it run with the weaker promise that it runs at most once within 240 s of its first sending.";
 }
 
 impl DaemonSettings {
@@ -240,6 +244,10 @@
         Some(value) => read_quorum(reader, value),
         None => Some(OutageQuorum::default()),
     };
+    let untimed_keys = match fields.get("untimed_keys") {
+        Some(value) => read_untimed(reader, value),
+        None => Some(UntimedKeys::default()),
+    };
     let numbers = NumberSettings::read(reader, &fields);
     let listeners = [
         ("caller_address", caller_address),
@@ -258,6 +266,7 @@
         peers,
         metrics_address,
         outage_quorum: outage_quorum?,
+        untimed_keys: untimed_keys?,
         numbers,
     })
 }
@@ -308,6 +317,17 @@
     }
 }
 
+fn read_untimed(reader: &mut DocumentReader<'_>, value: &Value<'_>) -> Option<UntimedKeys> {
+    match reader.string(value, "untimed_keys")? {
+        "refused" => Some(UntimedKeys::Refused),
+        "once-per-window" => Some(UntimedKeys::OncePerWindow),
+        _ => reader.fail(
+            value.start(),
+            "\"untimed_keys\" is \"refused\" or \"once-per-window\"",
+        ),
+    }
+}
+
 fn read_address(
     reader: &mut DocumentReader<'_>,
     value: &Value<'_>,
--- a/crates/daemon/src/settings_page.rs
+++ b/crates/daemon/src/settings_page.rs
@@ -21,7 +21,7 @@
                 format!(", {range}")
             };
             // Writing to a String cannot fail.
-            let _ = writeln!(text, "{name:21}{unit:12}{default}{range}; {meaning}");
+            let _ = writeln!(text, "{name:21}{unit:27}{default}{range}; {meaning}");
         }
         text
     }
--- a/crates/daemon/tests/bounds.rs
+++ b/crates/daemon/tests/bounds.rs
@@ -104,6 +104,8 @@
         refused.is_empty() || refused.contains("connections-exceeded"),
         "{refused}"
     );
+    // Unread, the call may have named a key that was sent before.
+    assert!(!refused.contains("not-run: true"), "{refused}");
     // The idle ones are closed after the header timeout, while this test still holds them.
     await_true("room for a caller", || {
         fleet
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -96,6 +96,8 @@
     RequestInvalid => "request-invalid", 400, true, false, 2, "Correct the caller.";
     /// A non-idempotent call came without an `Idempotency-Key`.
     KeyMissing => "key-missing", 428, true, false, 2, "Have the caller send an Idempotency-Key.";
+    /// The key carries no time and was not issued, so it cannot be kept to one run.
+    KeyUntimed => "key-untimed", 400, true, false, 2, "Have the caller use a UUIDv7, or a key issued by POST /.quetzal/keys.";
     /// The customer is unknown or its key is wrong.
     CustomerUnknown => "customer-unknown", 401, true, false, 2, "Check the customer's entry in plans.jsonc.";
     /// The customer's plan does not allow the call.
--- a/crates/once/src/home/book.rs
+++ b/crates/once/src/home/book.rs
@@ -136,8 +136,14 @@
             return admit_untimed(gate, now);
         };
         let born_s = seconds(time);
-        let after_floor = born_s >= self.floor_s;
-        if !after_floor || gate.term.owns_after.is_some_and(|after| time <= after) {
+        if born_s < self.floor_s {
+            let behind = self.floor_s - born_s;
+            return Err(unknown(&format!(
+                "the key's time lies {behind} s before what is remembered; the call may \
+                 have run, or the clock that made the key is slow"
+            )));
+        }
+        if gate.term.owns_after.is_some_and(|after| time <= after) {
             return Err(unknown("an earlier home may have run the key"));
         }
         if gate.term.owns(time) {
--- a/crates/once/src/home/keys.rs
+++ b/crates/once/src/home/keys.rs
@@ -10,6 +10,7 @@
 use super::book::{BookGate, BookId, IssuerGate, KeyBook};
 use super::entry::{KeyEntry, KeyState, short_print};
 use super::handover::StagedBook;
+use super::untimed::UntimedKeys;
 use super::verdict::{CloseVerdict, KeyCall, KeyRefusal, KeyVerdict, RunTicket};
 use crate::key::{CallKey, IssuedKey, KeyDigest};
 use crate::lease::{HolderId, KeyRange, TermEpoch, TermRef};
@@ -31,6 +32,8 @@
     pub largest_answer: ByteCount,
     /// Drift of monotonic clocks, in parts per thousand.
     pub drift_permille: u32,
+    /// Whether keys without a time may run.
+    pub untimed_keys: UntimedKeys,
 }
 
 impl Default for HomeSettings {
@@ -42,6 +45,7 @@
             answer_budget: ByteCount(4 << 20),
             largest_answer: ByteCount(64 << 10),
             drift_permille: 5,
+            untimed_keys: UntimedKeys::Refused,
         }
     }
 }
@@ -222,6 +226,13 @@
                 "the book is gone",
             ));
         };
+        // A key that is remembered has been answered by now, whatever the setting.
+        let timed = self.settings.untimed_keys.check(&call.key);
+        timed.map_err(|error| KeyRefusal {
+            error,
+            // An earlier sending may have come to a home that lets such keys run.
+            proof: RunProof::SendingNotRun,
+        })?;
         let born = book.admit(&call.key, now)?;
         if full {
             return Err(KeyRefusal::new(
--- a/crates/once/src/home/mod.rs
+++ b/crates/once/src/home/mod.rs
@@ -13,6 +13,7 @@
 mod recall;
 mod settle;
 mod terms;
+pub mod untimed;
 pub mod verdict;
 
 pub use answer::{AnswerHeader, AnswerStore, StoredAnswer};
@@ -20,6 +21,7 @@
 pub use entry::KeyState;
 pub use handover::{HandoverPage, StageAnswer};
 pub use keys::{HomeCounts, HomeSettings, KeyHome};
+pub use untimed::UntimedKeys;
 pub use verdict::{
     CloseVerdict, HandedOutcome, KeyCall, KeyRefusal, KeySettlement, KeyVerdict, RunOutcome,
     RunTicket,
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -34,7 +34,7 @@
 
 pub use home::{
     BookId, CloseVerdict, HandoverPage, HomeSettings, KeyCall, KeyHome, KeyRefusal, KeySettlement,
-    KeyVerdict, RunOutcome, RunTicket, StageAnswer, StoredAnswer,
+    KeyVerdict, RunOutcome, RunTicket, StageAnswer, StoredAnswer, UntimedKeys,
 };
 pub use key::{CallKey, CallerKey, IssuedKey, KeyDigest};
 pub use lease::{
