--- a/crates/once/tests/permits.rs
+++ b/crates/once/tests/permits.rs
@@ -150,27 +150,59 @@
     assert!(issuer.remembered() <= settings.max_unused as usize);
 }
 
-#[test]
-fn purse_fetches_ahead_and_drops_what_grows_old() {
-    let clock = FakeClock::new();
-    let mut issuer = issuer(&clock);
-    let mut purse = PermitPurse::new(HOME, clock.shared());
-    let mut misses = 0;
-    for _ in 0..2000 {
+/// Calls of a purse's run, ten ms apart.
+const CALLS: u32 = 2000;
+
+/// How often calls found no permit and how often permits were asked for.
+struct PurseRun {
+    purse: PermitPurse,
+    misses: u32,
+    requests: u32,
+}
+
+/// Lets a home make its calls to one target, whose answers come at once or never.
+fn run_purse(clock: &FakeClock, answers: bool) -> PurseRun {
+    let mut issuer = issuer(clock);
+    let mut run = PurseRun {
+        purse: PermitPurse::new(HOME, clock.shared()),
+        misses: 0,
+        requests: 0,
+    };
+    for _ in 0..CALLS {
         clock.advance(Duration::from_millis(10));
-        match purse.take(TARGET.daemon) {
-            Some(permit) => assert!(issuer.redeem(&pass(permit, 7)).is_ok()),
-            None => misses += 1,
+        let sent = clock.now();
+        match run.purse.take(TARGET.daemon) {
+            Some(permit) => {
+                assert!(issuer.redeem(&pass(permit, 7)).is_ok());
+                if answers {
+                    run.purse.on_answered(permit, sent);
+                }
+            }
+            None => run.misses += 1,
         }
-        if let Some(request) = purse.wants(TARGET.daemon) {
-            let grant = issuer.grant(&request);
-            purse.on_grant(&grant, clock.now());
+        if let Some(request) = run.purse.wants(TARGET.daemon) {
+            run.requests += 1;
+            run.purse.on_grant(&issuer.grant(&request), sent);
         }
     }
-    assert!(misses <= 2, "{misses}");
-    assert!(purse.held() > 0);
+    run
+}
+
+#[test]
+fn purse_fetches_ahead_and_drops_what_grows_old() {
+    let clock = FakeClock::new();
+    let mut run = run_purse(&clock, false);
+    assert!(run.misses <= 2, "{}", run.misses);
+    assert!(run.purse.held() > 0);
     clock.advance(PermitSettings::default().lifetime);
-    assert!(purse.take(TARGET.daemon).is_none());
+    assert!(run.purse.take(TARGET.daemon).is_none());
+}
+
+#[test]
+fn answered_calls_bring_the_permits_of_the_next() {
+    let run = run_purse(&FakeClock::new(), true);
+    assert!(run.misses <= 2, "{}", run.misses);
+    assert!(run.requests < CALLS / 100, "{} requests", run.requests);
 }
 
 #[test]
@@ -229,28 +261,6 @@
     assert_eq!(issuer.revoke(first), RevokeAnswer::Unknown);
 }
 
-#[test]
-fn answered_calls_bring_the_permits_of_the_next() {
-    const CALLS: u32 = 2000;
-    let clock = FakeClock::new();
-    let mut issuer = issuer(&clock);
-    let mut purse = PermitPurse::new(HOME, clock.shared());
-    let mut requests = 0;
-    for _ in 0..CALLS {
-        clock.advance(Duration::from_millis(10));
-        let sent = clock.now();
-        if let Some(permit) = purse.take(TARGET.daemon) {
-            assert!(issuer.redeem(&pass(permit, 7)).is_ok());
-            purse.on_answered(permit, sent);
-        }
-        if let Some(request) = purse.wants(TARGET.daemon) {
-            requests += 1;
-            purse.on_grant(&issuer.grant(&request), sent);
-        }
-    }
-    assert!(requests < CALLS / 100, "{requests} requests");
-}
-
 /// What a step of a random run does; the number picks the permit.
 fn step(issuer: &mut PermitIssuer, clock: &FakeClock, known: &mut Vec<KnownPermit>, bits: u16) {
     let lifetime = PermitSettings::default().lifetime;
