--- a/crates/once/tests/homes/main.rs
+++ b/crates/once/tests/homes/main.rs
@@ -66,6 +66,12 @@
     }))
 }
 
+/// Runs a call to its end, with an answer of this size.
+fn run_whole(home: &mut KeyHome, call: &KeyCall, bytes: usize) {
+    let ticket = begin(home, call);
+    home.settle(ticket, answer(bytes));
+}
+
 fn refusal(verdict: &KeyVerdict) -> Option<(ErrorKind, RunProof)> {
     match verdict {
         KeyVerdict::Refused(refusal) => Some((refusal.error.kind, refusal.proof)),
@@ -112,8 +118,7 @@
     let mut home = home(&clock, 1, settings);
     let calls: Vec<KeyCall> = (0..100).map(|_| issued_call(&mut home)).collect();
     for call in &calls {
-        let ticket = begin(&mut home, call);
-        home.settle(ticket, answer(10));
+        run_whole(&mut home, call, 10);
     }
     let late = issued_call(&mut home);
     let full = Some((ErrorKind::HomeFull, RunProof::NotRun));
@@ -148,16 +153,14 @@
     let mut home = home(&clock, 1, settings);
     let calls: Vec<KeyCall> = (0..20).map(|_| issued_call(&mut home)).collect();
     for call in &calls {
-        let ticket = begin(&mut home, call);
-        home.settle(ticket, answer(1000));
+        run_whole(&mut home, call, 1000);
         assert!(home.counts().answers <= settings.answer_budget);
     }
     let gone = Some((ErrorKind::AnswerForgotten, RunProof::Done));
     assert_eq!(refusal(&home.begin(&calls[0])), gone);
     assert!(matches!(home.begin(&calls[19]), KeyVerdict::Finished(_)));
     let large = issued_call(&mut home);
-    let ticket = begin(&mut home, &large);
-    home.settle(ticket, answer(5000));
+    run_whole(&mut home, &large, 5000);
     assert_eq!(refusal(&home.begin(&large)), gone);
 }
 
@@ -237,8 +240,7 @@
     clock.advance(Duration::from_secs(60));
     let done: Vec<KeyCall> = (0..1500).map(|_| issued_call(&mut old)).collect();
     for call in &done {
-        let ticket = begin(&mut old, call);
-        old.settle(ticket, answer(10));
+        run_whole(&mut old, call, 10);
     }
     let unused = issued_call(&mut old);
     let running = issued_call(&mut old);
@@ -255,8 +257,7 @@
     assert_eq!(handed.to, holder(2));
     assert!(new.on_settlement(handed.settlement).is_none());
     assert!(answered(new.begin(&running)));
-    let ticket = begin(&mut new, &unused);
-    new.settle(ticket, answer(10));
+    run_whole(&mut new, &unused, 10);
     for page in pages {
         assert_eq!(new.stage(holder(1), page), Ok(StageAnswer::Whole));
     }
--- a/crates/once/tests/homes/untimed.rs
+++ b/crates/once/tests/homes/untimed.rs
@@ -40,8 +40,7 @@
     let mut home = home(&clock, 2, settings);
     let call = call("order-1".parse().expect("a sound key"), 1);
     renew(&mut home, &call, &clock);
-    let ticket = begin(&mut home, &call);
-    home.settle(ticket, answer(10));
+    run_whole(&mut home, &call, 10);
     let begun = clock.now();
     while clock.now() - begun < settings.window {
         renew(&mut home, &call, &clock);
--- a/crates/once/tests/poison.rs
+++ b/crates/once/tests/poison.rs
@@ -62,6 +62,14 @@
             .map(|error| error.kind)
     }
 
+    /// The poison request crashes the first two targets.
+    fn crash_two(&mut self) {
+        for target in 0..2 {
+            assert_eq!(self.kind(target, POISON), None);
+            self.crash(target);
+        }
+    }
+
     fn is_stopped(&self, print: RequestPrint) -> bool {
         self.watches.iter().all(|watch| watch.check(print).is_err())
     }
@@ -78,10 +86,7 @@
 #[test]
 fn request_is_stopped_after_two_targets() {
     let mut fleet = Fleet::new(4);
-    for target in 0..2 {
-        assert_eq!(fleet.kind(target, POISON), None);
-        fleet.crash(target);
-    }
+    fleet.crash_two();
     for target in 0..4 {
         assert_eq!(fleet.kind(target, POISON), Some(ErrorKind::PoisonRequest));
     }
@@ -141,10 +146,7 @@
         fleet.finish(target, popular);
         assert_eq!(fleet.kind(target, popular), None);
     }
-    for target in 0..2 {
-        assert_eq!(fleet.kind(target, POISON), None);
-        fleet.crash(target);
-    }
+    fleet.crash_two();
     assert!(fleet.is_stopped(POISON));
     assert_eq!(fleet.kind(3, popular), None);
 }
@@ -152,10 +154,7 @@
 #[test]
 fn memory_is_bounded_and_keeps_the_stopped() {
     let mut fleet = Fleet::new(2);
-    for target in 0..2 {
-        assert_eq!(fleet.kind(target, POISON), None);
-        fleet.crash(target);
-    }
+    fleet.crash_two();
     for print in 1000..6000 {
         assert_eq!(fleet.kind(0, RequestPrint(print)), None);
         fleet.crash(0);
