Mend what a first week with the command stumbles over

Cause: tried on the built command against a demo: usage errors ended with exit code 1, which no page names; the help hid exit codes and first steps; a wrong folder or address was told in terms of the system; a hint by kind contradicted the advice in the line before it; 'history -n 0' said that nothing was published; a publish broken off by Ctrl-C and repeated made a second, empty version.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -122,10 +122,9 @@
                 Err(failure) => failures.push(failure),
             }
         }
-        Err(KindError::new(
-            ErrorKind::PeerUnavailable,
-            failures.join("; "),
-        ))
+        let failures = failures.join("; ");
+        let detail = format!("{failures}; name a daemon that runs with --daemon IP:PORT");
+        Err(KindError::new(ErrorKind::PeerUnavailable, detail))
     }
 
     fn ask(&self, daemon: SocketAddr, path: &str) -> std::result::Result<ClientAnswer, String> {
--- a/crates/cli/src/cmd/history.rs
+++ b/crates/cli/src/cmd/history.rs
@@ -91,7 +91,7 @@
     for row in &rows {
         row.print();
     }
-    if rows.is_empty() {
+    if state.history().next().is_none() {
         outln!("nothing was published yet");
     }
     Ok(ExitCode::SUCCESS)
--- a/crates/cli/src/cmd/init.rs
+++ b/crates/cli/src/cmd/init.rs
@@ -21,7 +21,8 @@
 pub fn run(args: &InitArgs) -> Result<ExitCode> {
     let dir = &args.folder.dir;
     if has_lists(dir) {
-        let detail = format!("{} holds lists already", dir.display());
+        let dir = dir.display();
+        let detail = format!("{dir} holds lists already; edit them, then: quetzal check {dir}");
         return Err(KindError::new(ErrorKind::LocalFailed, detail));
     }
     let (plans, allowances) = plans::lists::template();
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -19,18 +19,17 @@
 pub mod timeline;
 pub mod undo;
 
+/// What each exit code means, and where to begin.
+const HELP_FOOTER: &str = "Operators edit plans.jsonc (which plan each customer holds) and \
+allowances.jsonc (what each plan may use) in one folder and publish it.\n \
+Exit codes: 0 done, 2 input wrong, 3 not now, 5 refused, 6 accepted but not yet everywhere, \
+7 unknown whether accepted, 8 log service, 9 log lost records, 10 no daemon answers, \
+11 this machine (a file, an address).\n \
+First steps: quetzal demo; quetzal init lists; quetzal check lists; quetzal publish lists";
+
 /// Publish the two lists and see where they are in force.
-///
-/// Operators edit plans.jsonc (which plan each customer holds) and
-/// allowances.jsonc (what each plan may use) in one folder and publish it.
-///
-/// Exit codes: 0 done, 2 input wrong, 5 refused, 6 accepted but not yet
-/// everywhere, 7 unknown whether accepted, 8 log service, 9 log lost records.
-///
-/// First steps: quetzal demo; quetzal init lists; quetzal check lists;
-/// quetzal publish lists
 #[derive(Bpaf, Clone, Debug)]
-#[bpaf(options("quetzal"), version)]
+#[bpaf(options("quetzal"), version, footer(HELP_FOOTER))]
 pub enum Command {
     /// Run the whole system on this machine for a first look
     #[bpaf(command)]
--- a/crates/cli/src/cmd/publish.rs
+++ b/crates/cli/src/cmd/publish.rs
@@ -11,7 +11,7 @@
 use bpaf::Bpaf;
 use model::{ChangeId, ConfigVersion};
 use plans::merge::merge_lists;
-use plans::{ChangeMeta, ChangeRecord, ListPair};
+use plans::{ChangeMeta, ChangeRecord, ConfigState, ListPair};
 use serde_json::json;
 use uuid::Uuid;
 
@@ -20,7 +20,7 @@
 use crate::folder::{FolderArgs, FolderBase, ListFolder, folder_args};
 use crate::follow::follow;
 use crate::output::{outln, print_json};
-use crate::publication::{ConfigLog, Publication, show_refusal};
+use crate::publication::{ConfigLog, show_refusal};
 
 /// Arguments of `publish`.
 #[derive(Bpaf, Clone, Debug)]
@@ -57,6 +57,12 @@
     if change.edits.is_empty() {
         return say_nothing_to_do(state.version(), args.json);
     }
+    let before = state.lists_at(folder.base.version)?;
+    if args.change.is_none() && is_in_force(state, &change) {
+        // A publish that was broken off came through.
+        catch_up(&folder, &before, state, state.base())?;
+        return say_nothing_to_do(state.version(), args.json);
+    }
     // What is bound to be refused need not use up the log.
     if let Some(refusal) = state.preview(&change) {
         return Err(show_refusal(&refusal));
@@ -65,9 +71,8 @@
         let (id, author, base) = (change.id, &change.author, folder.base.version);
         outln!("change {id} by {author} upon version {base}");
     }
-    let before = state.lists_at(folder.base.version)?;
     let publication = log.publish(&change)?;
-    catch_up(&folder, &before, &publication)?;
+    catch_up(&folder, &before, &publication.state, publication.version)?;
     follow(
         &client,
         &publication,
@@ -80,14 +85,25 @@
 ///
 /// Without this the next change would be made upon lists that lack the others'
 /// changes, and take them back. Edits that a repeated change did not hold stay.
-fn catch_up(folder: &ListFolder, before: &ListPair, publication: &Publication) -> Result<()> {
-    let version = publication.version;
-    let accepted = publication.state.lists_at(version)?;
+fn catch_up(
+    folder: &ListFolder,
+    before: &ListPair,
+    state: &ConfigState,
+    version: ConfigVersion,
+) -> Result<()> {
+    let accepted = state.lists_at(version)?;
     let merge = merge_lists(before, &folder.lists, &accepted);
     for edit in accepted.edits_to(&merge.lists) {
         eprintln!("not published: {}", edit.entry);
     }
-    folder.update(&merge.lists, FolderBase::at(&publication.state, version))
+    folder.update(&merge.lists, FolderBase::at(state, version))
+}
+
+/// Whether the lists hold every edit already.
+fn is_in_force(state: &ConfigState, change: &ChangeRecord) -> bool {
+    let lists = state.lists();
+    let mut edits = change.edits.iter();
+    edits.all(|edit| lists.entry(&edit.entry) == edit.after)
 }
 
 fn say_nothing_to_do(version: ConfigVersion, json: bool) -> Result<ExitCode> {
--- a/crates/cli/src/cmd/undo.rs
+++ b/crates/cli/src/cmd/undo.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use model::{ChangeId, ConfigVersion};
+use model::{ChangeId, ConfigVersion, KindError};
 use plans::ChangeMeta;
 use uuid::Uuid;
 
@@ -53,7 +53,9 @@
         author: args.author.author()?,
         note: note.into(),
     };
-    let change = state.undo(args.version, meta)?;
+    let change = state
+        .undo(args.version, meta)
+        .map_err(|error| name_history(&error))?;
     if let Some(refusal) = state.preview(&change) {
         return Err(show_refusal(&refusal));
     }
@@ -71,3 +73,9 @@
         args.json,
     )
 }
+
+/// Tells where to look for what can be taken back.
+fn name_history(error: &KindError) -> KindError {
+    let detail = format!("{}; see quetzal history", error.detail);
+    KindError::new(error.kind, detail)
+}
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -44,10 +44,16 @@
 }
 
 impl FromStr for DaemonList {
-    type Err = AddrParseError;
+    type Err = String;
 
-    fn from_str(text: &str) -> std::result::Result<Self, AddrParseError> {
-        let addresses = text.split(',').map(|part| part.trim().parse());
+    fn from_str(text: &str) -> std::result::Result<Self, String> {
+        let read = |part: &str| {
+            let parsed = part.trim().parse();
+            parsed.map_err(|error: AddrParseError| {
+                format!("{error}; write IP:PORT, such as 127.0.0.1:7402")
+            })
+        };
+        let addresses = text.split(',').map(read);
         addresses.collect::<std::result::Result<_, _>>().map(Self)
     }
 }
--- a/crates/cli/src/folder.rs
+++ b/crates/cli/src/folder.rs
@@ -144,8 +144,25 @@
     }
 }
 
+/// Fails with the way on if there are no lists in the folder.
+fn check_place(dir: &Path) -> Result<()> {
+    let named = dir.display();
+    let detail = if dir.is_file() {
+        format!("{named} is a file; name the folder that holds the lists")
+    } else if !has_lists(dir) {
+        format!(
+            "{named} holds no {PLANS_FILE}; make the folder with \
+             quetzal pull {named}, or quetzal init {named} if nothing was published yet"
+        )
+    } else {
+        return Ok(());
+    };
+    Err(KindError::new(ErrorKind::LocalFailed, detail))
+}
+
 /// Reads both lists and the version from which they were made.
 pub fn read_folder(dir: &Path) -> Result<FolderContent> {
+    check_place(dir)?;
     let plans_text = read(&dir.join(PLANS_FILE))?;
     let allowances_text = read(&dir.join(ALLOWANCES_FILE))?;
     let base = read_base(dir)?;
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -112,6 +112,22 @@
         self.await_status();
     }
 
+    /// Waits until `count` changes were accepted.
+    pub fn await_history(&self, count: usize) {
+        let started = Instant::now();
+        while started.elapsed() < START_TIMEOUT {
+            let history = self.json(&["history", "--json"]);
+            if history
+                .as_array()
+                .is_some_and(|changes| changes.len() == count)
+            {
+                return;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        panic!("{count} changes were never accepted");
+    }
+
     /// Waits until the status of the daemon says `text`.
     pub fn await_text(&self, text: &str) {
         let started = Instant::now();
