--- a/crates/cli/tests/lost_log.rs
+++ b/crates/cli/tests/lost_log.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use support::TestBed;
+use support::{TestBed, TestProxy};
 
 /// Publishes `count` versions from the folder `lists`.
 fn publish_versions(bed: &TestBed, count: u32) {
@@ -129,3 +129,28 @@
     .collect();
     insta::assert_snapshot!(text);
 }
+
+#[test]
+fn a_daemon_that_does_not_report_may_hold_the_lists() {
+    let mut bed = TestBed::start();
+    publish_versions(&bed, 2);
+    bed.restart_daemon(|bed| {
+        bed.expire_log("config", 1);
+        bed.expire_log("snapshots", u64::MAX);
+    });
+    bed.await_text("expired unread");
+    let members = ("\"members\":1", "\"members\":3");
+    let larger = TestProxy::edited(bed.operator_address(), members.0, members.1);
+    let address = larger.address();
+    let refused = bed.run(&["rebase", "lists", "--daemon", &address]);
+    let errors = String::from_utf8(refused.stderr).unwrap();
+    assert_eq!(refused.status.code(), Some(5), "{errors}");
+    assert!(errors.contains("2 of 3 daemons do not report"), "{errors}");
+    let forced = [
+        "rebase", "lists", "--force", "--wait", "1", "--daemon", &address,
+    ];
+    // Accepted, though the daemons that are missing do not have it in force.
+    assert_eq!(bed.run(&forced).status.code(), Some(6));
+    bed.await_text("configuration current");
+    assert_eq!(bed.json(&["history", "--json"])[0]["version"], "1002");
+}
--- a/crates/cli/tests/publishing.rs
+++ b/crates/cli/tests/publishing.rs
@@ -5,7 +5,7 @@
 use std::process::Stdio;
 
 use feed::LogFaults;
-use support::{ReadOnlyLog, TestBed};
+use support::{TestBed, TestProxy};
 
 /// Runs each command line and gives the whole session.
 fn play(bed: &TestBed, lines: &[&str]) -> String {
@@ -195,7 +195,7 @@
 fn a_change_of_unknown_outcome_is_published_again_and_counts_once() {
     let bed = TestBed::start();
     play(&bed, &["init lists"]);
-    let broken = ReadOnlyLog::start(bed.log_address());
+    let broken = TestProxy::read_only(bed.log_address());
     let url = broken.url();
     let failed = bed.run(&["publish", "lists", "--log", &url]);
     assert_eq!(failed.status.code(), Some(7));
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -211,19 +211,22 @@
     }
 }
 
-/// A log service that passes reads on and takes no appends.
-pub struct ReadOnlyLog {
+/// Answers a request in place of a service.
+type Answer = dyn Fn(Request) + Send;
+
+/// A server that stands before a service and answers as a test wants.
+pub struct TestProxy {
     server: Arc<Server>,
     worker: Option<JoinHandle<()>>,
 }
 
-impl ReadOnlyLog {
-    pub fn start(behind: SocketAddr) -> Self {
+impl TestProxy {
+    fn start(answer: Box<Answer>) -> Self {
         let server = Arc::new(Server::http(any_port()).unwrap());
         let serving = Arc::clone(&server);
         let worker = thread::spawn(move || {
             while let Ok(request) = serving.recv() {
-                pass_read_on(request, behind);
+                answer(request);
             }
         });
         Self {
@@ -232,12 +235,33 @@
         }
     }
 
+    /// A log service that passes reads on and takes no appends.
+    pub fn read_only(behind: SocketAddr) -> Self {
+        Self::start(Box::new(move |request| {
+            if *request.method() == Method::Get {
+                return pass_on(request, behind, &str::to_owned);
+            }
+            let refused = Response::from_string("{}").with_status_code(503);
+            request.respond(refused).unwrap();
+        }))
+    }
+
+    /// A daemon whose text answers hold `to` in place of `from`.
+    pub fn edited(behind: SocketAddr, from: &'static str, to: &'static str) -> Self {
+        let edit = move |text: &str| text.replace(from, to);
+        Self::start(Box::new(move |request| pass_on(request, behind, &edit)))
+    }
+
+    pub fn address(&self) -> String {
+        self.server.server_addr().to_string()
+    }
+
     pub fn url(&self) -> String {
-        format!("http://{}", self.server.server_addr())
+        format!("http://{}", self.address())
     }
 }
 
-impl Drop for ReadOnlyLog {
+impl Drop for TestProxy {
     fn drop(&mut self) {
         self.server.unblock();
         if let Some(worker) = self.worker.take() {
@@ -246,14 +270,14 @@
     }
 }
 
-fn pass_read_on(request: Request, behind: SocketAddr) {
-    let response = if *request.method() == Method::Get {
-        let url = format!("http://{behind}{}", request.url());
-        let mut answer = ureq::get(url).call().unwrap();
-        Response::from_string(answer.body_mut().read_to_string().unwrap())
-    } else {
-        Response::from_string("{}").with_status_code(503)
-    };
+fn pass_on(request: Request, behind: SocketAddr, edit: &dyn Fn(&str) -> String) {
+    let url = format!("http://{behind}{}", request.url());
+    let agent = ureq::Agent::config_builder().http_status_as_error(false);
+    let agent: ureq::Agent = agent.build().into();
+    let mut answer = agent.get(url).call().unwrap();
+    let text = answer.body_mut().read_to_string().unwrap();
+    let response = Response::from_string(edit(&text));
+    let response = response.with_status_code(answer.status().as_u16());
     request.respond(response).unwrap();
 }
 
