Test chains of twelve services on real daemons

Cause: calls up to twelve deep are a stated size, and only state machines had been shown at that depth.

--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod assault;
+pub mod chain;
 pub mod target;
 
 use std::io::Write as _;
--- a/crates/daemon/tests/fleet/target.rs
+++ b/crates/daemon/tests/fleet/target.rs
@@ -102,6 +102,13 @@
         self.ran.lock().unwrap().len()
     }
 
+    /// The announcement of this target under the name of another.
+    pub fn announcement_as(&self, index: usize) -> TargetAnnouncement {
+        let mut announcement = self.announcement.clone();
+        announcement.target = format!("catalog-{index}").parse().unwrap();
+        announcement
+    }
+
     /// Announces another state; heartbeats stop.
     pub fn announce_state(&self, state: TargetState) {
         self.stop.store(true, Ordering::SeqCst);
@@ -146,7 +153,7 @@
 }
 
 /// A daemon that is just not there misses one heartbeat.
-fn announce(operator: SocketAddr, announcement: &TargetAnnouncement) {
+pub fn announce(operator: SocketAddr, announcement: &TargetAnnouncement) {
     let body = serde_json::to_vec(announcement).unwrap();
     drop(ureq::post(format!("http://{operator}/v1/targets")).send(&body));
 }
