--- a/crates/daemon/benches/latency.rs
+++ b/crates/daemon/benches/latency.rs
@@ -2,15 +2,20 @@
 //!
 //! Calls a target directly, through the daemon beside it, and through another
 //! daemon, with the same number of callers, and prints the percentiles and
-//! the difference. Wall time is reported, not judged.
+//! the difference. Then does the same with chains of services, against targets
+//! that call one another without daemons. Wall time is reported, not judged.
+
+#[path = "../tests/fleet/chain.rs"]
+mod chain;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use chain::{ServiceChain, StepDaemon, chain_allowances, service_name};
 use comfy_table::Table;
-use feed::{LogPort, LogSettings, MemoryLog, serve};
+use feed::{LogPort, LogServer, LogSettings, MemoryLog, serve};
 use hdrhistogram::Histogram;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
@@ -24,6 +29,7 @@
 use quetzal_daemon::settings::{NumberSettings, OutageQuorum};
 use quetzal_daemon::{DaemonSettings, RunningDaemon};
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 use tokio_util::sync::CancellationToken;
 
 /// Callers at once.
@@ -35,6 +41,17 @@
 /// Time between two calls of one caller.
 const PAUSE: Duration = Duration::from_millis(2);
 
+/// Services of the chain.
+const CHAIN_LENGTH: usize = 12;
+/// Depths measured.
+const DEPTHS: [usize; 3] = [1, 6, CHAIN_LENGTH];
+/// Daemons of the chain.
+const CHAIN_DAEMONS: usize = 4;
+/// Callers of the chain at once.
+const CHAIN_CALLERS: usize = 4;
+/// Calls of each caller of the chain.
+const CHAIN_CALLS: usize = 500;
+
 const PLANS: &str = r#"{ "customers": { "nile": { "plan": "agency" } } }"#;
 const ALLOWANCES: &str = r#"{
   "services": { "catalog": { "path": "/catalog", "timeout_ms": 5000, "kind": "report",
@@ -43,23 +60,31 @@
 }"#;
 
 fn main() {
-    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let runtime = Runtime::new().expect("a runtime");
+    let table = compare_ways(&runtime);
+    println!(
+        "{CALLERS} callers, {} calls each way; target 1.1 ms added for 99 in 100",
+        CALLERS * CALLS
+    );
+    println!("{table}");
+    let table = compare_chains(&runtime);
+    println!(
+        "{CHAIN_CALLERS} callers, {} calls of each chain, {CHAIN_DAEMONS} daemons",
+        CHAIN_CALLERS * CHAIN_CALLS
+    );
+    println!("{table}");
+}
+
+fn compare_ways(runtime: &Runtime) -> Table {
     let target = runtime.block_on(start_target());
-    let memory = Arc::new(MemoryLog::new(
-        LogSettings::default(),
-        SystemClock::shared(),
-    ));
-    let log = serve(&memory, SocketAddr::from(([127, 0, 0, 1], 0))).expect("a log");
-    let url = format!("http://{}", log.address());
-    let daemons: Vec<RunningDaemon> = (0..2).map(|index| start_daemon(index, &url)).collect();
-    publish(&memory);
-    announce(target, daemons[0].operator_address());
-    let beside = daemons[0].core().settings.caller_address;
-    let remote = daemons[1].core().settings.caller_address;
+    let fleet = BenchFleet::start(2, ALLOWANCES);
+    announce(target, fleet.daemons[0].operator_address());
+    let beside = fleet.caller_address(0);
+    let remote = fleet.caller_address(1);
+    let url = |address: SocketAddr| format!("http://{address}/catalog/x");
     for address in [beside, remote] {
-        runtime.block_on(wait_ready(address));
+        runtime.block_on(wait_ready(&url(address)));
     }
-
     let mut table = Table::new();
     table.set_header([
         "way",
@@ -69,29 +94,101 @@
         "p99.9 ms",
         "added at p99 ms",
     ]);
-    let direct = runtime.block_on(measure(target));
+    let measure = |address| runtime.block_on(measure(&url(address), CALLERS, CALLS));
+    let direct = measure(target);
     for (name, address) in [("direct", target), ("beside", beside), ("remote", remote)] {
-        let times = runtime.block_on(measure(address));
-        let at = |quantile: f64| times.value_at_quantile(quantile) as f64 / 1e3;
-        let added = at(0.99) - direct.value_at_quantile(0.99) as f64 / 1e3;
+        let times = measure(address);
         table.add_row([
             name.to_owned(),
-            format!("{:.2}", at(0.5)),
-            format!("{:.2}", at(0.9)),
-            format!("{:.2}", at(0.99)),
-            format!("{:.2}", at(0.999)),
-            format!("{added:.2}"),
+            format!("{:.2}", at_ms(&times, 0.5)),
+            format!("{:.2}", at_ms(&times, 0.9)),
+            format!("{:.2}", at_ms(&times, 0.99)),
+            format!("{:.2}", at_ms(&times, 0.999)),
+            format!("{:.2}", at_ms(&times, 0.99) - at_ms(&direct, 0.99)),
         ]);
     }
-    println!(
-        "{CALLERS} callers, {} calls each way; target 1.1 ms added for 99 in 100",
-        CALLERS * CALLS
-    );
-    println!("{table}");
-    let force = CancellationToken::new();
-    force.cancel();
-    for daemon in daemons {
-        daemon.stop(&force);
+    fleet.stop();
+    table
+}
+
+/// Chains of several depths, each call going through a daemon that is not beside its target.
+fn compare_chains(runtime: &Runtime) -> Table {
+    let fleet = BenchFleet::start(CHAIN_DAEMONS, &chain_allowances(CHAIN_LENGTH, 5000));
+    let daemons: Vec<StepDaemon> = (0..CHAIN_DAEMONS)
+        .map(|index| StepDaemon {
+            callers: fleet.caller_address(index),
+            operators: fleet.daemons[index].operator_address(),
+        })
+        .collect();
+    let through = ServiceChain::start(runtime.handle(), CHAIN_LENGTH, &daemons, 1);
+    let direct = ServiceChain::start_direct(runtime.handle(), CHAIN_LENGTH);
+    let url = |address: SocketAddr, number| format!("http://{address}/{}", service_name(number));
+    let mut table = Table::new();
+    table.set_header([
+        "depth",
+        "direct p50 ms",
+        "direct p99 ms",
+        "daemons p50 ms",
+        "daemons p99 ms",
+        "added per hop p50 ms",
+        "added per hop p99 ms",
+    ]);
+    // The whole chain answers only once every target is known everywhere.
+    runtime.block_on(wait_ready(&url(daemons[0].callers, 1)));
+    for depth in DEPTHS {
+        let number = CHAIN_LENGTH - depth + 1;
+        let measure =
+            |address| runtime.block_on(measure(&url(address, number), CHAIN_CALLERS, CHAIN_CALLS));
+        let plain = measure(direct.steps[number - 1].address);
+        // The target of service n stands beside daemon n, modulo their number.
+        let routed = measure(daemons[(number - 1) % CHAIN_DAEMONS].callers);
+        let added = |quantile| (at_ms(&routed, quantile) - at_ms(&plain, quantile)) / depth as f64;
+        table.add_row([
+            depth.to_string(),
+            format!("{:.2}", at_ms(&plain, 0.5)),
+            format!("{:.2}", at_ms(&plain, 0.99)),
+            format!("{:.2}", at_ms(&routed, 0.5)),
+            format!("{:.2}", at_ms(&routed, 0.99)),
+            format!("{:.2}", added(0.5)),
+            format!("{:.2}", added(0.99)),
+        ]);
+    }
+    drop(through);
+    fleet.stop();
+    table
+}
+
+fn at_ms(times: &Histogram<u64>, quantile: f64) -> f64 {
+    times.value_at_quantile(quantile) as f64 / 1e3
+}
+
+/// Daemons in this process with a log of their own.
+struct BenchFleet {
+    daemons: Vec<RunningDaemon>,
+    _log: LogServer,
+}
+
+impl BenchFleet {
+    fn start(count: usize, allowances: &str) -> Self {
+        let clock = SystemClock::shared();
+        let memory = Arc::new(MemoryLog::new(LogSettings::default(), clock));
+        let log = serve(&memory, SocketAddr::from(([127, 0, 0, 1], 0))).expect("a log");
+        let url = format!("http://{}", log.address());
+        let daemons = (0..count).map(|index| start_daemon(index, &url)).collect();
+        publish(&memory, allowances);
+        Self { daemons, _log: log }
+    }
+
+    fn caller_address(&self, index: usize) -> SocketAddr {
+        self.daemons[index].core().settings.caller_address
+    }
+
+    fn stop(self) {
+        let force = CancellationToken::new();
+        force.cancel();
+        for daemon in self.daemons {
+            daemon.stop(&force);
+        }
     }
 }
 
@@ -113,8 +210,8 @@
     RunningDaemon::start(settings).expect("a daemon")
 }
 
-fn publish(memory: &MemoryLog) {
-    let lists = ListPair::parse(PLANS, ALLOWANCES).expect("sound lists");
+fn publish(memory: &MemoryLog, allowances: &str) {
+    let lists = ListPair::parse(PLANS, allowances).expect("sound lists");
     let state = ConfigState::new();
     let meta = ChangeMeta {
         id: ChangeId(uuid::Uuid::now_v7()),
@@ -170,21 +267,21 @@
     address
 }
 
-async fn wait_ready(address: SocketAddr) {
+async fn wait_ready(url: &str) {
     let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
     for _ in 0..600 {
-        if call(&client, address).await {
+        if call(&client, url).await {
             return;
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    panic!("{address} does not let calls through");
+    panic!("{url} does not let calls through");
 }
 
 type BenchClient = Client<hyper_util::client::legacy::connect::HttpConnector, Full<Bytes>>;
 
-async fn call(client: &BenchClient, address: SocketAddr) -> bool {
-    let request = Request::get(format!("http://{address}/catalog/x"))
+async fn call(client: &BenchClient, url: &str) -> bool {
+    let request = Request::get(url)
         .header("quetzal-customer", "nile")
         .body(Full::new(Bytes::new()))
         .expect("a request");
@@ -196,15 +293,16 @@
 }
 
 /// Times of calls in microseconds.
-async fn measure(address: SocketAddr) -> Histogram<u64> {
-    let callers: Vec<_> = (0..CALLERS)
+async fn measure(url: &str, callers: usize, calls: usize) -> Histogram<u64> {
+    let callers: Vec<_> = (0..callers)
         .map(|_| {
+            let url = url.to_owned();
             tokio::spawn(async move {
                 let client: BenchClient = Client::builder(TokioExecutor::new()).build_http();
-                let mut times = Vec::with_capacity(CALLS);
-                for index in 0..WARM_CALLS + CALLS {
+                let mut times = Vec::with_capacity(calls);
+                for index in 0..WARM_CALLS + calls {
                     let started = Instant::now();
-                    let sound = call(&client, address).await;
+                    let sound = call(&client, &url).await;
                     assert!(sound, "a call failed");
                     if index >= WARM_CALLS {
                         times.push(started.elapsed().as_micros() as u64);
@@ -218,7 +316,7 @@
     let mut histogram = Histogram::new(3).expect("three digits");
     for caller in callers {
         for time in caller.await.expect("the caller ends") {
-            histogram.saturating_record(time);
+            histogram.record(time).expect("a histogram that grows");
         }
     }
     histogram
