--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -117,6 +117,8 @@
         wants_record: bool,
         outputs: &mut Vec<MemberOutput>,
     ) {
+        self.near.note_caller(from);
+        self.far.note_caller(from);
         let mut first = Vec::new();
         if wants_record {
             first.push(self.own_update());
@@ -160,7 +162,7 @@
         let answered = finished.or_else(|| self.probes.finish_late(probe));
         if let Some(answered) = answered.filter(|answered| answered.subject == from) {
             let trip = now.duration_since(answered.sent_at);
-            self.slow.note(from, trip, now);
+            self.slow.note(from, trip, now, &self.table);
         }
         self.compare_views(from, view, outputs);
     }
