Send a payment elsewhere if a daemon does not answer about permits

Cause: a question for permits that ran into its timeout was passed on as outcome-unknown, and the home took the whole call for lost, though it had sent nothing. Staff would have looked for a payment that never ran. Ruled out: a dispatch without its answer, which stays unknown unless its permit is proven unused. Change: whatever fails before the pass is held is proven unsent, so the call goes to another target. Conclusion: the promise that outcome-unknown is told only where a call may have run holds for lost permits too.

--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -301,7 +301,7 @@
     let permit = match term {
         // No other home ever judges an issued key, so it needs no permit.
         None => None,
-        Some(_) => Some(take_permit(core, daemon).await?),
+        Some(_) => Some(take_permit(core, daemon).await.map_err(not_dispatched)?),
     };
     Ok(DispatchPass {
         permit,
@@ -310,6 +310,14 @@
     })
 }
 
+/// A lost answer to a question for permits leaves the call itself unsent.
+fn not_dispatched(error: KindError) -> KindError {
+    if error.kind.answer().not_run {
+        return error;
+    }
+    KindError::new(ErrorKind::PeerUnavailable, error.to_string())
+}
+
 async fn take_permit(core: &Arc<DaemonCore>, daemon: DaemonId) -> model::Result<DispatchPermit> {
     let held = core.keys.purse().take(daemon);
     let permit = match held {
--- a/crates/daemon/tests/keys.rs
+++ b/crates/daemon/tests/keys.rs
@@ -8,6 +8,9 @@
 use fleet::{ALLOWANCES, Fleet, PLANS, await_true};
 use uuid::Uuid;
 
+/// Longer than a dispatch permit lives.
+const PERMIT_LIFETIME: Duration = Duration::from_secs(6);
+
 fn fleet_with_deals() -> (Fleet, TestTarget, TestTarget) {
     fleet_with("")
 }
@@ -205,6 +208,48 @@
     });
 }
 
+#[test]
+fn a_call_runs_elsewhere_if_a_daemon_is_silent_about_permits() {
+    // Of six daemons in two failure domains, four are homes of keys.
+    let fleet = Fleet::start(6, &["cairo-a", "cairo-b"], "");
+    fleet.await_all("homes", |status| status.homes.len() == 4);
+    let homes = fleet.status(0).unwrap().homes;
+    let others: Vec<usize> = (0..6)
+        .filter(|index| {
+            homes
+                .iter()
+                .all(|home| **home != fleet.daemons[*index].name)
+        })
+        .collect();
+    let [silent, proxy] = others[..] else {
+        panic!("homes are {homes:?}");
+    };
+    let beside = |name: &str, daemon: usize| {
+        TestTarget::start(name, "deals", &fleet.daemons[daemon], Duration::ZERO)
+    };
+    let (one, two) = (beside("deals-1", silent), beside("deals-2", proxy));
+    fleet.publish(PLANS, ALLOWANCES);
+    let send = |path: &str| {
+        let key = Uuid::now_v7().to_string();
+        fleet.outcome(proxy, "POST", path, Some(&key))
+    };
+    await_true("both targets run calls", || {
+        send("/deals/warm");
+        one.ran_count() > 0 && two.ran_count() > 0
+    });
+    // Permits that homes hold have run out by then.
+    std::thread::sleep(PERMIT_LIFETIME);
+    fleet.daemons[silent].pause();
+    let answers: Vec<String> = (0..6)
+        .map(|index| send(&format!("/deals/silent-{index}")))
+        .collect();
+    fleet.daemons[silent].resume();
+    assert!(
+        answers.iter().all(|answer| answer.starts_with("200")),
+        "{answers:?}"
+    );
+}
+
 #[test]
 fn a_planned_stop_hands_the_keys_over() {
     let (mut fleet, one, two) = fleet_with_deals();
