Name a service's kind as what it is

Cause: plans::CallKind described a service in the lists and stood beside model::CallClass, the class of one call that follows from it and the method; two names that readers took for one thing. Change: CallKind is ServiceKind. No behaviour changes. Conclusion: the two stay two types, since a booking service has reads.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -11,7 +11,7 @@
 use limits::{LimitRefusal, LimitTicket, LoadSign, PlanLimit, ShedTicket};
 use model::{CallClass, ErrorKind, KindError};
 use once::{CallKey, PrintHasher, RequestPrint, RunProof, SuspectNews};
-use plans::lists::CallKind;
+use plans::lists::ServiceKind;
 use plans::{CallGrant, RouteTable};
 use route::CallDeadline;
 use spread::FreshnessCase;
@@ -207,10 +207,10 @@
 fn class_of(grant: &CallGrant<'_>) -> CallClass {
     let safe = matches!(grant.method.name.as_str(), "GET" | "HEAD" | "OPTIONS");
     match grant.service.kind {
-        CallKind::Report => CallClass::Report,
+        ServiceKind::Report => CallClass::Report,
         _ if safe => CallClass::Read,
-        CallKind::Upload => CallClass::Upload,
-        CallKind::Booking => CallClass::Booking,
+        ServiceKind::Upload => CallClass::Upload,
+        ServiceKind::Booking => CallClass::Booking,
     }
 }
 
--- a/crates/plans/src/lists.rs
+++ b/crates/plans/src/lists.rs
@@ -86,7 +86,7 @@
     /// Longest time for one call, in milliseconds.
     pub timeout_ms: u32,
     /// What the calls are, which decides the order of shedding.
-    pub kind: CallKind,
+    pub kind: ServiceKind,
     /// The methods that the service offers.
     pub methods: BTreeMap<MethodName, MethodRule>,
 }
@@ -134,7 +134,7 @@
     Serialize,
 )]
 #[serde(rename_all = "lowercase")]
-pub enum CallKind {
+pub enum ServiceKind {
     /// Something read, which its reader may ask for again; shed first.
     #[default]
     #[display("report")]
@@ -147,12 +147,12 @@
     Booking,
 }
 
-impl CallKind {
+impl ServiceKind {
     /// Every kind, in the order of shedding.
     pub const ALL: [Self; 3] = [Self::Report, Self::Upload, Self::Booking];
 }
 
-impl FromStr for CallKind {
+impl FromStr for ServiceKind {
     type Err = KindError;
 
     fn from_str(text: &str) -> model::Result<Self> {
--- a/crates/plans/src/parse.rs
+++ b/crates/plans/src/parse.rs
@@ -12,8 +12,8 @@
 
 use crate::check::{FaultPlace, find_faults};
 use crate::lists::{
-    ALLOWANCES_FILE, AllowanceList, CallKind, CustomerPlan, ListPair, MethodRule, PLANS_FILE,
-    PlanAllowance, PlanList, Result, ServiceRule,
+    ALLOWANCES_FILE, AllowanceList, CustomerPlan, ListPair, MethodRule, PLANS_FILE, PlanAllowance,
+    PlanList, Result, ServiceKind, ServiceRule,
 };
 use crate::reader::DocumentReader;
 
@@ -154,7 +154,7 @@
         let timeout = self.reader.required(&fields, "timeout_ms", &what, owner);
         let methods = self.reader.required(&fields, "methods", &what, owner);
         let kind = match fields.get("kind") {
-            None => Some(CallKind::default()),
+            None => Some(ServiceKind::default()),
             Some(value) => self.reader.parse_typed(value, "kind"),
         };
         let path = path.and_then(|value| {
--- a/crates/plans/src/table.rs
+++ b/crates/plans/src/table.rs
@@ -16,7 +16,7 @@
     ServiceName,
 };
 
-use crate::lists::{CallKind, KeyHash};
+use crate::lists::{KeyHash, ServiceKind};
 
 /// Results of looking a call up.
 ///
@@ -42,7 +42,7 @@
     /// Longest time for one call.
     pub timeout: Duration,
     /// What the calls are, which decides the order of shedding.
-    pub kind: CallKind,
+    pub kind: ServiceKind,
     methods: Box<[MethodEntry]>,
 }
 
