Judge every budget and drop the mark for those that were not

Cause: the sum of the most of every role was the only budget not judged; since it is held it is judged too, and the mark had one value left. Change: the mark and its branch on the page are gone. Measured: cargo test -p quetzal-capacity (page and model agree). Conclusion: no behaviour changes.

--- a/crates/capacity/src/budget.rs
+++ b/crates/capacity/src/budget.rs
@@ -39,19 +39,12 @@
     pub most: Option<f64>,
     /// Its unit.
     pub unit: &'static str,
-    /// Whether a sum above the limit is a failure.
-    pub is_judged: bool,
 }
 
 impl BudgetLine {
     /// Whether the sum is above its limit.
-    pub fn is_above(&self) -> bool {
-        self.most.is_some_and(|most| self.found > most)
-    }
-
-    /// Whether the sum is above a limit that is judged.
     pub fn is_exceeded(&self) -> bool {
-        self.is_judged && self.is_above()
+        self.most.is_some_and(|most| self.found > most)
     }
 }
 
@@ -184,7 +177,6 @@
             found: rounded(found),
             most: None,
             unit,
-            is_judged: false,
         });
     }
     lines.push(limit(what, ("all", "sum"), sum, unit, most));
@@ -204,6 +196,5 @@
         found: rounded(found),
         most: Some(most),
         unit,
-        is_judged: true,
     }
 }
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -70,7 +70,6 @@
         let mark = match line.most {
             None => "",
             Some(_) if line.is_exceeded() => "EXCEEDED",
-            Some(_) if line.is_above() => "above, not judged",
             Some(_) => "held",
         };
         table.add_row([
