--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -55,6 +55,8 @@
     list_settings: bool,
     /// Print the list as JSON
     json: bool,
+    /// Run on the users' platform, with the settings file that its environment names
+    platform: bool,
 }
 
 /// The footer with its line breaks; bare ones would fold it or hide its end.
@@ -65,6 +67,11 @@
 }
 
 impl DaemonCommand {
+    /// Whether the daemon is to run on the users' platform.
+    pub fn runs_on_platform(&self) -> bool {
+        self.platform
+    }
+
     /// Runs the command to its end.
     pub fn run(self) -> Result<ExitCode> {
         if self.list_settings && self.json {
@@ -114,7 +121,8 @@
     })
 }
 
-fn start_logging() {
+/// Starts writing log lines.
+pub fn start_logging() {
     let environment = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(environment).init();
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,12 +1,20 @@
 //! The daemon beside each target: proxy, distributor and member.
 
+mod on_platform;
+
 use std::process::ExitCode;
 
 use quetzal_daemon::command;
 
 fn main() -> ExitCode {
     let command = command::daemon_command().run();
-    match command.run() {
+    let ended = if command.runs_on_platform() {
+        command::start_logging();
+        on_platform::run_on_platform().map(|()| ExitCode::SUCCESS)
+    } else {
+        command.run()
+    };
+    match ended {
         Ok(code) => code,
         Err(error) => {
             eprintln!("quetzald: {error}");
--- /dev/null
+++ b/crates/daemon/src/on_platform.rs
@@ -0,0 +1,66 @@
+//! Runs the daemon on the users' platform.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use model::{ErrorKind, KindError, SystemClock};
+use platform::{PlatformStore, SETTINGS_VARIABLE, edge_protocol, read_settings};
+use proxy::{ProxyParts, run_proxy};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+/// Results of the run; kinds: `SettingInvalid`, `LocalFailed`.
+pub type Result<T> = model::Result<T>;
+
+/// Runs until SIGTERM and the planned stop that follows.
+pub fn run_on_platform() -> Result<()> {
+    let path = std::env::var_os(SETTINGS_VARIABLE).ok_or_else(|| {
+        let detail = format!("{SETTINGS_VARIABLE} does not name a settings file");
+        KindError::new(ErrorKind::SettingInvalid, detail)
+    })?;
+    let path = PathBuf::from(path);
+    let settings = read_settings(&path)?;
+    let parts = ProxyParts {
+        store: Arc::new(PlatformStore::new(settings.store_address)),
+        edge: edge_protocol(),
+        clock: SystemClock::shared(),
+        settings,
+    };
+    // One thread: the VM has a part of one core, and a second thread only adds switches.
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(local)?;
+    runtime.block_on(async {
+        let stop = CancellationToken::new();
+        let signals = follow_signals(path, stop.clone());
+        let running = run_proxy(parts, stop);
+        tokio::select! {
+            ended = running => ended,
+            failed = signals => failed,
+        }
+    })
+}
+
+/// Stops on SIGTERM; on SIGHUP reads the settings again and tells what is wrong with them.
+async fn follow_signals(path: PathBuf, stop: CancellationToken) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(local)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(local)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => {
+                log::info!("SIGTERM");
+                stop.cancel();
+            }
+            _ = reload.recv() => match read_settings(&path) {
+                Ok(_) => log::info!("settings read again"),
+                Err(error) => log::error!(cause:% = error; "settings refused; the old ones stay"),
+            },
+        }
+    }
+}
+
+fn local(error: std::io::Error) -> KindError {
+    KindError::new(ErrorKind::LocalFailed, error.to_string())
+}
--- a/crates/members/src/join.rs
+++ b/crates/members/src/join.rs
@@ -27,8 +27,8 @@
 pub const TAIL_RECORDS: RecordCount = RecordCount(192);
 /// Members with which a daemon needs no read to start.
 pub const ENOUGH_MEMBERS: usize = 3;
-/// Longest wait after failed reads or appends.
-const MAX_BACKOFF: Duration = Duration::from_secs(60);
+/// Longest wait after failed reads or appends of a fleet that shares a slow log.
+pub const MAX_BACKOFF: Duration = Duration::from_secs(60);
 /// Most daemons kept that may be contacted.
 const MAX_CANDIDATES: usize = 1024;
 /// Most doublings of the wait of a daemon that finds no members.
@@ -57,10 +57,38 @@
     pub limit: RecordCount,
 }
 
+/// How fast daemons that start together use the log.
+///
+/// The default keeps a large fleet below the rate of a slow log; a log that
+/// takes a call of each daemon within a second allows a faster start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct JoinPace {
+    /// Time over which the appends are spread.
+    pub append_spread: Duration,
+    /// Least wait from the first append to the first read.
+    pub read_delay: Duration,
+    /// Time over which the reads are spread.
+    pub read_spread: Duration,
+    /// Longest wait after failed reads or appends.
+    pub max_backoff: Duration,
+}
+
+impl Default for JoinPace {
+    fn default() -> Self {
+        Self {
+            append_spread: APPEND_SPREAD,
+            read_delay: READ_DELAY,
+            read_spread: READ_SPREAD,
+            max_backoff: MAX_BACKOFF,
+        }
+    }
+}
+
 /// When to append to and read from the stream, and whom it named.
 #[derive(Debug)]
 pub struct JoinPlan {
     own: DaemonId,
+    pace: JoinPace,
     record_interval: Duration,
     append_at: Instant,
     read_at: Instant,
@@ -74,13 +102,20 @@
 
 impl JoinPlan {
     /// A plan for a daemon that starts at `now` and repeats its record each `record_interval`.
-    pub fn new(own: DaemonId, record_interval: Duration, now: Instant, rng: &mut SmallRng) -> Self {
-        let append_at = now + spread(APPEND_SPREAD, rng);
+    pub fn new(
+        own: DaemonId,
+        record_interval: Duration,
+        pace: JoinPace,
+        now: Instant,
+        rng: &mut SmallRng,
+    ) -> Self {
+        let append_at = now + spread(pace.append_spread, rng);
         Self {
             own,
+            pace,
             record_interval,
             append_at,
-            read_at: append_at + READ_DELAY + spread(READ_SPREAD, rng),
+            read_at: append_at + pace.read_delay + spread(pace.read_spread, rng),
             stage: ReadStage::Idle,
             starting: true,
             waived: 0,
@@ -123,7 +158,7 @@
         if self.starting && members > 0 && self.waived < MAX_WAIVED {
             // Somebody made contact just now: more will follow without a read.
             self.waived += 1;
-            self.read_at = now + READ_SPREAD.mul_f64(rng.random_range(0.5..1.0));
+            self.read_at = now + self.pace.read_spread.mul_f64(rng.random_range(0.5..1.0));
             return None;
         }
         self.stage = ReadStage::Head;
@@ -226,7 +261,7 @@
         self.failures = 0;
         let wait = if self.starting {
             self.turns = (self.turns + 1).min(MAX_DOUBLINGS);
-            READ_SPREAD * (1 << self.turns)
+            self.pace.read_spread * (1 << self.turns)
         } else {
             READ_INTERVAL
         };
@@ -235,7 +270,8 @@
 
     fn backoff(&mut self, rng: &mut SmallRng) -> Duration {
         self.failures += 1;
-        let base = Duration::from_secs(1 << self.failures.min(2 + MAX_DOUBLINGS)).min(MAX_BACKOFF);
+        let base = Duration::from_secs(1 << self.failures.min(2 + MAX_DOUBLINGS))
+            .min(self.pace.max_backoff);
         base.mul_f64(rng.random_range(0.5..1.5))
     }
 }
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -47,6 +47,7 @@
     LoadLevel, MemberProfile, MemberRecord, MemberStamp, SequenceNumber, TargetDigest,
 };
 pub use health::LocalHealth;
+pub use join::JoinPace;
 pub use message::{MemberMessage, MemberUpdate, MessageBody, decode_message, encode_message};
 pub use node::{MemberNode, MemberSettings, TICK_INTERVAL};
 pub use output::{MemberChange, MemberCounts, MemberOutput};
--- a/crates/members/src/node.rs
+++ b/crates/members/src/node.rs
@@ -15,7 +15,7 @@
 use crate::digest::{MemberProfile, MemberRecord, MemberStamp, SequenceNumber, TargetDigest};
 use crate::gossip::{GOSSIP_BURST, GOSSIP_RATE, JOIN_BURST, JOIN_RATE, URGENT_BURST, URGENT_RATE};
 use crate::health::LocalHealth;
-use crate::join::{ENOUGH_MEMBERS, JoinPlan};
+use crate::join::{ENOUGH_MEMBERS, JoinPace, JoinPlan};
 use crate::output::{MemberCounts, MemberOutput};
 use crate::probe::ProbeList;
 use crate::prober::ProbeTurns;
@@ -50,6 +50,8 @@
     pub record_interval: Duration,
     /// Peers to ask first, whatever the log says.
     pub seeds: Vec<SocketAddr>,
+    /// How fast it uses the log when it starts.
+    pub pace: JoinPace,
 }
 
 /// Membership as one daemon sees it.
@@ -99,7 +101,13 @@
             targets: Vec::new(),
         };
         Self {
-            join: JoinPlan::new(settings.id, settings.record_interval, now, &mut rng),
+            join: JoinPlan::new(
+                settings.id,
+                settings.record_interval,
+                settings.pace,
+                now,
+                &mut rng,
+            ),
             own: Arc::new(own),
             table: MemberTable::default(),
             plan: WatchPlan::default(),
--- a/crates/members/tests/fleet/mod.rs
+++ b/crates/members/tests/fleet/mod.rs
@@ -13,7 +13,7 @@
 use feed::port::{LogRecord, ReadAnswer, RecordBatch};
 use model::{ClockPort, DaemonId, FakeClock, IncarnationNumber, LogOffset, RecordCount};
 use quetzal_members::{
-    MemberChange, MemberMessage, MemberNode, MemberOutput, MemberProfile, MemberSettings,
+    JoinPace, MemberChange, MemberMessage, MemberNode, MemberOutput, MemberProfile, MemberSettings,
     MemberState, MessageBody, TICK_INTERVAL, TargetDigest, TargetState, encode_message,
 };
 use rand::rngs::SmallRng;
@@ -174,6 +174,7 @@
             profile: self.profile(index),
             record_interval: self.record_interval,
             seeds,
+            pace: JoinPace::default(),
         };
         let rng = SmallRng::seed_from_u64(self.rng.random());
         let mut node = MemberNode::new(settings, self.clock.shared(), rng);
--- /dev/null
+++ b/crates/mesh/src/attempt.rs
@@ -0,0 +1,166 @@
+//! What follows after an attempt: another target, or an answer to the caller.
+//!
+//! A refusal by the daemon beside a target proves that nothing ran, so the
+//! request goes on to another target without spending anything. Whatever has
+//! reached a target counts: it is repeated only where the route allows a
+//! second run, the route's attempts are not used up and the fleet's budget
+//! has a token left.
+
+use std::time::{Duration, Instant};
+
+use model::ErrorKind;
+
+use crate::config::{CallSafety, RouteRule};
+
+/// Daemons that one request asks at most; more would cost longer than a refusal.
+const MAX_ASKED: u32 = 4;
+/// Least time that must remain for another attempt.
+const MIN_REMAINING: Duration = Duration::from_millis(10);
+/// Time told to callers when no daemon named one.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptEnd {
+    /// The target answered with anything but a failure of its own.
+    Answered,
+    /// The target answered with a failure of its own, which counts as a run.
+    ServerFailed,
+    /// Proven not to have run.
+    Refused {
+        /// Why.
+        kind: ErrorKind,
+        /// Whether the target itself refused it, which the fleet's budget counts.
+        arrived: bool,
+        /// When to come back, if the daemon beside the target told it.
+        retry_after: Option<Duration>,
+    },
+    /// It may have run.
+    Broken,
+}
+
+/// What to do now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NextStep {
+    /// Send it to another target.
+    Another,
+    /// Give the caller the target's answer.
+    Deliver,
+    /// Tell the caller that it has not run, and when to come back.
+    Refuse {
+        /// Why.
+        kind: ErrorKind,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// Tell the caller that nothing can be promised.
+    Fail(ErrorKind),
+}
+
+/// The attempts of one request.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptPlan {
+    safety: CallSafety,
+    max_attempts: u32,
+    deadline: Instant,
+    asked: u32,
+    arrived: u32,
+    may_have_run: bool,
+    retry_after: Option<Duration>,
+}
+
+impl AttemptPlan {
+    /// A plan for a request on `rule` whose caller waits until `deadline`.
+    pub fn new(rule: &RouteRule, deadline: Instant) -> Self {
+        Self {
+            safety: rule.safety,
+            max_attempts: rule.max_attempts.max(1),
+            deadline,
+            asked: 0,
+            arrived: 0,
+            may_have_run: false,
+            retry_after: None,
+        }
+    }
+
+    /// Whether an earlier attempt may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Decides what follows; `spend` takes a token of the fleet's budget.
+    pub fn next(
+        &mut self,
+        end: AttemptEnd,
+        now: Instant,
+        spend: impl FnOnce() -> bool,
+    ) -> NextStep {
+        self.asked += 1;
+        match end {
+            AttemptEnd::Answered => NextStep::Deliver,
+            AttemptEnd::ServerFailed => {
+                self.arrived += 1;
+                self.may_have_run = true;
+                if self.may_repeat(now) && spend() {
+                    return NextStep::Another;
+                }
+                NextStep::Deliver
+            }
+            AttemptEnd::Broken => {
+                self.arrived += 1;
+                self.may_have_run = true;
+                if self.may_repeat(now) && spend() {
+                    return NextStep::Another;
+                }
+                NextStep::Fail(ErrorKind::OutcomeUnknown)
+            }
+            AttemptEnd::Refused {
+                kind,
+                arrived,
+                retry_after,
+            } => self.on_refused(kind, arrived, retry_after, now, spend),
+        }
+    }
+
+    /// What to tell a caller for whom no further target is there.
+    pub fn exhausted(&self, kind: ErrorKind) -> NextStep {
+        if self.may_have_run {
+            return NextStep::Fail(ErrorKind::OutcomeUnknown);
+        }
+        NextStep::Refuse {
+            kind,
+            retry_after: self.retry_after.unwrap_or(DEFAULT_RETRY_AFTER),
+        }
+    }
+
+    fn on_refused(
+        &mut self,
+        kind: ErrorKind,
+        arrived: bool,
+        retry_after: Option<Duration>,
+        now: Instant,
+        spend: impl FnOnce() -> bool,
+    ) -> NextStep {
+        if let Some(time) = retry_after {
+            let least = self.retry_after.map_or(time, |known| known.min(time));
+            self.retry_after = Some(least);
+        }
+        self.arrived += u32::from(arrived);
+        let stopped = kind == ErrorKind::PoisonRequest;
+        let open = self.is_open(now) && !stopped;
+        if open && (!arrived || (self.arrived < self.max_attempts && spend())) {
+            return NextStep::Another;
+        }
+        self.exhausted(kind)
+    }
+
+    fn may_repeat(&self, now: Instant) -> bool {
+        self.safety == CallSafety::Idempotent
+            && self.arrived < self.max_attempts
+            && self.is_open(now)
+    }
+
+    fn is_open(&self, now: Instant) -> bool {
+        self.asked < MAX_ASKED && now + MIN_REMAINING < self.deadline
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/gate.rs
@@ -0,0 +1,339 @@
+//! Admission beside a target: who runs, who waits, who is refused at once.
+//!
+//! Only the daemon beside a target reaches it, so the gate keeps the target's
+//! slots and whatever it refuses has provably not run. Three rules decide:
+//!
+//! - Calls that a running request makes go before new requests, since the
+//!   work of their parents is lost with them; then the route's priority
+//!   decides, then the order of arrival.
+//! - A request waits only while it can still end soon after its objective. A
+//!   longer queue would serve nobody sooner, and would make every answer of an
+//!   overloaded target a late one.
+//! - What can't end in time behind those ahead of it is refused at once, with
+//!   the time after which the queue will have shrunk enough.
+//!
+//! The time that a request takes is learned for each route.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use model::{CallCount, ErrorKind, SharedClock};
+use route::{CallId, TargetLoad};
+use smallvec::SmallVec;
+
+use crate::config::{CallPriority, RouteKey};
+
+/// Weight of the latest run in a route's average run time.
+const RUN_WEIGHT: f32 = 0.1;
+/// Weight of the latest run in the average share of failures.
+const FAILURE_WEIGHT: f32 = 0.1;
+/// Run time assumed before any request of any route has ended, in seconds.
+const FIRST_RUN_S: f32 = 0.05;
+/// Part of the time between objective and deadline that a wait may use up.
+const LATE_PART: f32 = 0.25;
+/// The same for the calls of running requests, which are of use until their deadline.
+const INNER_LATE_PART: f32 = 0.8;
+/// Waiting requests for each slot, which bounds memory.
+const WAITING_PER_SLOT: usize = 16;
+/// Least time after which a refused request is told to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(30);
+/// Longest such time.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// A request that asks to run.
+#[derive(Clone, Copy, Debug)]
+pub struct GateTicket {
+    /// Its id, unique while it lives.
+    pub call: CallId,
+    /// Its route.
+    pub route: RouteKey,
+    /// Rank of the route.
+    pub priority: CallPriority,
+    /// Whether a running request made it.
+    pub inner: bool,
+    /// Until when its answer has its full worth.
+    pub objective: Instant,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// What becomes of a request that asks to run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GateAnswer {
+    /// It runs now.
+    Start,
+    /// It waits until [`KindGate::leave`] names it, or [`KindGate::expire`] refuses it.
+    Wait,
+    /// It has not run and will not.
+    Refuse {
+        /// Why.
+        kind: ErrorKind,
+        /// When a place may be free.
+        retry_after: Duration,
+    },
+}
+
+/// A request that may start now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StartedCall {
+    /// Its id.
+    pub call: CallId,
+    /// How long it waited.
+    pub waited: Duration,
+}
+
+/// Requests to start after a slot became free.
+pub type StartList = SmallVec<[StartedCall; 2]>;
+
+/// Order in which waiting requests start.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct QueuePlace {
+    outer: bool,
+    priority: CallPriority,
+    arrival: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct WaitingCall {
+    call: CallId,
+    route: RouteKey,
+    since: Instant,
+    /// Latest start that still ends in time.
+    start_by: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RunningCall {
+    route: RouteKey,
+    since: Instant,
+}
+
+/// Admission to one target.
+#[derive(Debug)]
+pub struct KindGate {
+    clock: SharedClock,
+    slots: usize,
+    draining: bool,
+    running: HashMap<CallId, RunningCall>,
+    waiting: BTreeMap<QueuePlace, WaitingCall>,
+    arrivals: u64,
+    run_s: HashMap<RouteKey, f32>,
+    mean_s: f32,
+    failing: f32,
+}
+
+impl KindGate {
+    /// A gate for a target that runs `slots` requests at once.
+    pub fn new(slots: CallCount, clock: SharedClock) -> Self {
+        Self {
+            clock,
+            slots: slots.0 as usize,
+            draining: false,
+            running: HashMap::new(),
+            waiting: BTreeMap::new(),
+            arrivals: 0,
+            run_s: HashMap::new(),
+            mean_s: FIRST_RUN_S,
+            failing: 0.0,
+        }
+    }
+
+    /// Takes a request in, or refuses it.
+    pub fn enter(&mut self, ticket: &GateTicket) -> GateAnswer {
+        let now = self.clock.now();
+        if self.draining || self.slots == 0 {
+            return self.refusal(ErrorKind::Draining, Duration::ZERO);
+        }
+        let run = self.run_time(ticket.route);
+        if now + run.mul_f32(0.5) >= ticket.deadline {
+            return self.refusal(ErrorKind::DeadlineExceeded, Duration::ZERO);
+        }
+        if self.running.len() < self.slots && self.waiting.is_empty() {
+            self.start(ticket.call, ticket.route, now);
+            return GateAnswer::Start;
+        }
+        self.arrivals += 1;
+        let place = QueuePlace {
+            outer: !ticket.inner,
+            priority: ticket.priority,
+            arrival: self.arrivals,
+        };
+        let start_by = latest_end(ticket).checked_sub(run).unwrap_or(now);
+        let start = now + self.wait_ahead_of(place);
+        if start > start_by || self.waiting.len() >= self.slots * WAITING_PER_SLOT {
+            let excess = start.saturating_duration_since(start_by);
+            return self.refusal(ErrorKind::QueueFull, excess);
+        }
+        let waiting = WaitingCall {
+            call: ticket.call,
+            route: ticket.route,
+            since: now,
+            start_by,
+        };
+        self.waiting.insert(place, waiting);
+        GateAnswer::Wait
+    }
+
+    /// Takes a request out, running or waiting; names those that start now.
+    pub fn leave(&mut self, call: CallId, failed: bool) -> StartList {
+        let now = self.clock.now();
+        match self.running.remove(&call) {
+            Some(running) => self.learn(running, failed, now),
+            None => self.waiting.retain(|_, waiting| waiting.call != call),
+        }
+        self.start_next(now)
+    }
+
+    /// Takes a request out that its caller gave up; says nothing about run times.
+    pub fn cancel(&mut self, call: CallId) -> StartList {
+        self.running.remove(&call);
+        self.waiting.retain(|_, waiting| waiting.call != call);
+        self.start_next(self.clock.now())
+    }
+
+    /// Refuses the waiting requests that can't end in time any more.
+    pub fn expire(&mut self) -> Vec<CallId> {
+        let now = self.clock.now();
+        self.take_waiting(|waiting| waiting.start_by <= now)
+    }
+
+    /// When [`KindGate::expire`] is due next.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.waiting.values().map(|waiting| waiting.start_by).min()
+    }
+
+    /// Takes over the number of requests that the target runs at once.
+    pub fn resize(&mut self, slots: CallCount) -> StartList {
+        self.slots = slots.0 as usize;
+        self.start_next(self.clock.now())
+    }
+
+    /// Refuses new requests and those that wait, whom it returns.
+    pub fn drain(&mut self) -> Vec<CallId> {
+        self.draining = true;
+        self.take_waiting(|_| true)
+    }
+
+    /// Takes requests again, for a target that started anew.
+    pub fn reopen(&mut self) {
+        self.draining = false;
+    }
+
+    /// Whether new requests are refused.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Whether nothing runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
+    /// Load to tell with each answer.
+    pub fn load(&self) -> TargetLoad {
+        TargetLoad {
+            in_flight: CallCount(self.running.len() as u32),
+            queued: CallCount(self.waiting.len() as u32),
+            failing: (self.failing * 100.0) as u8,
+        }
+    }
+
+    /// When a place in the queue may be free.
+    pub fn retry_after(&self) -> Duration {
+        let queued: f32 = self
+            .waiting
+            .values()
+            .map(|call| self.run_s(call.route))
+            .sum();
+        let time = Duration::from_secs_f32(queued / self.slots.max(1) as f32);
+        time.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
+    fn refusal(&self, kind: ErrorKind, excess: Duration) -> GateAnswer {
+        GateAnswer::Refuse {
+            kind,
+            retry_after: excess.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+        }
+    }
+
+    /// Time until a request at `place` would start, with everything ahead of it run.
+    fn wait_ahead_of(&self, place: QueuePlace) -> Duration {
+        let ahead = self.waiting.range(..place);
+        let queued: f32 = ahead.map(|(_, call)| self.run_s(call.route)).sum();
+        let running: f32 = self
+            .running
+            .values()
+            .map(|call| self.run_s(call.route))
+            .sum();
+        let slots = self.slots as f32;
+        // The first of many runs that began at random times ends after one part in slots.
+        let first = running / (slots * slots);
+        Duration::from_secs_f32(queued / slots + first)
+    }
+
+    fn run_time(&self, route: RouteKey) -> Duration {
+        Duration::from_secs_f32(self.run_s(route))
+    }
+
+    fn run_s(&self, route: RouteKey) -> f32 {
+        self.run_s.get(&route).copied().unwrap_or(self.mean_s)
+    }
+
+    fn learn(&mut self, run: RunningCall, failed: bool, now: Instant) {
+        let share = if failed { 1.0 } else { 0.0 };
+        self.failing += (share - self.failing) * FAILURE_WEIGHT;
+        if failed {
+            return;
+        }
+        let took = now.saturating_duration_since(run.since).as_secs_f32();
+        self.mean_s += (took - self.mean_s) * RUN_WEIGHT;
+        let mean = self.run_s.entry(run.route).or_insert(took);
+        *mean += (took - *mean) * RUN_WEIGHT;
+    }
+
+    fn start(&mut self, call: CallId, route: RouteKey, now: Instant) {
+        self.running.insert(call, RunningCall { route, since: now });
+    }
+
+    fn start_next(&mut self, now: Instant) -> StartList {
+        let mut started = StartList::new();
+        while self.running.len() < self.slots {
+            // Those past their time are left to `expire`, which tells their callers.
+            let mut open = self.waiting.iter();
+            let next = open.find(|(_, waiting)| waiting.start_by > now);
+            let Some((&place, &waiting)) = next else {
+                break;
+            };
+            self.waiting.remove(&place);
+            self.start(waiting.call, waiting.route, now);
+            started.push(StartedCall {
+                call: waiting.call,
+                waited: now.saturating_duration_since(waiting.since),
+            });
+        }
+        started
+    }
+
+    fn take_waiting(&mut self, wanted: impl Fn(&WaitingCall) -> bool) -> Vec<CallId> {
+        let mut taken = Vec::new();
+        self.waiting.retain(|_, waiting| {
+            let take = wanted(waiting);
+            if take {
+                taken.push(waiting.call);
+            }
+            !take
+        });
+        taken
+    }
+}
+
+/// When the answer must be there for the wait to be worth it.
+fn latest_end(ticket: &GateTicket) -> Instant {
+    let part = if ticket.inner {
+        INNER_LATE_PART
+    } else {
+        LATE_PART
+    };
+    let late = ticket.deadline.saturating_duration_since(ticket.objective);
+    (ticket.objective + late.mul_f32(part)).min(ticket.deadline)
+}
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,36 @@
+//! Decisions on the way of a request through a mesh of daemons.
+//!
+//! No module here opens a socket, starts a task or reads a clock of its own.
+//!
+//! - [`MeshTable`] finds the route of a request; [`ConfigKeeper`] never goes
+//!   back to an older configuration.
+//! - [`AttemptPlan`] decides after each attempt whether the request goes to
+//!   another target, within [`FleetBudget`], this daemon's share of the
+//!   retries that the fleet may make.
+//! - [`KindGate`] stands beside a target and alone decides what it runs: who
+//!   waits, in which order, and who is refused at once.
+//! - [`OwnTarget`] holds what is known of the target beside the daemon.
+//!
+//! To embed: look the route up, pick a target with [`route::TargetPicker`],
+//! ask the gate beside it, and hand the result to the plan.
+
+pub mod attempt;
+pub mod beside;
+pub mod budget;
+pub mod config;
+pub mod gate;
+pub mod keeper;
+pub mod table;
+pub mod turn;
+
+pub use attempt::{AttemptEnd, AttemptPlan, NextStep};
+pub use beside::{OwnTarget, ReportEffect, ReportedState, TargetLeave, TargetReport};
+pub use budget::{BudgetTerms, FleetBudget};
+pub use config::{
+    CallPriority, CallSafety, CallerLimits, Destination, MeshConfig, MeshVersion, RouteKey,
+    RouteRule, ServiceRule,
+};
+pub use gate::{GateAnswer, GateTicket, KindGate};
+pub use keeper::ConfigKeeper;
+pub use table::MeshTable;
+pub use turn::WeightedTurn;
--- /dev/null
+++ b/crates/mesh/src/table.rs
@@ -0,0 +1,92 @@
+//! A configuration, arranged for look-ups.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use model::{ErrorKind, KindError, ServiceName, ensure};
+
+use crate::config::{CallerLimits, MeshConfig, MeshVersion, RouteRule, ServiceRule};
+
+/// Results of building a table; the kind is `ListInvalid`.
+pub type Result<T> = model::Result<T>;
+
+/// The routes and services of one configuration.
+#[derive(Debug)]
+pub struct MeshTable {
+    config: Arc<MeshConfig>,
+    /// Routes by host, the longest prefix first.
+    hosts: HashMap<Box<str>, Vec<Arc<RouteRule>>>,
+    services: HashMap<ServiceName, ServiceRule>,
+}
+
+impl MeshTable {
+    /// Arranges `config`; fails if a route names a service that it does not hold.
+    pub fn build(config: Arc<MeshConfig>) -> Result<Self> {
+        let services: HashMap<ServiceName, ServiceRule> = config
+            .services
+            .iter()
+            .map(|rule| (rule.name.clone(), rule.clone()))
+            .collect();
+        let mut hosts: HashMap<Box<str>, Vec<Arc<RouteRule>>> = HashMap::new();
+        for rule in &config.routes {
+            check_route(rule, &services)?;
+            let routes = hosts.entry(rule.host.clone()).or_default();
+            routes.push(Arc::new(rule.clone()));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|rule| std::cmp::Reverse(rule.prefix.len()));
+        }
+        Ok(Self {
+            config,
+            hosts,
+            services,
+        })
+    }
+
+    /// The configuration that the table was built from.
+    pub fn config(&self) -> &Arc<MeshConfig> {
+        &self.config
+    }
+
+    /// Its number.
+    pub fn version(&self) -> MeshVersion {
+        self.config.version
+    }
+
+    /// Bounds on requests.
+    pub fn limits(&self) -> &CallerLimits {
+        &self.config.limits
+    }
+
+    /// The route of a request for `host` and `path`; a port in `host` is ignored.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
+        let name = host.split_once(':').map_or(host, |(name, _)| name);
+        let routes = self.hosts.get(name)?;
+        let path = path.split_once('?').map_or(path, |(path, _)| path);
+        routes.iter().find(|rule| path.starts_with(&*rule.prefix))
+    }
+
+    /// The service called `name`.
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceRule> {
+        self.services.get(name)
+    }
+}
+
+fn check_route(rule: &RouteRule, services: &HashMap<ServiceName, ServiceRule>) -> Result<()> {
+    let invalid = |detail: String| KindError::new(ErrorKind::ListInvalid, detail);
+    let filled = format!("route {} leads nowhere", rule.name);
+    ensure(
+        !rule.destinations.is_empty(),
+        ErrorKind::ListInvalid,
+        &filled,
+    )?;
+    let mut destinations = rule.destinations.iter();
+    let unknown = destinations.find(|destination| !services.contains_key(&destination.service));
+    match unknown {
+        None => Ok(()),
+        Some(destination) => Err(invalid(format!(
+            "route {} leads to {}, which is no service of the configuration",
+            rule.name, destination.service
+        ))),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/control.rs
@@ -0,0 +1,105 @@
+//! Reports of the target beside the daemon, and the platform's question whether it is ready.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use mesh::{ReportEffect, TargetLeave, TargetReport};
+use model::{ErrorKind, KindError};
+
+use crate::core::ProxyCore;
+use crate::edge::ControlCall;
+use crate::reply::{CallerReply, ReplyBody, own_reply};
+
+/// Largest report in bytes.
+const MAX_REPORT_BYTES: usize = 16 << 10;
+
+/// Answers one call of the platform or of the target.
+pub async fn answer_control(
+    core: Arc<ProxyCore>,
+    _peer: SocketAddr,
+    request: Request<Incoming>,
+) -> CallerReply {
+    match read_call(&core, request).await {
+        Ok(call) => carry_out(&core, call),
+        Err(error) => {
+            log::warn!(kind:% = error.kind, cause = &*error.detail; "report refused");
+            own_reply(&core.edge, error.kind, None)
+        }
+    }
+}
+
+async fn read_call(core: &ProxyCore, request: Request<Incoming>) -> model::Result<ControlCall> {
+    let (parts, body) = request.into_parts();
+    let limited = Limited::new(body, MAX_REPORT_BYTES);
+    let body = limited
+        .collect()
+        .await
+        .map_err(|error| KindError::new(ErrorKind::RequestInvalid, error.to_string()))?;
+    (core.edge.read_control)(&parts.method, parts.uri.path(), &body.to_bytes())
+}
+
+fn carry_out(core: &ProxyCore, call: ControlCall) -> CallerReply {
+    match call {
+        ControlCall::Ready if core.is_ready() => reply(StatusCode::OK, ""),
+        ControlCall::Ready => reply(StatusCode::SERVICE_UNAVAILABLE, ""),
+        ControlCall::Report(report) => {
+            take_report(core, report);
+            acknowledge(core)
+        }
+        ControlCall::Leave(leave) => {
+            take_leave(core, leave);
+            acknowledge(core)
+        }
+    }
+}
+
+/// Takes a report; what it changes is in force when this returns.
+pub fn take_report(core: &ProxyCore, report: TargetReport) {
+    let text = report.target.clone();
+    let (run, sequence) = (report.run, report.sequence);
+    let effect = core.own().on_report(report);
+    if effect == ReportEffect::Renewed {
+        return;
+    }
+    log::info!(target_name:% = text, run:% = run, sequence, effect:? = effect; "target report");
+    if effect == ReportEffect::Changed {
+        apply_target(core);
+    }
+}
+
+fn take_leave(core: &ProxyCore, leave: TargetLeave) {
+    let (text, run) = (leave.target.clone(), leave.run);
+    let news = core.own().on_leave(leave);
+    log::info!(target_name:% = text, run:% = run, news; "target leaves");
+    if news {
+        apply_target(core);
+    }
+}
+
+/// Opens or closes the gate as the target is willing, and has the fleet told.
+pub fn apply_target(core: &ProxyCore) {
+    let slots = core.own().willing().map(|report| report.slots);
+    match slots {
+        Some(slots) if !core.is_stopping() => core.desk.open(slots),
+        Some(_) | None => core.desk.close(),
+    }
+    core.target_changed.notify_one();
+}
+
+fn acknowledge(core: &ProxyCore) -> CallerReply {
+    reply(StatusCode::OK, core.edge.acknowledgement)
+}
+
+fn reply(status: StatusCode, text: &'static str) -> CallerReply {
+    let mut response = Response::new(ReplyBody::Whole(Some(Bytes::from_static(text.as_bytes()))));
+    *response.status_mut() = status;
+    if !text.is_empty() {
+        let json = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(header::CONTENT_TYPE, json);
+    }
+    response
+}
--- /dev/null
+++ b/crates/proxy/src/core.rs
@@ -0,0 +1,211 @@
+//! What the modules of one daemon share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use mesh::{ConfigKeeper, FleetBudget, MeshTable, OwnTarget, RouteKey, WeightedTurn};
+use model::{DaemonId, IncarnationNumber, SharedClock};
+use once::HolderId;
+use once::poison::{PoisonMessage, PoisonOutput, PoisonSettings, PoisonWatch};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use route::{PickerConfig, TargetPicker};
+use tokio::sync::Notify;
+use tokio_util::task::TaskTracker;
+use wire::{PeerPool, WireLimits};
+
+use crate::desk::GateDesk;
+use crate::edge::EdgeProtocol;
+use crate::message::PeerHead;
+use crate::settings::ProxySettings;
+use crate::store::SharedStore;
+use crate::target_client::TargetClient;
+
+/// Reports that a target may miss before it is not offered any more.
+const MISSED_REPORTS: u32 = 4;
+
+/// Other daemons and where they are reached.
+pub type PeerBook = HashMap<DaemonId, SocketAddr>;
+
+/// The state of one daemon.
+#[derive(Debug)]
+pub struct ProxyCore {
+    /// Settings since the start.
+    pub settings: ProxySettings,
+    /// What callers and targets speak.
+    pub edge: EdgeProtocol,
+    /// The platform's store.
+    pub store: SharedStore,
+    /// The clock.
+    pub clock: SharedClock,
+    /// This daemon.
+    pub id: DaemonId,
+    /// This run.
+    pub incarnation: IncarnationNumber,
+    /// Connections to other daemons.
+    pub pool: Arc<PeerPool>,
+    /// Connections to the target beside the daemon.
+    pub target_client: TargetClient,
+    /// Admission to the target beside the daemon.
+    pub desk: GateDesk,
+    /// Tasks that end by themselves.
+    pub tasks: TaskTracker,
+    /// Wakes the membership after a change of the target.
+    pub target_changed: Notify,
+    keeper: Mutex<ConfigKeeper>,
+    picker: Mutex<TargetPicker>,
+    budget: Mutex<FleetBudget>,
+    turns: Mutex<HashMap<RouteKey, WeightedTurn>>,
+    own: Mutex<OwnTarget>,
+    poison: Mutex<PoisonWatch>,
+    peers: Mutex<Arc<PeerBook>>,
+    joined: AtomicBool,
+    stopping: AtomicBool,
+}
+
+impl ProxyCore {
+    /// The state of a daemon that starts.
+    pub fn new(
+        settings: ProxySettings,
+        edge: EdgeProtocol,
+        store: SharedStore,
+        clock: SharedClock,
+        limits: WireLimits,
+    ) -> Self {
+        let id = DaemonId(xxhash_rust::xxh3::xxh3_64(settings.vm.as_str().as_bytes()));
+        let wall = clock.wall().duration_since(std::time::UNIX_EPOCH);
+        let incarnation = IncarnationNumber(wall.map_or(0, |time| time.as_millis() as u64));
+        let picker_config = PickerConfig {
+            domain: settings.domain.clone(),
+            region: settings.domains.iter().cloned().collect(),
+        };
+        let random = SmallRng::from_rng(&mut rand::rng());
+        let silence = settings.report_interval * MISSED_REPORTS;
+        let holder = HolderId::new(id, incarnation);
+        Self {
+            id,
+            incarnation,
+            pool: Arc::new(PeerPool::new(limits)),
+            target_client: TargetClient::new(settings.target_address),
+            desk: GateDesk::new(Arc::clone(&clock)),
+            tasks: TaskTracker::new(),
+            target_changed: Notify::new(),
+            keeper: Mutex::default(),
+            picker: Mutex::new(TargetPicker::new(picker_config, Arc::clone(&clock), random)),
+            budget: Mutex::new(FleetBudget::new(settings.budget, 1)),
+            turns: Mutex::default(),
+            own: Mutex::new(OwnTarget::new(silence, Arc::clone(&clock))),
+            poison: Mutex::new(PoisonWatch::new(
+                holder,
+                PoisonSettings::default(),
+                Arc::clone(&clock),
+            )),
+            peers: Mutex::default(),
+            joined: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            settings,
+            edge,
+            store,
+            clock,
+        }
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<Arc<MeshTable>> {
+        lock(&self.keeper).table().cloned()
+    }
+
+    /// Configurations seen so far.
+    pub fn keeper(&self) -> MutexGuard<'_, ConfigKeeper> {
+        lock(&self.keeper)
+    }
+
+    /// The choice of targets.
+    pub fn picker(&self) -> MutexGuard<'_, TargetPicker> {
+        lock(&self.picker)
+    }
+
+    /// This daemon's share of repeats.
+    pub fn budget(&self) -> MutexGuard<'_, FleetBudget> {
+        lock(&self.budget)
+    }
+
+    /// Turns of the routes with several destinations.
+    pub fn turns(&self) -> MutexGuard<'_, HashMap<RouteKey, WeightedTurn>> {
+        lock(&self.turns)
+    }
+
+    /// The target beside the daemon.
+    pub fn own(&self) -> MutexGuard<'_, OwnTarget> {
+        lock(&self.own)
+    }
+
+    /// Requests that crash targets.
+    pub fn poison(&self) -> MutexGuard<'_, PoisonWatch> {
+        lock(&self.poison)
+    }
+
+    /// Other daemons.
+    pub fn peers(&self) -> Arc<PeerBook> {
+        Arc::clone(&lock(&self.peers))
+    }
+
+    /// Replaces the other daemons.
+    pub fn set_peers(&self, book: PeerBook) {
+        *lock(&self.peers) = Arc::new(book);
+    }
+
+    /// Whether the daemon takes callers.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.joined.load(Ordering::Relaxed) && self.table().is_some()
+    }
+
+    /// Notes that the membership knows other daemons, or that there are none.
+    ///
+    /// Returns whether that was news.
+    pub fn note_joined(&self) -> bool {
+        !self.joined.swap(true, Ordering::Relaxed)
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub fn start_stopping(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells the other daemons what the watch of crashing requests wants told.
+    pub fn send_poison(&self, outputs: Vec<PoisonOutput>) {
+        for output in outputs {
+            let message = match output {
+                PoisonOutput::Tell(message) => message,
+                PoisonOutput::Innocent(prints) => PoisonMessage::Cleared(prints),
+                PoisonOutput::Stopped(print) => {
+                    log::warn!(print:% = print; "request stopped: it crashes targets");
+                    continue;
+                }
+            };
+            self.tell_peers(&PeerHead::Poison(message));
+        }
+    }
+
+    fn tell_peers(&self, head: &PeerHead) {
+        for address in self.peers().values() {
+            let (pool, head, address) = (Arc::clone(&self.pool), head.clone(), *address);
+            self.tasks.spawn(async move {
+                if let Err(error) = pool.tell(address, &head).await {
+                    log::debug!(peer:% = address, cause:% = error; "message lost");
+                }
+            });
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/proxy/src/inbound.rs
@@ -0,0 +1,138 @@
+//! What other daemons send.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use model::ErrorKind;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use wire::{BodyReceiver, PeerResponder, PeerStream, WireLimits};
+
+use crate::core::ProxyCore;
+use crate::membership::MembershipDesk;
+use crate::message::{CallAnswer, CallHead, PeerHead};
+use crate::runner::{RunBody, RunEnd, TargetCall, run_call};
+
+/// Results of an exchange; the kinds are those of [`wire`].
+type Result<T> = model::Result<T>;
+
+/// Serves other daemons until `token` is cancelled.
+pub async fn serve_inbound(
+    core: Arc<ProxyCore>,
+    members: MembershipDesk,
+    listener: TcpListener,
+    limits: WireLimits,
+    token: CancellationToken,
+) {
+    let handle = move |stream: PeerStream<PeerHead>| {
+        let (core, members) = (Arc::clone(&core), members.clone());
+        async move {
+            if let Err(error) = handle_stream(&core, &members, stream).await {
+                log::debug!(cause:% = error; "exchange with a peer broke");
+            }
+        }
+    };
+    let refused = |error| log::warn!(cause:% = error; "peer refused");
+    wire::serve_peers(listener, limits, token, handle, refused).await;
+}
+
+async fn handle_stream(
+    core: &Arc<ProxyCore>,
+    members: &MembershipDesk,
+    stream: PeerStream<PeerHead>,
+) -> Result<()> {
+    let PeerStream {
+        head,
+        receiver,
+        responder,
+        ..
+    } = stream;
+    match head {
+        PeerHead::Call(head) => serve_call(core, *head, receiver, responder).await,
+        PeerHead::Members { from, bytes } => {
+            members.receive(from, bytes);
+            responder.acknowledge()
+        }
+        PeerHead::Poison(message) => {
+            let outputs = core.poison().on_message(&message);
+            core.send_poison(outputs);
+            responder.acknowledge()
+        }
+        PeerHead::Config { have } => {
+            let table = core.table();
+            let newer = table.filter(|table| Some(table.version()) > have);
+            let config = newer.map(|table| table.config().as_ref().clone());
+            responder.answer_whole(&config).await
+        }
+    }
+}
+
+async fn serve_call(
+    core: &Arc<ProxyCore>,
+    head: CallHead,
+    mut receiver: BodyReceiver,
+    mut responder: PeerResponder,
+) -> Result<()> {
+    let since = core.clock.now();
+    let body = read_body(&mut receiver).await?;
+    let call = TargetCall { head, body, since };
+    let end = tokio::select! {
+        end = run_call(core, call) => end,
+        // Dropping the run closes its connection to the target.
+        () = responder.abandoned() => return Ok(()),
+    };
+    let load = core.desk.load();
+    match end {
+        RunEnd::Refused(refusal) => {
+            let answer = CallAnswer::Refused {
+                kind: refusal.kind,
+                arrived: refusal.arrived,
+                retry_after: refusal.retry_after,
+                load,
+            };
+            responder.answer_whole(&answer).await
+        }
+        RunEnd::Broken(detail) => {
+            let answer = CallAnswer::Broken { detail, load };
+            responder.answer_whole(&answer).await
+        }
+        RunEnd::Answered(answer) => {
+            let head = CallAnswer::Answered {
+                status: answer.status.as_u16(),
+                headers: answer.headers,
+                waited: answer.waited,
+                load,
+            };
+            let mut sender = responder.answer(&head).await?;
+            match answer.body {
+                RunBody::Whole(bytes) => sender.send(bytes).await?,
+                RunBody::Stream(mut stream) => {
+                    while let Some(piece) = stream.next().await {
+                        // A sender that is dropped resets the stream: the peer sees a broken body.
+                        let piece = piece.map_err(|detail| {
+                            model::KindError::new(ErrorKind::TargetFailed, detail)
+                        })?;
+                        sender.send(piece).await?;
+                    }
+                }
+            }
+            sender.finish()
+        }
+    }
+}
+
+async fn read_body(receiver: &mut BodyReceiver) -> Result<Bytes> {
+    let Some(first) = receiver.next().await else {
+        return Ok(Bytes::new());
+    };
+    let first = first?;
+    let Some(second) = receiver.next().await else {
+        return Ok(first);
+    };
+    let mut body = BytesMut::from(&first[..]);
+    body.extend_from_slice(&second?);
+    while let Some(piece) = receiver.next().await {
+        body.extend_from_slice(&piece?);
+    }
+    Ok(body.freeze())
+}
--- /dev/null
+++ b/crates/proxy/src/listener.rs
@@ -0,0 +1,114 @@
+//! Accepts HTTP/1.1 connections and lets open ones end on a planned stop.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body::Body;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use model::{ErrorKind, KindError};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Results of binding; the kind is `LocalFailed`.
+pub type Result<T> = model::Result<T>;
+
+/// Pause after a failed accept, which usually means that descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Least buffer that the HTTP library takes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+
+/// Bounds on one connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionBounds {
+    /// Time for a head to arrive, counted while the connection is idle too.
+    pub head_timeout: Duration,
+    /// Largest head in bytes.
+    pub max_head_bytes: usize,
+}
+
+/// Binds `address`.
+pub async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| KindError::new(ErrorKind::LocalFailed, format!("{address}: {error}")))
+}
+
+/// Answers requests until `token` is cancelled, then until open ones have ended.
+///
+/// `bounds` is asked for each new connection.
+pub async fn serve_http<A, F, B, L>(
+    listener: TcpListener,
+    bounds: L,
+    token: CancellationToken,
+    answer: A,
+) where
+    A: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes, Error = KindError> + Send + 'static,
+    L: Fn() -> ConnectionBounds,
+{
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = token.cancelled() => break,
+        };
+        match accepted {
+            Ok((socket, peer)) => {
+                let serving =
+                    serve_connection(socket, peer, bounds(), token.clone(), answer.clone());
+                connections.spawn(serving);
+            }
+            Err(error) => {
+                log::warn!(cause:% = error; "connection not accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    connections.close();
+    connections.wait().await;
+}
+
+async fn serve_connection<A, F, B>(
+    socket: TcpStream,
+    peer: SocketAddr,
+    bounds: ConnectionBounds,
+    token: CancellationToken,
+    answer: A,
+) where
+    A: Fn(SocketAddr, Request<Incoming>) -> F,
+    F: Future<Output = Response<B>>,
+    B: Body<Data = Bytes, Error = KindError> + 'static,
+{
+    // Without it answers are only slower.
+    drop(socket.set_nodelay(true));
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.head_timeout)
+        .max_buf_size(bounds.max_head_bytes.max(MIN_BUFFER_BYTES))
+        .half_close(false);
+    let service = service_fn(|request| {
+        let answering = answer(peer, request);
+        async move { Ok::<_, Infallible>(answering.await) }
+    });
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(socket), service));
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = token.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = served {
+        log::debug!(peer:% = peer, cause:% = error; "connection ended early");
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/message.rs
@@ -0,0 +1,153 @@
+//! Messages between daemons.
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue};
+use mesh::{CallPriority, CallSafety, MeshVersion, RouteKey};
+use model::{DaemonId, ErrorKind, KindError, ServiceName};
+use once::poison::PoisonMessage;
+use route::TargetLoad;
+use serde::{Deserialize, Serialize};
+
+/// Results of decoding headers; the kind is `FrameInvalid`.
+pub type Result<T> = model::Result<T>;
+
+/// Headers by name, values as bytes.
+pub type HeaderList = Vec<(Box<str>, Box<[u8]>)>;
+
+/// The beginning of an exchange.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum PeerHead {
+    /// A request for the target beside the receiver; its body follows.
+    Call(Box<CallHead>),
+    /// A message of the membership.
+    Members {
+        /// The sender.
+        from: DaemonId,
+        /// The message, encoded by the membership.
+        bytes: Vec<u8>,
+    },
+    /// What is known of requests that crash targets.
+    Poison(PoisonMessage),
+    /// Asks for the configuration in force, if it is newer than the sender's.
+    Config {
+        /// The sender's version.
+        have: Option<MeshVersion>,
+    },
+}
+
+/// A request on its way to a target.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct CallHead {
+    /// Identity of the caller's attempt.
+    pub request_id: Box<str>,
+    /// The method.
+    pub method: Box<str>,
+    /// Path and query.
+    pub path: Box<str>,
+    /// Headers to pass on, without those that the mesh sets.
+    pub headers: HeaderList,
+    /// The service that is to run it.
+    pub service: ServiceName,
+    /// Service on whose VM it began.
+    pub caller_service: ServiceName,
+    /// Its route.
+    pub route: RouteKey,
+    /// Rank of the route.
+    pub priority: CallPriority,
+    /// Whether it may run again.
+    pub safety: CallSafety,
+    /// Whether a running request made it.
+    pub inner: bool,
+    /// Time for which its caller still waits.
+    pub remaining: Duration,
+    /// Time within which its answer has its full worth.
+    pub objective: Duration,
+}
+
+/// How a call to a daemon beside a target ended; a body follows `Answered`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum CallAnswer {
+    /// The target answered.
+    Answered {
+        /// Status of the answer.
+        status: u16,
+        /// Headers to pass on.
+        headers: HeaderList,
+        /// Time for which the request waited for a slot.
+        waited: Duration,
+        /// Load of the target.
+        load: TargetLoad,
+    },
+    /// Proven not to have run.
+    Refused {
+        /// Why.
+        kind: ErrorKind,
+        /// Whether the target itself refused it.
+        arrived: bool,
+        /// When a place may be free.
+        retry_after: Option<Duration>,
+        /// Load of the target.
+        load: TargetLoad,
+    },
+    /// It may have run.
+    Broken {
+        /// What was seen, for the log.
+        detail: Box<str>,
+        /// Load of the target.
+        load: TargetLoad,
+    },
+}
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The headers that go on to the next hop; `dropped` are left out besides.
+pub fn pack_headers(headers: &HeaderMap, dropped: &[&HeaderName]) -> HeaderList {
+    let named = connection_names(headers);
+    headers
+        .iter()
+        .filter(|(name, _)| {
+            let text = name.as_str();
+            !HOP_HEADERS.contains(&text)
+                && text != "content-length"
+                && !dropped.contains(name)
+                && !named.iter().any(|named| named.eq_ignore_ascii_case(text))
+        })
+        .map(|(name, value)| (name.as_str().into(), value.as_bytes().into()))
+        .collect()
+}
+
+/// The headers in `list`.
+pub fn unpack_headers(list: &HeaderList) -> Result<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(list.len() + 4);
+    for (name, value) in list {
+        let name = HeaderName::from_bytes(name.as_bytes()).map_err(invalid)?;
+        headers.append(name, HeaderValue::from_bytes(value).map_err(invalid)?);
+    }
+    Ok(headers)
+}
+
+/// Names that the `Connection` headers declare to concern this connection only.
+fn connection_names(headers: &HeaderMap) -> Vec<String> {
+    let values = headers.get_all(http::header::CONNECTION).iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    texts
+        .flat_map(|text| text.split(','))
+        .map(|name| name.trim().to_owned())
+        .collect()
+}
+
+fn invalid(error: impl std::fmt::Display) -> KindError {
+    KindError::new(ErrorKind::FrameInvalid, error.to_string())
+}
--- /dev/null
+++ b/crates/proxy/src/outbound.rs
@@ -0,0 +1,149 @@
+//! Requests of the callers on this VM.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use mesh::MeshTable;
+use model::{ErrorKind, KindError, ServiceName};
+use tokio::time::timeout;
+
+use crate::core::ProxyCore;
+use crate::message::{CallHead, pack_headers};
+use crate::relay::{RelayCall, relay_call};
+use crate::reply::{CallerReply, own_reply};
+
+/// Results of taking a request in.
+///
+/// Kinds: `RequestInvalid`, `RouteUnknown`, `ConfigAbsent`, `BodyTooLarge`,
+/// `IdleTimeout`.
+type Result<T> = model::Result<T>;
+
+/// Time for which a caller waits that names none.
+const DEFAULT_REMAINING: Duration = Duration::from_secs(30);
+/// When a daemon without a configuration may have one.
+const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// Answers one request.
+pub async fn answer_caller(
+    core: Arc<ProxyCore>,
+    peer: SocketAddr,
+    request: Request<Incoming>,
+) -> CallerReply {
+    let mut reply = match take_in(&core, peer, request).await {
+        Ok(call) => serve(&core, call).await,
+        Err(error) => {
+            log::info!(kind:% = error.kind, cause = &*error.detail; "request refused");
+            let absent = error.kind == ErrorKind::ConfigAbsent;
+            own_reply(&core.edge, error.kind, absent.then_some(CONFIG_RETRY_AFTER))
+        }
+    };
+    if core.is_stopping() {
+        let headers = reply.headers_mut();
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+async fn serve(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
+    let request_id = call.head.request_id.clone();
+    let mut reply = relay_call(core, call).await;
+    if let Ok(id) = HeaderValue::from_str(&request_id) {
+        let name = core.edge.headers.request_id.clone();
+        reply.headers_mut().insert(name, id);
+    }
+    reply
+}
+
+/// Finds the route of a request and reads its body.
+async fn take_in(
+    core: &Arc<ProxyCore>,
+    peer: SocketAddr,
+    request: Request<Incoming>,
+) -> Result<RelayCall> {
+    let since = core.clock.now();
+    let table = core.table().ok_or_else(|| {
+        KindError::new(ErrorKind::ConfigAbsent, "no configuration has arrived yet")
+    })?;
+    let (parts, body) = request.into_parts();
+    let names = &core.edge.headers;
+    let request_id = text(parts.headers.get(&names.request_id))
+        .ok_or_else(|| invalid("the request has no id"))?;
+    let host = text(parts.headers.get(header::HOST)).unwrap_or_default();
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let rule = table
+        .find(host, path)
+        .cloned()
+        .ok_or_else(|| KindError::new(ErrorKind::RouteUnknown, format!("{host}{path}")))?;
+    let remaining = text(parts.headers.get(&names.remaining_ms))
+        .and_then(|text| text.trim().parse().ok())
+        .map_or(DEFAULT_REMAINING, Duration::from_millis);
+    let deadline = since + remaining.min(rule.timeout);
+    let service = next_service(core, &rule)?;
+    let dropped = [
+        &names.request_id,
+        &names.remaining_ms,
+        &names.caller_service,
+        &names.expected_target,
+    ];
+    let head = CallHead {
+        request_id: request_id.into(),
+        method: parts.method.as_str().into(),
+        path: path.into(),
+        headers: pack_headers(&parts.headers, &dropped),
+        service,
+        caller_service: core.settings.service.clone(),
+        route: rule.key,
+        priority: rule.priority,
+        safety: rule.safety,
+        inner: peer.ip() == core.settings.caller_address.ip(),
+        remaining,
+        objective: rule.objective,
+    };
+    let rest = deadline.saturating_duration_since(core.clock.now());
+    let body = read_body(&table, body, rest).await?;
+    Ok(RelayCall {
+        head,
+        body,
+        rule,
+        since,
+        deadline,
+    })
+}
+
+fn next_service(core: &ProxyCore, rule: &mesh::RouteRule) -> Result<ServiceName> {
+    let mut turns = core.turns();
+    let turn = turns.entry(rule.key).or_default();
+    let service = turn.next(&rule.destinations).cloned();
+    service.ok_or_else(|| KindError::new(ErrorKind::RouteUnknown, "the route leads nowhere"))
+}
+
+async fn read_body(table: &MeshTable, body: Incoming, rest: Duration) -> Result<Bytes> {
+    if http_body::Body::is_end_stream(&body) {
+        return Ok(Bytes::new());
+    }
+    let limited = Limited::new(body, table.limits().max_body_bytes);
+    let collected = timeout(rest, limited.collect()).await.map_err(|_elapsed| {
+        KindError::new(ErrorKind::IdleTimeout, "the body did not arrive in time")
+    })?;
+    match collected {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(KindError::new(
+            ErrorKind::BodyTooLarge,
+            format!("more than {} bytes", table.limits().max_body_bytes),
+        )),
+        Err(error) => Err(KindError::new(ErrorKind::RequestInvalid, error.to_string())),
+    }
+}
+
+fn text(value: Option<&HeaderValue>) -> Option<&str> {
+    value.and_then(|value| value.to_str().ok())
+}
+
+fn invalid(detail: &str) -> KindError {
+    KindError::new(ErrorKind::RequestInvalid, detail)
+}
--- /dev/null
+++ b/crates/proxy/src/relay.rs
@@ -0,0 +1,307 @@
+//! Sends a request to a target, and to another one where that is allowed.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use mesh::{AttemptEnd, AttemptPlan, CallSafety, NextStep, RouteRule};
+use model::{DaemonId, ErrorKind};
+use route::{CallOutcome, CallResult, PickTicket, TargetLoad};
+use smallvec::SmallVec;
+use tokio::time::timeout;
+use wire::BodyReceiver;
+
+use crate::core::ProxyCore;
+use crate::message::{CallAnswer, CallHead};
+use crate::reply::{CallerReply, ReplyBody, own_reply, target_reply};
+use crate::runner::{RunBody, RunEnd, TargetCall, run_call};
+
+/// Longest answer that is held whole, so that a broken one can be asked for again.
+const WHOLE_ANSWER_BYTES: usize = 512 << 10;
+
+/// A request on its way out.
+#[derive(Debug)]
+pub struct RelayCall {
+    /// Its head; the times in it are set for each attempt.
+    pub head: CallHead,
+    /// Its body.
+    pub body: Bytes,
+    /// Its route.
+    pub rule: Arc<RouteRule>,
+    /// When it arrived.
+    pub since: Instant,
+    /// When its caller stops waiting, or its route's timeout ends.
+    pub deadline: Instant,
+}
+
+/// How one attempt ended, with the answer if there is one.
+struct AttemptResult {
+    end: AttemptEnd,
+    reply: Option<CallerReply>,
+    result: CallResult,
+    waited: Duration,
+    load: Option<TargetLoad>,
+    detail: Box<str>,
+}
+
+/// Sends `call` until it is answered; dropping the future gives it up everywhere.
+pub async fn relay_call(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
+    let service = call.head.service.clone();
+    core.budget().earn(&service);
+    let mut plan = AttemptPlan::new(&call.rule, call.deadline);
+    let mut asked = SmallVec::<[DaemonId; 4]>::new();
+    loop {
+        let picked = pick(core, &call, &asked);
+        let Some(ticket) = picked else {
+            let kind = core.picker().absence(&service).kind;
+            return conclude(core, &call, plan.exhausted(kind), None);
+        };
+        let daemon = ticket.view.daemon;
+        asked.push(daemon);
+        let rest = call.deadline.saturating_duration_since(core.clock.now());
+        let attempt = match timeout(rest, attempt(core, &call, &ticket)).await {
+            Ok(attempt) => attempt,
+            // Learned like a failure, so that a target that hangs is avoided.
+            Err(_) => late(),
+        };
+        let now = core.clock.now();
+        let outcome = CallOutcome {
+            latency: now.saturating_duration_since(ticket.picked),
+            waited: attempt.waited,
+            result: attempt.result,
+            load: attempt.load,
+        };
+        core.picker().finish(&ticket, &outcome);
+        drop(ticket);
+        let step = if now >= call.deadline && attempt.end == AttemptEnd::Broken {
+            NextStep::Fail(ErrorKind::DeadlineExceeded)
+        } else {
+            plan.next(attempt.end, now, || core.budget().spend(&service))
+        };
+        if attempt.end != AttemptEnd::Answered {
+            log::info!(
+                request = &*call.head.request_id, daemon:% = daemon, end:? = attempt.end,
+                next:? = step, cause = &*attempt.detail; "attempt failed"
+            );
+        }
+        if step != NextStep::Another {
+            return conclude(core, &call, step, attempt.reply);
+        }
+    }
+}
+
+fn pick(core: &ProxyCore, call: &RelayCall, asked: &[DaemonId]) -> Option<PickTicket> {
+    let mut picker = core.picker();
+    match call.rule.safety {
+        CallSafety::Idempotent => picker.pick(&call.head.service, asked),
+        CallSafety::AtMostOnce => picker.pick_proven(&call.head.service, asked),
+    }
+}
+
+fn conclude(
+    core: &ProxyCore,
+    call: &RelayCall,
+    step: NextStep,
+    reply: Option<CallerReply>,
+) -> CallerReply {
+    let (kind, retry_after) = match (step, reply) {
+        (NextStep::Deliver, Some(reply)) => return reply,
+        (NextStep::Refuse { kind, retry_after }, _) => (refusal_kind(kind), Some(retry_after)),
+        (NextStep::Fail(kind), _) => (kind, None),
+        (NextStep::Deliver | NextStep::Another, _) => (ErrorKind::OutcomeUnknown, None),
+    };
+    log::info!(
+        request = &*call.head.request_id, route = &*call.rule.name, kind:% = kind,
+        waited_ms = core.clock.now().saturating_duration_since(call.since).as_millis() as u64;
+        "request not served"
+    );
+    own_reply(&core.edge, kind, retry_after)
+}
+
+/// A refusal for lack of time is one for lack of room: with a fresh deadline it may be served.
+fn refusal_kind(kind: ErrorKind) -> ErrorKind {
+    match kind {
+        ErrorKind::DeadlineExceeded => ErrorKind::QueueFull,
+        kind if kind.answer().status == 503 || kind == ErrorKind::PoisonRequest => kind,
+        _ => ErrorKind::TargetAbsent,
+    }
+}
+
+async fn attempt(core: &Arc<ProxyCore>, call: &RelayCall, ticket: &PickTicket) -> AttemptResult {
+    let now = core.clock.now();
+    let mut head = call.head.clone();
+    head.remaining = call.deadline.saturating_duration_since(now);
+    let spent = now.saturating_duration_since(call.since);
+    head.objective = call.rule.objective.saturating_sub(spent);
+    if ticket.view.daemon == core.id {
+        let own = TargetCall {
+            head,
+            body: call.body.clone(),
+            since: now,
+        };
+        let end = run_call(core, own).await;
+        return own_result(core, end);
+    }
+    let Some(address) = core.peers().get(&ticket.view.daemon).copied() else {
+        return unsent("the daemon left the membership".into());
+    };
+    match ask_daemon(core, address, &head, call).await {
+        Ok(result) => result,
+        Err(error) if error.kind == ErrorKind::PeerUnavailable => unsent(error.detail),
+        Err(error) => broken(error.detail, CallResult::Lost, None),
+    }
+}
+
+async fn ask_daemon(
+    core: &ProxyCore,
+    address: std::net::SocketAddr,
+    head: &CallHead,
+    call: &RelayCall,
+) -> model::Result<AttemptResult> {
+    let message = crate::message::PeerHead::Call(Box::new(head.clone()));
+    let mut exchange = core.pool.open(address, &message).await?;
+    if !call.body.is_empty() {
+        let sent = exchange.sender.send(call.body.clone()).await;
+        sent.map_err(after_head)?;
+    }
+    exchange.sender.finish().map_err(after_head)?;
+    let (answer, receiver) = exchange
+        .answer
+        .head::<CallAnswer>()
+        .await
+        .map_err(after_head)?;
+    Ok(peer_result(answer, receiver).await)
+}
+
+/// Whatever fails after the head was sent proves nothing.
+fn after_head(error: model::KindError) -> model::KindError {
+    model::KindError::new(ErrorKind::OutcomeUnknown, error.detail)
+}
+
+async fn peer_result(answer: CallAnswer, receiver: BodyReceiver) -> AttemptResult {
+    match answer {
+        CallAnswer::Answered {
+            status,
+            headers,
+            waited,
+            load,
+        } => match read_reply(receiver).await {
+            Ok(body) => answered(status, target_reply(status, &headers, body), waited, load),
+            Err(error) => broken(error.detail, CallResult::Lost, Some(load)),
+        },
+        CallAnswer::Refused {
+            kind,
+            arrived,
+            retry_after,
+            load,
+        } => refused(kind, arrived, retry_after, load),
+        CallAnswer::Broken { detail, load } => broken(detail, CallResult::Failed, Some(load)),
+    }
+}
+
+fn own_result(core: &ProxyCore, end: RunEnd) -> AttemptResult {
+    let load = core.desk.load();
+    match end {
+        RunEnd::Answered(answer) => {
+            let status = answer.status.as_u16();
+            let body = match answer.body {
+                RunBody::Whole(bytes) => ReplyBody::Whole(Some(bytes)),
+                RunBody::Stream(stream) => ReplyBody::own(stream),
+            };
+            let reply = target_reply(status, &answer.headers, body);
+            answered(status, reply, answer.waited, load)
+        }
+        RunEnd::Refused(refusal) => {
+            refused(refusal.kind, refusal.arrived, refusal.retry_after, load)
+        }
+        RunEnd::Broken(detail) => broken(detail, CallResult::Failed, Some(load)),
+    }
+}
+
+/// Reads an answer whole, or its beginning if it is long.
+async fn read_reply(mut receiver: BodyReceiver) -> model::Result<ReplyBody> {
+    let mut held = BytesMut::new();
+    while let Some(piece) = receiver.next().await {
+        held.extend_from_slice(&piece?);
+        if held.len() > WHOLE_ANSWER_BYTES {
+            return Ok(ReplyBody::Peer(Some(held.freeze()), receiver));
+        }
+    }
+    Ok(ReplyBody::Whole(Some(held.freeze())))
+}
+
+fn answered(status: u16, reply: CallerReply, waited: Duration, load: TargetLoad) -> AttemptResult {
+    let failed = status >= 500;
+    AttemptResult {
+        end: if failed {
+            AttemptEnd::ServerFailed
+        } else {
+            AttemptEnd::Answered
+        },
+        reply: Some(reply),
+        result: if failed {
+            CallResult::Failed
+        } else {
+            CallResult::Done
+        },
+        waited,
+        load: Some(load),
+        detail: Box::default(),
+    }
+}
+
+fn refused(
+    kind: ErrorKind,
+    arrived: bool,
+    retry_after: Option<Duration>,
+    load: TargetLoad,
+) -> AttemptResult {
+    AttemptResult {
+        end: AttemptEnd::Refused {
+            kind,
+            arrived,
+            retry_after,
+        },
+        reply: None,
+        result: CallResult::NotRun(kind),
+        waited: Duration::ZERO,
+        load: Some(load),
+        detail: Box::default(),
+    }
+}
+
+/// The daemon beside the target was not reached.
+fn unsent(detail: Box<str>) -> AttemptResult {
+    AttemptResult {
+        end: AttemptEnd::Refused {
+            kind: ErrorKind::PeerUnavailable,
+            arrived: false,
+            retry_after: None,
+        },
+        reply: None,
+        result: CallResult::Lost,
+        waited: Duration::ZERO,
+        load: None,
+        detail,
+    }
+}
+
+/// No answer came before the deadline.
+fn late() -> AttemptResult {
+    broken(
+        "no answer before the deadline".into(),
+        CallResult::Failed,
+        None,
+    )
+}
+
+fn broken(detail: Box<str>, result: CallResult, load: Option<TargetLoad>) -> AttemptResult {
+    AttemptResult {
+        end: AttemptEnd::Broken,
+        reply: None,
+        result,
+        waited: Duration::ZERO,
+        load,
+        detail,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/reply.rs
@@ -0,0 +1,162 @@
+//! Answers to callers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body::{Body, Frame, SizeHint};
+use model::{ErrorKind, KindError};
+use wire::BodyReceiver;
+
+use crate::edge::EdgeProtocol;
+use crate::message::{HeaderList, unpack_headers};
+use crate::runner::BodyStream;
+
+/// An answer to a caller.
+pub type CallerReply = Response<ReplyBody>;
+
+/// The body of an answer to a caller.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// A long one that another daemon sends piece by piece.
+    Peer(Option<Bytes>, BodyReceiver),
+    /// A long one of the target beside this daemon.
+    Own(Pin<Box<OwnStream>>),
+}
+
+type NextPiece =
+    Pin<Box<dyn Future<Output = (Box<BodyStream>, Option<Result<Bytes, Box<str>>>)> + Send>>;
+
+/// The pieces of an answer of the target beside this daemon.
+pub struct OwnStream {
+    next: Option<NextPiece>,
+}
+
+impl OwnStream {
+    fn new(stream: Box<BodyStream>) -> Self {
+        Self {
+            next: Some(read_next(stream)),
+        }
+    }
+}
+
+impl std::fmt::Debug for OwnStream {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("OwnStream").finish_non_exhaustive()
+    }
+}
+
+fn read_next(mut stream: Box<BodyStream>) -> NextPiece {
+    Box::pin(async move {
+        let piece = stream.next().await;
+        (stream, piece)
+    })
+}
+
+impl ReplyBody {
+    /// The pieces of a long answer of the target beside this daemon.
+    pub fn own(stream: Box<BodyStream>) -> Self {
+        Self::Own(Box::pin(OwnStream::new(stream)))
+    }
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = KindError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, KindError>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Peer(first, receiver) => {
+                if let Some(first) = first.take() {
+                    return Poll::Ready(Some(Ok(Frame::data(first))));
+                }
+                let polled = receiver.poll_next(context);
+                polled.map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            }
+            Self::Own(stream) => poll_own(stream.as_mut(), context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Peer(..) | Self::Own(_) => SizeHint::default(),
+        }
+    }
+}
+
+fn poll_own(
+    mut stream: Pin<&mut OwnStream>,
+    context: &mut Context<'_>,
+) -> Poll<Option<Result<Frame<Bytes>, KindError>>> {
+    let Some(next) = &mut stream.next else {
+        return Poll::Ready(None);
+    };
+    let (rest, piece) = std::task::ready!(next.as_mut().poll(context));
+    stream.next = None;
+    Poll::Ready(match piece {
+        None => None,
+        Some(Ok(bytes)) => {
+            stream.next = Some(read_next(rest));
+            Some(Ok(Frame::data(bytes)))
+        }
+        Some(Err(detail)) => Some(Err(KindError::new(ErrorKind::TargetFailed, detail))),
+    })
+}
+
+/// The target's answer as the caller gets it.
+pub fn target_reply(status: u16, headers: &HeaderList, body: ReplyBody) -> CallerReply {
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    match unpack_headers(headers) {
+        Ok(unpacked) => *response.headers_mut() = unpacked,
+        // They were headers of an answer, so this says that a peer's frame is damaged.
+        Err(error) => log::error!(cause:% = error; "headers of an answer were lost"),
+    }
+    response
+}
+
+/// An answer of the daemon itself.
+pub fn own_reply(
+    edge: &EdgeProtocol,
+    kind: ErrorKind,
+    retry_after: Option<Duration>,
+) -> CallerReply {
+    let mut response = Response::new(ReplyBody::Whole(None));
+    *response.status_mut() = edge_status(kind);
+    let headers = response.headers_mut();
+    headers.insert(
+        "x-quetzal-error",
+        HeaderValue::from_static(kind.answer().name),
+    );
+    if let Some(time) = retry_after {
+        headers.insert(header::RETRY_AFTER, (edge.write_retry_after)(time));
+    }
+    response
+}
+
+/// The status for `kind`.
+///
+/// A request that is stopped because it crashes targets is answered like an
+/// overload here: it has not run, and 422 would tell its caller to correct it.
+fn edge_status(kind: ErrorKind) -> StatusCode {
+    let status = match kind {
+        ErrorKind::PoisonRequest => ErrorKind::Overloaded.answer().status,
+        kind => kind.answer().status,
+    };
+    StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
--- /dev/null
+++ b/crates/proxy/src/run.rs
@@ -0,0 +1,207 @@
+//! One daemon from start to planned stop.
+//!
+//! A planned stop goes in stages: the platform hears at once that the daemon
+//! takes no new callers; requests are still served while callers move away;
+//! then the other daemons are told and the gate closes; when all has ended,
+//! or shortly before the process would be killed, the connections close.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mesh::CallerLimits;
+use model::SharedClock;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wire::WireLimits;
+
+use crate::config_watch::watch_config;
+use crate::control::answer_control;
+use crate::core::ProxyCore;
+use crate::edge::EdgeProtocol;
+use crate::inbound::serve_inbound;
+use crate::listener::{ConnectionBounds, bind, serve_http};
+use crate::membership::{MembershipDesk, MembershipLoop, StopStages};
+use crate::outbound::answer_caller;
+use crate::probe::watch_target;
+use crate::settings::ProxySettings;
+use crate::store::SharedStore;
+
+/// Results of a run; the kind is `LocalFailed`.
+pub type Result<T> = model::Result<T>;
+
+/// Time for which a stopping daemon still admits requests to its target.
+const SERVE_ON: Duration = Duration::from_millis(1200);
+/// Least time from the request to stop until connections close: the platform
+/// needs two looks, a second apart, to send no more callers.
+const CLOSE_AFTER: Duration = Duration::from_millis(2600);
+/// Part of the grace kept back for closing.
+const CLOSING_TIME: Duration = Duration::from_millis(900);
+/// Time between two looks whether all has ended.
+const IDLE_POLL: Duration = Duration::from_millis(50);
+
+/// Bounds on connections between daemons: short times, since callers wait for them.
+const PEER_LIMITS: WireLimits = WireLimits {
+    max_head_bytes: 4 << 20,
+    max_streams: 1024,
+    max_connections: 2048,
+    max_links: 160,
+    stream_window_bytes: 256 << 10,
+    connection_window_bytes: 2 << 20,
+    connect_timeout: Duration::from_millis(250),
+    idle_timeout: Duration::from_secs(60),
+    ping_interval: Duration::from_millis(400),
+};
+
+/// What a daemon is made of.
+#[derive(Debug)]
+pub struct ProxyParts {
+    /// Its settings.
+    pub settings: ProxySettings,
+    /// What callers and targets speak.
+    pub edge: EdgeProtocol,
+    /// The platform's store.
+    pub store: SharedStore,
+    /// The clock.
+    pub clock: SharedClock,
+}
+
+/// Runs a daemon until `stop` is cancelled and the planned stop has ended.
+pub async fn run_proxy(parts: ProxyParts, stop: CancellationToken) -> Result<()> {
+    let settings = parts.settings.clone();
+    let callers = bind(settings.caller_address).await?;
+    let peers = bind(settings.peer_address).await?;
+    let ready = bind(settings.ready_address).await?;
+    let reports = bind(settings.report_address).await?;
+    let core = Arc::new(ProxyCore::new(
+        parts.settings,
+        parts.edge,
+        parts.store,
+        parts.clock,
+        PEER_LIMITS,
+    ));
+    log::info!(
+        vm:% = settings.vm, run:% = core.incarnation, domain:% = settings.domain,
+        service:% = settings.service; "started"
+    );
+    let running = start_parts(&core, callers, peers, [ready, reports]);
+    stop.cancelled().await;
+    running.stop(&core).await;
+    log::info!("stopped");
+    Ok(())
+}
+
+/// The tasks of a daemon and how to end them.
+struct RunningParts {
+    tracker: TaskTracker,
+    callers: CancellationToken,
+    control: CancellationToken,
+    background: CancellationToken,
+    stages: StopStages,
+}
+
+fn start_parts(
+    core: &Arc<ProxyCore>,
+    callers: TcpListener,
+    peers: TcpListener,
+    control: [TcpListener; 2],
+) -> RunningParts {
+    let running = RunningParts {
+        tracker: TaskTracker::new(),
+        callers: CancellationToken::new(),
+        control: CancellationToken::new(),
+        background: CancellationToken::new(),
+        stages: StopStages::default(),
+    };
+    let tracker = &running.tracker;
+    let (desk, inbox) = MembershipDesk::new();
+    let members = MembershipLoop::new(Arc::clone(core), desk.clone());
+    tracker.spawn(members.run(inbox, running.stages.clone()));
+    tracker.spawn(watch_config(Arc::clone(core), running.background.clone()));
+    tracker.spawn(watch_target(Arc::clone(core), running.background.clone()));
+    tracker.spawn(expire_waiting(Arc::clone(core), running.background.clone()));
+    let inbound = serve_inbound(
+        Arc::clone(core),
+        desk,
+        peers,
+        PEER_LIMITS,
+        running.callers.clone(),
+    );
+    tracker.spawn(inbound);
+    let answering = Arc::clone(core);
+    let bounding = Arc::clone(core);
+    tracker.spawn(serve_http(
+        callers,
+        move || caller_bounds(&bounding),
+        running.callers.clone(),
+        move |peer, request| answer_caller(Arc::clone(&answering), peer, request),
+    ));
+    for listener in control {
+        let answering = Arc::clone(core);
+        tracker.spawn(serve_http(
+            listener,
+            || bounds_of(&CallerLimits::default()),
+            running.control.clone(),
+            move |peer, request| answer_control(Arc::clone(&answering), peer, request),
+        ));
+    }
+    running
+}
+
+async fn expire_waiting(core: Arc<ProxyCore>, token: CancellationToken) {
+    tokio::select! {
+        () = core.desk.expire_waiting() => {}
+        () = token.cancelled() => {}
+    }
+}
+
+fn caller_bounds(core: &ProxyCore) -> ConnectionBounds {
+    let table = core.table();
+    let limits = table.map_or_else(CallerLimits::default, |table| *table.limits());
+    bounds_of(&limits)
+}
+
+fn bounds_of(limits: &CallerLimits) -> ConnectionBounds {
+    ConnectionBounds {
+        // One timer of the library counts both; idle connections must last the longer time.
+        head_timeout: limits.header_timeout.max(limits.idle_timeout),
+        max_head_bytes: limits.max_header_bytes,
+    }
+}
+
+impl RunningParts {
+    async fn stop(self, core: &Arc<ProxyCore>) {
+        let begun = Instant::now();
+        core.start_stopping();
+        log::info!("stopping: no new callers");
+        sleep(SERVE_ON).await;
+        core.desk.close();
+        self.stages.drain.cancel();
+        log::info!("stopping: the target takes no more requests from here");
+        let latest = core.settings.grace.saturating_sub(CLOSING_TIME);
+        sleep(CLOSE_AFTER.saturating_sub(begun.elapsed())).await;
+        while !core.desk.is_idle() && begun.elapsed() < latest {
+            sleep(IDLE_POLL).await;
+        }
+        self.callers.cancel();
+        let rest = latest.saturating_sub(begun.elapsed());
+        self.stages.leave.cancel();
+        self.background.cancel();
+        self.tracker.close();
+        core.tasks.close();
+        let closing = async {
+            // The control listener answers until the rest has ended.
+            while self.tracker.len() > 2 {
+                sleep(IDLE_POLL).await;
+            }
+            self.control.cancel();
+            self.tracker.wait().await;
+            core.pool.close().await;
+            core.tasks.wait().await;
+        };
+        if timeout(rest + CLOSING_TIME / 2, closing).await.is_err() {
+            log::warn!("stopped with requests in progress");
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/runner.rs
@@ -0,0 +1,419 @@
+//! Runs one request at the target beside the daemon.
+//!
+//! Until the target has the request, every end is a proven refusal. From then
+//! on only the target's own word that it did not run proves anything.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use mesh::{CallSafety, TargetReport};
+use model::{CustomerName, ErrorKind, TargetName};
+use once::{PrintHasher, RequestPrint};
+use tokio::time::timeout;
+
+use crate::core::ProxyCore;
+use crate::desk::{DeskPlace, DeskRequest};
+use crate::message::{CallHead, HeaderList, pack_headers, unpack_headers};
+use crate::target_client::{SendFailure, TargetExchange};
+
+/// Time kept back for the answer's way to the caller.
+const ANSWER_MARGIN: Duration = Duration::from_millis(3);
+/// Least time worth starting a run for.
+const MIN_RUN: Duration = Duration::from_millis(2);
+/// Longest answer that is held whole before its head is passed on.
+const WHOLE_ANSWER_BYTES: usize = 512 << 10;
+/// Time after which a refused request may find the target back.
+const DOWN_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// How a run ended.
+#[derive(Debug)]
+pub enum RunEnd {
+    /// The target answered.
+    Answered(Box<RunAnswer>),
+    /// Proven not to have run.
+    Refused(RunRefusal),
+    /// It may have run.
+    Broken(Box<str>),
+}
+
+/// The target's answer.
+#[derive(Debug)]
+pub struct RunAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers, without those of the connection.
+    pub headers: HeaderList,
+    /// Its body.
+    pub body: RunBody,
+    /// Time for which the request waited for a slot.
+    pub waited: Duration,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum RunBody {
+    /// All of it, checked to be complete.
+    Whole(Bytes),
+    /// The beginning of a long one; the rest is read from the stream.
+    Stream(Box<BodyStream>),
+}
+
+/// The rest of a long answer.
+#[derive(Debug)]
+pub struct BodyStream {
+    first: Option<Bytes>,
+    exchange: Option<TargetExchange>,
+    place: Option<DeskPlace>,
+}
+
+/// A proven refusal.
+#[derive(Clone, Copy, Debug)]
+pub struct RunRefusal {
+    /// Why.
+    pub kind: ErrorKind,
+    /// Whether the target itself refused.
+    pub arrived: bool,
+    /// When a place may be free.
+    pub retry_after: Option<Duration>,
+}
+
+/// A request for the target, received whole.
+#[derive(Debug)]
+pub struct TargetCall {
+    /// Its head.
+    pub head: CallHead,
+    /// Its body.
+    pub body: Bytes,
+    /// When it arrived here.
+    pub since: Instant,
+}
+
+impl TargetCall {
+    fn deadline(&self) -> Instant {
+        self.since + self.head.remaining
+    }
+
+    fn print(&self) -> RequestPrint {
+        let head = &self.head;
+        // The fingerprint names a party; within the mesh that is the calling service.
+        let party: CustomerName = head
+            .caller_service
+            .as_str()
+            .parse()
+            .expect("names of services and customers have the same form");
+        let length = Some(self.body.len() as u64);
+        let mut hasher = PrintHasher::new(&party, &head.method, &head.path, length);
+        hasher.update(&self.body);
+        hasher.finish()
+    }
+}
+
+/// Admits the request and runs it.
+pub async fn run_call(core: &Arc<ProxyCore>, call: TargetCall) -> RunEnd {
+    let report = match willing_target(core, &call.head) {
+        Ok(report) => report,
+        Err(refusal) => return RunEnd::Refused(refusal),
+    };
+    let print = call.print();
+    if let Err(error) = core.poison().check(print) {
+        return RunEnd::Refused(refuse(error.kind, None));
+    }
+    let request = DeskRequest {
+        route: call.head.route,
+        priority: call.head.priority,
+        inner: call.head.inner,
+        objective: call.since + call.head.objective,
+        deadline: call.deadline(),
+    };
+    let place = match core.desk.enter(request).await {
+        Ok(place) => place,
+        Err(refusal) => return RunEnd::Refused(refuse(refusal.kind, Some(refusal.retry_after))),
+    };
+    // The target may have left or been replaced while the request waited.
+    match willing_target(core, &call.head) {
+        Ok(now) if now.target == report.target => {}
+        Ok(_) => return RunEnd::Refused(refuse(ErrorKind::TargetAbsent, None)),
+        Err(refusal) => return RunEnd::Refused(refusal),
+    }
+    if let Err(error) = core.poison().start(&report.target, print) {
+        return RunEnd::Refused(refuse(error.kind, None));
+    }
+    let watched = WatchedRun {
+        core: Arc::clone(core),
+        target: report.target.clone(),
+        print,
+        sound: false,
+    };
+    run_admitted(core, &call, place, watched).await
+}
+
+/// A run that the watch of crashing requests knows of until it is dropped.
+#[derive(Debug)]
+struct WatchedRun {
+    core: Arc<ProxyCore>,
+    target: TargetName,
+    print: RequestPrint,
+    sound: bool,
+}
+
+impl Drop for WatchedRun {
+    fn drop(&mut self) {
+        let mut watch = self.core.poison();
+        let output = watch.finish(&self.target, self.print, self.sound);
+        drop(watch);
+        self.core.send_poison(output.into_iter().collect());
+    }
+}
+
+fn willing_target(
+    core: &ProxyCore,
+    head: &CallHead,
+) -> std::result::Result<TargetReport, RunRefusal> {
+    let own = core.own();
+    match own.willing() {
+        Some(report) if report.service == head.service => Ok(report.clone()),
+        _ if own.is_leaving() => Err(refuse(ErrorKind::Draining, None)),
+        _ => Err(refuse(ErrorKind::TargetAbsent, Some(DOWN_RETRY_AFTER))),
+    }
+}
+
+fn refuse(kind: ErrorKind, retry_after: Option<Duration>) -> RunRefusal {
+    RunRefusal {
+        kind,
+        arrived: false,
+        retry_after,
+    }
+}
+
+async fn run_admitted(
+    core: &Arc<ProxyCore>,
+    call: &TargetCall,
+    place: DeskPlace,
+    mut watched: WatchedRun,
+) -> RunEnd {
+    let remaining = call
+        .deadline()
+        .saturating_duration_since(core.clock.now())
+        .saturating_sub(ANSWER_MARGIN);
+    if remaining < MIN_RUN {
+        return RunEnd::Refused(refuse(ErrorKind::DeadlineExceeded, None));
+    }
+    let request = match build_request(core, call, &watched.target, remaining) {
+        Ok(request) => request,
+        Err(error) => return RunEnd::Refused(refuse(error.kind, None)),
+    };
+    let once = call.head.safety == CallSafety::AtMostOnce;
+    let sending = core.target_client.send(request, once);
+    let Ok(sent) = timeout(remaining + ANSWER_MARGIN, sending).await else {
+        place.finish(true);
+        return RunEnd::Broken("the target did not answer in time".into());
+    };
+    let exchange = match sent {
+        Ok(exchange) => exchange,
+        Err(SendFailure::Unsent(detail)) => {
+            drop(place);
+            note_down(core, &detail);
+            return RunEnd::Refused(refuse(ErrorKind::TargetAbsent, Some(DOWN_RETRY_AFTER)));
+        }
+        Err(SendFailure::Unknown(detail)) => {
+            place.finish(true);
+            look_for_crash(core, &watched).await;
+            return RunEnd::Broken(detail);
+        }
+    };
+    core.own().on_answer();
+    let end = take_answer(core, call, exchange, place).await;
+    match &end {
+        RunEnd::Answered(_) => watched.sound = true,
+        RunEnd::Broken(_) => look_for_crash(core, &watched).await,
+        RunEnd::Refused(_) => {}
+    }
+    end
+}
+
+fn build_request(
+    core: &ProxyCore,
+    call: &TargetCall,
+    target: &TargetName,
+    remaining: Duration,
+) -> model::Result<Request<http_body_util::Full<Bytes>>> {
+    let invalid = |detail: String| model::KindError::new(ErrorKind::RequestInvalid, detail);
+    let head = &call.head;
+    let mut headers = unpack_headers(&head.headers)?;
+    let names = &core.edge.headers;
+    let text =
+        |value: &str| HeaderValue::from_str(value).map_err(|error| invalid(error.to_string()));
+    headers.insert(&names.request_id, text(&head.request_id)?);
+    headers.insert(&names.caller_service, text(head.caller_service.as_str())?);
+    headers.insert(&names.expected_target, text(target.as_str())?);
+    headers.insert(
+        &names.remaining_ms,
+        text(&remaining.as_millis().to_string())?,
+    );
+    let method = head.method.parse::<http::Method>();
+    let has_body = !call.body.is_empty();
+    let mut request = Request::new(http_body_util::Full::new(call.body.clone()));
+    *request.method_mut() = method.map_err(|error| invalid(error.to_string()))?;
+    *request.uri_mut() = head
+        .path
+        .parse()
+        .map_err(|error: http::uri::InvalidUri| invalid(error.to_string()))?;
+    if has_body {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(call.body.len()));
+    }
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+/// Judges the head of the answer and reads its body.
+async fn take_answer(
+    core: &Arc<ProxyCore>,
+    call: &TargetCall,
+    mut exchange: TargetExchange,
+    place: DeskPlace,
+) -> RunEnd {
+    let names = &core.edge.headers;
+    let status = exchange.response.status();
+    let headers = exchange.response.headers();
+    let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    if misdirected || headers.contains_key(&names.not_run) {
+        if misdirected {
+            note_replaced(core);
+        }
+        // The target said that it has not run the request.
+        place.finish(true);
+        let refusal = RunRefusal {
+            kind: ErrorKind::QueueFull,
+            arrived: true,
+            retry_after: Some(core.desk.retry_after()),
+        };
+        return RunEnd::Refused(refusal);
+    }
+    let answers = headers.get(&names.request_id);
+    if answers.is_none_or(|id| id.as_bytes() != call.head.request_id.as_bytes()) {
+        place.finish(true);
+        return RunEnd::Broken("the answer belongs to another request".into());
+    }
+    let packed = pack_headers(headers, &[]);
+    let waited = place.waited;
+    let rest = call.deadline().saturating_duration_since(core.clock.now());
+    let body = match timeout(rest, read_body(&mut exchange.response)).await {
+        Ok(Ok(ReadBody::Whole(bytes))) => {
+            place.finish(status.is_server_error());
+            exchange.finish();
+            RunBody::Whole(bytes)
+        }
+        Ok(Ok(ReadBody::Begun(first))) => RunBody::Stream(Box::new(BodyStream {
+            first: Some(first),
+            exchange: Some(exchange),
+            place: Some(place),
+        })),
+        Ok(Err(detail)) => {
+            place.finish(true);
+            return RunEnd::Broken(detail);
+        }
+        Err(_) => {
+            place.finish(true);
+            return RunEnd::Broken("the answer did not end in time".into());
+        }
+    };
+    RunEnd::Answered(Box::new(RunAnswer {
+        status,
+        headers: packed,
+        body,
+        waited,
+    }))
+}
+
+enum ReadBody {
+    Whole(Bytes),
+    Begun(Bytes),
+}
+
+/// Reads the body to its end, or until it is too long to hold.
+async fn read_body(response: &mut Response<Incoming>) -> std::result::Result<ReadBody, Box<str>> {
+    let mut held = BytesMut::new();
+    while let Some(frame) = response.body_mut().frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if held.is_empty() && http_body::Body::is_end_stream(response.body()) {
+            return Ok(ReadBody::Whole(data));
+        }
+        held.extend_from_slice(&data);
+        if held.len() > WHOLE_ANSWER_BYTES {
+            return Ok(ReadBody::Begun(held.freeze()));
+        }
+    }
+    Ok(ReadBody::Whole(held.freeze()))
+}
+
+impl BodyStream {
+    /// The next bytes; nothing after the end of a whole body.
+    pub async fn next(&mut self) -> Option<std::result::Result<Bytes, Box<str>>> {
+        if let Some(first) = self.first.take() {
+            return Some(Ok(first));
+        }
+        loop {
+            let exchange = self.exchange.as_mut()?;
+            match exchange.response.body_mut().frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Some(Ok(data));
+                    }
+                }
+                Some(Err(error)) => {
+                    self.exchange = None;
+                    self.place = None;
+                    return Some(Err(error.to_string().into()));
+                }
+                None => {
+                    if let Some(exchange) = self.exchange.take() {
+                        exchange.finish();
+                    }
+                    if let Some(place) = self.place.take() {
+                        place.finish(false);
+                    }
+                    return None;
+                }
+            }
+        }
+    }
+}
+
+/// Notes that nothing listens at the target's address.
+fn note_down(core: &ProxyCore, detail: &str) {
+    if core.own().on_refused() {
+        log::warn!(cause = detail; "target is down");
+        core.target_changed.notify_one();
+    }
+}
+
+/// Notes that another run of a target answers; the probe asks for its name.
+fn note_replaced(core: &ProxyCore) {
+    log::warn!("another target answers at the address of the known one");
+    core.own().on_replaced();
+    core.desk.close();
+    core.target_changed.notify_one();
+}
+
+/// After a lost answer: whether the target crashed, and with it what it ran.
+async fn look_for_crash(core: &Arc<ProxyCore>, watched: &WatchedRun) {
+    let (target, print) = (&watched.target, watched.print);
+    let known = core.poison().on_broken(target, print);
+    if let Some(outputs) = known {
+        core.send_poison(outputs);
+        return;
+    }
+    if core.target_client.is_listening().await {
+        return;
+    }
+    note_down(core, "its connections broke and it takes no new one");
+    let outputs = core.poison().on_crash_found(target, print);
+    core.send_poison(outputs);
+}
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -30,6 +30,12 @@
         }
     }
 
+    /// Takes over another size; tokens beyond the new reserve are lost, none are gained.
+    pub fn resize(&mut self, config: BudgetConfig) {
+        self.config = config;
+        self.tokens = self.tokens.min(config.reserve);
+    }
+
     /// Earns for a first attempt.
     pub fn earn(&mut self) {
         self.tokens = (self.tokens + self.config.ratio).min(self.config.reserve);
