Refuse at the entry what would run in vain; let calls of running requests go first

All requests on a VM come from one address, so calls of running requests were not told from callers' requests.

Change: the daemon beside a target knows which requests run there and takes the ids that begin with theirs for their calls; answers tell which services the run called. The throttle at the entry refuses runs that end in vain, and a less urgent route as often as more urgent ones with a shared service. Gates put calls first, then priority, then who must start soonest; a gate that is full for one kind is not passed over for another. A target's failure is delivered if nobody else has room.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -13,7 +13,7 @@
 use crate::config::{CallSafety, RouteRule};
 
 /// Daemons that one request asks at most; more would cost longer than a refusal.
-const MAX_ASKED: u32 = 4;
+const MAX_ASKED: u32 = 3;
 /// Least time that must remain for another attempt.
 const MIN_REMAINING: Duration = Duration::from_millis(10);
 /// Time told to callers when no daemon named one.
@@ -44,7 +44,7 @@
 pub enum NextStep {
     /// Send it to another target.
     Another,
-    /// Give the caller the target's answer.
+    /// Give the caller the target's answer, the last one if there are several.
     Deliver,
     /// Tell the caller that it has not run, and when to come back.
     Refuse {
@@ -66,6 +66,8 @@
     asked: u32,
     arrived: u32,
     may_have_run: bool,
+    /// Whether a target answered with a failure of its own.
+    failed: bool,
     retry_after: Option<Duration>,
 }
 
@@ -79,6 +81,7 @@
             asked: 0,
             arrived: 0,
             may_have_run: false,
+            failed: false,
             retry_after: None,
         }
     }
@@ -101,6 +104,7 @@
             AttemptEnd::ServerFailed => {
                 self.arrived += 1;
                 self.may_have_run = true;
+                self.failed = true;
                 if self.may_repeat(now) && spend() {
                     return NextStep::Another;
                 }
@@ -123,7 +127,12 @@
     }
 
     /// What to tell a caller for whom no further target is there.
+    ///
+    /// `Deliver` stands for the last answer of a target.
     pub fn exhausted(&self, kind: ErrorKind) -> NextStep {
+        if self.failed {
+            return NextStep::Deliver;
+        }
         if self.may_have_run {
             return NextStep::Fail(ErrorKind::OutcomeUnknown);
         }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -5,7 +5,7 @@
 //!
 //! - Calls that a running request makes go before new requests, since the
 //!   work of their parents is lost with them; then the route's priority
-//!   decides, then the order of arrival.
+//!   decides, and within a priority whoever must start soonest goes first.
 //! - A request waits only while it can still end soon after its objective. A
 //!   longer queue would serve nobody sooner, and would make every answer of an
 //!   overloaded target a late one.
@@ -33,6 +33,10 @@
 const LATE_PART: f32 = 0.25;
 /// The same for the calls of running requests, which are of use until their deadline.
 const INNER_LATE_PART: f32 = 0.8;
+/// Time over which admitted work is averaged.
+const WORK_WINDOW: Duration = Duration::from_millis(500);
+/// Least part of the slots that counts as left by more urgent requests.
+const MIN_LEFT_PART: f32 = 0.05;
 /// Waiting requests for each slot, which bounds memory.
 const WAITING_PER_SLOT: usize = 16;
 /// Least time after which a refused request is told to come back.
@@ -90,6 +94,7 @@
 struct QueuePlace {
     outer: bool,
     priority: CallPriority,
+    start_by: Instant,
     arrival: u64,
 }
 
@@ -120,6 +125,38 @@
     run_s: HashMap<RouteKey, f32>,
     mean_s: f32,
     failing: f32,
+    /// Work taken in lately, by route.
+    admitted: HashMap<RouteKey, AdmittedWork>,
+}
+
+/// Slots that the admitted requests of one route keep busy, averaged.
+#[derive(Clone, Copy, Debug)]
+struct AdmittedWork {
+    rank: WorkRank,
+    slots: f32,
+    at: Instant,
+}
+
+/// Whose work goes first: the shorter a request can wait, the sooner it starts.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct WorkRank {
+    outer: bool,
+    priority: CallPriority,
+    slack: Duration,
+}
+
+impl AdmittedWork {
+    /// Adds a request that takes `run_s` seconds.
+    fn add(&mut self, rank: WorkRank, run_s: f32, now: Instant) {
+        self.slots = self.slots_at(now) + run_s / WORK_WINDOW.as_secs_f32();
+        self.rank = rank;
+        self.at = now;
+    }
+
+    fn slots_at(&self, now: Instant) -> f32 {
+        let age = now.saturating_duration_since(self.at).as_secs_f32();
+        self.slots * (-age / WORK_WINDOW.as_secs_f32()).exp()
+    }
 }
 
 impl KindGate {
@@ -135,6 +172,7 @@
             run_s: HashMap::new(),
             mean_s: FIRST_RUN_S,
             failing: 0.0,
+            admitted: HashMap::new(),
         }
     }
 
@@ -148,7 +186,14 @@
         if now + run.mul_f32(0.5) >= ticket.deadline {
             return self.refusal(ErrorKind::DeadlineExceeded, Duration::ZERO);
         }
+        let start_by = latest_end(ticket).checked_sub(run).unwrap_or(now);
+        let rank = WorkRank {
+            outer: !ticket.inner,
+            priority: ticket.priority,
+            slack: start_by.saturating_duration_since(now),
+        };
         if self.running.len() < self.slots && self.waiting.is_empty() {
+            self.note_admitted(ticket.route, rank, now);
             self.start(ticket.call, ticket.route, now);
             return GateAnswer::Start;
         }
@@ -156,14 +201,15 @@
         let place = QueuePlace {
             outer: !ticket.inner,
             priority: ticket.priority,
+            start_by,
             arrival: self.arrivals,
         };
-        let start_by = latest_end(ticket).checked_sub(run).unwrap_or(now);
-        let start = now + self.wait_ahead_of(place);
+        let start = now + self.wait_ahead_of(place, rank, now);
         if start > start_by || self.waiting.len() >= self.slots * WAITING_PER_SLOT {
             let excess = start.saturating_duration_since(start_by);
             return self.refusal(ErrorKind::QueueFull, excess);
         }
+        self.note_admitted(ticket.route, rank, now);
         let waiting = WaitingCall {
             call: ticket.call,
             route: ticket.route,
@@ -257,7 +303,10 @@
     }
 
     /// Time until a request at `place` would start, with everything ahead of it run.
-    fn wait_ahead_of(&self, place: QueuePlace) -> Duration {
+    ///
+    /// Requests of a higher rank that arrive meanwhile go ahead too, so only the slots
+    /// that they leave count.
+    fn wait_ahead_of(&self, place: QueuePlace, rank: WorkRank, now: Instant) -> Duration {
         let ahead = self.waiting.range(..place);
         let queued: f32 = ahead.map(|(_, call)| self.run_s(call.route)).sum();
         let running: f32 = self
@@ -267,8 +316,11 @@
             .sum();
         let slots = self.slots as f32;
         // The first of many runs that began at random times ends after one part in slots.
-        let first = running / (slots * slots);
-        Duration::from_secs_f32(queued / slots + first)
+        let first = running / slots;
+        let urgent = self.admitted.values().filter(|work| work.rank < rank);
+        let urgent: f32 = urgent.map(|work| work.slots_at(now)).sum();
+        let left = (slots - urgent).max(slots * MIN_LEFT_PART);
+        Duration::from_secs_f32((queued + first) / left)
     }
 
     fn run_time(&self, route: RouteKey) -> Duration {
@@ -291,6 +343,16 @@
         *mean += (took - *mean) * RUN_WEIGHT;
     }
 
+    fn note_admitted(&mut self, route: RouteKey, rank: WorkRank, now: Instant) {
+        let run_s = self.run_s(route);
+        let work = self.admitted.entry(route).or_insert(AdmittedWork {
+            rank,
+            slots: 0.0,
+            at: now,
+        });
+        work.add(rank, run_s, now);
+    }
+
     fn start(&mut self, call: CallId, route: RouteKey, now: Instant) {
         self.running.insert(call, RunningCall { route, since: now });
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -7,6 +7,8 @@
 //! - [`AttemptPlan`] decides after each attempt whether the request goes to
 //!   another target, within [`FleetBudget`], this daemon's share of the
 //!   retries that the fleet may make.
+//! - [`EntryThrottle`] refuses at the entry what would end in vain.
+//! - [`RunLineage`] tells which requests a running request made.
 //! - [`KindGate`] stands beside a target and alone decides what it runs: who
 //!   waits, in which order, and who is refused at once.
 //! - [`OwnTarget`] holds what is known of the target beside the daemon.
@@ -20,7 +22,9 @@
 pub mod config;
 pub mod gate;
 pub mod keeper;
+pub mod lineage;
 pub mod table;
+pub mod throttle;
 pub mod turn;
 
 pub use attempt::{AttemptEnd, AttemptPlan, NextStep};
@@ -32,5 +36,7 @@
 };
 pub use gate::{GateAnswer, GateTicket, KindGate};
 pub use keeper::ConfigKeeper;
+pub use lineage::RunLineage;
 pub use table::MeshTable;
+pub use throttle::{EntryEnd, EntryThrottle};
 pub use turn::WeightedTurn;
--- /dev/null
+++ b/crates/mesh/src/lineage.rs
@@ -0,0 +1,77 @@
+//! Which requests were made by a request that runs at the target beside the daemon.
+//!
+//! Callers and the target use the same address, so a connection does not tell
+//! them apart. A target gives the requests that it makes ids that begin with
+//! the id of the request for which it makes them, followed by a point. Only
+//! ids of requests that run here now count, so a caller can't claim a parent;
+//! where targets choose other ids, every request counts as a caller's.
+
+use std::collections::HashMap;
+
+use model::ServiceName;
+use smallvec::SmallVec;
+
+use crate::config::CallPriority;
+
+/// Separates the id of a parent from the rest.
+const SEPARATOR: char = '.';
+
+/// Services that one run has called.
+pub type CalledServices = SmallVec<[ServiceName; 2]>;
+
+/// The requests that run at the target beside the daemon.
+#[derive(Debug, Default)]
+pub struct RunLineage {
+    running: HashMap<Box<str>, RunEntry>,
+}
+
+#[derive(Clone, Debug)]
+struct RunEntry {
+    priority: CallPriority,
+    /// Services that it has called.
+    called: CalledServices,
+    /// Runs under this id, which a caller may have sent twice.
+    count: u32,
+}
+
+impl RunLineage {
+    /// Notes that `request` begins to run.
+    pub fn begin(&mut self, request: &str, priority: CallPriority) {
+        let entry = self.running.entry(request.into()).or_insert(RunEntry {
+            priority,
+            called: CalledServices::new(),
+            count: 0,
+        });
+        entry.count += 1;
+    }
+
+    /// Services that `request` has called so far.
+    pub fn called(&self, request: &str) -> CalledServices {
+        let entry = self.running.get(request);
+        entry.map(|entry| entry.called.clone()).unwrap_or_default()
+    }
+
+    /// Notes that `request` has ended.
+    pub fn end(&mut self, request: &str) {
+        let Some(entry) = self.running.get_mut(request) else {
+            return;
+        };
+        entry.count -= 1;
+        if entry.count == 0 {
+            self.running.remove(request);
+        }
+    }
+
+    /// The rank of the request that made `request` to call `service`; none if no
+    /// running one did.
+    ///
+    /// The rank is that of the first request of a chain, since it is passed on.
+    pub fn note_call(&mut self, request: &str, service: &ServiceName) -> Option<CallPriority> {
+        let (parent, _) = request.rsplit_once(SEPARATOR)?;
+        let entry = self.running.get_mut(parent)?;
+        if !entry.called.contains(service) {
+            entry.called.push(service.clone());
+        }
+        Some(entry.priority)
+    }
+}
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -5,7 +5,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use mesh::{ConfigKeeper, FleetBudget, MeshTable, OwnTarget, RouteKey, WeightedTurn};
+use mesh::{
+    ConfigKeeper, EntryThrottle, FleetBudget, MeshTable, OwnTarget, RouteKey, RunLineage,
+    WeightedTurn,
+};
 use model::{DaemonId, IncarnationNumber, SharedClock};
 use once::HolderId;
 use once::poison::{PoisonMessage, PoisonOutput, PoisonSettings, PoisonWatch};
@@ -58,6 +61,8 @@
     picker: Mutex<TargetPicker>,
     budget: Mutex<FleetBudget>,
     turns: Mutex<HashMap<RouteKey, WeightedTurn>>,
+    throttle: Mutex<EntryThrottle>,
+    lineage: Mutex<RunLineage>,
     own: Mutex<OwnTarget>,
     poison: Mutex<PoisonWatch>,
     peers: Mutex<Arc<PeerBook>>,
@@ -96,6 +101,8 @@
             picker: Mutex::new(TargetPicker::new(picker_config, Arc::clone(&clock), random)),
             budget: Mutex::new(FleetBudget::new(settings.budget, 1)),
             turns: Mutex::default(),
+            throttle: Mutex::new(EntryThrottle::new(Arc::clone(&clock))),
+            lineage: Mutex::default(),
             own: Mutex::new(OwnTarget::new(silence, Arc::clone(&clock))),
             poison: Mutex::new(PoisonWatch::new(
                 holder,
@@ -137,6 +144,16 @@
         lock(&self.turns)
     }
 
+    /// Admission of requests that enter here.
+    pub fn throttle(&self) -> MutexGuard<'_, EntryThrottle> {
+        lock(&self.throttle)
+    }
+
+    /// Requests that run at the target beside the daemon.
+    pub fn lineage(&self) -> MutexGuard<'_, RunLineage> {
+        lock(&self.lineage)
+    }
+
     /// The target beside the daemon.
     pub fn own(&self) -> MutexGuard<'_, OwnTarget> {
         lock(&self.own)
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -100,6 +100,7 @@
             let head = CallAnswer::Answered {
                 status: answer.status.as_u16(),
                 headers: answer.headers,
+                called: answer.called,
                 waited: answer.waited,
                 load,
             };
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue};
+use mesh::lineage::CalledServices;
 use mesh::{CallPriority, CallSafety, MeshVersion, RouteKey};
 use model::{DaemonId, ErrorKind, KindError, ServiceName};
 use once::poison::PoisonMessage;
@@ -74,6 +75,8 @@
         status: u16,
         /// Headers to pass on.
         headers: HeaderList,
+        /// Services that the run called.
+        called: CalledServices,
         /// Time for which the request waited for a slot.
         waited: Duration,
         /// Load of the target.
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use mesh::MeshTable;
 use model::{ErrorKind, KindError, ServiceName};
+use rand::Rng;
 use tokio::time::timeout;
 
 use crate::core::ProxyCore;
@@ -25,16 +26,18 @@
 
 /// Time for which a caller waits that names none.
 const DEFAULT_REMAINING: Duration = Duration::from_secs(30);
+/// Mean time after which a request that was refused at the entry is to come back.
+const ENTRY_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// When a daemon without a configuration may have one.
 const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Answers one request.
 pub async fn answer_caller(
     core: Arc<ProxyCore>,
-    peer: SocketAddr,
+    _peer: SocketAddr,
     request: Request<Incoming>,
 ) -> CallerReply {
-    let mut reply = match take_in(&core, peer, request).await {
+    let mut reply = match take_in(&core, request).await {
         Ok(call) => serve(&core, call).await,
         Err(error) => {
             log::info!(kind:% = error.kind, cause = &*error.detail; "request refused");
@@ -51,7 +54,11 @@
 
 async fn serve(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
     let request_id = call.head.request_id.clone();
-    let mut reply = relay_call(core, call).await;
+    let mut reply = if call.head.inner {
+        relay_call(core, call).await.reply
+    } else {
+        serve_entering(core, call).await
+    };
     if let Ok(id) = HeaderValue::from_str(&request_id) {
         let name = core.edge.headers.request_id.clone();
         reply.headers_mut().insert(name, id);
@@ -59,12 +66,25 @@
     reply
 }
 
+/// Serves a request that no running request made, if such requests end well.
+async fn serve_entering(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
+    let rule = Arc::clone(&call.rule);
+    let draw = rand::rng().random::<f32>();
+    if !core.throttle().admit(&rule, draw) {
+        log::info!(
+            request = &*call.head.request_id, route = &*call.rule.name;
+            "request refused at the entry"
+        );
+        let retry_after = ENTRY_RETRY_AFTER.mul_f32(0.5 + draw);
+        return own_reply(&core.edge, ErrorKind::Overloaded, Some(retry_after));
+    }
+    let ended = relay_call(core, call).await;
+    core.throttle().finish(&rule, ended.end, &ended.called);
+    ended.reply
+}
+
 /// Finds the route of a request and reads its body.
-async fn take_in(
-    core: &Arc<ProxyCore>,
-    peer: SocketAddr,
-    request: Request<Incoming>,
-) -> Result<RelayCall> {
+async fn take_in(core: &Arc<ProxyCore>, request: Request<Incoming>) -> Result<RelayCall> {
     let since = core.clock.now();
     let table = core.table().ok_or_else(|| {
         KindError::new(ErrorKind::ConfigAbsent, "no configuration has arrived yet")
@@ -84,6 +104,7 @@
         .map_or(DEFAULT_REMAINING, Duration::from_millis);
     let deadline = since + remaining.min(rule.timeout);
     let service = next_service(core, &rule)?;
+    let parent = core.lineage().note_call(request_id, &service);
     let dropped = [
         &names.request_id,
         &names.remaining_ms,
@@ -98,9 +119,9 @@
         service,
         caller_service: core.settings.service.clone(),
         route: rule.key,
-        priority: rule.priority,
+        priority: parent.unwrap_or(rule.priority),
         safety: rule.safety,
-        inner: peer.ip() == core.settings.caller_address.ip(),
+        inner: parent.is_some(),
         remaining,
         objective: rule.objective,
     };
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use mesh::{AttemptEnd, AttemptPlan, CallSafety, NextStep, RouteRule};
+use mesh::lineage::CalledServices;
+use mesh::{AttemptEnd, AttemptPlan, CallSafety, EntryEnd, NextStep, RouteRule};
 use model::{DaemonId, ErrorKind};
 use route::{CallOutcome, CallResult, PickTicket, TargetLoad};
 use smallvec::SmallVec;
@@ -34,9 +35,21 @@
     pub deadline: Instant,
 }
 
+/// How a request ended.
+#[derive(Debug)]
+pub struct RelayEnd {
+    /// The answer.
+    pub reply: CallerReply,
+    /// Whether it was refused, or what it cost.
+    pub end: EntryEnd,
+    /// Services that its last run called.
+    pub called: CalledServices,
+}
+
 /// How one attempt ended, with the answer if there is one.
 struct AttemptResult {
     end: AttemptEnd,
+    called: CalledServices,
     reply: Option<CallerReply>,
     result: CallResult,
     waited: Duration,
@@ -44,22 +57,30 @@
     detail: Box<str>,
 }
 
+/// The last answer of a target.
+#[derive(Default)]
+struct LastAnswer {
+    reply: Option<CallerReply>,
+    called: CalledServices,
+}
+
 /// Sends `call` until it is answered; dropping the future gives it up everywhere.
-pub async fn relay_call(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
+pub async fn relay_call(core: &Arc<ProxyCore>, call: RelayCall) -> RelayEnd {
     let service = call.head.service.clone();
     core.budget().earn(&service);
     let mut plan = AttemptPlan::new(&call.rule, call.deadline);
     let mut asked = SmallVec::<[DaemonId; 4]>::new();
+    let mut last = LastAnswer::default();
     loop {
         let picked = pick(core, &call, &asked);
         let Some(ticket) = picked else {
             let kind = core.picker().absence(&service).kind;
-            return conclude(core, &call, plan.exhausted(kind), None);
+            return conclude(core, &call, plan.exhausted(kind), last);
         };
         let daemon = ticket.view.daemon;
         asked.push(daemon);
         let rest = call.deadline.saturating_duration_since(core.clock.now());
-        let attempt = match timeout(rest, attempt(core, &call, &ticket)).await {
+        let mut attempt = match timeout(rest, attempt(core, &call, &ticket)).await {
             Ok(attempt) => attempt,
             // Learned like a failure, so that a target that hangs is avoided.
             Err(_) => late(),
@@ -79,13 +100,19 @@
             plan.next(attempt.end, now, || core.budget().spend(&service))
         };
         if attempt.end != AttemptEnd::Answered {
+            let load = attempt.load.unwrap_or_default();
             log::info!(
-                request = &*call.head.request_id, daemon:% = daemon, end:? = attempt.end,
-                next:? = step, cause = &*attempt.detail; "attempt failed"
+                request = &*call.head.request_id, route = &*call.rule.name, daemon:% = daemon,
+                end:? = attempt.end, next:? = step, cause = &*attempt.detail,
+                running = load.in_flight.0, queued = load.queued.0; "attempt failed"
             );
         }
+        if let Some(reply) = attempt.reply.take() {
+            last.reply = Some(reply);
+            last.called = attempt.called;
+        }
         if step != NextStep::Another {
-            return conclude(core, &call, step, attempt.reply);
+            return conclude(core, &call, step, last);
         }
     }
 }
@@ -98,14 +125,18 @@
     }
 }
 
-fn conclude(
-    core: &ProxyCore,
-    call: &RelayCall,
-    step: NextStep,
-    reply: Option<CallerReply>,
-) -> CallerReply {
-    let (kind, retry_after) = match (step, reply) {
-        (NextStep::Deliver, Some(reply)) => return reply,
+fn conclude(core: &ProxyCore, call: &RelayCall, step: NextStep, last: LastAnswer) -> RelayEnd {
+    let called = last.called;
+    let (kind, retry_after) = match (step, last.reply) {
+        (NextStep::Deliver, Some(reply)) => {
+            let failed = reply.status().is_server_error();
+            let end = if failed {
+                EntryEnd::Wasted
+            } else {
+                EntryEnd::Good
+            };
+            return RelayEnd { reply, end, called };
+        }
         (NextStep::Refuse { kind, retry_after }, _) => (refusal_kind(kind), Some(retry_after)),
         (NextStep::Fail(kind), _) => (kind, None),
         (NextStep::Deliver | NextStep::Another, _) => (ErrorKind::OutcomeUnknown, None),
@@ -115,7 +146,15 @@
         waited_ms = core.clock.now().saturating_duration_since(call.since).as_millis() as u64;
         "request not served"
     );
-    own_reply(&core.edge, kind, retry_after)
+    RelayEnd {
+        reply: own_reply(&core.edge, kind, retry_after),
+        end: if retry_after.is_some() {
+            EntryEnd::Refused
+        } else {
+            EntryEnd::Wasted
+        },
+        called,
+    }
 }
 
 /// A refusal for lack of time is one for lack of room: with a fresh deadline it may be served.
@@ -183,10 +222,14 @@
         CallAnswer::Answered {
             status,
             headers,
+            called,
             waited,
             load,
         } => match read_reply(receiver).await {
-            Ok(body) => answered(status, target_reply(status, &headers, body), waited, load),
+            Ok(body) => {
+                let reply = target_reply(status, &headers, body);
+                answered(status, reply, called, waited, load)
+            }
             Err(error) => broken(error.detail, CallResult::Lost, Some(load)),
         },
         CallAnswer::Refused {
@@ -209,7 +252,7 @@
                 RunBody::Stream(stream) => ReplyBody::own(stream),
             };
             let reply = target_reply(status, &answer.headers, body);
-            answered(status, reply, answer.waited, load)
+            answered(status, reply, answer.called, answer.waited, load)
         }
         RunEnd::Refused(refusal) => {
             refused(refusal.kind, refusal.arrived, refusal.retry_after, load)
@@ -230,9 +273,16 @@
     Ok(ReplyBody::Whole(Some(held.freeze())))
 }
 
-fn answered(status: u16, reply: CallerReply, waited: Duration, load: TargetLoad) -> AttemptResult {
+fn answered(
+    status: u16,
+    reply: CallerReply,
+    called: CalledServices,
+    waited: Duration,
+    load: TargetLoad,
+) -> AttemptResult {
     let failed = status >= 500;
     AttemptResult {
+        called,
         end: if failed {
             AttemptEnd::ServerFailed
         } else {
@@ -257,22 +307,37 @@
     load: TargetLoad,
 ) -> AttemptResult {
     AttemptResult {
+        called: CalledServices::new(),
         end: AttemptEnd::Refused {
             kind,
             arrived,
             retry_after,
         },
         reply: None,
-        result: CallResult::NotRun(kind),
+        result: refusal_result(kind),
         waited: Duration::ZERO,
         load: Some(load),
         detail: Box::default(),
     }
 }
 
+/// What a refusal says of the target.
+///
+/// A gate that is full for one request may have room for a more urgent one, so
+/// such a refusal teaches the load that came with it and nothing else.
+fn refusal_result(kind: ErrorKind) -> CallResult {
+    match kind {
+        ErrorKind::QueueFull | ErrorKind::DeadlineExceeded | ErrorKind::PoisonRequest => {
+            CallResult::Cancelled
+        }
+        kind => CallResult::NotRun(kind),
+    }
+}
+
 /// The daemon beside the target was not reached.
 fn unsent(detail: Box<str>) -> AttemptResult {
     AttemptResult {
+        called: CalledServices::new(),
         end: AttemptEnd::Refused {
             kind: ErrorKind::PeerUnavailable,
             arrived: false,
@@ -297,6 +362,7 @@
 
 fn broken(detail: Box<str>, result: CallResult, load: Option<TargetLoad>) -> AttemptResult {
     AttemptResult {
+        called: CalledServices::new(),
         end: AttemptEnd::Broken,
         reply: None,
         result,
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -10,6 +10,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use mesh::lineage::CalledServices;
 use mesh::{CallSafety, TargetReport};
 use model::{CustomerName, ErrorKind, TargetName};
 use once::{PrintHasher, RequestPrint};
@@ -49,6 +50,8 @@
     pub headers: HeaderList,
     /// Its body.
     pub body: RunBody,
+    /// Services that the run called.
+    pub called: CalledServices,
     /// Time for which the request waited for a slot.
     pub waited: Duration,
 }
@@ -142,26 +145,31 @@
     if let Err(error) = core.poison().start(&report.target, print) {
         return RunEnd::Refused(refuse(error.kind, None));
     }
+    core.lineage()
+        .begin(&call.head.request_id, call.head.priority);
     let watched = WatchedRun {
         core: Arc::clone(core),
         target: report.target.clone(),
+        request: call.head.request_id.clone(),
         print,
         sound: false,
     };
     run_admitted(core, &call, place, watched).await
 }
 
-/// A run that the watch of crashing requests knows of until it is dropped.
+/// A run that the lineage and the watch of crashing requests know of until it is dropped.
 #[derive(Debug)]
 struct WatchedRun {
     core: Arc<ProxyCore>,
     target: TargetName,
+    request: Box<str>,
     print: RequestPrint,
     sound: bool,
 }
 
 impl Drop for WatchedRun {
     fn drop(&mut self) {
+        self.core.lineage().end(&self.request);
         let mut watch = self.core.poison();
         let output = watch.finish(&self.target, self.print, self.sound);
         drop(watch);
@@ -325,6 +333,7 @@
         status,
         headers: packed,
         body,
+        called: core.lineage().called(&call.head.request_id),
         waited,
     }))
 }
