Order kinds at a gate by how long they can wait; no waits past the objective

Waits up to a quarter of the time past the objective made every answer of an overload a late one.

Change: the rank of a route (calls first, priority, time it can wait) is fixed, and the limit of a wait is the objective.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -5,7 +5,9 @@
 //!
 //! - Calls that a running request makes go before new requests, since the
 //!   work of their parents is lost with them; then the route's priority
-//!   decides, and within a priority whoever must start soonest goes first.
+//!   decides, and within a priority who can wait least goes first. That is a
+//!   fixed order of kinds: by the nearest deadline, an overload of one kind
+//!   that can wait would in the end delay those that can't just as long.
 //! - A request waits only while it can still end soon after its objective. A
 //!   longer queue would serve nobody sooner, and would make every answer of an
 //!   overloaded target a late one.
@@ -30,7 +32,7 @@
 /// Run time assumed before any request of any route has ended, in seconds.
 const FIRST_RUN_S: f32 = 0.05;
 /// Part of the time between objective and deadline that a wait may use up.
-const LATE_PART: f32 = 0.25;
+const LATE_PART: f32 = 0.0;
 /// The same for the calls of running requests, which are of use until their deadline.
 const INNER_LATE_PART: f32 = 0.8;
 /// Time over which admitted work is averaged.
@@ -92,9 +94,7 @@
 /// Order in which waiting requests start.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct QueuePlace {
-    outer: bool,
-    priority: CallPriority,
-    start_by: Instant,
+    rank: WorkRank,
     arrival: u64,
 }
 
@@ -199,12 +199,10 @@
         }
         self.arrivals += 1;
         let place = QueuePlace {
-            outer: !ticket.inner,
-            priority: ticket.priority,
-            start_by,
+            rank,
             arrival: self.arrivals,
         };
-        let start = now + self.wait_ahead_of(place, rank, now);
+        let start = now + self.wait_ahead_of(place, now);
         if start > start_by || self.waiting.len() >= self.slots * WAITING_PER_SLOT {
             let excess = start.saturating_duration_since(start_by);
             return self.refusal(ErrorKind::QueueFull, excess);
@@ -306,7 +304,7 @@
     ///
     /// Requests of a higher rank that arrive meanwhile go ahead too, so only the slots
     /// that they leave count.
-    fn wait_ahead_of(&self, place: QueuePlace, rank: WorkRank, now: Instant) -> Duration {
+    fn wait_ahead_of(&self, place: QueuePlace, now: Instant) -> Duration {
         let ahead = self.waiting.range(..place);
         let queued: f32 = ahead.map(|(_, call)| self.run_s(call.route)).sum();
         let running: f32 = self
@@ -317,7 +315,7 @@
         let slots = self.slots as f32;
         // The first of many runs that began at random times ends after one part in slots.
         let first = running / slots;
-        let urgent = self.admitted.values().filter(|work| work.rank < rank);
+        let urgent = self.admitted.values().filter(|work| work.rank < place.rank);
         let urgent: f32 = urgent.map(|work| work.slots_at(now)).sum();
         let left = (slots - urgent).max(slots * MIN_LEFT_PART);
         Duration::from_secs_f32((queued + first) / left)
--- /dev/null
+++ b/crates/mesh/tests/attempt.rs
@@ -0,0 +1,141 @@
+//! What follows after each end of an attempt.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use model::ErrorKind;
+use quetzal_mesh::{AttemptEnd, AttemptPlan, CallSafety, NextStep};
+use support::{ms, rule};
+
+fn plan(safety: CallSafety, now: Instant) -> AttemptPlan {
+    let mut route = rule("payout", "deals", 1);
+    route.safety = safety;
+    AttemptPlan::new(&route, now + ms(400))
+}
+
+fn refused(arrived: bool) -> AttemptEnd {
+    AttemptEnd::Refused {
+        kind: ErrorKind::QueueFull,
+        arrived,
+        retry_after: Some(ms(80)),
+    }
+}
+
+#[test]
+fn a_payout_whose_answer_was_lost_is_never_sent_again() {
+    let now = Instant::now();
+    let mut plan = plan(CallSafety::AtMostOnce, now);
+    let step = plan.next(AttemptEnd::Broken, now, || true);
+    assert_eq!(step, NextStep::Fail(ErrorKind::OutcomeUnknown));
+}
+
+#[test]
+fn a_payout_that_a_target_failed_is_answered_with_that_failure() {
+    let now = Instant::now();
+    let mut plan = plan(CallSafety::AtMostOnce, now);
+    let step = plan.next(AttemptEnd::ServerFailed, now, || true);
+    assert_eq!(step, NextStep::Deliver);
+}
+
+#[test]
+fn a_proven_refusal_goes_to_another_target_without_a_token() {
+    let now = Instant::now();
+    let mut plan = plan(CallSafety::AtMostOnce, now);
+    let step = plan.next(refused(false), now, || panic!("nothing is spent"));
+    assert_eq!(step, NextStep::Another);
+}
+
+#[test]
+fn a_refusal_by_the_target_itself_costs_a_token() {
+    let now = Instant::now();
+    let step = plan(CallSafety::Idempotent, now).next(refused(true), now, || false);
+    let expected = NextStep::Refuse {
+        kind: ErrorKind::QueueFull,
+        retry_after: ms(80),
+    };
+    assert_eq!(step, expected);
+    let step = plan(CallSafety::Idempotent, now).next(refused(true), now, || true);
+    assert_eq!(step, NextStep::Another);
+}
+
+#[test]
+fn not_run_is_never_said_after_an_attempt_that_may_have_run() {
+    let now = Instant::now();
+    let mut plan = plan(CallSafety::Idempotent, now);
+    assert_eq!(
+        plan.next(AttemptEnd::Broken, now, || true),
+        NextStep::Another
+    );
+    for _ in 0..4 {
+        let step = plan.next(refused(false), now, || true);
+        assert!(!matches!(step, NextStep::Refuse { .. }), "{step:?}");
+    }
+    let step = plan.exhausted(ErrorKind::TargetAbsent);
+    assert_eq!(step, NextStep::Fail(ErrorKind::OutcomeUnknown));
+}
+
+#[test]
+fn a_failed_answer_is_delivered_when_nobody_else_has_room() {
+    let now = Instant::now();
+    let mut plan = plan(CallSafety::Idempotent, now);
+    assert_eq!(
+        plan.next(AttemptEnd::ServerFailed, now, || true),
+        NextStep::Another
+    );
+    assert_eq!(plan.exhausted(ErrorKind::QueueFull), NextStep::Deliver);
+}
+
+#[test]
+fn attempts_at_targets_are_bounded_by_the_route() {
+    let now = Instant::now();
+    let mut plan = plan(CallSafety::Idempotent, now);
+    assert_eq!(
+        plan.next(AttemptEnd::Broken, now, || true),
+        NextStep::Another
+    );
+    let step = plan.next(AttemptEnd::Broken, now, || true);
+    assert_eq!(step, NextStep::Fail(ErrorKind::OutcomeUnknown));
+}
+
+#[test]
+fn refusals_everywhere_end_with_the_soonest_time_to_come_back() {
+    let now = Instant::now();
+    let mut plan = plan(CallSafety::Idempotent, now);
+    let end = |time| AttemptEnd::Refused {
+        kind: ErrorKind::QueueFull,
+        arrived: false,
+        retry_after: Some(time),
+    };
+    let mut step = NextStep::Another;
+    for time in [ms(300), ms(60), ms(200)] {
+        assert_eq!(step, NextStep::Another);
+        step = plan.next(end(time), now, || true);
+    }
+    let expected = NextStep::Refuse {
+        kind: ErrorKind::QueueFull,
+        retry_after: ms(60),
+    };
+    assert_eq!(step, expected);
+}
+
+#[test]
+fn a_request_that_crashes_targets_is_sent_to_no_other() {
+    let now = Instant::now();
+    let end = AttemptEnd::Refused {
+        kind: ErrorKind::PoisonRequest,
+        arrived: false,
+        retry_after: None,
+    };
+    let step = plan(CallSafety::Idempotent, now).next(end, now, || true);
+    assert!(matches!(step, NextStep::Refuse { .. }), "{step:?}");
+}
+
+#[test]
+fn nothing_is_begun_when_no_time_remains() {
+    let now = Instant::now();
+    let mut plan = plan(CallSafety::Idempotent, now);
+    let late = now + ms(400) - Duration::from_millis(5);
+    let step = plan.next(AttemptEnd::Broken, late, || true);
+    assert_eq!(step, NextStep::Fail(ErrorKind::OutcomeUnknown));
+}
--- /dev/null
+++ b/crates/mesh/tests/gate.rs
@@ -0,0 +1,233 @@
+//! Load patterns at one target, and who gets its slots.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{CallCount, ClockPort, ErrorKind, FakeClock};
+use quetzal_mesh::gate::StartedCall;
+use quetzal_mesh::{CallPriority, GateAnswer, GateTicket, KindGate, RouteKey};
+use route::CallId;
+use support::ms;
+
+/// One kind of request that arrives at a steady rate.
+#[derive(Clone, Copy)]
+struct Stream {
+    name: &'static str,
+    priority: u8,
+    inner: bool,
+    every: Duration,
+    run: Duration,
+    objective: Duration,
+    deadline: Duration,
+}
+
+/// What became of a stream's requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    asked: u32,
+    served: u32,
+    in_time: u32,
+    refused: u32,
+    /// Longest wait of a request that was refused in the end.
+    longest_held: Duration,
+}
+
+/// Plays the streams against one gate for `length`, a millisecond at a time.
+fn play(slots: u32, streams: &[Stream], length: Duration) -> BTreeMap<&'static str, Tally> {
+    let clock = FakeClock::new();
+    let mut gate = KindGate::new(CallCount(slots), Arc::new(clock.clone()));
+    let mut tallies: BTreeMap<&str, Tally> = BTreeMap::new();
+    let mut calls = BTreeMap::new();
+    let mut ends = Vec::new();
+    let started_at = clock.now();
+    let mut next_call = 0;
+    while clock.now() - started_at < length {
+        let now = clock.now();
+        let mut started: Vec<CallId> = Vec::new();
+        let due: Vec<CallId> = ends
+            .iter()
+            .filter(|(at, _)| *at <= now)
+            .map(|(_, call)| *call)
+            .collect();
+        ends.retain(|(at, _)| *at > now);
+        for call in due {
+            let (stream, since): (Stream, _) = calls.remove(&call).expect("it ran");
+            let tally = tallies.entry(stream.name).or_default();
+            tally.served += 1;
+            tally.in_time += u32::from(now - since <= stream.objective);
+            started.extend(starts(&gate.leave(call, false)));
+        }
+        for call in gate.expire() {
+            let (stream, since): (Stream, _) = calls.remove(&call).expect("it waited");
+            let tally = tallies.entry(stream.name).or_default();
+            tally.refused += 1;
+            tally.longest_held = tally.longest_held.max(now - since);
+        }
+        for stream in streams {
+            let elapsed = (now - started_at).as_micros();
+            if !elapsed.is_multiple_of(stream.every.as_micros()) {
+                continue;
+            }
+            next_call += 1;
+            let call = CallId(next_call);
+            let ticket = GateTicket {
+                call,
+                route: RouteKey::of(stream.name),
+                priority: CallPriority(stream.priority),
+                inner: stream.inner,
+                objective: now + stream.objective,
+                deadline: now + stream.deadline,
+            };
+            let tally = tallies.entry(stream.name).or_default();
+            tally.asked += 1;
+            match gate.enter(&ticket) {
+                GateAnswer::Start => {
+                    calls.insert(call, (*stream, now));
+                    started.push(call);
+                }
+                GateAnswer::Wait => {
+                    calls.insert(call, (*stream, now));
+                }
+                GateAnswer::Refuse { .. } => tally.refused += 1,
+            }
+        }
+        for call in started {
+            let (stream, _) = calls[&call];
+            ends.push((now + stream.run, call));
+        }
+        clock.advance(ms(1));
+    }
+    tallies
+}
+
+fn starts(list: &[StartedCall]) -> Vec<CallId> {
+    list.iter().map(|start| start.call).collect()
+}
+
+fn stream(name: &'static str, priority: u8, every: u64, run: u64, aim: u64, limit: u64) -> Stream {
+    Stream {
+        name,
+        priority,
+        inner: false,
+        every: ms(every),
+        run: ms(run),
+        objective: ms(aim),
+        deadline: ms(limit),
+    }
+}
+
+#[test]
+fn short_status_checks_are_served_beside_a_flood_of_uploads() {
+    // Uploads alone ask for more than the slots; they can wait, status checks can't.
+    let streams = [
+        stream("upload", 1, 10, 72, 300, 1200),
+        stream("status", 1, 10, 24, 100, 400),
+    ];
+    let tallies = play(8, &streams, ms(10_000));
+    let status = tallies["status"];
+    assert!(status.in_time * 100 >= status.asked * 95, "{status:?}");
+    let upload = tallies["upload"];
+    assert!(upload.served * 100 >= upload.asked * 60, "{upload:?}");
+}
+
+#[test]
+fn calls_of_running_requests_are_served_in_an_overload_of_new_ones() {
+    let mut calls = stream("lookup", 1, 5, 15, 60, 200);
+    calls.inner = true;
+    let streams = [calls, stream("booking", 0, 10, 100, 250, 1000)];
+    let tallies = play(9, &streams, ms(10_000));
+    let lookup = tallies["lookup"];
+    assert!(lookup.served * 100 >= lookup.asked * 98, "{lookup:?}");
+}
+
+#[test]
+fn what_an_overloaded_target_serves_it_serves_soon_after_the_objective() {
+    // Twice as much work as slots: about half can be served, none far too late.
+    let streams = [stream("browse", 2, 5, 80, 200, 800)];
+    let tallies = play(8, &streams, ms(10_000));
+    let browse = tallies["browse"];
+    assert!(browse.served * 100 >= browse.asked * 45, "{browse:?}");
+    assert!(browse.longest_held <= ms(350), "{browse:?}");
+}
+
+#[test]
+fn more_urgent_requests_take_the_slots_of_an_overloaded_target() {
+    let streams = [
+        stream("browse", 2, 5, 60, 200, 800),
+        stream("booking", 1, 12, 78, 250, 1000),
+    ];
+    let tallies = play(8, &streams, ms(10_000));
+    let (booking, browse) = (tallies["booking"], tallies["browse"]);
+    assert!(booking.served * 100 >= booking.asked * 97, "{booking:?}");
+    assert!(browse.served > 0, "{browse:?}");
+}
+
+#[test]
+fn a_gate_that_is_full_for_one_kind_takes_a_more_urgent_one() {
+    let clock = FakeClock::new();
+    let mut gate = KindGate::new(CallCount(1), Arc::new(clock.clone()));
+    let ticket = |number, name: &str, priority| GateTicket {
+        call: CallId(number),
+        route: RouteKey::of(name),
+        priority: CallPriority(priority),
+        inner: false,
+        objective: clock.now() + ms(200),
+        deadline: clock.now() + ms(400),
+    };
+    let mut refused = 0;
+    for number in 0..10 {
+        if let GateAnswer::Refuse { .. } = gate.enter(&ticket(number, "browse", 2)) {
+            refused += 1;
+        }
+    }
+    assert!(refused > 0);
+    assert_eq!(gate.enter(&ticket(100, "booking", 1)), GateAnswer::Wait);
+    let started = gate.leave(CallId(0), false);
+    assert_eq!(starts(&started), [CallId(100)]);
+}
+
+#[test]
+fn a_draining_gate_refuses_those_who_wait_and_new_ones() {
+    let clock = FakeClock::new();
+    let mut gate = KindGate::new(CallCount(1), Arc::new(clock.clone()));
+    let ticket = |number| GateTicket {
+        call: CallId(number),
+        route: RouteKey::of("browse"),
+        priority: CallPriority(0),
+        inner: false,
+        objective: clock.now() + ms(500),
+        deadline: clock.now() + ms(800),
+    };
+    assert_eq!(gate.enter(&ticket(1)), GateAnswer::Start);
+    assert_eq!(gate.enter(&ticket(2)), GateAnswer::Wait);
+    assert_eq!(gate.drain(), [CallId(2)]);
+    let GateAnswer::Refuse { kind, .. } = gate.enter(&ticket(3)) else {
+        panic!("a draining gate admitted a request");
+    };
+    assert_eq!(kind, ErrorKind::Draining);
+    assert!(!gate.is_idle(), "what runs goes on");
+    gate.leave(CallId(1), false);
+    assert!(gate.is_idle());
+}
+
+#[test]
+fn a_cancelled_request_gives_its_slot_to_the_next() {
+    let clock = FakeClock::new();
+    let mut gate = KindGate::new(CallCount(1), Arc::new(clock.clone()));
+    let ticket = |number| GateTicket {
+        call: CallId(number),
+        route: RouteKey::of("browse"),
+        priority: CallPriority(0),
+        inner: false,
+        objective: clock.now() + ms(500),
+        deadline: clock.now() + ms(800),
+    };
+    gate.enter(&ticket(1));
+    gate.enter(&ticket(2));
+    gate.enter(&ticket(3));
+    assert!(gate.cancel(CallId(2)).is_empty());
+    assert_eq!(starts(&gate.cancel(CallId(1))), [CallId(3)]);
+}
--- /dev/null
+++ b/crates/mesh/tests/throttle.rs
@@ -0,0 +1,155 @@
+//! Load patterns over several services, and who is refused at the entry.
+
+mod support;
+
+use std::sync::Arc;
+
+use model::FakeClock;
+use quetzal_mesh::{EntryEnd, EntryThrottle, RouteRule};
+use support::{ms, rule, service};
+
+/// Asks `count` times, a millisecond apart; `end` says how an admitted request ends.
+fn ask(
+    throttle: &mut EntryThrottle,
+    clock: &FakeClock,
+    rule: &RouteRule,
+    count: u32,
+    called: &str,
+    end: impl Fn(u32) -> EntryEnd,
+) -> u32 {
+    let called: Vec<_> = called.split_whitespace().map(service).collect();
+    let mut admitted = 0;
+    for number in 0..count {
+        // Spread evenly over 0 to 1, so that the test has one outcome.
+        let draw = (number * 37 % 100) as f32 / 100.0;
+        if throttle.admit(rule, draw) {
+            admitted += 1;
+            throttle.finish(rule, end(number), &called);
+        }
+        clock.advance(ms(1));
+    }
+    admitted
+}
+
+fn fresh() -> (EntryThrottle, FakeClock) {
+    let clock = FakeClock::new();
+    (EntryThrottle::new(Arc::new(clock.clone())), clock)
+}
+
+#[test]
+fn runs_in_vain_are_cut_back_until_most_end_well() {
+    // A called service has room for a fifth of the runs.
+    let (mut throttle, clock) = fresh();
+    let browse = rule("browse", "catalog", 2);
+    let end = |number: u32| {
+        if number.is_multiple_of(5) {
+            EntryEnd::Good
+        } else {
+            EntryEnd::Wasted
+        }
+    };
+    ask(&mut throttle, &clock, &browse, 2000, "deals", end);
+    let admitted = ask(&mut throttle, &clock, &browse, 1000, "deals", end);
+    assert!(admitted < 400, "{admitted} of 1000 admitted");
+}
+
+#[test]
+fn refusals_of_gates_do_not_add_refusals_at_the_entry() {
+    // They cost no target anything, so there is nothing to save.
+    let (mut throttle, clock) = fresh();
+    let browse = rule("browse", "catalog", 2);
+    let end = |number: u32| {
+        if number.is_multiple_of(2) {
+            EntryEnd::Refused
+        } else {
+            EntryEnd::Good
+        }
+    };
+    let admitted = ask(&mut throttle, &clock, &browse, 2000, "", end);
+    assert_eq!(admitted, 2000);
+}
+
+#[test]
+fn a_few_failures_are_no_overload() {
+    let (mut throttle, clock) = fresh();
+    let browse = rule("browse", "catalog", 2);
+    let end = |number: u32| {
+        if number.is_multiple_of(10) {
+            EntryEnd::Wasted
+        } else {
+            EntryEnd::Good
+        }
+    };
+    let admitted = ask(&mut throttle, &clock, &browse, 2000, "", end);
+    assert_eq!(admitted, 2000);
+}
+
+#[test]
+fn browsing_gives_way_to_bookings_whose_service_its_calls_fill() {
+    let (mut throttle, clock) = fresh();
+    let browse = rule("browse", "catalog", 2);
+    let booking = rule("booking", "deals", 1);
+    let half = |number: u32| {
+        if number.is_multiple_of(2) {
+            EntryEnd::Refused
+        } else {
+            EntryEnd::Good
+        }
+    };
+    for _ in 0..100 {
+        ask(&mut throttle, &clock, &browse, 20, "deals", |_| {
+            EntryEnd::Good
+        });
+        ask(&mut throttle, &clock, &booking, 20, "", half);
+    }
+    let admitted = ask(&mut throttle, &clock, &browse, 100, "deals", |_| {
+        EntryEnd::Good
+    });
+    assert!((45..=60).contains(&admitted), "{admitted} of 100 admitted");
+}
+
+#[test]
+fn an_overload_elsewhere_refuses_nothing_here() {
+    let (mut throttle, clock) = fresh();
+    let browse = rule("browse", "catalog", 2);
+    let status = rule("status", "studio", 1);
+    for _ in 0..50 {
+        ask(&mut throttle, &clock, &browse, 20, "deals", |_| {
+            EntryEnd::Good
+        });
+        ask(&mut throttle, &clock, &status, 20, "", |_| {
+            EntryEnd::Refused
+        });
+    }
+    let admitted = ask(&mut throttle, &clock, &browse, 100, "deals", |_| {
+        EntryEnd::Good
+    });
+    assert_eq!(admitted, 100);
+}
+
+#[test]
+fn the_more_urgent_route_is_not_refused_for_the_less_urgent() {
+    let (mut throttle, clock) = fresh();
+    let browse = rule("browse", "catalog", 2);
+    let booking = rule("booking", "catalog", 1);
+    for _ in 0..50 {
+        ask(&mut throttle, &clock, &browse, 20, "", |_| {
+            EntryEnd::Refused
+        });
+        ask(&mut throttle, &clock, &booking, 20, "", |_| EntryEnd::Good);
+    }
+    let admitted = ask(&mut throttle, &clock, &booking, 100, "", |_| EntryEnd::Good);
+    assert_eq!(admitted, 100);
+}
+
+#[test]
+fn the_end_of_an_overload_is_noticed_within_seconds() {
+    let (mut throttle, clock) = fresh();
+    let browse = rule("browse", "catalog", 2);
+    ask(&mut throttle, &clock, &browse, 3000, "", |_| {
+        EntryEnd::Wasted
+    });
+    ask(&mut throttle, &clock, &browse, 6000, "", |_| EntryEnd::Good);
+    let admitted = ask(&mut throttle, &clock, &browse, 100, "", |_| EntryEnd::Good);
+    assert_eq!(admitted, 100);
+}
