Judge the throttle by runs whose calls found no room

Cause: a test of the end of an overload showed that the throttle, once it refused nine of ten requests, let 10 of 100 in five seconds after the last failure: refused requests counted against it. It also took any failure for an overload.

Change: a daemon notes when a call of a running request is refused and says so with the run's answer; the part let in falls while more than a fifth of the runs starves, and doubles in half a second otherwise.

--- a/crates/mesh/src/lineage.rs
+++ b/crates/mesh/src/lineage.rs
@@ -30,6 +30,8 @@
     priority: CallPriority,
     /// Services that it has called.
     called: CalledServices,
+    /// Whether one of its calls found no room.
+    starved: bool,
     /// Runs under this id, which a caller may have sent twice.
     count: u32,
 }
@@ -40,15 +42,26 @@
         let entry = self.running.entry(request.into()).or_insert(RunEntry {
             priority,
             called: CalledServices::new(),
+            starved: false,
             count: 0,
         });
         entry.count += 1;
     }
 
-    /// Services that `request` has called so far.
-    pub fn called(&self, request: &str) -> CalledServices {
+    /// Services that `request` has called so far, and whether a call found no room.
+    pub fn calls(&self, request: &str) -> (CalledServices, bool) {
         let entry = self.running.get(request);
-        entry.map(|entry| entry.called.clone()).unwrap_or_default()
+        entry
+            .map(|entry| (entry.called.clone(), entry.starved))
+            .unwrap_or_default()
+    }
+
+    /// Notes that `request`, made by a running one, found no room.
+    pub fn note_refused(&mut self, request: &str) {
+        let parent = request.rsplit_once(SEPARATOR).map(|(parent, _)| parent);
+        if let Some(entry) = parent.and_then(|parent| self.running.get_mut(parent)) {
+            entry.starved = true;
+        }
     }
 
     /// Notes that `request` has ended.
--- a/crates/mesh/src/throttle.rs
+++ b/crates/mesh/src/throttle.rs
@@ -5,17 +5,19 @@
 //! enter sees how they end, and which services their runs call. From that two
 //! things follow for each route:
 //!
-//! - *Wasted runs.* If a called service is overloaded, the calls fail and the
-//!   work of the request is lost: the more of them are let in, the fewer
-//!   succeed. Where runs exceed `headroom` times those that ended well, the
-//!   excess is refused at random. That settles where one part in `headroom` of
-//!   those let in ends well.
+//! - *Starved runs.* If a called service is overloaded, calls are refused and
+//!   the work of the request is lost: the more of them are let in, the fewer
+//!   succeed. Where more than a small share of the runs starves, a smaller
+//!   part of the requests is let in, until most of those end well; then the
+//!   part grows again, doubling in half a second.
 //! - *Inversion.* Calls of running requests go before new requests at every
 //!   gate, so a less urgent route could take a service away from a more urgent
 //!   one through its calls. A route is refused at least as often as the more
 //!   urgent ones with which it shares a service, less a small margin.
 //!
-//! Both are judged by the last seconds, for each daemon by itself.
+//! Both are judged by the last second or two, for each daemon by itself. Runs
+//! that fail for other reasons change nothing, since fewer of them would fail
+//! just the same.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -26,16 +28,25 @@
 use crate::config::{CallPriority, RouteKey, RouteRule};
 
 /// Age at which an observation counts for half.
-const HALF_LIFE: Duration = Duration::from_millis(1500);
+const HALF_LIFE: Duration = Duration::from_millis(1000);
+/// The same for starved runs, which must show the effect of a change soon.
+const STARVED_HALF_LIFE: Duration = Duration::from_millis(400);
 /// Observations below which nothing is concluded.
-const MIN_ASKED: f32 = 10.0;
-/// Headroom by priority: 1.15 lets 13 of 100 runs end badly before requests are refused,
-/// which is above what slow or failing targets cause on a day without overload.
-const HEADROOM: [f32; 3] = [3.0, 1.6, 1.15];
-/// Largest share of requests that is refused, so that recovery is noticed.
-const MAX_REFUSED: f32 = 0.9;
+const MIN_ASKED: f32 = 8.0;
+/// Share of starved runs that is accepted: less would leave the called service idle at times.
+const STARVED_SHARE: f32 = 0.2;
+/// Time between two changes of the part that is let in, about that of one run.
+const ADJUST_INTERVAL: Duration = Duration::from_millis(100);
+/// How far the part falls in one change, for each share starved too much.
+const FALL: f32 = 0.3;
+/// How far the part grows in one change: it doubles in half a second.
+const GROWTH: f32 = 1.15;
+/// Least part that is let in, so that recovery is noticed.
+const MIN_PART: f32 = 0.05;
 /// How much less often than a more urgent route one may be refused.
 const INVERSION_MARGIN: f32 = 0.03;
+/// Largest share of requests that is refused for that.
+const MAX_REFUSED: f32 = 0.9;
 /// Services that are remembered for one route.
 const MAX_SERVICES: usize = 8;
 
@@ -44,10 +55,10 @@
 pub enum EntryEnd {
     /// A gate refused it; it cost no target anything.
     Refused,
-    /// It ran and was answered.
-    Good,
-    /// It ran, or may have, in vain.
-    Wasted,
+    /// It ran, well or not.
+    Ran,
+    /// It ran in vain, since one of its calls found no room.
+    Starved,
 }
 
 /// How requests of each route ended lately.
@@ -61,12 +72,17 @@
 struct RouteFlow {
     priority: CallPriority,
     services: SmallVec<[ServiceName; 4]>,
-    /// Refused here.
+    /// Part of the requests that is let in for the sake of starved runs.
+    part: f32,
+    adjusted: Instant,
+    /// Requests refused here, lately.
     throttled: f32,
-    /// Refused by a gate.
+    /// Requests refused by a gate.
     refused: f32,
-    good: f32,
-    wasted: f32,
+    /// Requests let in, those included.
+    entered: f32,
+    ran: f32,
+    starved: f32,
     at: Instant,
 }
 
@@ -85,14 +101,14 @@
     pub fn admit(&mut self, rule: &RouteRule, draw: f32) -> bool {
         let now = self.clock.now();
         let flow = self.flow(rule, now);
-        let waste = flow.waste_share();
-        let services = flow.services.clone();
+        flow.adjust(now);
+        let starving = 1.0 - flow.part;
         let gate_share = flow.gate_share();
+        let services = flow.services.clone();
         let urgent = self.urgent_share(rule.priority, &services, now);
         // What the gates refuse anyway counts towards the share that is due.
         let due = (urgent - INVERSION_MARGIN - gate_share) / (1.0 - gate_share).max(0.01);
-        let share = waste.max(due).clamp(0.0, MAX_REFUSED);
-        let admitted = draw >= share;
+        let admitted = draw >= starving.max(due.min(MAX_REFUSED));
         if !admitted {
             self.flow(rule, now).throttled += 1.0;
         }
@@ -103,10 +119,11 @@
     pub fn finish(&mut self, rule: &RouteRule, end: EntryEnd, called: &[ServiceName]) {
         let now = self.clock.now();
         let flow = self.flow(rule, now);
+        flow.entered += 1.0;
         match end {
             EntryEnd::Refused => flow.refused += 1.0,
-            EntryEnd::Good => flow.good += 1.0,
-            EntryEnd::Wasted => flow.wasted += 1.0,
+            EntryEnd::Ran => flow.ran += 1.0,
+            EntryEnd::Starved => flow.starved += 1.0,
         }
         for service in called {
             if flow.services.len() < MAX_SERVICES && !flow.services.contains(service) {
@@ -149,10 +166,13 @@
         let flow = self.flows.entry(rule.key).or_insert_with(|| RouteFlow {
             priority: rule.priority,
             services: SmallVec::new(),
+            part: 1.0,
+            adjusted: now,
             throttled: 0.0,
             refused: 0.0,
-            good: 0.0,
-            wasted: 0.0,
+            entered: 0.0,
+            ran: 0.0,
+            starved: 0.0,
             at: now,
         });
         flow.priority = rule.priority;
@@ -168,7 +188,7 @@
 
 impl RouteFlow {
     fn asked(&self) -> f32 {
-        self.throttled + self.refused + self.good + self.wasted
+        self.throttled + self.entered
     }
 
     /// Share of all requests that was refused, here or by a gate.
@@ -181,30 +201,41 @@
 
     /// Share of the requests let in that a gate refused.
     fn gate_share(&self) -> f32 {
-        let entered = self.refused + self.good + self.wasted;
-        if entered < MIN_ASKED {
+        if self.entered < MIN_ASKED {
             return 0.0;
         }
-        self.refused / entered
+        self.refused / self.entered
     }
 
-    /// Share of the requests to refuse so that most runs end well.
-    fn waste_share(&self) -> f32 {
-        let asked = self.throttled + self.good + self.wasted;
-        if asked < MIN_ASKED {
-            return 0.0;
+    /// Lets a smaller part in while too many runs starve, a larger one otherwise.
+    fn adjust(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.adjusted) < ADJUST_INTERVAL {
+            return;
         }
-        let index = usize::from(self.priority.0).min(HEADROOM.len() - 1);
-        (asked - HEADROOM[index] * self.good) / asked
+        self.adjusted = now;
+        let runs = self.ran + self.starved;
+        let excess = if runs < MIN_ASKED * self.part {
+            0.0
+        } else {
+            self.starved / runs - STARVED_SHARE
+        };
+        let part = if excess > 0.0 {
+            self.part * (1.0 - FALL * excess)
+        } else {
+            self.part * GROWTH
+        };
+        self.part = part.clamp(MIN_PART, 1.0);
     }
 
     fn decay(&mut self, now: Instant) {
         let age = now.saturating_duration_since(self.at).as_secs_f32();
         let kept = (-age / HALF_LIFE.as_secs_f32()).exp2();
+        let kept_runs = (-age / STARVED_HALF_LIFE.as_secs_f32()).exp2();
         self.throttled *= kept;
         self.refused *= kept;
-        self.good *= kept;
-        self.wasted *= kept;
+        self.entered *= kept;
+        self.ran *= kept_runs;
+        self.starved *= kept_runs;
         self.at = now;
     }
 }
--- a/crates/mesh/tests/config.rs
+++ b/crates/mesh/tests/config.rs
@@ -125,9 +125,14 @@
         lineage.note_call("ab12.cd34", &deals),
         Some(CallPriority(2))
     );
-    assert_eq!(lineage.called("ab12").as_slice(), [deals.clone()]);
+    assert_eq!(
+        lineage.calls("ab12"),
+        ([deals.clone()].into_iter().collect(), false)
+    );
     assert_eq!(lineage.note_call("ab12", &deals), None);
     assert_eq!(lineage.note_call("ef56.cd34", &deals), None);
+    lineage.note_refused("ab12.cd34");
+    assert!(lineage.calls("ab12").1, "a call found no room");
     lineage.end("ab12");
     assert_eq!(lineage.note_call("ab12.ee", &deals), None);
 }
--- a/crates/mesh/tests/throttle.rs
+++ b/crates/mesh/tests/throttle.rs
@@ -43,14 +43,14 @@
     let browse = rule("browse", "catalog", 2);
     let end = |number: u32| {
         if number.is_multiple_of(5) {
-            EntryEnd::Good
+            EntryEnd::Ran
         } else {
-            EntryEnd::Wasted
+            EntryEnd::Starved
         }
     };
     ask(&mut throttle, &clock, &browse, 2000, "deals", end);
     let admitted = ask(&mut throttle, &clock, &browse, 1000, "deals", end);
-    assert!(admitted < 400, "{admitted} of 1000 admitted");
+    assert!(admitted < 200, "{admitted} of 1000 admitted");
 }
 
 #[test]
@@ -62,7 +62,7 @@
         if number.is_multiple_of(2) {
             EntryEnd::Refused
         } else {
-            EntryEnd::Good
+            EntryEnd::Ran
         }
     };
     let admitted = ask(&mut throttle, &clock, &browse, 2000, "", end);
@@ -75,9 +75,9 @@
     let browse = rule("browse", "catalog", 2);
     let end = |number: u32| {
         if number.is_multiple_of(10) {
-            EntryEnd::Wasted
+            EntryEnd::Starved
         } else {
-            EntryEnd::Good
+            EntryEnd::Ran
         }
     };
     let admitted = ask(&mut throttle, &clock, &browse, 2000, "", end);
@@ -93,17 +93,17 @@
         if number.is_multiple_of(2) {
             EntryEnd::Refused
         } else {
-            EntryEnd::Good
+            EntryEnd::Ran
         }
     };
     for _ in 0..100 {
         ask(&mut throttle, &clock, &browse, 20, "deals", |_| {
-            EntryEnd::Good
+            EntryEnd::Ran
         });
         ask(&mut throttle, &clock, &booking, 20, "", half);
     }
     let admitted = ask(&mut throttle, &clock, &browse, 100, "deals", |_| {
-        EntryEnd::Good
+        EntryEnd::Ran
     });
     assert!((45..=60).contains(&admitted), "{admitted} of 100 admitted");
 }
@@ -115,14 +115,14 @@
     let status = rule("status", "studio", 1);
     for _ in 0..50 {
         ask(&mut throttle, &clock, &browse, 20, "deals", |_| {
-            EntryEnd::Good
+            EntryEnd::Ran
         });
         ask(&mut throttle, &clock, &status, 20, "", |_| {
             EntryEnd::Refused
         });
     }
     let admitted = ask(&mut throttle, &clock, &browse, 100, "deals", |_| {
-        EntryEnd::Good
+        EntryEnd::Ran
     });
     assert_eq!(admitted, 100);
 }
@@ -136,9 +136,9 @@
         ask(&mut throttle, &clock, &browse, 20, "", |_| {
             EntryEnd::Refused
         });
-        ask(&mut throttle, &clock, &booking, 20, "", |_| EntryEnd::Good);
+        ask(&mut throttle, &clock, &booking, 20, "", |_| EntryEnd::Ran);
     }
-    let admitted = ask(&mut throttle, &clock, &booking, 100, "", |_| EntryEnd::Good);
+    let admitted = ask(&mut throttle, &clock, &booking, 100, "", |_| EntryEnd::Ran);
     assert_eq!(admitted, 100);
 }
 
@@ -147,9 +147,9 @@
     let (mut throttle, clock) = fresh();
     let browse = rule("browse", "catalog", 2);
     ask(&mut throttle, &clock, &browse, 3000, "", |_| {
-        EntryEnd::Wasted
+        EntryEnd::Starved
     });
-    ask(&mut throttle, &clock, &browse, 6000, "", |_| EntryEnd::Good);
-    let admitted = ask(&mut throttle, &clock, &browse, 100, "", |_| EntryEnd::Good);
+    ask(&mut throttle, &clock, &browse, 5000, "", |_| EntryEnd::Ran);
+    let admitted = ask(&mut throttle, &clock, &browse, 100, "", |_| EntryEnd::Ran);
     assert_eq!(admitted, 100);
 }
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -101,6 +101,7 @@
                 status: answer.status.as_u16(),
                 headers: answer.headers,
                 called: answer.called,
+                starved: answer.starved,
                 waited: answer.waited,
                 load,
             };
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -77,6 +77,8 @@
         headers: HeaderList,
         /// Services that the run called.
         called: CalledServices,
+        /// Whether one of its calls found no room.
+        starved: bool,
         /// Time for which the request waited for a slot.
         waited: Duration,
         /// Load of the target.
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use mesh::MeshTable;
+use mesh::{EntryEnd, MeshTable};
 use model::{ErrorKind, KindError, ServiceName};
 use rand::Rng;
 use tokio::time::timeout;
@@ -55,7 +55,7 @@
 async fn serve(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
     let request_id = call.head.request_id.clone();
     let mut reply = if call.head.inner {
-        relay_call(core, call).await.reply
+        serve_inner(core, call).await
     } else {
         serve_entering(core, call).await
     };
@@ -66,6 +66,16 @@
     reply
 }
 
+/// Serves a request that a running request made.
+async fn serve_inner(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
+    let request_id = call.head.request_id.clone();
+    let ended = relay_call(core, call).await;
+    if ended.end == EntryEnd::Refused {
+        core.lineage().note_refused(&request_id);
+    }
+    ended.reply
+}
+
 /// Serves a request that no running request made, if such requests end well.
 async fn serve_entering(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
     let rule = Arc::clone(&call.rule);
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -50,6 +50,7 @@
 struct AttemptResult {
     end: AttemptEnd,
     called: CalledServices,
+    starved: bool,
     reply: Option<CallerReply>,
     result: CallResult,
     waited: Duration,
@@ -62,6 +63,7 @@
 struct LastAnswer {
     reply: Option<CallerReply>,
     called: CalledServices,
+    starved: bool,
 }
 
 /// Sends `call` until it is answered; dropping the future gives it up everywhere.
@@ -110,6 +112,7 @@
         if let Some(reply) = attempt.reply.take() {
             last.reply = Some(reply);
             last.called = attempt.called;
+            last.starved = attempt.starved;
         }
         if step != NextStep::Another {
             return conclude(core, &call, step, last);
@@ -129,11 +132,11 @@
     let called = last.called;
     let (kind, retry_after) = match (step, last.reply) {
         (NextStep::Deliver, Some(reply)) => {
-            let failed = reply.status().is_server_error();
-            let end = if failed {
-                EntryEnd::Wasted
+            let vain = last.starved && reply.status().is_server_error();
+            let end = if vain {
+                EntryEnd::Starved
             } else {
-                EntryEnd::Good
+                EntryEnd::Ran
             };
             return RelayEnd { reply, end, called };
         }
@@ -151,7 +154,7 @@
         end: if retry_after.is_some() {
             EntryEnd::Refused
         } else {
-            EntryEnd::Wasted
+            EntryEnd::Ran
         },
         called,
     }
@@ -223,12 +226,13 @@
             status,
             headers,
             called,
+            starved,
             waited,
             load,
         } => match read_reply(receiver).await {
             Ok(body) => {
                 let reply = target_reply(status, &headers, body);
-                answered(status, reply, called, waited, load)
+                answered(status, reply, (called, starved), waited, load)
             }
             Err(error) => broken(error.detail, CallResult::Lost, Some(load)),
         },
@@ -252,7 +256,13 @@
                 RunBody::Stream(stream) => ReplyBody::own(stream),
             };
             let reply = target_reply(status, &answer.headers, body);
-            answered(status, reply, answer.called, answer.waited, load)
+            answered(
+                status,
+                reply,
+                (answer.called, answer.starved),
+                answer.waited,
+                load,
+            )
         }
         RunEnd::Refused(refusal) => {
             refused(refusal.kind, refusal.arrived, refusal.retry_after, load)
@@ -276,13 +286,14 @@
 fn answered(
     status: u16,
     reply: CallerReply,
-    called: CalledServices,
+    (called, starved): (CalledServices, bool),
     waited: Duration,
     load: TargetLoad,
 ) -> AttemptResult {
     let failed = status >= 500;
     AttemptResult {
         called,
+        starved,
         end: if failed {
             AttemptEnd::ServerFailed
         } else {
@@ -308,6 +319,7 @@
 ) -> AttemptResult {
     AttemptResult {
         called: CalledServices::new(),
+        starved: false,
         end: AttemptEnd::Refused {
             kind,
             arrived,
@@ -338,6 +350,7 @@
 fn unsent(detail: Box<str>) -> AttemptResult {
     AttemptResult {
         called: CalledServices::new(),
+        starved: false,
         end: AttemptEnd::Refused {
             kind: ErrorKind::PeerUnavailable,
             arrived: false,
@@ -363,6 +376,7 @@
 fn broken(detail: Box<str>, result: CallResult, load: Option<TargetLoad>) -> AttemptResult {
     AttemptResult {
         called: CalledServices::new(),
+        starved: false,
         end: AttemptEnd::Broken,
         reply: None,
         result,
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -52,6 +52,8 @@
     pub body: RunBody,
     /// Services that the run called.
     pub called: CalledServices,
+    /// Whether one of its calls found no room.
+    pub starved: bool,
     /// Time for which the request waited for a slot.
     pub waited: Duration,
 }
@@ -329,11 +331,13 @@
             return RunEnd::Broken("the answer did not end in time".into());
         }
     };
+    let (called, starved) = core.lineage().calls(&call.head.request_id);
     RunEnd::Answered(Box::new(RunAnswer {
         status,
         headers: packed,
         body,
-        called: core.lineage().called(&call.head.request_id),
+        called,
+        starved,
         waited,
     }))
 }
