--- a/crates/daemon/src/on_platform.rs
+++ b/crates/daemon/src/on_platform.rs
@@ -61,6 +61,10 @@
     }
 }
 
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the shape that map_err takes"
+)]
 fn local(error: std::io::Error) -> KindError {
     KindError::new(ErrorKind::LocalFailed, error.to_string())
 }
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use mesh::{
     ConfigKeeper, EntryThrottle, FleetBudget, MeshTable, OwnTarget, RouteKey, RunLineage,
@@ -66,6 +67,7 @@
     own: Mutex<OwnTarget>,
     poison: Mutex<PoisonWatch>,
     peers: Mutex<Arc<PeerBook>>,
+    caller_at: Mutex<Option<Instant>>,
     joined: AtomicBool,
     stopping: AtomicBool,
 }
@@ -110,6 +112,7 @@
                 Arc::clone(&clock),
             )),
             peers: Mutex::default(),
+            caller_at: Mutex::default(),
             joined: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             settings,
@@ -186,6 +189,19 @@
         !self.joined.swap(true, Ordering::Relaxed)
     }
 
+    /// Notes that a caller sends a request.
+    pub fn note_caller(&self) {
+        *lock(&self.caller_at) = Some(self.clock.now());
+    }
+
+    /// Time since the last request of a caller.
+    pub fn time_since_caller(&self) -> Duration {
+        let last = *lock(&self.caller_at);
+        last.map_or(Duration::MAX, |at| {
+            self.clock.now().saturating_duration_since(at)
+        })
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -37,6 +37,7 @@
     _peer: SocketAddr,
     request: Request<Incoming>,
 ) -> CallerReply {
+    core.note_caller();
     let mut reply = match take_in(&core, request).await {
         Ok(call) => serve(&core, call).await,
         Err(error) => {
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -2,8 +2,9 @@
 //!
 //! A planned stop goes in stages: the platform hears at once that the daemon
 //! takes no new callers; requests are still served while callers move away;
-//! then the other daemons are told and the gate closes; when all has ended,
-//! or shortly before the process would be killed, the connections close.
+//! then the other daemons are told and the gate closes; when all has ended and
+//! no caller comes any more, or shortly before the process would be killed, the
+//! connections close.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,6 +37,9 @@
 /// Least time from the request to stop until connections close: the platform
 /// needs two looks, a second apart, to send no more callers.
 const CLOSE_AFTER: Duration = Duration::from_millis(2600);
+/// Time without a new request after which callers have moved away. Where most daemons of a
+/// failure domain stop at once, the platform goes on sending callers to them.
+const QUIET_TIME: Duration = Duration::from_millis(1200);
 /// Part of the grace kept back for closing.
 const CLOSING_TIME: Duration = Duration::from_millis(900);
 /// Time between two looks whether all has ended.
@@ -181,7 +185,11 @@
         log::info!("stopping: the target takes no more requests from here");
         let latest = core.settings.grace.saturating_sub(CLOSING_TIME);
         sleep(CLOSE_AFTER.saturating_sub(begun.elapsed())).await;
-        while !core.desk.is_idle() && begun.elapsed() < latest {
+        while begun.elapsed() < latest {
+            let quiet = core.time_since_caller() >= QUIET_TIME;
+            if quiet && core.desk.is_idle() {
+                break;
+            }
             sleep(IDLE_POLL).await;
         }
         self.callers.cancel();
