Serve metrics and tell how requests end and why

Cause: on-call engineers have logs and metrics only, and the daemon told neither causes with their inputs nor any count. Each line names its VM.

--- a/crates/daemon/src/log_output.rs
+++ b/crates/daemon/src/log_output.rs
@@ -14,6 +14,7 @@
 use env_logger::{Builder, Env, Target};
 use log::Record;
 use log::kv::{Error, Key, Value, VisitSource};
+use model::DaemonName;
 use serde_json::{Map, Value as Json};
 
 /// Bytes that wait for the reader at most.
@@ -25,10 +26,10 @@
 /// Lines of one kind at once after a quiet time.
 const LINE_BURST: f64 = 60.0;
 
-/// Starts writing JSON lines to standard output.
+/// Starts writing JSON lines to standard output; each names `vm`.
 ///
 /// The thread that writes lives as long as the process.
-pub fn start_log_output() {
+pub fn start_log_output(vm: &DaemonName) {
     let buffer = LineBuffer::default();
     let writer = buffer.clone();
     let spawned = thread::Builder::new()
@@ -38,6 +39,7 @@
         eprintln!("quetzald: no thread for log lines: {error}");
         return;
     }
+    let vm = vm.clone();
     let limits = Mutex::new(LineLimits::default());
     Builder::from_env(Env::default().default_filter_or("info"))
         .format(move |out, record| {
@@ -45,18 +47,19 @@
             let Some(dropped) = lock(&limits).admit(record.args().as_str(), now) else {
                 return Ok(());
             };
-            writeln!(out, "{}", render(record, dropped))
+            writeln!(out, "{}", render(record, &vm, dropped))
         })
         .target(Target::Pipe(Box::new(buffer)))
         .init();
 }
 
 /// One record as a JSON object.
-fn render(record: &Record<'_>, dropped: u64) -> Json {
+fn render(record: &Record<'_>, vm: &DaemonName, dropped: u64) -> Json {
     let mut fields = Map::new();
     let wall = SystemTime::now().duration_since(UNIX_EPOCH);
     let time_ms = wall.map_or(0, |time| time.as_millis() as u64);
     fields.insert("time_ms".into(), time_ms.into());
+    fields.insert("vm".into(), vm.as_str().into());
     fields.insert("level".into(), record.level().as_str().into());
     fields.insert("event".into(), record.args().to_string().into());
     let module = record.target().rsplit("::").next();
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,12 +4,11 @@
 
 use std::process::ExitCode;
 
-use quetzal_daemon::{command, log_output};
+use quetzal_daemon::command;
 
 fn main() -> ExitCode {
     let command = command::daemon_command().run();
     let ended = if command.runs_on_platform() {
-        log_output::start_log_output();
         on_platform::run_on_platform().map(|()| ExitCode::SUCCESS)
     } else {
         command.run()
--- a/crates/daemon/src/on_platform.rs
+++ b/crates/daemon/src/on_platform.rs
@@ -6,6 +6,7 @@
 use model::{ErrorKind, KindError, SystemClock};
 use platform::{PlatformStore, SETTINGS_VARIABLE, edge_protocol, read_settings};
 use proxy::{ProxyParts, run_proxy};
+use quetzal_daemon::log_output::start_log_output;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
@@ -21,6 +22,7 @@
     })?;
     let path = PathBuf::from(path);
     let settings = read_settings(&path)?;
+    start_log_output(&settings.vm);
     let parts = ProxyParts {
         store: Arc::new(PlatformStore::new(settings.store_address)),
         edge: edge_protocol(),
--- a/crates/proxy/src/config_watch.rs
+++ b/crates/proxy/src/config_watch.rs
@@ -43,6 +43,7 @@
         };
         match read {
             Ok(page) => {
+                core.metrics.set_store(true);
                 if std::mem::take(&mut lost) {
                     log::info!("store regained");
                 }
@@ -57,6 +58,7 @@
                 next = None;
             }
             Err(error) => {
+                core.metrics.set_store(false);
                 if !std::mem::replace(&mut lost, true) {
                     log::warn!(cause:% = error; "store lost");
                 }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -1,4 +1,5 @@
-//! Reports of the target beside the daemon, and the platform's question whether it is ready.
+//! Reports of the target beside the daemon, the platform's question whether the daemon
+//! is ready, and its metrics.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,11 +13,14 @@
 
 use crate::core::ProxyCore;
 use crate::edge::ControlCall;
+use crate::metrics::metrics_reply;
 use crate::reply::{CallerReply, ReplyBody, own_reply};
 
 /// Requests sent to a target beyond its slots: one that waits there starts at once when
 /// a slot is free, without the way back and forth through this daemon.
 const AHEAD_OF_SLOTS: u32 = 1;
+/// Path of the metrics, as `deploy/system.toml` names it.
+const METRICS_PATH: &str = "/metrics";
 /// Largest report in bytes.
 const MAX_REPORT_BYTES: usize = 16 << 10;
 
@@ -26,6 +30,9 @@
     _peer: SocketAddr,
     request: Request<Incoming>,
 ) -> CallerReply {
+    if request.uri().path() == METRICS_PATH {
+        return metrics_reply(&core);
+    }
     match read_call(&core, request).await {
         Ok(call) => carry_out(&core, call),
         Err(error) => {
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -23,6 +23,7 @@
 use crate::desk::GateDesk;
 use crate::edge::EdgeProtocol;
 use crate::message::PeerHead;
+use crate::metrics::MetricBoard;
 use crate::settings::ProxySettings;
 use crate::store::SharedStore;
 use crate::target_client::TargetClient;
@@ -54,6 +55,8 @@
     pub target_client: TargetClient,
     /// Admission to the target beside the daemon.
     pub desk: GateDesk,
+    /// Counters and histograms.
+    pub metrics: MetricBoard,
     /// Tasks that end by themselves.
     pub tasks: TaskTracker,
     /// Wakes the membership after a change of the target.
@@ -80,7 +83,7 @@
         store: SharedStore,
         clock: SharedClock,
         limits: WireLimits,
-    ) -> Self {
+    ) -> model::Result<Self> {
         let id = DaemonId(xxhash_rust::xxh3::xxh3_64(settings.vm.as_str().as_bytes()));
         let wall = clock.wall().duration_since(std::time::UNIX_EPOCH);
         let incarnation = IncarnationNumber(wall.map_or(0, |time| time.as_millis() as u64));
@@ -91,7 +94,8 @@
         let random = SmallRng::from_rng(&mut rand::rng());
         let silence = settings.report_interval * MISSED_REPORTS;
         let holder = HolderId::new(id, incarnation);
-        Self {
+        Ok(Self {
+            metrics: MetricBoard::new()?,
             id,
             incarnation,
             pool: Arc::new(PeerPool::new(limits)),
@@ -119,7 +123,7 @@
             edge,
             store,
             clock,
-        }
+        })
     }
 
     /// The configuration in force.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -13,7 +13,7 @@
 //! 4. [`desk`] admits it, and [`runner`] runs it at the target through [`target_client`].
 //!
 //! Beside that run [`control`] (reports of the target, readiness),
-//! [`config_watch`], [`membership`] and [`probe`]. [`run`] starts and stops all.
+//! [`config_watch`], [`membership`], [`probe`] and [`metrics`]. [`run`] starts and stops all.
 
 pub mod config_watch;
 pub mod control;
@@ -24,6 +24,7 @@
 pub mod listener;
 pub mod membership;
 pub mod message;
+pub mod metrics;
 pub mod outbound;
 pub mod probe;
 pub mod relay;
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -41,6 +41,7 @@
     let mut reply = match take_in(&core, request).await {
         Ok(call) => serve(&core, call).await,
         Err(error) => {
+            core.metrics.count_error(error.kind);
             log::info!(kind:% = error.kind, cause = &*error.detail; "request refused");
             let absent = error.kind == ErrorKind::ConfigAbsent;
             own_reply(&core.edge, error.kind, absent.then_some(CONFIG_RETRY_AFTER))
@@ -55,11 +56,16 @@
 
 async fn serve(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
     let request_id = call.head.request_id.clone();
+    let mut watch = CallerWatch {
+        request_id: request_id.clone(),
+        answered: false,
+    };
     let mut reply = if call.head.inner {
         serve_inner(core, call).await
     } else {
         serve_entering(core, call).await
     };
+    watch.answered = true;
     if let Ok(id) = HeaderValue::from_str(&request_id) {
         let name = core.edge.headers.request_id.clone();
         reply.headers_mut().insert(name, id);
@@ -67,6 +73,20 @@
     reply
 }
 
+/// Tells of a caller that left: its connection drops the future that holds this.
+struct CallerWatch {
+    request_id: Box<str>,
+    answered: bool,
+}
+
+impl Drop for CallerWatch {
+    fn drop(&mut self) {
+        if !self.answered {
+            log::info!(request = &*self.request_id; "caller left");
+        }
+    }
+}
+
 /// Serves a request that a running request made.
 async fn serve_inner(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
     let request_id = call.head.request_id.clone();
@@ -86,6 +106,7 @@
             request = &*call.head.request_id, route = &*call.rule.name;
             "request refused at the entry"
         );
+        core.metrics.count_error(ErrorKind::Overloaded);
         let retry_after = ENTRY_RETRY_AFTER.mul_f32(0.5 + draw);
         return own_reply(&core.edge, ErrorKind::Overloaded, Some(retry_after));
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -14,12 +14,16 @@
 
 use crate::core::ProxyCore;
 use crate::message::{CallAnswer, CallHead};
+use crate::metrics::RequestOutcome;
 use crate::reply::{CallerReply, ReplyBody, own_reply, target_reply};
 use crate::runner::{RunBody, RunEnd, TargetCall, run_call};
 
 /// Longest answer that is held whole, so that a broken one can be asked for again.
 const WHOLE_ANSWER_BYTES: usize = 512 << 10;
 
+/// One in this many requests that end well is told of in the log.
+const SAMPLED_PART: u64 = 128;
+
 /// A request on its way out.
 #[derive(Debug)]
 pub struct RelayCall {
@@ -95,6 +99,8 @@
             load: attempt.load,
         };
         core.picker().finish(&ticket, &outcome);
+        core.metrics
+            .count_attempt(service.as_str(), end_word(attempt.end));
         drop(ticket);
         let step = if now >= call.deadline && attempt.end == AttemptEnd::Broken {
             NextStep::Fail(ErrorKind::DeadlineExceeded)
@@ -102,12 +108,7 @@
             plan.next(attempt.end, now, || core.budget().spend(&service))
         };
         if attempt.end != AttemptEnd::Answered {
-            let load = attempt.load.unwrap_or_default();
-            log::info!(
-                request = &*call.head.request_id, route = &*call.rule.name, daemon:% = daemon,
-                end:? = attempt.end, next:? = step, cause = &*attempt.detail,
-                running = load.in_flight.0, queued = load.queued.0; "attempt failed"
-            );
+            note_attempt(&call, daemon, &attempt, step);
         }
         if let Some(reply) = attempt.reply.take() {
             last.reply = Some(reply);
@@ -120,6 +121,42 @@
     }
 }
 
+/// Tells of an attempt that did not end the request.
+fn note_attempt(call: &RelayCall, daemon: DaemonId, attempt: &AttemptResult, step: NextStep) {
+    let load = attempt.load.unwrap_or_default();
+    let (kind, arrived) = match attempt.end {
+        AttemptEnd::Refused { kind, arrived, .. } => (kind.answer().name, arrived),
+        _ => ("", true),
+    };
+    log::info!(
+        request = &*call.head.request_id, route = &*call.rule.name, daemon:% = daemon,
+        end = end_word(attempt.end), kind, arrived, next = step_word(step),
+        cause = &*attempt.detail, running = load.in_flight.0, queued = load.queued.0;
+        "attempt ended"
+    );
+}
+
+/// The word of a decision in log lines.
+fn step_word(step: NextStep) -> &'static str {
+    match step {
+        NextStep::Another => "another-target",
+        NextStep::Deliver => "deliver",
+        NextStep::Refuse { .. } => "refuse",
+        NextStep::Fail(_) => "fail",
+    }
+}
+
+/// The label of an attempt's end.
+fn end_word(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Answered => "answered",
+        AttemptEnd::ServerFailed => "failed",
+        AttemptEnd::Refused { arrived: false, .. } => "refused",
+        AttemptEnd::Refused { arrived: true, .. } => "refused-by-target",
+        AttemptEnd::Broken => "broken",
+    }
+}
+
 fn pick(core: &ProxyCore, call: &RelayCall, asked: &[DaemonId]) -> Option<PickTicket> {
     let mut picker = core.picker();
     match call.rule.safety {
@@ -138,17 +175,29 @@
             } else {
                 EntryEnd::Ran
             };
+            let outcome = if reply.status().is_server_error() {
+                RequestOutcome::Failed
+            } else {
+                RequestOutcome::Served
+            };
+            count(core, call, outcome);
+            let failed = outcome == RequestOutcome::Failed;
+            if failed || is_sampled(&call.head.request_id) {
+                note_end(core, call, outcome.as_str(), None);
+            }
             return RelayEnd { reply, end, called };
         }
         (NextStep::Refuse { kind, retry_after }, _) => (refusal_kind(kind), Some(retry_after)),
         (NextStep::Fail(kind), _) => (kind, None),
         (NextStep::Deliver | NextStep::Another, _) => (ErrorKind::OutcomeUnknown, None),
     };
-    log::info!(
-        request = &*call.head.request_id, route = &*call.rule.name, kind:% = kind,
-        waited_ms = core.clock.now().saturating_duration_since(call.since).as_millis() as u64;
-        "request not served"
-    );
+    note_end(core, call, kind.answer().name, retry_after);
+    let outcome = match retry_after {
+        Some(_) => RequestOutcome::Refused,
+        None => RequestOutcome::Unknown,
+    };
+    count(core, call, outcome);
+    core.metrics.count_error(kind);
     RelayEnd {
         reply: own_reply(&core.edge, kind, retry_after),
         end: if retry_after.is_some() {
@@ -160,6 +209,34 @@
     }
 }
 
+/// Tells how a request ended, and what decided it.
+fn note_end(core: &ProxyCore, call: &RelayCall, end: &str, retry_after: Option<Duration>) {
+    let now = core.clock.now();
+    let version = core.keeper().version().unwrap_or_default();
+    log::info!(
+        request = &*call.head.request_id, route = &*call.rule.name,
+        service = call.head.service.as_str(), version:% = version, inner = call.head.inner, end,
+        took_ms = now.saturating_duration_since(call.since).as_millis() as u64,
+        left_ms = call.deadline.saturating_duration_since(now).as_millis() as u64,
+        retry_after_ms = retry_after.unwrap_or_default().as_millis() as u64;
+        "request ended"
+    );
+}
+
+/// Whether a request that ended well is told of; the same ones on every daemon.
+pub fn is_sampled(request_id: &str) -> bool {
+    // Calls are sampled with the request that made them.
+    let first = request_id.split('.').next().unwrap_or_default();
+    xxhash_rust::xxh3::xxh3_64(first.as_bytes()).is_multiple_of(SAMPLED_PART)
+}
+
+fn count(core: &ProxyCore, call: &RelayCall, outcome: RequestOutcome) {
+    let took = core.clock.now().saturating_duration_since(call.since);
+    let head = &call.head;
+    core.metrics
+        .count_request(head.service.as_str(), head.inner, outcome, took);
+}
+
 /// A refusal for lack of time is one for lack of room: with a fresh deadline it may be served.
 fn refusal_kind(kind: ErrorKind) -> ErrorKind {
     match kind {
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -42,6 +42,8 @@
 const QUIET_TIME: Duration = Duration::from_millis(1200);
 /// Part of the grace kept back for closing.
 const CLOSING_TIME: Duration = Duration::from_millis(900);
+/// Listeners of the platform: readiness, reports and metrics.
+const CONTROL_LISTENERS: usize = 3;
 /// Time between two looks whether all has ended.
 const IDLE_POLL: Duration = Duration::from_millis(50);
 
@@ -78,18 +80,19 @@
     let peers = bind(settings.peer_address).await?;
     let ready = bind(settings.ready_address).await?;
     let reports = bind(settings.report_address).await?;
+    let metrics = bind(settings.metrics_address).await?;
     let core = Arc::new(ProxyCore::new(
         parts.settings,
         parts.edge,
         parts.store,
         parts.clock,
         PEER_LIMITS,
-    ));
+    )?);
     log::info!(
         vm:% = settings.vm, run:% = core.incarnation, domain:% = settings.domain,
         service:% = settings.service; "started"
     );
-    let running = start_parts(&core, callers, peers, [ready, reports]);
+    let running = start_parts(&core, callers, peers, [ready, reports, metrics]);
     stop.cancelled().await;
     running.stop(&core).await;
     log::info!("stopped");
@@ -109,7 +112,7 @@
     core: &Arc<ProxyCore>,
     callers: TcpListener,
     peers: TcpListener,
-    control: [TcpListener; 2],
+    control: [TcpListener; CONTROL_LISTENERS],
 ) -> RunningParts {
     let running = RunningParts {
         tracker: TaskTracker::new(),
@@ -199,8 +202,8 @@
         self.tracker.close();
         core.tasks.close();
         let closing = async {
-            // The control listener answers until the rest has ended.
-            while self.tracker.len() > 2 {
+            // The control listeners answer until the rest has ended.
+            while self.tracker.len() > CONTROL_LISTENERS {
                 sleep(IDLE_POLL).await;
             }
             self.control.cancel();
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -19,6 +19,7 @@
 use crate::core::ProxyCore;
 use crate::desk::{DeskPlace, DeskRequest};
 use crate::message::{CallHead, HeaderList, pack_headers, unpack_headers};
+use crate::relay::is_sampled;
 use crate::target_client::{SendFailure, TargetExchange};
 
 /// Time kept back for the answer's way to the caller.
@@ -119,6 +120,51 @@
 
 /// Admits the request and runs it.
 pub async fn run_call(core: &Arc<ProxyCore>, call: TargetCall) -> RunEnd {
+    let end = admit_and_run(core, &call).await;
+    note_run_end(core, &call, &end);
+    end
+}
+
+/// Tells how a run ended: all that did not end well, and the sampled ones.
+fn note_run_end(core: &ProxyCore, call: &TargetCall, end: &RunEnd) {
+    let (word, kind, cause, waited) = match end {
+        RunEnd::Answered(answer) => {
+            let failed = answer.status.is_server_error();
+            if !failed && !is_sampled(&call.head.request_id) {
+                return;
+            }
+            let word = if failed { "failed" } else { "answered" };
+            let cause = if answer.starved {
+                "a call found no room"
+            } else {
+                ""
+            };
+            (word, "", cause, answer.waited)
+        }
+        RunEnd::Refused(refusal) => {
+            let kind = refusal.kind.answer().name;
+            let cause = if refusal.arrived {
+                "refused by the target"
+            } else {
+                ""
+            };
+            ("refused", kind, cause, Duration::ZERO)
+        }
+        RunEnd::Broken(detail) => ("broken", "", &**detail, Duration::ZERO),
+    };
+    let load = core.desk.load();
+    let now = core.clock.now();
+    log::info!(
+        request = &*call.head.request_id, caller = call.head.caller_service.as_str(),
+        end = word, kind, cause, waited_ms = waited.as_millis() as u64,
+        took_ms = now.saturating_duration_since(call.since).as_millis() as u64,
+        left_ms = call.deadline().saturating_duration_since(now).as_millis() as u64,
+        running = load.in_flight.0, queued = load.queued.0;
+        "run ended"
+    );
+}
+
+async fn admit_and_run(core: &Arc<ProxyCore>, call: &TargetCall) -> RunEnd {
     let report = match willing_target(core, &call.head) {
         Ok(report) => report,
         Err(refusal) => return RunEnd::Refused(refusal),
@@ -156,7 +202,7 @@
         print,
         sound: false,
     };
-    run_admitted(core, &call, place, watched).await
+    run_admitted(core, call, place, watched).await
 }
 
 /// A run that the lineage and the watch of crashing requests know of until it is dropped.
@@ -310,6 +356,13 @@
     }
     let packed = pack_headers(headers, &[]);
     let waited = place.waited;
+    let ran = core
+        .clock
+        .now()
+        .saturating_duration_since(call.since)
+        .saturating_sub(waited);
+    core.metrics
+        .note_run(call.head.service.as_str(), waited, ran);
     let rest = call.deadline().saturating_duration_since(core.clock.now());
     let body = match timeout(rest, read_body(&mut exchange.response)).await {
         Ok(Ok(ReadBody::Whole(bytes))) => {
