Tell one request's story from the daemons' lines: quetzal explain

Cause: lines of a request lie in the files of several daemons. Change: a subcommand that puts the lines of a request and of the calls that its run made in order. Test: a failed request followed over three daemons to the call that found no room.

--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 pub mod check;
 pub mod demo;
 pub mod diff;
+pub mod explain;
 pub mod history;
 pub mod init;
 pub mod log;
@@ -70,6 +71,9 @@
     /// Show what happened on all daemons, in one order by cause
     #[bpaf(command)]
     Timeline(#[bpaf(external(timeline::timeline_args))] timeline::TimelineArgs),
+    /// Tell one request's story from the daemons' log lines
+    #[bpaf(command, footer("Example: quetzal explain 9c41d07be2a35f68 vm-*.log"))]
+    Explain(#[bpaf(external(explain::explain_args))] explain::ExplainArgs),
     /// Run the log service's stand-in
     #[bpaf(command)]
     Log(#[bpaf(external(log::log_args))] log::LogArgs),
@@ -90,6 +94,7 @@
             Self::History(args) => history::run(&args),
             Self::Status(args) => status::run(&args),
             Self::Timeline(args) => timeline::run(&args),
+            Self::Explain(args) => explain::run(&args),
             Self::Log(args) => log::run(&args),
         }
     }
