Read the store once for each failure domain and hand configurations down a tree

Change: the first daemon of a domain, by id, reads the store; the others hear from it through a tree and check the age of its knowledge; readers tell one another. A pong may take 1.6 s, and windows hold 0.3 s of the slowest link. Tests of the tree for fleets of 1 to 720.

--- /dev/null
+++ b/crates/mesh/src/follow.rs
@@ -0,0 +1,85 @@
+//! Who reads the configuration from the store, and who hears it from whom.
+//!
+//! In each failure domain one daemon reads the store; the others hear from it
+//! through a tree of the domain's daemons. All daemons order the members of a
+//! domain alike, so no election is needed: the first one reads, and each
+//! other has one parent. Views that differ for a moment cost a second reader
+//! or a question to a daemon that is not the parent, and no more.
+//!
+//! News are told down the tree at once, and the readers tell one another, so
+//! one reader that has lost the store costs its domain nothing. Besides, each
+//! follower asks its parent regularly how old the parent's knowledge is, and
+//! reads the store itself when that is too old or there is no answer.
+
+use std::time::Duration;
+
+use model::{DaemonId, DomainName};
+use smallvec::SmallVec;
+
+/// Children of one daemon in the tree of its domain: 17 daemons are two levels deep, 150 three.
+const FANOUT: usize = 8;
+/// Age of a parent's knowledge above which a follower reads the store itself. A reader's
+/// knowledge is renewed each 0.8 s, so one missed answer is passed over.
+pub const MAX_SOURCE_AGE: Duration = Duration::from_millis(1600);
+
+/// Another daemon, as far as the order matters.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FollowMember {
+    /// The daemon.
+    pub id: DaemonId,
+    /// Its failure domain.
+    pub domain: DomainName,
+}
+
+/// One daemon's place.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FollowPlan {
+    /// Whom it asks; none if it reads the store.
+    pub parent: Option<DaemonId>,
+    /// Whom it tells of news.
+    pub told: SmallVec<[DaemonId; 12]>,
+}
+
+impl FollowPlan {
+    /// The place of `own` among itself and `others`, who are alive.
+    pub fn new(own: &FollowMember, others: &[FollowMember]) -> Self {
+        let mut mates: Vec<DaemonId> = others
+            .iter()
+            .filter(|member| member.domain == own.domain)
+            .map(|member| member.id)
+            .collect();
+        mates.push(own.id);
+        mates.sort_unstable();
+        let place = mates.iter().position(|id| *id == own.id).unwrap_or(0);
+        let first_child = place * FANOUT + 1;
+        let children = mates.iter().skip(first_child).take(FANOUT);
+        let mut told: SmallVec<[DaemonId; 12]> = children.copied().collect();
+        if place == 0 {
+            told.extend(other_readers(own, others));
+        }
+        Self {
+            parent: place.checked_sub(1).map(|before| mates[before / FANOUT]),
+            told,
+        }
+    }
+
+    /// Whether the daemon reads the store.
+    pub fn is_reader(&self) -> bool {
+        self.parent.is_none()
+    }
+}
+
+/// The first daemon of each other domain.
+fn other_readers(own: &FollowMember, others: &[FollowMember]) -> Vec<DaemonId> {
+    let mut domains: Vec<&DomainName> = others.iter().map(|member| &member.domain).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    domains
+        .into_iter()
+        .filter(|domain| **domain != own.domain)
+        .filter_map(|domain| {
+            let members = others.iter().filter(|member| member.domain == *domain);
+            members.map(|member| member.id).min()
+        })
+        .collect()
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`MeshTable`] finds the route of a request; [`ConfigKeeper`] never goes
 //!   back to an older configuration.
+//! - [`FollowPlan`] says who reads the store and who hears from whom.
 //! - [`AttemptPlan`] decides after each attempt whether the request goes to
 //!   another target, within [`FleetBudget`], this daemon's share of the
 //!   retries that the fleet may make.
@@ -20,6 +21,7 @@
 pub mod beside;
 pub mod budget;
 pub mod config;
+pub mod follow;
 pub mod gate;
 pub mod keeper;
 pub mod lineage;
@@ -34,6 +36,7 @@
     CallPriority, CallSafety, CallerLimits, Destination, MeshConfig, MeshVersion, RouteKey,
     RouteRule, ServiceRule,
 };
+pub use follow::{FollowMember, FollowPlan};
 pub use gate::{GateAnswer, GateTicket, KindGate};
 pub use keeper::ConfigKeeper;
 pub use lineage::RunLineage;
--- /dev/null
+++ b/crates/mesh/tests/follow.rs
@@ -0,0 +1,87 @@
+//! Readers and trees of fleets of many shapes.
+
+use std::collections::{HashMap, HashSet};
+
+use model::DaemonId;
+use quetzal_mesh::{FollowMember, FollowPlan};
+
+fn fleet(domains: &[usize]) -> Vec<FollowMember> {
+    let mut members = Vec::new();
+    for (domain, count) in domains.iter().enumerate() {
+        for _ in 0..*count {
+            let number = members.len() as u64 + 1;
+            members.push(FollowMember {
+                id: DaemonId(number.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+                domain: format!("domain-{domain}").parse().expect("a short name"),
+            });
+        }
+    }
+    members
+}
+
+fn plans(members: &[FollowMember]) -> HashMap<DaemonId, FollowPlan> {
+    members
+        .iter()
+        .map(|own| {
+            let others: Vec<FollowMember> = members
+                .iter()
+                .filter(|member| member.id != own.id)
+                .cloned()
+                .collect();
+            (own.id, FollowPlan::new(own, &others))
+        })
+        .collect()
+}
+
+/// Daemons that news of `first` reach, with the largest number of hops.
+fn spread(plans: &HashMap<DaemonId, FollowPlan>, first: DaemonId) -> (HashSet<DaemonId>, usize) {
+    let mut reached = HashSet::from([first]);
+    let mut last = vec![first];
+    let mut hops = 0;
+    while !last.is_empty() {
+        let next: Vec<DaemonId> = last
+            .iter()
+            .flat_map(|id| plans[id].told.iter().copied())
+            .filter(|id| reached.insert(*id))
+            .collect();
+        hops += usize::from(!next.is_empty());
+        last = next;
+    }
+    (reached, hops)
+}
+
+#[test]
+fn each_domain_has_one_reader_and_everybody_else_a_parent_in_it() {
+    for domains in [&[1][..], &[3, 2, 2], &[18, 17, 18, 18, 18], &[144; 5]] {
+        let members = fleet(domains);
+        let plans = plans(&members);
+        let readers = plans.values().filter(|plan| plan.is_reader()).count();
+        assert_eq!(readers, domains.len());
+        let domain_of: HashMap<_, _> = members.iter().map(|m| (m.id, &m.domain)).collect();
+        for member in &members {
+            if let Some(parent) = plans[&member.id].parent {
+                assert_eq!(domain_of[&parent], &member.domain);
+                assert!(plans[&parent].told.contains(&member.id));
+            }
+        }
+    }
+}
+
+#[test]
+fn news_of_any_reader_reach_all_daemons_in_a_few_hops() {
+    let members = fleet(&[144; 5]);
+    let plans = plans(&members);
+    let readers = plans.iter().filter(|(_, plan)| plan.is_reader());
+    for (reader, _) in readers {
+        let (reached, hops) = spread(&plans, *reader);
+        assert_eq!(reached.len(), members.len());
+        assert!(hops <= 4, "{hops} hops");
+    }
+}
+
+#[test]
+fn no_daemon_tells_more_than_a_dozen_others() {
+    let plans = plans(&fleet(&[144; 5]));
+    let most = plans.values().map(|plan| plan.told.len()).max();
+    assert!(most.is_some_and(|most| most <= 12), "{most:?}");
+}
--- a/crates/proxy/src/config_watch.rs
+++ b/crates/proxy/src/config_watch.rs
@@ -1,102 +1,279 @@
-//! Follows the configuration: from the store, and from other daemons while it is away.
+//! Follows the configuration: as a reader of the store, or through other daemons.
+//!
+//! [`mesh::FollowPlan`] says who is what. A follower that can't trust its
+//! parent reads the store itself; a reader that has lost the store asks other
+//! daemons, and so does whoever is told that one of them has news.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
-use mesh::MeshConfig;
-use model::{ErrorKind, LogOffset};
+use mesh::follow::MAX_SOURCE_AGE;
+use mesh::{FollowPlan, MeshConfig, MeshVersion};
+use model::{DaemonId, ErrorKind, LogOffset};
+use rand::Rng;
 use rand::seq::IteratorRandom;
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::core::ProxyCore;
-use crate::message::PeerHead;
+use crate::message::{ConfigAnswer, PeerHead};
 
-/// Longest wait of one read. With the time for its answer it bounds how long a store that
-/// went silent is trusted: below the 3 s after which the platform counts it as stable again.
-const READ_WAIT: Duration = Duration::from_secs(2);
-/// Pause between reads, so that versions in quick succession come in one answer.
-const READ_PACE: Duration = Duration::from_millis(500);
+/// Longest wait of one read. Followers take the reader's knowledge to be this old, so it
+/// stays below the time within which a configuration must be in force.
+const READ_WAIT: Duration = Duration::from_millis(800);
+/// Pause between reads that found something, so that versions in quick succession come in
+/// one answer.
+const READ_PACE: Duration = Duration::from_millis(300);
+/// Time after which a read begins with the newest version, not with all since the last one.
+const CATCH_UP_TIME: Duration = Duration::from_secs(5);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time between two questions of a follower to its parent.
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for another daemon to answer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// What a daemon knows of where its configuration comes from.
+#[derive(Debug, Default)]
+pub struct FollowState {
+    plan: Mutex<FollowPlan>,
+    /// When the store confirmed what is in force, directly or through others.
+    confirmed: Mutex<Option<Instant>>,
+    /// Who told of news last, and of which version.
+    news: Mutex<Option<(DaemonId, MeshVersion)>>,
+    woken: Notify,
+}
+
+impl FollowState {
+    /// Takes over a new place.
+    pub fn set_plan(&self, plan: FollowPlan) {
+        let news = {
+            let mut held = lock(&self.plan);
+            let news = held.parent != plan.parent;
+            *held = plan;
+            news
+        };
+        if news {
+            self.woken.notify_one();
+        }
+    }
+
+    /// Time since the store confirmed what is in force.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        lock(&self.confirmed).map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Notes that another daemon has a newer configuration.
+    pub fn note_news(&self, from: DaemonId, version: MeshVersion) {
+        *lock(&self.news) = Some((from, version));
+        self.woken.notify_one();
+    }
+
+    fn plan(&self) -> FollowPlan {
+        lock(&self.plan).clone()
+    }
+
+    fn confirm(&self, at: Instant) {
+        let mut confirmed = lock(&self.confirmed);
+        *confirmed = (*confirmed).max(Some(at));
+    }
+
+    fn take_news(&self) -> Option<(DaemonId, MeshVersion)> {
+        lock(&self.news).take()
+    }
+}
 
 /// Follows the configuration until `token` is cancelled.
 pub async fn watch_config(core: Arc<ProxyCore>, token: CancellationToken) {
+    let mut watch = ConfigWatch {
+        core,
+        next: None,
+        read_at: None,
+        lost: false,
+    };
     tokio::select! {
-        () = follow(&core) => {}
+        () = watch.follow() => {}
         () = token.cancelled() => {}
     }
 }
 
-async fn follow(core: &Arc<ProxyCore>) {
-    let mut next: Option<LogOffset> = None;
-    let mut lost = false;
-    loop {
-        let read = match next {
-            None => core.store.newest_config().await,
-            // A store that was lost is asked for what it has: a read that waits
-            // could hang past its return.
-            Some(from) if lost => core.store.next_config(from, Duration::ZERO).await,
-            Some(from) => core.store.next_config(from, READ_WAIT).await,
+struct ConfigWatch {
+    core: Arc<ProxyCore>,
+    /// Where the next read of the store goes on; none before the first.
+    next: Option<LogOffset>,
+    /// When the store was read last.
+    read_at: Option<Instant>,
+    /// Whether the store did not answer the last read.
+    lost: bool,
+}
+
+impl ConfigWatch {
+    async fn follow(&mut self) {
+        loop {
+            let core = Arc::clone(&self.core);
+            // A reader mostly has what it is told of by the time its own read has ended.
+            let news = core.follow.take_news();
+            if let Some((from, _)) = news.filter(|news| core.keeper().version() < Some(news.1)) {
+                self.ask(from).await;
+                continue;
+            }
+            match core.follow.plan().parent {
+                Some(parent) if self.next.is_some() => {
+                    self.follow_parent(parent).await;
+                    let pause = ASK_INTERVAL.mul_f32(rand::rng().random_range(0.8..1.2));
+                    self.pause(pause).await;
+                }
+                // The first configuration comes from the store whoever reads it later.
+                Some(_) | None => self.read_on(READ_WAIT).await,
+            }
+        }
+    }
+
+    /// Waits for `time`, or until there are news or another place.
+    async fn pause(&self, time: Duration) {
+        tokio::select! {
+            () = sleep(time) => {}
+            () = self.core.follow.woken.notified() => {}
+        }
+    }
+
+    /// Asks the parent; reads the store if its knowledge is too old.
+    async fn follow_parent(&mut self, parent: DaemonId) {
+        let asked = self.ask(parent).await;
+        let age = self.core.follow.age(self.core.clock.now());
+        if asked && age.is_some_and(|age| age <= MAX_SOURCE_AGE) {
+            return;
+        }
+        log::debug!(parent:% = parent, asked; "parent is no source; reading the store");
+        self.read_on(Duration::ZERO).await;
+    }
+
+    /// Reads the store once, and again soon if that fails.
+    async fn read_on(&mut self, wait: Duration) {
+        let begun = self.core.clock.now();
+        let store = &self.core.store;
+        let recent = self
+            .read_at
+            .is_some_and(|at| begun.saturating_duration_since(at) < CATCH_UP_TIME);
+        let read = match self.next.filter(|_| recent) {
+            None => store.newest_config().await,
+            // A store that was lost is asked for what it has: a read that waits could
+            // hang past its return.
+            Some(from) if self.lost => store.next_config(from, Duration::ZERO).await,
+            Some(from) => store.next_config(from, wait).await,
         };
         match read {
             Ok(page) => {
-                core.metrics.set_store(true);
-                if std::mem::take(&mut lost) {
+                self.core.metrics.set_store(true);
+                self.read_at = Some(begun);
+                if std::mem::take(&mut self.lost) {
                     log::info!("store regained");
                 }
-                next = Some(page.next);
+                self.next = Some(page.next);
+                let found = page.newest.is_some();
                 if let Some(config) = page.newest {
-                    offer(core, config, "store");
+                    self.offer(config, "store");
+                }
+                // The answer proves what held when the read began, or later.
+                self.core.follow.confirm(begun);
+                if found {
+                    self.pause(READ_PACE).await;
                 }
-                sleep(READ_PACE).await;
             }
             Err(error) if error.kind == ErrorKind::LogExpired => {
                 log::info!(cause:% = error; "history of the configuration expired; reading the newest");
-                next = None;
+                self.next = None;
             }
             Err(error) => {
-                core.metrics.set_store(false);
-                if !std::mem::replace(&mut lost, true) {
+                self.core.metrics.set_store(false);
+                if !std::mem::replace(&mut self.lost, true) {
                     log::warn!(cause:% = error; "store lost");
                 }
-                ask_peer(core).await;
-                sleep(RETRY_PAUSE).await;
+                self.ask_anybody().await;
+                self.pause(RETRY_PAUSE).await;
             }
         }
     }
-}
 
-/// Puts `config` in force if it is newer.
-fn offer(core: &ProxyCore, config: MeshConfig, source: &str) {
-    let version = config.version;
-    let offered = core.keeper().offer(config);
-    match offered {
-        Ok(Some(table)) => log::info!(
-            version:% = version, source, routes = table.config().routes.len();
-            "configuration in force"
-        ),
-        Ok(None) => log::debug!(version:% = version, source; "configuration is not newer"),
-        Err(error) => {
-            log::error!(version:% = version, source, cause:% = error; "configuration refused");
+    /// Asks any other daemon.
+    async fn ask_anybody(&self) {
+        let peers = self.core.peers();
+        let chosen = peers.keys().choose(&mut rand::rng()).copied();
+        if let Some(id) = chosen {
+            self.ask(id).await;
+        }
+    }
+
+    /// Asks another daemon for a newer configuration; whether it answered.
+    async fn ask(&self, id: DaemonId) -> bool {
+        let Some(address) = self.core.peers().get(&id).copied() else {
+            return false;
+        };
+        let begun = self.core.clock.now();
+        let answer = match ask_peer(&self.core, address).await {
+            Ok(answer) => answer,
+            Err(detail) => {
+                log::debug!(peer:% = id, cause = &*detail; "peer did not tell its configuration");
+                return false;
+            }
+        };
+        if let Some(config) = answer.config {
+            self.offer(config, "peer");
+        }
+        if let Some(at) = answer.age.and_then(|age| begun.checked_sub(age)) {
+            self.core.follow.confirm(at);
+        }
+        true
+    }
+
+    /// Puts `config` in force if it is newer, and tells those who hear from here.
+    fn offer(&self, config: MeshConfig, source: &str) {
+        let version = config.version;
+        let offered = self.core.keeper().offer(config);
+        match offered {
+            Ok(Some(table)) => {
+                log::info!(
+                    version:% = version, source, routes = table.config().routes.len();
+                    "configuration in force"
+                );
+                self.tell_news();
+            }
+            Ok(None) => log::debug!(version:% = version, source; "configuration is not newer"),
+            Err(error) => {
+                log::error!(version:% = version, source, cause:% = error; "configuration refused");
+            }
+        }
+    }
+
+    fn tell_news(&self) {
+        let Some(version) = self.core.keeper().version() else {
+            return;
+        };
+        let head = PeerHead::News {
+            from: self.core.id,
+            version,
+        };
+        let peers = self.core.peers();
+        let told = self.core.follow.plan().told;
+        for address in told.iter().filter_map(|id| peers.get(id)) {
+            self.core.tell(*address, &head);
         }
     }
 }
 
-/// Asks any other daemon for a newer configuration.
-async fn ask_peer(core: &ProxyCore) {
-    let peers = core.peers();
-    let chosen = peers.values().choose(&mut rand::rng()).copied();
-    let Some(address) = chosen else { return };
+async fn ask_peer(core: &ProxyCore, address: SocketAddr) -> Result<ConfigAnswer, Box<str>> {
     let have = core.keeper().version();
     let question = PeerHead::Config { have };
-    let asking = core.pool.ask::<Option<MeshConfig>>(address, &question);
-    match timeout(PEER_TIMEOUT, asking).await {
-        Ok(Ok(Some(config))) => offer(core, config, "peer"),
-        Ok(Ok(None)) => {}
-        Ok(Err(error)) => log::debug!(peer:% = address, cause:% = error; "peer did not answer"),
-        Err(_) => log::debug!(peer:% = address; "peer did not answer in time"),
+    let asking = core.pool.ask::<ConfigAnswer>(address, &question);
+    match timeout(ASK_TIMEOUT, asking).await {
+        Ok(Ok(answer)) => Ok(answer),
+        Ok(Err(error)) => Err(error.to_string().into()),
+        Err(elapsed) => Err(elapsed.to_string().into()),
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -20,6 +20,7 @@
 use tokio_util::task::TaskTracker;
 use wire::{PeerPool, WireLimits};
 
+use crate::config_watch::FollowState;
 use crate::desk::GateDesk;
 use crate::edge::EdgeProtocol;
 use crate::message::PeerHead;
@@ -55,6 +56,8 @@
     pub target_client: TargetClient,
     /// Admission to the target beside the daemon.
     pub desk: GateDesk,
+    /// Where the configuration comes from.
+    pub follow: FollowState,
     /// Counters and histograms.
     pub metrics: MetricBoard,
     /// Tasks that end by themselves.
@@ -95,6 +98,7 @@
         let silence = settings.report_interval * MISSED_REPORTS;
         let holder = HolderId::new(id, incarnation);
         Ok(Self {
+            follow: FollowState::default(),
             metrics: MetricBoard::new()?,
             id,
             incarnation,
@@ -231,14 +235,19 @@
         }
     }
 
+    /// Sends `head`, which is whole in itself, to the daemon at `address`.
+    pub fn tell(&self, address: SocketAddr, head: &PeerHead) {
+        let (pool, head) = (Arc::clone(&self.pool), head.clone());
+        self.tasks.spawn(async move {
+            if let Err(error) = pool.tell(address, &head).await {
+                log::debug!(peer:% = address, cause:% = error; "message lost");
+            }
+        });
+    }
+
     fn tell_peers(&self, head: &PeerHead) {
         for address in self.peers().values() {
-            let (pool, head, address) = (Arc::clone(&self.pool), head.clone(), *address);
-            self.tasks.spawn(async move {
-                if let Err(error) = pool.tell(address, &head).await {
-                    log::debug!(peer:% = address, cause:% = error; "message lost");
-                }
-            });
+            self.tell(*address, head);
         }
     }
 }
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -10,7 +10,7 @@
 
 use crate::core::ProxyCore;
 use crate::membership::MembershipDesk;
-use crate::message::{CallAnswer, CallHead, PeerHead};
+use crate::message::{CallAnswer, CallHead, ConfigAnswer, PeerHead};
 use crate::runner::{RunBody, RunEnd, TargetCall, run_call};
 
 /// Results of an exchange; the kinds are those of [`wire`].
@@ -61,8 +61,17 @@
         PeerHead::Config { have } => {
             let table = core.table();
             let newer = table.filter(|table| Some(table.version()) > have);
-            let config = newer.map(|table| table.config().as_ref().clone());
-            responder.answer_whole(&config).await
+            let answer = ConfigAnswer {
+                config: newer.map(|table| table.config().as_ref().clone()),
+                age: core.follow.age(core.clock.now()),
+            };
+            responder.answer_whole(&answer).await
+        }
+        PeerHead::News { from, version } => {
+            if core.keeper().version() < Some(version) {
+                core.follow.note_news(from, version);
+            }
+            responder.acknowledge()
         }
     }
 }
--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -10,9 +10,10 @@
 
 use feed::port::{LogRecord, ReadAnswer, RecordBatch};
 use members::{
-    JoinPace, MemberNode, MemberOutput, MemberProfile, MemberSettings, TICK_INTERVAL, TargetDigest,
-    TargetState, TargetView,
+    JoinPace, MemberNode, MemberOutput, MemberProfile, MemberSettings, MemberState, TICK_INTERVAL,
+    TargetDigest, TargetState, TargetView,
 };
+use mesh::{FollowMember, FollowPlan};
 use model::{CallCount, DaemonId, IncarnationNumber, LogOffset, ServiceName};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -264,11 +265,24 @@
     /// Publishes who is there to the choice of targets and to those who send.
     fn publish(&self) {
         let mut book = PeerBook::new();
+        let mut alive = Vec::new();
         for member in self.node.members() {
-            if member.id != self.core.id && member.state.is_live() {
-                book.insert(member.id, member.profile.peer_address);
+            if member.id == self.core.id || !member.state.is_live() {
+                continue;
+            }
+            book.insert(member.id, member.profile.peer_address);
+            if member.state == MemberState::Alive && !member.draining {
+                alive.push(FollowMember {
+                    id: member.id,
+                    domain: member.profile.domain,
+                });
             }
         }
+        let own = FollowMember {
+            id: self.core.id,
+            domain: self.core.settings.domain.clone(),
+        };
+        self.core.follow.set_plan(FollowPlan::new(&own, &alive));
         self.core.budget().resize(book.len() + 1);
         self.core.set_peers(book);
         let mut services: HashMap<ServiceName, Vec<route::TargetView>> = HashMap::new();
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue};
 use mesh::lineage::CalledServices;
-use mesh::{CallPriority, CallSafety, MeshVersion, RouteKey};
+use mesh::{CallPriority, CallSafety, MeshConfig, MeshVersion, RouteKey};
 use model::{DaemonId, ErrorKind, KindError, ServiceName};
 use once::poison::PoisonMessage;
 use route::TargetLoad;
@@ -35,6 +35,22 @@
         /// The sender's version.
         have: Option<MeshVersion>,
     },
+    /// Tells that a configuration is in force at the sender.
+    News {
+        /// The sender.
+        from: DaemonId,
+        /// The version.
+        version: MeshVersion,
+    },
+}
+
+/// The answer to a question for the configuration.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ConfigAnswer {
+    /// The configuration, if it is newer than that of who asks.
+    pub config: Option<MeshConfig>,
+    /// Time since the store confirmed it; none if it never did.
+    pub age: Option<Duration>,
 }
 
 /// A request on its way to a target.
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -53,11 +53,13 @@
     max_streams: 1024,
     max_connections: 2048,
     max_links: 160,
-    stream_window_bytes: 256 << 10,
-    connection_window_bytes: 2 << 20,
+    stream_window_bytes: 128 << 10,
+    connection_window_bytes: 256 << 10,
     connect_timeout: Duration::from_millis(250),
     idle_timeout: Duration::from_secs(60),
     ping_interval: Duration::from_millis(400),
+    // A window takes 0.3 s on the slowest links, and several peers may share one.
+    ping_timeout: Duration::from_millis(1600),
 };
 
 /// What a daemon is made of.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -46,8 +46,11 @@
     pub connect_timeout: Duration,
     /// A connection without streams is closed after this time.
     pub idle_timeout: Duration,
-    /// A connection on which somebody waits is pinged this often; a missing pong closes it.
+    /// A connection on which somebody waits is pinged this often.
     pub ping_interval: Duration,
+    /// A connection whose pong is missing for this time is closed; a pong waits behind
+    /// the bytes on the link, so this is above the time that a full window takes.
+    pub ping_timeout: Duration,
 }
 
 impl Default for WireLimits {
@@ -62,6 +65,7 @@
             connect_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(60),
             ping_interval: Duration::from_secs(5),
+            ping_timeout: Duration::from_secs(5),
         }
     }
 }
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -310,7 +310,7 @@
         if !usage.needs_ping(limits.ping_interval * 2) {
             continue;
         }
-        let pinged = timeout(limits.ping_interval, pings.ping(Ping::opaque()));
+        let pinged = timeout(limits.ping_timeout, pings.ping(Ping::opaque()));
         if !matches!(pinged.await, Ok(Ok(_))) {
             return;
         }
