Admit large bodies by the link; leave silence of links to the kernel

Cause (grown sites): 12 targets for uploads stand on links of 12.6 Mbit/s and get 199 Mbit/s of uploads; full links delayed answers, membership, configurations and pongs, and a late pong closed connections with requests on them (LOST, 502 of uploads that reached no server).

Change: a daemon refuses a large body that its link has no room for before most of it is sent, and the sender takes that answer while it still sends; silent connections are closed by the kernel's own time-outs, pings only find a daemon that hangs.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`RunLineage`] tells which requests a running request made.
 //! - [`KindGate`] stands beside a target and alone decides what it runs: who
 //!   waits, in which order, and who is refused at once.
+//! - [`LinkGate`] keeps large bodies from filling a slow link.
 //! - [`OwnTarget`] holds what is known of the target beside the daemon.
 //!
 //! To embed: look the route up, pick a target with [`route::TargetPicker`],
@@ -25,6 +26,7 @@
 pub mod gate;
 pub mod keeper;
 pub mod lineage;
+pub mod link;
 pub mod table;
 pub mod throttle;
 pub mod turn;
@@ -40,6 +42,7 @@
 pub use gate::{GateAnswer, GateTicket, KindGate};
 pub use keeper::ConfigKeeper;
 pub use lineage::RunLineage;
+pub use link::LinkGate;
 pub use table::MeshTable;
 pub use throttle::{EntryEnd, EntryThrottle};
 pub use turn::WeightedTurn;
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use mesh::{
-    ConfigKeeper, EntryThrottle, FleetBudget, MeshTable, OwnTarget, RouteKey, RunLineage,
+    ConfigKeeper, EntryThrottle, FleetBudget, LinkGate, MeshTable, OwnTarget, RouteKey, RunLineage,
     WeightedTurn,
 };
 use model::{DaemonId, IncarnationNumber, SharedClock};
@@ -60,6 +60,8 @@
     pub follow: FollowState,
     /// Counters and histograms.
     pub metrics: MetricBoard,
+    /// Large bodies on their way in.
+    pub link: LinkGate,
     /// Tasks that end by themselves.
     pub tasks: TaskTracker,
     /// Wakes the membership after a change of the target.
@@ -105,6 +107,7 @@
             pool: Arc::new(PeerPool::new(limits)),
             target_client: TargetClient::new(settings.target_address),
             desk: GateDesk::new(Arc::clone(&clock)),
+            link: LinkGate::new(settings.link_bytes_per_s),
             tasks: TaskTracker::new(),
             target_changed: Notify::new(),
             keeper: Mutex::default(),
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -1,8 +1,10 @@
 //! What other daemons send.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use mesh::link::LinkRoom;
 use model::ErrorKind;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -83,7 +85,11 @@
     mut responder: PeerResponder,
 ) -> Result<()> {
     let since = core.clock.now();
-    let body = read_body(&mut receiver).await?;
+    let room = match core.link.admit(head.body_size, head.remaining) {
+        Ok(room) => room,
+        Err(retry_after) => return refuse_body(core, retry_after, responder).await,
+    };
+    let body = read_body(&mut receiver, room).await?;
     let call = TargetCall { head, body, since };
     let end = tokio::select! {
         end = run_call(core, call) => end,
@@ -132,18 +138,37 @@
     }
 }
 
-async fn read_body(receiver: &mut BodyReceiver) -> Result<Bytes> {
+/// Refuses a body that the link has no room for, before most of it was sent.
+async fn refuse_body(
+    core: &ProxyCore,
+    retry_after: Duration,
+    responder: PeerResponder,
+) -> Result<()> {
+    let answer = CallAnswer::Refused {
+        kind: ErrorKind::QueueFull,
+        arrived: false,
+        retry_after: Some(retry_after),
+        load: core.desk.load(),
+    };
+    responder.answer_whole(&answer).await
+}
+
+async fn read_body(receiver: &mut BodyReceiver, mut room: LinkRoom) -> Result<Bytes> {
     let Some(first) = receiver.next().await else {
         return Ok(Bytes::new());
     };
     let first = first?;
+    room.arrived(first.len());
     let Some(second) = receiver.next().await else {
         return Ok(first);
     };
     let mut body = BytesMut::from(&*first);
-    body.extend_from_slice(&second?);
-    while let Some(piece) = receiver.next().await {
-        body.extend_from_slice(&piece?);
+    let mut next = Some(second);
+    while let Some(piece) = next {
+        let piece = piece?;
+        room.arrived(piece.len());
+        body.extend_from_slice(&piece);
+        next = receiver.next().await;
     }
     Ok(body.freeze())
 }
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use mesh::lineage::CalledServices;
 use mesh::{CallPriority, CallSafety, MeshConfig, MeshVersion, RouteKey};
-use model::{DaemonId, ErrorKind, KindError, ServiceName};
+use model::{ByteCount, DaemonId, ErrorKind, KindError, ServiceName};
 use once::poison::PoisonMessage;
 use route::TargetLoad;
 use serde::{Deserialize, Serialize};
@@ -64,6 +64,8 @@
     pub path: Box<str>,
     /// Headers to pass on, without those that the mesh sets.
     pub headers: HeaderList,
+    /// Size of the body.
+    pub body_size: ByteCount,
     /// The service that is to run it.
     pub service: ServiceName,
     /// Service on whose VM it began.
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use mesh::{EntryEnd, MeshTable};
-use model::{ErrorKind, KindError, ServiceName};
+use model::{ByteCount, ErrorKind, KindError, ServiceName};
 use rand::Rng;
 use tokio::time::timeout;
 
@@ -143,7 +143,8 @@
         &names.caller_service,
         &names.expected_target,
     ];
-    let head = CallHead {
+    let mut head = CallHead {
+        body_size: ByteCount(0),
         request_id: request_id.into(),
         method: parts.method.as_str().into(),
         path: path.into(),
@@ -159,6 +160,7 @@
     };
     let rest = deadline.saturating_duration_since(core.clock.now());
     let body = read_body(&table, body, rest).await?;
+    head.body_size = ByteCount(body.len() as u64);
     Ok(RelayCall {
         head,
         body,
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -10,7 +10,7 @@
 use route::{CallOutcome, CallResult, PickTicket, TargetLoad};
 use smallvec::SmallVec;
 use tokio::time::timeout;
-use wire::BodyReceiver;
+use wire::{BodyReceiver, PeerExchange};
 
 use crate::core::ProxyCore;
 use crate::message::{CallAnswer, CallHead};
@@ -278,17 +278,24 @@
     call: &RelayCall,
 ) -> model::Result<AttemptResult> {
     let message = crate::message::PeerHead::Call(Box::new(head.clone()));
-    let mut exchange = core.pool.open(address, &message).await?;
-    if !call.body.is_empty() {
-        let sent = exchange.sender.send(call.body.clone()).await;
-        sent.map_err(after_head)?;
-    }
-    exchange.sender.finish().map_err(after_head)?;
-    let (answer, receiver) = exchange
-        .answer
-        .head::<CallAnswer>()
-        .await
-        .map_err(after_head)?;
+    let PeerExchange { mut sender, answer } = core.pool.open(address, &message).await?;
+    let mut answering = std::pin::pin!(answer.head::<CallAnswer>());
+    let body = call.body.clone();
+    let sending = async move {
+        sender.send(body).await?;
+        sender.finish()
+    };
+    // The other daemon may refuse before it has taken the body.
+    let answered = tokio::select! {
+        answered = &mut answering => answered,
+        sent = sending => {
+            if let Err(error) = sent {
+                log::debug!(peer:% = address, cause:% = error; "body not taken");
+            }
+            answering.await
+        }
+    };
+    let (answer, receiver) = answered.map_err(after_head)?;
     Ok(peer_result(answer, receiver).await)
 }
 
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -53,13 +53,15 @@
     max_streams: 1024,
     max_connections: 2048,
     max_links: 160,
-    stream_window_bytes: 128 << 10,
+    // A body beyond this waits until the daemon beside the target has room on its link.
+    stream_window_bytes: 32 << 10,
     connection_window_bytes: 256 << 10,
     connect_timeout: Duration::from_millis(250),
     idle_timeout: Duration::from_secs(60),
     ping_interval: Duration::from_millis(400),
-    // A window takes 0.3 s on the slowest links, and several peers may share one.
-    ping_timeout: Duration::from_millis(1600),
+    // Only a daemon that hangs is left to pings; silence of the link is the kernel's.
+    ping_timeout: Duration::from_secs(4),
+    silence_timeout: Duration::from_secs(1),
 };
 
 /// What a daemon is made of.
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -33,6 +33,8 @@
     pub target_address: SocketAddr,
     /// The platform's store.
     pub store_address: SocketAddr,
+    /// Bytes a second that the VM's link carries.
+    pub link_bytes_per_s: f64,
     /// Time between two reports of a target.
     pub report_interval: Duration,
     /// What the fleet may repeat at one service.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 mod links;
 pub mod pool;
 pub mod server;
+mod silence;
 
 pub use body::{BodyReceiver, BodySender};
 pub use codec::{decode_message, encode_message};
@@ -51,6 +52,9 @@
     /// A connection whose pong is missing for this time is closed; a pong waits behind
     /// the bytes on the link, so this is above the time that a full window takes.
     pub ping_timeout: Duration,
+    /// A connection on which sent bytes stay unacknowledged for this time is closed by
+    /// the kernel, which also probes an idle one this often; zero leaves its defaults.
+    pub silence_timeout: Duration,
 }
 
 impl Default for WireLimits {
@@ -66,6 +70,7 @@
             idle_timeout: Duration::from_secs(60),
             ping_interval: Duration::from_secs(5),
             ping_timeout: Duration::from_secs(5),
+            silence_timeout: Duration::ZERO,
         }
     }
 }
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -22,6 +22,7 @@
 use crate::body::{BodyReceiver, BodySender, stream_error};
 use crate::codec::encode_frame;
 use crate::links::{LinkBook, LinkUsage, StreamKind, StreamTicket};
+use crate::silence::bound_silence;
 use crate::{Result, WireLimits};
 
 type LinkSlot = Arc<tokio::sync::Mutex<Option<PeerLink>>>;
@@ -271,6 +272,7 @@
     };
     let socket = TcpStream::connect(address).await.map_err(failed)?;
     socket.set_nodelay(true).map_err(failed)?;
+    bound_silence(&socket, limits.silence_timeout).map_err(failed)?;
     let (requests, connection) = h2::client::Builder::new()
         .initial_window_size(limits.stream_window_bytes)
         .initial_connection_window_size(limits.connection_window_bytes)
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -23,6 +23,7 @@
 
 use crate::body::{BodyReceiver, BodySender, stream_error};
 use crate::links::{LinkBook, LinkUsage, StreamKind};
+use crate::silence::bound_silence;
 use crate::{Result, WireLimits};
 
 /// Time for the head of an exchange to arrive.
@@ -232,8 +233,9 @@
 }
 
 async fn accept(socket: TcpStream, limits: WireLimits) -> Result<Connection<TcpStream, Bytes>> {
-    // An error here leaves the socket slower, not wrong.
+    // An error here leaves the socket slower, or its silence noticed later, not wrong.
     drop(socket.set_nodelay(true));
+    drop(bound_silence(&socket, limits.silence_timeout));
     h2::server::Builder::new()
         .initial_window_size(limits.stream_window_bytes)
         .initial_connection_window_size(limits.connection_window_bytes)
