--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -19,7 +19,7 @@
 /// Children of one daemon in the tree of its domain: 17 daemons are two levels deep, 150 three.
 const FANOUT: usize = 8;
 /// Age of a parent's knowledge above which a follower reads the store itself. A reader's
-/// knowledge is renewed each 0.8 s, so one missed answer is passed over.
+/// knowledge is renewed each 0.6 s and each level of the tree adds 0.4 s.
 pub const MAX_SOURCE_AGE: Duration = Duration::from_millis(1600);
 
 /// Another daemon, as far as the order matters.
--- a/crates/proxy/src/config_watch.rs
+++ b/crates/proxy/src/config_watch.rs
@@ -22,7 +22,7 @@
 
 /// Longest wait of one read. Followers take the reader's knowledge to be this old, so it
 /// stays below the time within which a configuration must be in force.
-const READ_WAIT: Duration = Duration::from_millis(800);
+const READ_WAIT: Duration = Duration::from_millis(600);
 /// Pause between reads that found something, so that versions in quick succession come in
 /// one answer.
 const READ_PACE: Duration = Duration::from_millis(300);
@@ -31,7 +31,7 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time between two questions of a follower to its parent.
-const ASK_INTERVAL: Duration = Duration::from_millis(500);
+const ASK_INTERVAL: Duration = Duration::from_millis(400);
 /// Time for another daemon to answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -92,6 +92,7 @@
         next: None,
         read_at: None,
         lost: false,
+        parent_trusted: false,
     };
     tokio::select! {
         () = watch.follow() => {}
@@ -107,6 +108,8 @@
     read_at: Option<Instant>,
     /// Whether the store did not answer the last read.
     lost: bool,
+    /// Whether the parent answered last and its knowledge was young enough.
+    parent_trusted: bool,
 }
 
 impl ConfigWatch {
@@ -141,13 +144,17 @@
 
     /// Asks the parent; reads the store if its knowledge is too old.
     async fn follow_parent(&mut self, parent: DaemonId) {
-        let asked = self.ask(parent).await;
+        let answered = self.ask(parent).await;
         let age = self.core.follow.age(self.core.clock.now());
-        if asked && age.is_some_and(|age| age <= MAX_SOURCE_AGE) {
-            return;
+        let trusted = answered && age.is_some_and(|age| age <= MAX_SOURCE_AGE);
+        if self.parent_trusted != trusted {
+            self.parent_trusted = trusted;
+            let age_ms = age.unwrap_or_default().as_millis() as u64;
+            log::info!(parent:% = parent, answered, age_ms, trusted; "source of the configuration");
+        }
+        if !trusted {
+            self.read_on(Duration::ZERO).await;
         }
-        log::debug!(parent:% = parent, asked; "parent is no source; reading the store");
-        self.read_on(Duration::ZERO).await;
     }
 
     /// Reads the store once, and again soon if that fails.
@@ -157,12 +164,14 @@
         let recent = self
             .read_at
             .is_some_and(|at| begun.saturating_duration_since(at) < CATCH_UP_TIME);
-        let read = match self.next.filter(|_| recent) {
+        let from = self.next.filter(|_| recent);
+        // A store that was lost is asked for what it has: a read that waits could hang
+        // past its return.
+        let waits = from.is_some() && !self.lost;
+        let waited = if waits { wait } else { Duration::ZERO };
+        let read = match from {
             None => store.newest_config().await,
-            // A store that was lost is asked for what it has: a read that waits could
-            // hang past its return.
-            Some(from) if self.lost => store.next_config(from, Duration::ZERO).await,
-            Some(from) => store.next_config(from, wait).await,
+            Some(from) => store.next_config(from, waited).await,
         };
         match read {
             Ok(page) => {
@@ -176,8 +185,10 @@
                 if let Some(config) = page.newest {
                     self.offer(config, "store");
                 }
-                // The answer proves what held when the read began, or later.
-                self.core.follow.confirm(begun);
+                // An answer without records proves what held when the wait had ended, one
+                // with records only what held when the read began.
+                let proven = if found { begun } else { begun + waited };
+                self.core.follow.confirm(proven.min(self.core.clock.now()));
                 if found {
                     self.pause(READ_PACE).await;
                 }
