Send a large body only once the daemon beside the target has room for it

The link's gate refused bodies, but each refused one had already sent a window of 64 kB, and a refused upload asks several daemons; callers' own uploads came in without any gate. Change: a body above 24 kB waits for the other daemon's 'proceed', and an upload of a caller takes room on the same gate before it is read; one that finds none is refused unread, at once. Tests: proxy relay (65,467 bytes sent to a full link before, none now), platform path.

--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -8,11 +8,11 @@
 use model::ErrorKind;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
-use wire::{BodyReceiver, PeerResponder, PeerStream, WireLimits};
+use wire::{BodyReceiver, BodySender, PeerResponder, PeerStream, WireLimits};
 
 use crate::core::ProxyCore;
 use crate::membership::MembershipDesk;
-use crate::message::{CallAnswer, CallHead, ConfigAnswer, PeerHead};
+use crate::message::{CallAnswer, CallHead, ConfigAnswer, MAX_ANSWER_BYTES, PeerHead};
 use crate::runner::{RunBody, RunEnd, TargetCall, run_call};
 
 /// Results of an exchange; the kinds are those of [`wire`].
@@ -80,13 +80,18 @@
     core: &Arc<ProxyCore>,
     head: CallHead,
     mut receiver: BodyReceiver,
-    mut responder: PeerResponder,
+    responder: PeerResponder,
 ) -> Result<()> {
     let since = core.clock.now();
     let room = match core.link.admit(head.body_size, head.remaining) {
         Ok(room) => room,
         Err(retry_after) => return refuse_body(core, retry_after, responder).await,
     };
+    let mut responder = if head.waits_for_room() {
+        CallResponder::Begun(responder.answer(&CallAnswer::Proceed).await?)
+    } else {
+        CallResponder::Fresh(responder)
+    };
     let body = read_body(&mut receiver, room).await?;
     let call = TargetCall { head, body, since };
     let end = tokio::select! {
@@ -136,7 +141,38 @@
     }
 }
 
-/// Refuses a body that the link has no room for, before most of it was sent.
+/// The way to answer a call, whether or not it was told to send its body.
+#[derive(Debug)]
+enum CallResponder {
+    Fresh(PeerResponder),
+    Begun(BodySender),
+}
+
+impl CallResponder {
+    async fn answer(self, answer: &CallAnswer) -> Result<BodySender> {
+        match self {
+            Self::Fresh(responder) => responder.answer(answer).await,
+            Self::Begun(mut sender) => {
+                sender.send_message(answer, MAX_ANSWER_BYTES).await?;
+                Ok(sender)
+            }
+        }
+    }
+
+    async fn answer_whole(self, answer: &CallAnswer) -> Result<()> {
+        self.answer(answer).await?.finish()
+    }
+
+    /// Waits until the peer has given up the call.
+    async fn abandoned(&mut self) {
+        match self {
+            Self::Fresh(responder) => responder.abandoned().await,
+            Self::Begun(sender) => sender.closed().await,
+        }
+    }
+}
+
+/// Refuses a body that the link has no room for, before it is sent.
 async fn refuse_body(
     core: &ProxyCore,
     retry_after: Duration,
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -4,6 +4,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue};
 use mesh::lineage::CalledServices;
+use mesh::link::SMALL_BODY;
 use mesh::{CallPriority, CallSafety, ConfigUpdate, MeshVersion, RouteKey};
 use model::{ByteCount, DaemonId, ErrorKind, KindError, ServiceName};
 use once::poison::PoisonMessage;
@@ -13,6 +14,9 @@
 /// Results of decoding headers; the kind is `FrameInvalid`.
 pub type Result<T> = model::Result<T>;
 
+/// Largest [`CallAnswer`] after `Proceed`; the headers of a target's answer make most of it.
+pub const MAX_ANSWER_BYTES: usize = 1 << 20;
+
 /// Headers by name, values as bytes.
 pub type HeaderList = Vec<(Box<str>, Box<[u8]>)>;
 
@@ -64,7 +68,7 @@
     pub path: Box<str>,
     /// Headers to pass on, without those that the mesh sets.
     pub headers: HeaderList,
-    /// Size of the body.
+    /// Size of the body; above [`SMALL_BODY`] it is sent after `Proceed`.
     pub body_size: ByteCount,
     /// The service that is to run it.
     pub service: ServiceName,
@@ -84,9 +88,11 @@
     pub objective: Duration,
 }
 
-/// How a call to a daemon beside a target ended; a body follows `Answered`.
+/// What a daemon beside a target says of a call; a body follows `Answered`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum CallAnswer {
+    /// There is room for the body, which was kept back; another answer follows.
+    Proceed,
     /// The target answered.
     Answered {
         /// Status of the answer.
@@ -122,6 +128,13 @@
     },
 }
 
+impl CallHead {
+    /// Whether the body is kept back until the other daemon has room for it.
+    pub fn waits_for_room(&self) -> bool {
+        self.body_size > SMALL_BODY
+    }
+}
+
 /// Headers that concern one connection only.
 const HOP_HEADERS: [&str; 9] = [
     "connection",
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -2,16 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use mesh::{EntryEnd, MeshTable};
+use mesh::link::LinkRoom;
+use mesh::{EntryEnd, RouteRule};
 use model::{ByteCount, ErrorKind, KindError, ServiceName};
 use rand::Rng;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::core::ProxyCore;
 use crate::message::{CallHead, pack_headers};
@@ -28,6 +29,11 @@
 const DEFAULT_REMAINING: Duration = Duration::from_secs(30);
 /// Mean time after which a request that was refused at the entry is to come back.
 const ENTRY_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// Size assumed of a body that comes in chunks; twice a typical upload's is refused too often.
+const CHUNKED_BODY: ByteCount = ByteCount(128 << 10);
+/// Time for which the connection of a request that was refused unread stays open; a
+/// caller in another region takes its answer in this time.
+const LINGER_TIME: Duration = Duration::from_millis(500);
 /// When a daemon without a configuration may have one.
 const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -38,14 +44,9 @@
     request: Request<Incoming>,
 ) -> CallerReply {
     core.note_caller();
-    let mut reply = match take_in(&core, request).await {
-        Ok(call) => serve(&core, call).await,
-        Err(error) => {
-            core.metrics.count_error(error.kind);
-            log::info!(kind:% = error.kind, cause = &*error.detail; "request refused");
-            let absent = error.kind == ErrorKind::ConfigAbsent;
-            own_reply(&core.edge, error.kind, absent.then_some(CONFIG_RETRY_AFTER))
-        }
+    let mut reply = match take_in(&core, request) {
+        Ok(entry) => serve(&core, entry).await,
+        Err(error) => turn_down(&core, &error),
     };
     if core.is_stopping() {
         let headers = reply.headers_mut();
@@ -54,16 +55,24 @@
     reply
 }
 
-async fn serve(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
-    let request_id = call.head.request_id.clone();
+/// Answers a request that broke a rule, or that came before any configuration.
+fn turn_down(core: &ProxyCore, error: &KindError) -> CallerReply {
+    core.metrics.count_error(error.kind);
+    log::info!(kind:% = error.kind, cause = &*error.detail; "request refused");
+    let absent = error.kind == ErrorKind::ConfigAbsent;
+    own_reply(&core.edge, error.kind, absent.then_some(CONFIG_RETRY_AFTER))
+}
+
+async fn serve(core: &Arc<ProxyCore>, entry: EntryCall) -> CallerReply {
+    let request_id = entry.head.request_id.clone();
     let mut watch = CallerWatch {
         request_id: request_id.clone(),
         answered: false,
     };
-    let mut reply = if call.head.inner {
-        serve_inner(core, call).await
+    let mut reply = if entry.head.inner {
+        serve_inner(core, entry).await
     } else {
-        serve_entering(core, call).await
+        serve_entering(core, entry).await
     };
     watch.answered = true;
     if let Ok(id) = HeaderValue::from_str(&request_id) {
@@ -88,8 +97,12 @@
 }
 
 /// Serves a request that a running request made.
-async fn serve_inner(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
-    let request_id = call.head.request_id.clone();
+async fn serve_inner(core: &Arc<ProxyCore>, entry: EntryCall) -> CallerReply {
+    let request_id = entry.head.request_id.clone();
+    let call = match read_call(core, entry, None).await {
+        Ok(call) => call,
+        Err(error) => return turn_down(core, &error),
+    };
     let ended = relay_call(core, call).await;
     if ended.end == EntryEnd::Refused {
         core.lineage().note_refused(&request_id);
@@ -97,26 +110,73 @@
     ended.reply
 }
 
-/// Serves a request that no running request made, if such requests end well.
-async fn serve_entering(core: &Arc<ProxyCore>, call: RelayCall) -> CallerReply {
-    let rule = Arc::clone(&call.rule);
+/// Serves a request that no running request made, if such requests end well and the
+/// link has room for its body.
+async fn serve_entering(core: &Arc<ProxyCore>, entry: EntryCall) -> CallerReply {
+    let rule = Arc::clone(&entry.rule);
     let draw = rand::rng().random::<f32>();
     if !core.throttle().admit(&rule, draw) {
-        log::info!(
-            request = &*call.head.request_id, route = &*call.rule.name;
-            "request refused at the entry"
-        );
-        core.metrics.count_error(ErrorKind::Overloaded);
         let retry_after = ENTRY_RETRY_AFTER.mul_f32(0.5 + draw);
-        return own_reply(&core.edge, ErrorKind::Overloaded, Some(retry_after));
+        return refuse_entry(core, entry, "runs of its kind find no room", retry_after);
     }
+    let remaining = entry.deadline.saturating_duration_since(entry.since);
+    let room = match core.link.admit(entry.body_size(), remaining) {
+        Ok(room) => room,
+        Err(retry_after) => {
+            return refuse_entry(core, entry, "the link is full of bodies", retry_after);
+        }
+    };
+    let call = match read_call(core, entry, Some(room)).await {
+        Ok(call) => call,
+        Err(error) => return turn_down(core, &error),
+    };
     let ended = relay_call(core, call).await;
     core.throttle().finish(&rule, ended.end, &ended.called);
     ended.reply
 }
 
-/// Finds the route of a request and reads its body.
-async fn take_in(core: &Arc<ProxyCore>, request: Request<Incoming>) -> Result<RelayCall> {
+/// Refuses a request before its body is read.
+fn refuse_entry(
+    core: &ProxyCore,
+    entry: EntryCall,
+    cause: &str,
+    retry_after: Duration,
+) -> CallerReply {
+    log::info!(
+        request = &*entry.head.request_id, route = &*entry.rule.name, cause,
+        retry_after_ms = retry_after.as_millis() as u64;
+        "request refused at the entry"
+    );
+    core.metrics.count_error(ErrorKind::Overloaded);
+    // A connection that is closed with bytes unread is reset, and the answer with it.
+    core.tasks.spawn(async move {
+        let _unread = entry.body;
+        sleep(LINGER_TIME).await;
+    });
+    own_reply(&core.edge, ErrorKind::Overloaded, Some(retry_after))
+}
+
+/// A request whose body is still with the caller.
+#[derive(Debug)]
+struct EntryCall {
+    head: CallHead,
+    body: Incoming,
+    rule: Arc<RouteRule>,
+    max_body_bytes: usize,
+    since: Instant,
+    deadline: Instant,
+}
+
+impl EntryCall {
+    /// Size of the body, as far as the caller tells it.
+    fn body_size(&self) -> ByteCount {
+        let hint = http_body::Body::size_hint(&self.body);
+        hint.exact().map_or(CHUNKED_BODY, ByteCount)
+    }
+}
+
+/// Finds the route of a request.
+fn take_in(core: &Arc<ProxyCore>, request: Request<Incoming>) -> Result<EntryCall> {
     let since = core.clock.now();
     let table = core.table().ok_or_else(|| {
         KindError::new(ErrorKind::ConfigAbsent, "no configuration has arrived yet")
@@ -143,7 +203,7 @@
         &names.caller_service,
         &names.expected_target,
     ];
-    let mut head = CallHead {
+    let head = CallHead {
         body_size: ByteCount(0),
         request_id: request_id.into(),
         method: parts.method.as_str().into(),
@@ -158,8 +218,32 @@
         remaining,
         objective: rule.objective,
     };
+    Ok(EntryCall {
+        head,
+        body,
+        rule,
+        max_body_bytes: table.limits().max_body_bytes,
+        since,
+        deadline,
+    })
+}
+
+/// Reads the body of a request; `room` on the link is given back as it arrives.
+async fn read_call(
+    core: &ProxyCore,
+    entry: EntryCall,
+    room: Option<LinkRoom>,
+) -> Result<RelayCall> {
+    let EntryCall {
+        mut head,
+        body,
+        rule,
+        max_body_bytes,
+        since,
+        deadline,
+    } = entry;
     let rest = deadline.saturating_duration_since(core.clock.now());
-    let body = read_body(&table, body, rest).await?;
+    let body = read_body(max_body_bytes, body, room, rest).await?;
     head.body_size = ByteCount(body.len() as u64);
     Ok(RelayCall {
         head,
@@ -170,18 +254,29 @@
     })
 }
 
-fn next_service(core: &ProxyCore, rule: &mesh::RouteRule) -> Result<ServiceName> {
+fn next_service(core: &ProxyCore, rule: &RouteRule) -> Result<ServiceName> {
     let mut turns = core.turns();
     let turn = turns.entry(rule.key).or_default();
     let service = turn.next(&rule.destinations).cloned();
     service.ok_or_else(|| KindError::new(ErrorKind::RouteUnknown, "the route leads nowhere"))
 }
 
-async fn read_body(table: &MeshTable, body: Incoming, rest: Duration) -> Result<Bytes> {
+async fn read_body(
+    max_bytes: usize,
+    body: Incoming,
+    mut room: Option<LinkRoom>,
+    rest: Duration,
+) -> Result<Bytes> {
     if http_body::Body::is_end_stream(&body) {
         return Ok(Bytes::new());
     }
-    let limited = Limited::new(body, table.limits().max_body_bytes);
+    let arriving = body.map_frame(|frame| {
+        if let (Some(room), Some(piece)) = (&mut room, frame.data_ref()) {
+            room.arrived(piece.len());
+        }
+        frame
+    });
+    let limited = Limited::new(arriving, max_bytes);
     let collected = timeout(rest, limited.collect()).await.map_err(|_elapsed| {
         KindError::new(ErrorKind::IdleTimeout, "the body did not arrive in time")
     })?;
@@ -189,7 +284,7 @@
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(KindError::new(
             ErrorKind::BodyTooLarge,
-            format!("more than {} bytes", table.limits().max_body_bytes),
+            format!("more than {max_bytes} bytes"),
         )),
         Err(error) => Err(KindError::new(ErrorKind::RequestInvalid, error.to_string())),
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -10,10 +10,10 @@
 use route::{CallOutcome, CallResult, PickTicket, TargetLoad};
 use smallvec::SmallVec;
 use tokio::time::timeout;
-use wire::{BodyReceiver, PeerExchange};
+use wire::{BodyReceiver, BodySender, PeerExchange};
 
 use crate::core::ProxyCore;
-use crate::message::{CallAnswer, CallHead};
+use crate::message::{CallAnswer, CallHead, MAX_ANSWER_BYTES};
 use crate::metrics::RequestOutcome;
 use crate::reply::{CallerReply, ReplyBody, own_reply, target_reply};
 use crate::runner::{RunBody, RunEnd, TargetCall, run_call};
@@ -278,9 +278,30 @@
     call: &RelayCall,
 ) -> model::Result<AttemptResult> {
     let message = crate::message::PeerHead::Call(Box::new(head.clone()));
-    let PeerExchange { mut sender, answer } = core.pool.open(address, &message).await?;
-    let mut answering = std::pin::pin!(answer.head::<CallAnswer>());
+    let PeerExchange { sender, answer } = core.pool.open(address, &message).await?;
     let body = call.body.clone();
+    if !head.waits_for_room() {
+        return send_and_wait(sender, body, answer.head::<CallAnswer>()).await;
+    }
+    match answer.head::<CallAnswer>().await.map_err(after_head)? {
+        (CallAnswer::Proceed, mut receiver) => {
+            let answering = async move {
+                let answer = receiver.read_message(MAX_ANSWER_BYTES).await?;
+                Ok((answer, receiver))
+            };
+            send_and_wait(sender, body, answering).await
+        }
+        (answer, receiver) => Ok(peer_result(answer, receiver).await),
+    }
+}
+
+/// Sends the body while the answer may already come.
+async fn send_and_wait(
+    mut sender: BodySender,
+    body: Bytes,
+    answering: impl Future<Output = model::Result<(CallAnswer, BodyReceiver)>>,
+) -> model::Result<AttemptResult> {
+    let mut answering = std::pin::pin!(answering);
     let sending = async move {
         sender.send(body).await?;
         sender.finish()
@@ -290,7 +311,7 @@
         answered = &mut answering => answered,
         sent = sending => {
             if let Err(error) = sent {
-                log::debug!(peer:% = address, cause:% = error; "body not taken");
+                log::debug!(cause:% = error; "body not taken");
             }
             answering.await
         }
@@ -327,6 +348,11 @@
             load,
         } => refused(kind, arrived, retry_after, load),
         CallAnswer::Broken { detail, load } => broken(detail, CallResult::Failed, Some(load)),
+        CallAnswer::Proceed => broken(
+            "room was offered for a body that was sent".into(),
+            CallResult::Lost,
+            None,
+        ),
     }
 }
 
