--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -316,7 +316,7 @@
     let settings = &core.settings;
     let profile = MemberProfile {
         name: settings.vm.clone(),
-        peer_address: settings.peer_address,
+        peer_address: settings.advertised_address,
         caller_address: settings.caller_address,
         domain: settings.domain.clone(),
         region: settings.region.clone(),
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -23,6 +23,8 @@
     pub caller_address: SocketAddr,
     /// Where other daemons send requests and messages.
     pub peer_address: SocketAddr,
+    /// Where other daemons reach `peer_address`; differs behind a relay.
+    pub advertised_address: SocketAddr,
     /// Where the platform asks whether the daemon is ready.
     pub ready_address: SocketAddr,
     /// Where the target sends its reports.
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -214,6 +214,7 @@
         service: "catalog".parse().expect("a name"),
         caller_address: address,
         peer_address: address,
+        advertised_address: address,
         ready_address: address,
         report_address: address,
         metrics_address: address,
