Refuse what would outlive a stopping daemon, before it is read

Change: StopPlan, a policy without network: in the second half of the time until connections are cut a request is taken only if its deadline lies before that; others are refused unread with the time until the next run serves. Refused ones do not keep the daemon from ending. Tests: mesh stop (load pattern), platform path.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -59,6 +59,7 @@
 
 impl NextStep {
     /// The same, with callers of a refusal told to come back after `time` at the earliest.
+    #[must_use]
     pub fn not_before(self, time: Duration) -> Self {
         match self {
             Self::Refuse { kind, retry_after } => Self::Refuse {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`KindGate`] stands beside a target and alone decides what it runs: who
 //!   waits, in which order, and who is refused at once.
 //! - [`LinkGate`] keeps large bodies from filling a slow link.
+//! - [`StopPlan`] says which requests a stopping daemon still takes.
 //! - [`OwnTarget`] holds what is known of the target beside the daemon.
 //!
 //! To embed: look the route up, pick a target with [`route::TargetPicker`],
@@ -28,6 +29,7 @@
 pub mod keeper;
 pub mod lineage;
 pub mod link;
+pub mod stop;
 pub mod table;
 pub mod throttle;
 pub mod turn;
@@ -45,6 +47,7 @@
 pub use keeper::ConfigKeeper;
 pub use lineage::RunLineage;
 pub use link::LinkGate;
+pub use stop::StopPlan;
 pub use table::MeshTable;
 pub use throttle::{EntryEnd, EntryThrottle};
 pub use turn::WeightedTurn;
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -8,7 +8,7 @@
 
 use mesh::{
     ConfigKeeper, EntryThrottle, FleetBudget, LinkGate, MeshTable, OwnTarget, RouteKey, RunLineage,
-    WeightedTurn,
+    StopPlan, WeightedTurn,
 };
 use model::{DaemonId, IncarnationNumber, SharedClock};
 use once::HolderId;
@@ -84,7 +84,7 @@
     caller_at: Mutex<Option<Instant>>,
     started: Instant,
     joined: AtomicBool,
-    stopping: AtomicBool,
+    stopping: Mutex<Option<StopPlan>>,
 }
 
 impl ProxyCore {
@@ -133,7 +133,7 @@
             caller_at: Mutex::default(),
             started: clock.now(),
             joined: AtomicBool::new(false),
-            stopping: AtomicBool::new(false),
+            stopping: Mutex::default(),
             settings,
             edge,
             store,
@@ -232,12 +232,20 @@
 
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        lock(&self.stopping).is_some()
     }
 
     /// Begins a planned stop.
-    pub fn start_stopping(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    pub fn start_stopping(&self, plan: StopPlan) {
+        *lock(&self.stopping) = Some(plan);
+    }
+
+    /// Takes in a request that would end at `deadline`, unless the daemon ends before.
+    ///
+    /// The error is the time after which its next run may serve it.
+    pub fn admit_before_stop(&self, deadline: Instant) -> Result<(), Duration> {
+        let plan = *lock(&self.stopping);
+        plan.map_or(Ok(()), |plan| plan.admit(self.clock.now(), deadline))
     }
 
     /// Tells the other daemons what the watch of crashing requests wants told.
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -43,7 +43,6 @@
     _peer: SocketAddr,
     request: Request<Incoming>,
 ) -> CallerReply {
-    core.note_caller();
     let mut reply = match take_in(&core, request) {
         Ok(entry) => serve(&core, entry).await,
         Err(error) => turn_down(&core, &error),
@@ -102,6 +101,7 @@
 
 /// Serves a request that a running request made.
 async fn serve_inner(core: &Arc<ProxyCore>, entry: EntryCall) -> CallerReply {
+    core.note_caller();
     let request_id = entry.head.request_id.clone();
     let call = match read_call(core, entry, None).await {
         Ok(call) => call,
@@ -118,6 +118,15 @@
 /// link has room for its body.
 async fn serve_entering(core: &Arc<ProxyCore>, entry: EntryCall) -> CallerReply {
     let rule = Arc::clone(&entry.rule);
+    if let Err(retry_after) = core.admit_before_stop(entry.deadline) {
+        return refuse_entry(
+            core,
+            entry,
+            "the daemon stops before it would end",
+            retry_after,
+        );
+    }
+    core.note_caller();
     let draw = rand::rng().random::<f32>();
     if !core.throttle().admit(&rule, draw) {
         let retry_after = ENTRY_RETRY_AFTER.mul_f32(0.5 + draw);
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mesh::CallerLimits;
+use mesh::{CallerLimits, StopPlan};
 use model::SharedClock;
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep, timeout};
@@ -184,13 +184,14 @@
 impl RunningParts {
     async fn stop(self, core: &Arc<ProxyCore>) {
         let begun = Instant::now();
-        core.start_stopping();
+        let latest = core.settings.grace.saturating_sub(CLOSING_TIME);
+        let cut_after = latest + CLOSING_TIME / 2;
+        core.start_stopping(StopPlan::new(core.clock.now(), cut_after));
         log::info!("stopping: no new callers");
         sleep(SERVE_ON).await;
         core.desk.close();
         self.stages.drain.cancel();
         log::info!("stopping: the target takes no more requests from here");
-        let latest = core.settings.grace.saturating_sub(CLOSING_TIME);
         sleep(CLOSE_AFTER.saturating_sub(begun.elapsed())).await;
         while begun.elapsed() < latest {
             let quiet = core.time_since_caller() >= QUIET_TIME;
@@ -200,7 +201,6 @@
             sleep(IDLE_POLL).await;
         }
         self.callers.cancel();
-        let rest = latest.saturating_sub(begun.elapsed());
         self.stages.leave.cancel();
         self.background.cancel();
         self.tracker.close();
@@ -215,7 +215,8 @@
             core.pool.close().await;
             core.tasks.wait().await;
         };
-        if timeout(rest + CLOSING_TIME / 2, closing).await.is_err() {
+        let rest = cut_after.saturating_sub(begun.elapsed());
+        if timeout(rest, closing).await.is_err() {
             log::warn!("stopped with requests in progress");
         }
     }
