Deliver no success that bears no target's signature; forget idle routes

Cause: the header that proves an answer to be a target's was decoded and not looked at, and routes that were removed stayed in the entry's throttle for good. Change: a success without it counts as broken, so an idempotent request goes to another target; the throttle forgets routes without requests at each new configuration. Test: platform path, a_success_without_a_signature_is_never_delivered.

--- a/crates/mesh/src/throttle.rs
+++ b/crates/mesh/src/throttle.rs
@@ -133,7 +133,7 @@
     }
 
     /// Forgets routes without requests.
-    pub fn on_tick(&mut self) {
+    pub fn forget_idle(&mut self) {
         let now = self.clock.now();
         self.flows.retain(|_, flow| {
             flow.decay(now);
--- a/crates/proxy/src/config_watch.rs
+++ b/crates/proxy/src/config_watch.rs
@@ -259,6 +259,8 @@
                     version:% = version, source, routes = table.config().routes.len();
                     "configuration in force"
                 );
+                // Routes that are no more get no requests.
+                self.core.throttle().forget_idle();
                 self.tell_news();
             }
             Ok(None) => log::debug!(version:% = version, source; "configuration is not newer"),
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -354,6 +354,10 @@
         place.finish(true);
         return RunEnd::Broken("the answer belongs to another request".into());
     }
+    if status.is_success() && !headers.contains_key(&names.signature) {
+        place.finish(true);
+        return RunEnd::Broken("the answer does not prove to be a target's".into());
+    }
     let packed = pack_headers(headers, &[]);
     let waited = place.waited;
     let ran = core
