--- a/crates/cli/tests/publishing.rs
+++ b/crates/cli/tests/publishing.rs
@@ -46,6 +46,16 @@
     insta::assert_snapshot!(text);
 }
 
+#[test]
+fn a_list_nested_deep_is_refused_like_any_other_mistake() {
+    let bed = TestBed::offline();
+    play(&bed, &["init lists"]);
+    bed.edit("lists/plans.jsonc", "{", &"[".repeat(20_000));
+    let text = play(&bed, &["check lists"]);
+    assert!(text.contains("nested deeper"), "{text}");
+    assert!(text.ends_with("[exit 2]\n\n"), "{text}");
+}
+
 #[test]
 fn a_change_is_published_and_undone() {
     let bed = TestBed::start();
--- a/crates/plans/src/lib.rs
+++ b/crates/plans/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod change;
 pub mod check;
 pub mod delta;
+pub mod depth;
 pub mod entry;
 pub mod head;
 pub mod history;
--- a/crates/plans/src/reader.rs
+++ b/crates/plans/src/reader.rs
@@ -14,6 +14,7 @@
 
 use model::KindError;
 
+use crate::depth::{MAX_DEPTH, find_too_deep};
 use crate::lists::ListProblem;
 
 /// Largest text of one file, in bytes.
@@ -78,6 +79,10 @@
         if self.text.len() > MAX_TEXT_BYTES {
             return self.fail(0, format!("the file is larger than {MAX_TEXT_BYTES} bytes"));
         }
+        if let Some(start) = find_too_deep(self.text) {
+            let message = format!("values are nested deeper than {MAX_DEPTH}");
+            return self.fail(start, message);
+        }
         let options = ParseOptions {
             allow_loose_object_property_names: false,
             ..ParseOptions::default()
--- a/crates/plans/src/rewrite.rs
+++ b/crates/plans/src/rewrite.rs
@@ -8,6 +8,7 @@
 use jsonc_parser::parse_to_serde_value;
 use serde_json::{Map, Value};
 
+use crate::depth::find_too_deep;
 use crate::lists::ListPair;
 
 /// Field that may be left out, and the value that it then has.
@@ -23,6 +24,9 @@
 }
 
 fn rewrite(text: &str, wanted: &impl serde::Serialize) -> Option<String> {
+    if find_too_deep(text).is_some() {
+        return None;
+    }
     let root = CstRootNode::parse(text, &ParseOptions::default()).ok()?;
     let Value::Object(fields) = serde_json::to_value(wanted).ok()? else {
         return None;
