Declare number newtypes by the one macro

Ruled out: text names and ids with a text form of their own. Change: number_types! takes the number's type, is exported, and declares the types of mesh, once, spread and members too. Their encodings are the same (serde transparent as before).

--- a/crates/members/src/digest.rs
+++ b/crates/members/src/digest.rs
@@ -80,23 +80,10 @@
     }
 }
 
-/// Number of an edition of a daemon's record within one incarnation.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Deserialize,
-    Display,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct SequenceNumber(pub u64);
+model::number_types! {
+    /// Number of an edition of a daemon's record within one incarnation.
+    SequenceNumber(u64),
+}
 
 /// Which edition of a daemon's record; ordered by incarnation, then sequence.
 #[derive(
--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -4,70 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use derive_more::{Display, From, FromStr};
+use derive_more::Display;
 use model::{CallCount, ServiceName};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-/// Number of a configuration; a later one is higher.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Deserialize,
-    Display,
-    Eq,
-    From,
-    FromStr,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct MeshVersion(pub u64);
-
-/// Rank of a route under load; 0 is the most important.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Deserialize,
-    Display,
-    Eq,
-    From,
-    FromStr,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct CallPriority(pub u8);
-
-/// Hash of a route's name, the same on every daemon.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Deserialize,
-    Display,
-    Eq,
-    From,
-    FromStr,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct RouteKey(pub u64);
+model::number_types! {
+    /// Number of a configuration; a later one is higher.
+    MeshVersion(u64),
+    /// Rank of a route under load; 0 is the most important.
+    CallPriority(u8),
+    /// Hash of a route's name, the same on every daemon.
+    RouteKey(u64),
+}
 
 impl RouteKey {
     /// The key of the route called `name`.
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -89,23 +89,25 @@
 }
 
 /// Declares number newtypes shown as decimal digits.
+#[macro_export]
 macro_rules! number_types {
-    ($($(#[$doc:meta])* $name:ident),+ $(,)?) => {$(
+    ($($(#[$doc:meta])* $name:ident($number:ty)),+ $(,)?) => {$(
         $(#[$doc])*
         #[derive(
-            Clone, Copy, Debug, Default, Deserialize, Display, Eq, From, FromStr, Hash, Into,
-            Ord, PartialEq, PartialOrd, Serialize,
+            Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd,
+            ::derive_more::Display, ::derive_more::From, ::derive_more::FromStr,
+            ::derive_more::Into, ::serde::Deserialize, ::serde::Serialize,
         )]
         #[serde(transparent)]
-        pub struct $name(pub u64);
+        pub struct $name(pub $number);
     )+};
 }
 
 number_types! {
     /// One run of a daemon or target; a later run has a higher number.
-    IncarnationNumber,
+    IncarnationNumber(u64),
     /// A position in a stream of the log service.
-    LogOffset,
+    LogOffset(u64),
 }
 
 impl LogOffset {
--- a/crates/once/src/lease/types.rs
+++ b/crates/once/src/lease/types.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::{Duration, SystemTime};
 
-use derive_more::{Display, From, FromStr};
+use derive_more::Display;
 use model::{DaemonId, IncarnationNumber, LogOffset};
 use serde::{Deserialize, Serialize};
 
@@ -29,24 +29,10 @@
     }
 }
 
-/// A range of key digests, one of [`KeyRange::COUNT`] of equal size.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Deserialize,
-    Display,
-    Eq,
-    From,
-    FromStr,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct KeyRange(pub u8);
+model::number_types! {
+    /// A range of key digests, one of [`KeyRange::COUNT`] of equal size.
+    KeyRange(u8),
+}
 
 impl KeyRange {
     /// Number of ranges.
@@ -69,25 +55,10 @@
     }
 }
 
-/// A time in milliseconds since 1970, by the log's clock or in a key.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Deserialize,
-    Display,
-    Eq,
-    From,
-    FromStr,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct LogStamp(pub u64);
+model::number_types! {
+    /// A time in milliseconds since 1970, by the log's clock or in a key.
+    LogStamp(u64),
+}
 
 impl LogStamp {
     /// The stamp `span` later.
@@ -110,27 +81,13 @@
     }
 }
 
-/// Identity of a term; of two terms of a range the later has the higher epoch.
-///
-/// It is one more than the offset of the record that began the term, so it is
-/// unique without any counter that could be lost.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Deserialize,
-    Display,
-    Eq,
-    FromStr,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct TermEpoch(pub u64);
+model::number_types! {
+    /// Identity of a term; of two terms of a range the later has the higher epoch.
+    ///
+    /// It is one more than the offset of the record that began the term, so it is
+    /// unique without any counter that could be lost.
+    TermEpoch(u64),
+}
 
 impl TermEpoch {
     /// No term yet.
--- a/crates/spread/src/message.rs
+++ b/crates/spread/src/message.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use derive_more::{Display, From};
+use derive_more::Display;
 use feed::port::Result as LogResult;
 use model::{
     ConfigVersion, DaemonId, DomainName, ErrorKind, IncarnationNumber, LogOffset, RecordCount,
@@ -22,23 +22,10 @@
 /// Results of checking a message.
 pub type Result<T> = model::Result<T>;
 
-/// Elapsed time on the wire, in whole milliseconds.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Deserialize,
-    Display,
-    Eq,
-    From,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct AgeMillis(pub u32);
+model::number_types! {
+    /// Elapsed time on the wire, in whole milliseconds.
+    AgeMillis(u32),
+}
 
 impl From<Duration> for AgeMillis {
     fn from(age: Duration) -> Self {
