Take no body of another size than its head announced

Cause: read in review: the daemon beside a target ran whatever bytes had come when a stream ended, and held any number of them, whatever body_size said by which the link's gate had admitted it. The test's store answers like one that is away, instead of panicking.

--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use mesh::link::LinkRoom;
-use model::ErrorKind;
+use model::{ByteCount, ErrorKind, KindError};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use wire::{BodyReceiver, BodySender, PeerResponder, PeerStream, WireLimits};
@@ -92,7 +92,7 @@
     } else {
         CallResponder::Fresh(responder)
     };
-    let body = read_body(&mut receiver, room).await?;
+    let body = read_body(&mut receiver, room, head.body_size).await?;
     let call = TargetCall { head, body, since };
     let end = tokio::select! {
         end = run_call(core, call) => end,
@@ -129,9 +129,8 @@
                 RunBody::Stream(mut stream) => {
                     while let Some(piece) = stream.next().await {
                         // A sender that is dropped resets the stream: the peer sees a broken body.
-                        let piece = piece.map_err(|detail| {
-                            model::KindError::new(ErrorKind::TargetFailed, detail)
-                        })?;
+                        let piece = piece
+                            .map_err(|detail| KindError::new(ErrorKind::TargetFailed, detail))?;
                         sender.send(piece).await?;
                     }
                 }
@@ -187,22 +186,24 @@
     responder.answer_whole(&answer).await
 }
 
-async fn read_body(receiver: &mut BodyReceiver, mut room: LinkRoom) -> Result<Bytes> {
-    let Some(first) = receiver.next().await else {
-        return Ok(Bytes::new());
-    };
-    let first = first?;
-    room.arrived(first.len());
-    let Some(second) = receiver.next().await else {
-        return Ok(first);
-    };
-    let mut body = BytesMut::from(&*first);
-    let mut next = Some(second);
-    while let Some(piece) = next {
+/// Reads a body of the announced `size`.
+async fn read_body(
+    receiver: &mut BodyReceiver,
+    mut room: LinkRoom,
+    size: ByteCount,
+) -> Result<Bytes> {
+    let mut body = BytesMut::new();
+    while let Some(piece) = receiver.next().await {
         let piece = piece?;
         room.arrived(piece.len());
         body.extend_from_slice(&piece);
-        next = receiver.next().await;
+        if body.len() as u64 > size.0 {
+            break;
+        }
+    }
+    if body.len() as u64 != size.0 {
+        let detail = format!("a body of {size} bytes was announced, {} came", body.len());
+        return Err(KindError::new(ErrorKind::FrameInvalid, detail));
     }
     Ok(body.freeze())
 }
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -1,22 +1,20 @@
 //! Pattern: uploads to a daemon whose link is full. A body is sent only after
 //! the daemon beside the target has room for it.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, StatusCode};
-use mesh::{BudgetTerms, CallPriority, CallSafety, Destination, RouteKey, RouteRule};
-use model::{ByteCount, CallCount, DaemonId, ErrorKind, LogOffset, SystemClock};
-use quetzal_proxy::ProxySettings;
-use quetzal_proxy::core::ProxyCore;
-use quetzal_proxy::edge::{EdgeHeaders, EdgeProtocol};
-use quetzal_proxy::message::{CallAnswer, CallHead, PeerHead};
+use http::StatusCode;
+use model::{CallCount, DaemonId, ErrorKind};
+use quetzal_proxy::message::{CallAnswer, PeerHead};
 use quetzal_proxy::relay::{RelayCall, relay_call};
-use quetzal_proxy::store::{ConfigPage, StoreFuture, StorePort};
 use route::{TargetLoad, TargetState, TargetView};
+use support::{TEST_TIMEOUT, call_head, proxy_core, upload_rule};
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -24,8 +22,6 @@
 
 /// An upload of the deployments.
 const UPLOAD_BYTES: usize = 280_000;
-/// Bound on a wait that ends by itself.
-const TEST_TIMEOUT: Duration = Duration::from_secs(10);
 
 #[tokio::test]
 async fn a_body_that_finds_no_room_is_not_sent() {
@@ -145,7 +141,7 @@
     let core = Arc::new(proxy_core());
     let daemon = DaemonId(7);
     core.set_peers([(daemon, peer.address)].into_iter().collect());
-    let service = "studio".parse().expect("a name");
+    let service = upload_rule().destinations[0].service.clone();
     core.picker().set_targets(
         &service,
         &[TargetView {
@@ -159,40 +155,10 @@
             since: Instant::now(),
         }],
     );
-    let rule = Arc::new(RouteRule {
-        name: "upload".into(),
-        key: RouteKey::of("upload"),
-        host: "shop.example".into(),
-        prefix: "/upload/".into(),
-        destinations: [Destination {
-            service: service.clone(),
-            weight: 1,
-        }]
-        .into_iter()
-        .collect(),
-        safety: CallSafety::AtMostOnce,
-        timeout: TEST_TIMEOUT,
-        objective: Duration::from_secs(1),
-        max_attempts: 2,
-        priority: CallPriority(1),
-    });
+    let rule = Arc::new(upload_rule());
     let since = Instant::now();
     let call = RelayCall {
-        head: CallHead {
-            request_id: "r-1".into(),
-            method: "POST".into(),
-            path: "/upload/1".into(),
-            headers: Vec::new(),
-            body_size: ByteCount(size as u64),
-            service,
-            caller_service: "catalog".parse().expect("a name"),
-            route: rule.key,
-            priority: rule.priority,
-            safety: rule.safety,
-            inner: false,
-            remaining: TEST_TIMEOUT,
-            objective: rule.objective,
-        },
+        head: call_head(&rule, size),
         body: Bytes::from(vec![7; size]),
         rule,
         since,
@@ -203,84 +169,3 @@
     core.pool.close().await;
     status
 }
-
-fn proxy_core() -> ProxyCore {
-    let address: SocketAddr = "127.0.0.1:9".parse().expect("an address");
-    let settings = ProxySettings {
-        vm: "vm-1".parse().expect("a name"),
-        domain: "domain-a".parse().expect("a name"),
-        region: "region-1".parse().expect("a name"),
-        domains: Vec::new(),
-        service: "catalog".parse().expect("a name"),
-        caller_address: address,
-        peer_address: address,
-        advertised_address: address,
-        ready_address: address,
-        report_address: address,
-        metrics_address: address,
-        target_address: address,
-        store_address: address,
-        link_bytes_per_s: 12.6e6 / 8.0,
-        report_interval: Duration::from_secs(1),
-        budget: BudgetTerms {
-            ratio: 0.2,
-            slack: 64.0,
-        },
-        config_bound: Duration::from_secs(2),
-        grace: Duration::from_secs(6),
-    };
-    ProxyCore::new(
-        settings,
-        edge_protocol(),
-        Arc::new(NoStore),
-        SystemClock::shared(),
-        WireLimits::default(),
-    )
-    .expect("sound settings")
-}
-
-fn edge_protocol() -> EdgeProtocol {
-    let name = HeaderName::from_static;
-    EdgeProtocol {
-        headers: EdgeHeaders {
-            request_id: name("request-id"),
-            remaining_ms: name("remaining"),
-            signature: name("signature"),
-            expected_target: name("expected"),
-            target_name: name("target"),
-            target_load: name("load"),
-            not_run: name("not-run"),
-            caller_service: name("caller"),
-        },
-        read_control: |_, _, _| Ok(quetzal_proxy::edge::ControlCall::Ready),
-        acknowledgement: "",
-        read_slots: |_| None,
-        write_retry_after: |time| HeaderValue::from(time.as_secs()),
-    }
-}
-
-/// A store that nobody asks.
-#[derive(Debug)]
-struct NoStore;
-
-impl StorePort for NoStore {
-    fn newest_config(&self) -> StoreFuture<'_, ConfigPage> {
-        unimplemented!("nobody asks")
-    }
-
-    fn next_config(&self, _: LogOffset, _: Duration) -> StoreFuture<'_, ConfigPage> {
-        unimplemented!("nobody asks")
-    }
-
-    fn put_member(&self, _: DaemonId, _: Box<[u8]>) -> StoreFuture<'_, ()> {
-        unimplemented!("nobody asks")
-    }
-
-    fn drop_member(&self, _: DaemonId) -> StoreFuture<'_, ()> {
-        unimplemented!("nobody asks")
-    }
-
-    fn members(&self) -> StoreFuture<'_, Vec<Box<[u8]>>> {
-        unimplemented!("nobody asks")
-    }
-}
--- /dev/null
+++ b/crates/proxy/tests/support/mod.rs
@@ -0,0 +1,148 @@
+//! A daemon's core without a fleet, a target or a store.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderName, HeaderValue};
+use mesh::{BudgetTerms, CallPriority, CallSafety, Destination, RouteKey, RouteRule};
+use model::{ByteCount, DaemonId, ErrorKind, KindError, LogOffset, SystemClock};
+use quetzal_proxy::ProxySettings;
+use quetzal_proxy::core::ProxyCore;
+use quetzal_proxy::edge::{EdgeHeaders, EdgeProtocol};
+use quetzal_proxy::message::CallHead;
+use quetzal_proxy::store::{ConfigPage, StoreFuture, StorePort};
+use wire::WireLimits;
+
+/// Bound on a wait that ends by itself.
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A route for uploads, which lead to one service.
+pub fn upload_rule() -> RouteRule {
+    RouteRule {
+        name: "upload".into(),
+        key: RouteKey::of("upload"),
+        host: "shop.example".into(),
+        prefix: "/upload/".into(),
+        destinations: [Destination {
+            service: "studio".parse().expect("a name"),
+            weight: 1,
+        }]
+        .into_iter()
+        .collect(),
+        safety: CallSafety::AtMostOnce,
+        timeout: TEST_TIMEOUT,
+        objective: Duration::from_secs(1),
+        max_attempts: 2,
+        priority: CallPriority(1),
+    }
+}
+
+/// The head of a request on `rule` that announces a body of `size`.
+pub fn call_head(rule: &RouteRule, size: usize) -> CallHead {
+    CallHead {
+        request_id: "r-1".into(),
+        method: "POST".into(),
+        path: "/upload/1".into(),
+        headers: Vec::new(),
+        body_size: ByteCount(size as u64),
+        service: rule.destinations[0].service.clone(),
+        caller_service: "catalog".parse().expect("a name"),
+        route: rule.key,
+        priority: rule.priority,
+        safety: rule.safety,
+        inner: false,
+        remaining: TEST_TIMEOUT,
+        objective: rule.objective,
+    }
+}
+
+/// The core of a daemon that knows nobody.
+pub fn proxy_core() -> ProxyCore {
+    let address: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+    let settings = ProxySettings {
+        vm: "vm-1".parse().expect("a name"),
+        domain: "domain-a".parse().expect("a name"),
+        region: "region-1".parse().expect("a name"),
+        domains: Vec::new(),
+        service: "catalog".parse().expect("a name"),
+        caller_address: address,
+        peer_address: address,
+        advertised_address: address,
+        ready_address: address,
+        report_address: address,
+        metrics_address: address,
+        target_address: address,
+        store_address: address,
+        link_bytes_per_s: 12.6e6 / 8.0,
+        report_interval: Duration::from_secs(1),
+        budget: BudgetTerms {
+            ratio: 0.2,
+            slack: 64.0,
+        },
+        config_bound: Duration::from_secs(2),
+        grace: Duration::from_secs(6),
+    };
+    ProxyCore::new(
+        settings,
+        edge_protocol(),
+        Arc::new(LostStore),
+        SystemClock::shared(),
+        WireLimits::default(),
+    )
+    .expect("sound settings")
+}
+
+fn edge_protocol() -> EdgeProtocol {
+    let name = HeaderName::from_static;
+    EdgeProtocol {
+        headers: EdgeHeaders {
+            request_id: name("request-id"),
+            remaining_ms: name("remaining"),
+            signature: name("signature"),
+            expected_target: name("expected"),
+            target_name: name("target"),
+            target_load: name("load"),
+            not_run: name("not-run"),
+            caller_service: name("caller"),
+        },
+        read_control: |_, _, _| Ok(quetzal_proxy::edge::ControlCall::Ready),
+        acknowledgement: "",
+        read_slots: |_| None,
+        write_retry_after: |time| HeaderValue::from(time.as_secs()),
+    }
+}
+
+/// A store that is away.
+#[derive(Debug)]
+struct LostStore;
+
+/// What a store that is away tells.
+fn lost<T: Send + 'static>() -> StoreFuture<'static, T> {
+    let error = KindError::new(ErrorKind::LogUnavailable, "the store is away");
+    Box::pin(std::future::ready(Err(error)))
+}
+
+impl StorePort for LostStore {
+    fn newest_config(&self) -> StoreFuture<'_, ConfigPage> {
+        lost()
+    }
+
+    fn next_config(&self, _: LogOffset, _: Duration) -> StoreFuture<'_, ConfigPage> {
+        lost()
+    }
+
+    fn put_member(&self, _: DaemonId, _: Box<[u8]>) -> StoreFuture<'_, ()> {
+        lost()
+    }
+
+    fn drop_member(&self, _: DaemonId) -> StoreFuture<'_, ()> {
+        lost()
+    }
+
+    fn members(&self) -> StoreFuture<'_, Vec<Box<[u8]>>> {
+        lost()
+    }
+}
