Keep a connection whose request was refused with a small body

Cause: read in review: since bodies are left unread at a refusal, every refused request with a body, an order of 300 bytes too, left its kept connection deaf for half a second and then closed it unannounced. Ruled out: reading all bodies first (that is what choked the links). Change: a body up to 24 kB is read before the refusal is given, and the connection goes on; one that is left unread is announced with connection: close. The kept connection has no test of its own.

--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use mesh::link::LinkRoom;
+use mesh::link::{LinkRoom, SMALL_BODY};
 use mesh::{EntryEnd, RouteRule};
 use model::{ByteCount, ErrorKind, KindError, ServiceName};
 use rand::Rng;
@@ -119,24 +119,20 @@
 async fn serve_entering(core: &Arc<ProxyCore>, entry: EntryCall) -> CallerReply {
     let rule = Arc::clone(&entry.rule);
     if let Err(retry_after) = core.admit_before_stop(entry.deadline) {
-        return refuse_entry(
-            core,
-            entry,
-            "the daemon stops before it would end",
-            retry_after,
-        );
+        let cause = "the daemon stops before it would end";
+        return refuse_entry(core, entry, cause, retry_after).await;
     }
     core.note_caller();
     let draw = rand::rng().random::<f32>();
     if !core.throttle().admit(&rule, draw) {
         let retry_after = ENTRY_RETRY_AFTER.mul_f32(0.5 + draw);
-        return refuse_entry(core, entry, "runs of its kind find no room", retry_after);
+        return refuse_entry(core, entry, "runs of its kind find no room", retry_after).await;
     }
     let remaining = entry.deadline.saturating_duration_since(entry.since);
     let room = match core.link.admit(entry.body_size(), remaining) {
         Ok(room) => room,
         Err(retry_after) => {
-            return refuse_entry(core, entry, "the link is full of bodies", retry_after);
+            return refuse_entry(core, entry, "the link is full of bodies", retry_after).await;
         }
     };
     let call = match read_call(core, entry, Some(room)).await {
@@ -148,8 +144,8 @@
     ended.reply
 }
 
-/// Refuses a request before its body is read.
-fn refuse_entry(
+/// Refuses a request; a large body is left unread, with its connection.
+async fn refuse_entry(
     core: &ProxyCore,
     entry: EntryCall,
     cause: &str,
@@ -161,12 +157,20 @@
         "request refused at the entry"
     );
     core.metrics.count_error(ErrorKind::Overloaded);
+    let mut reply = own_reply(&core.edge, ErrorKind::Overloaded, Some(retry_after));
+    if entry.body_size() <= SMALL_BODY {
+        // The caller goes on using the connection; what breaks it now needs no answer.
+        drop(read_call(core, entry, None).await);
+        return reply;
+    }
+    let close = HeaderValue::from_static("close");
+    reply.headers_mut().insert(header::CONNECTION, close);
     // A connection that is closed with bytes unread is reset, and the answer with it.
     core.tasks.spawn(async move {
         let _unread = entry.body;
         sleep(LINGER_TIME).await;
     });
-    own_reply(&core.edge, ErrorKind::Overloaded, Some(retry_after))
+    reply
 }
 
 /// A request whose body is still with the caller.
