Drop a weight of zero and a field that nobody reads

Cause: the gate multiplied by a part of 0.0 for requests of callers; reports were decoded into cold_for, which no decision used.

--- a/crates/mesh/src/beside.rs
+++ b/crates/mesh/src/beside.rs
@@ -38,8 +38,6 @@
     pub slots: CallCount,
     /// Whether it takes requests.
     pub state: ReportedState,
-    /// How much longer it is slow after its start.
-    pub cold_for: Duration,
 }
 
 /// A target's last word.
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -31,9 +31,8 @@
 const FAILURE_WEIGHT: f32 = 0.1;
 /// Run time assumed before any request of any route has ended, in seconds.
 const FIRST_RUN_S: f32 = 0.05;
-/// Part of the time between objective and deadline that a wait may use up.
-const LATE_PART: f32 = 0.0;
-/// The same for the calls of running requests, which are of use until their deadline.
+/// Part of the time between objective and deadline that a wait may use up, for the calls of
+/// running requests: they are of use until their deadline.
 const INNER_LATE_PART: f32 = 0.8;
 /// Time over which admitted work is averaged.
 const WORK_WINDOW: Duration = Duration::from_millis(500);
@@ -389,11 +388,11 @@
 
 /// When the answer must be there for the wait to be worth it.
 fn latest_end(ticket: &GateTicket) -> Instant {
-    let part = if ticket.inner {
-        INNER_LATE_PART
+    let late = ticket.deadline.saturating_duration_since(ticket.objective);
+    let worth_it = if ticket.inner {
+        ticket.objective + late.mul_f32(INNER_LATE_PART)
     } else {
-        LATE_PART
+        ticket.objective
     };
-    let late = ticket.deadline.saturating_duration_since(ticket.objective);
-    (ticket.objective + late.mul_f32(part)).min(ticket.deadline)
+    worth_it.min(ticket.deadline)
 }
--- a/crates/mesh/tests/beside.rs
+++ b/crates/mesh/tests/beside.rs
@@ -3,7 +3,6 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use model::{CallCount, FakeClock, IncarnationNumber};
 use quetzal_mesh::{OwnTarget, ReportEffect, ReportedState, TargetLeave, TargetReport};
@@ -22,7 +21,6 @@
         service: service("deals"),
         slots: CallCount(9),
         state,
-        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -112,7 +112,6 @@
         service,
         slots: slots.unwrap_or(CallCount(1)),
         state: ReportedState::Ready,
-        cold_for: Duration::ZERO,
     };
     core.own().on_replaced();
     take_report(core, report);
