--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -30,6 +30,8 @@
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
 /// Messages that may be under way to one daemon.
 const MAX_UNDER_WAY: usize = 4;
+/// Delay of a tick above which it is told of; requests are answered that much too late.
+const PAUSE_NOTED: Duration = Duration::from_millis(300);
 /// Time between two writes of the own record, which the store keeps for good.
 const RECORD_INTERVAL: Duration = Duration::from_secs(3600);
 /// Time after a read of the store that named nobody, after which a daemon takes callers alone.
@@ -97,6 +99,8 @@
     under_way: Arc<std::sync::Mutex<HashMap<SocketAddr, usize>>>,
     stale: bool,
     read_at: Option<Instant>,
+    /// When the last tick came.
+    ticked: Instant,
 }
 
 impl MembershipLoop {
@@ -110,6 +114,7 @@
             under_way: Arc::default(),
             stale: true,
             read_at: None,
+            ticked: Instant::now(),
         }
     }
 
@@ -122,6 +127,7 @@
         loop {
             tokio::select! {
                 _ = ticks.tick() => {
+                    self.note_pause();
                     let outputs = self.node.on_tick();
                     self.carry_out(outputs);
                     self.note_lone();
@@ -171,6 +177,15 @@
         }
     }
 
+    /// Tells of a time in which the process was not run, which explains what is late.
+    fn note_pause(&mut self) {
+        let now = Instant::now();
+        let passed = now.saturating_duration_since(std::mem::replace(&mut self.ticked, now));
+        if passed > TICK_INTERVAL + PAUSE_NOTED {
+            log::warn!(paused_ms = passed.as_millis() as u64; "the daemon was held up");
+        }
+    }
+
     /// A daemon that nobody else is there to know takes callers alone.
     fn note_lone(&mut self) {
         let waited = self.read_at.is_some_and(|at| at.elapsed() >= LONE_TIME);
