Keep what calm seconds earned for bursts of lost answers

Cause: in a fleet of 194 daemons each share of the fleet's repeats held one token at most, so of what ten calm seconds had earned nothing was left when a tenth of a second of lost answers came. Calls that a repeated run makes again count as repeats at the called service; they were covered by a margin of six tenths instead of being counted. Ruled out: a counter in the store (a call for each repeat, none while it is away). Change: a share holds a part of what its requests of the last window earned; calls of repeated runs are charged where they arrive; half of a share is kept for calls of running requests, which no caller repeats.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -105,6 +105,11 @@
         self.may_have_run
     }
 
+    /// Whether a target has had the request, so that another one would repeat it.
+    pub fn is_repeat(&self) -> bool {
+        self.arrived > 0
+    }
+
     /// Decides what follows; `spend` takes a token of the fleet's budget.
     pub fn next(
         &mut self,
--- a/crates/mesh/src/lineage.rs
+++ b/crates/mesh/src/lineage.rs
@@ -19,6 +19,15 @@
 /// Services that one run has called.
 pub type CalledServices = SmallVec<[ServiceName; 2]>;
 
+/// What a run passes on to the calls that it makes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RunOrigin {
+    /// Rank of the first request of the chain.
+    pub priority: CallPriority,
+    /// Whether the run repeats one that reached a target before.
+    pub repeat: bool,
+}
+
 /// The requests that run at the target beside the daemon.
 #[derive(Debug, Default)]
 pub struct RunLineage {
@@ -27,7 +36,7 @@
 
 #[derive(Clone, Debug)]
 struct RunEntry {
-    priority: CallPriority,
+    origin: RunOrigin,
     /// Services that it has called.
     called: CalledServices,
     /// Whether one of its calls found no room.
@@ -38,9 +47,9 @@
 
 impl RunLineage {
     /// Notes that `request` begins to run.
-    pub fn begin(&mut self, request: &str, priority: CallPriority) {
+    pub fn begin(&mut self, request: &str, origin: RunOrigin) {
         let entry = self.running.entry(request.into()).or_insert(RunEntry {
-            priority,
+            origin,
             called: CalledServices::new(),
             starved: false,
             count: 0,
@@ -75,16 +84,13 @@
         }
     }
 
-    /// The rank of the request that made `request` to call `service`; none if no
-    /// running one did.
-    ///
-    /// The rank is that of the first request of a chain, since it is passed on.
-    pub fn note_call(&mut self, request: &str, service: &ServiceName) -> Option<CallPriority> {
+    /// The origin of the run that made `request` to call `service`; none if no run did.
+    pub fn note_call(&mut self, request: &str, service: &ServiceName) -> Option<RunOrigin> {
         let (parent, _) = request.rsplit_once(SEPARATOR)?;
         let entry = self.running.get_mut(parent)?;
         if !entry.called.contains(service) {
             entry.called.push(service.clone());
         }
-        Some(entry.priority)
+        Some(entry.origin)
     }
 }
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -82,6 +82,8 @@
     pub safety: CallSafety,
     /// Whether a running request made it.
     pub inner: bool,
+    /// Whether it was sent to a target before, or a repeated run makes it.
+    pub repeat: bool,
     /// Time for which its caller still waits.
     pub remaining: Duration,
     /// Time within which its answer has its full worth.
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -229,9 +229,10 @@
         service,
         caller_service: core.settings.service.clone(),
         route: rule.key,
-        priority: parent.unwrap_or(rule.priority),
+        priority: parent.map_or(rule.priority, |parent| parent.priority),
         safety: rule.safety,
         inner: parent.is_some(),
+        repeat: parent.is_some_and(|parent| parent.repeat),
         remaining,
         objective: rule.objective,
     };
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -73,7 +73,7 @@
 /// Sends `call` until it is answered; dropping the future gives it up everywhere.
 pub async fn relay_call(core: &Arc<ProxyCore>, call: RelayCall) -> RelayEnd {
     let service = call.head.service.clone();
-    core.budget().earn(&service);
+    note_request(core, &call.head);
     let mut plan = AttemptPlan::new(&call.rule, call.deadline);
     let mut asked = SmallVec::<[DaemonId; 4]>::new();
     let mut last = LastAnswer::default();
@@ -87,7 +87,8 @@
         let daemon = ticket.view.daemon;
         asked.push(daemon);
         let rest = call.deadline.saturating_duration_since(core.clock.now());
-        let mut attempt = match timeout(rest, attempt(core, &call, &ticket)).await {
+        let attempting = attempt(core, &call, &ticket, plan.is_repeat());
+        let mut attempt = match timeout(rest, attempting).await {
             Ok(attempt) => attempt,
             // Learned like a failure, so that a target that hangs is avoided.
             Err(_) => late(),
@@ -106,7 +107,9 @@
         let step = if now >= call.deadline && attempt.end == AttemptEnd::Broken {
             NextStep::Fail(ErrorKind::DeadlineExceeded)
         } else {
-            plan.next(attempt.end, now, || core.budget().spend(&service))
+            plan.next(attempt.end, now, || {
+                core.budget().spend(&service, call.head.inner, now)
+            })
         };
         if attempt.end != AttemptEnd::Answered {
             note_attempt(&call, daemon, &attempt, step);
@@ -122,6 +125,16 @@
     }
 }
 
+/// Counts a request in this daemon's share of repeats.
+fn note_request(core: &ProxyCore, head: &CallHead) {
+    let now = core.clock.now();
+    if head.repeat {
+        core.budget().charge(&head.service, now);
+    } else {
+        core.budget().earn(&head.service, now);
+    }
+}
+
 /// Tells of an attempt that did not end the request.
 fn note_attempt(call: &RelayCall, daemon: DaemonId, attempt: &AttemptResult, step: NextStep) {
     let load = attempt.load.unwrap_or_default();
@@ -247,9 +260,15 @@
     }
 }
 
-async fn attempt(core: &Arc<ProxyCore>, call: &RelayCall, ticket: &PickTicket) -> AttemptResult {
+async fn attempt(
+    core: &Arc<ProxyCore>,
+    call: &RelayCall,
+    ticket: &PickTicket,
+    repeat: bool,
+) -> AttemptResult {
     let now = core.clock.now();
     let mut head = call.head.clone();
+    head.repeat |= repeat;
     head.remaining = call.deadline.saturating_duration_since(now);
     let spent = now.saturating_duration_since(call.since);
     head.objective = call.rule.objective.saturating_sub(spent);
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -10,7 +10,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use mesh::lineage::CalledServices;
+use mesh::lineage::{CalledServices, RunOrigin};
 use mesh::{CallSafety, TargetReport};
 use model::{CustomerName, ErrorKind, TargetName};
 use once::{PrintHasher, RequestPrint};
@@ -193,8 +193,11 @@
     if let Err(error) = core.poison().start(&report.target, print) {
         return RunEnd::Refused(refuse(error.kind, None));
     }
-    core.lineage()
-        .begin(&call.head.request_id, call.head.priority);
+    let origin = RunOrigin {
+        priority: call.head.priority,
+        repeat: call.head.repeat,
+    };
+    core.lineage().begin(&call.head.request_id, origin);
     let watched = WatchedRun {
         core: Arc::clone(core),
         target: report.target.clone(),
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -54,6 +54,7 @@
         priority: rule.priority,
         safety: rule.safety,
         inner: false,
+        repeat: false,
         remaining: TEST_TIMEOUT,
         objective: rule.objective,
     }
@@ -81,6 +82,7 @@
         budget: BudgetTerms {
             ratio: 0.2,
             slack: 64.0,
+            window: Duration::from_secs(10),
         },
         config_bound: Duration::from_secs(2),
         grace: Duration::from_secs(6),
