Open nothing on a late report after a daemon's restart

Cause: a daemon that starts anew has lost what its former run acknowledged. Ruled out: asking other daemons, which keep nothing of a withdrawn target. Change: a first report with a number above one opens nothing until the target answers the probe that every start sends anyway, or two more reports follow in order (a target whose health answers lie would never be used otherwise). Test first: a_late_report_after_the_daemons_restart_opens_nothing failed before.

--- a/crates/mesh/src/beside.rs
+++ b/crates/mesh/src/beside.rs
@@ -4,7 +4,9 @@
 //! report of an earlier run, or one that was overtaken, changes nothing. A
 //! target that said once that it leaves stays leaving for the rest of that
 //! run. A daemon that starts anew beside a running target asks it for its
-//! name and holds that until the first report comes.
+//! name and holds that until the first report comes. What the daemon's former
+//! run acknowledged is lost with it, so a first report that may be a late one
+//! opens nothing: the target must answer, or go on reporting.
 
 use std::time::{Duration, Instant};
 
@@ -14,6 +16,10 @@
 /// Earlier runs whose late reports are still recognised.
 const MAX_ENDED: usize = 8;
 
+/// Reports in order after which a target counts as confirmed without an answer; late ones
+/// come one by one.
+const CONFIRMING_REPORTS: u8 = 2;
+
 /// What a target said of itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReportedState {
@@ -66,6 +72,8 @@
     heard: Instant,
     leaving: bool,
     down: bool,
+    /// Reports missing until it counts as confirmed.
+    unconfirmed: u8,
 }
 
 /// The target beside one daemon.
@@ -95,7 +103,11 @@
             return ReportEffect::Stale;
         }
         let Some(known) = &mut self.known else {
-            self.known = Some(KnownTarget::new(report, now));
+            let mut known = KnownTarget::new(report, now);
+            if self.ended.is_empty() && known.report.sequence > 1 {
+                known.unconfirmed = CONFIRMING_REPORTS;
+            }
+            self.known = Some(known);
             return ReportEffect::Changed;
         };
         // A target found by asking has run 0 until its first report names the run.
@@ -133,6 +145,7 @@
         if let Some(known) = &mut self.known {
             known.heard = now;
             known.down = false;
+            known.unconfirmed = 0;
         }
     }
 
@@ -159,6 +172,11 @@
         self.known.as_ref().is_some_and(|known| known.leaving)
     }
 
+    /// Whether its first report may be a late one, and it has not answered since.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.known.as_ref().is_some_and(KnownTarget::is_unconfirmed)
+    }
+
     /// Whether nothing listens at its address.
     pub fn is_down(&self) -> bool {
         self.known.as_ref().is_some_and(|known| known.down)
@@ -169,7 +187,8 @@
         let now = self.clock.now();
         let known = self.known.as_ref()?;
         let silent = now.saturating_duration_since(known.heard) > self.silence;
-        (!known.leaving && !known.down && !silent).then_some(&known.report)
+        let willing = !known.leaving && !known.down && !silent && !known.is_unconfirmed();
+        willing.then_some(&known.report)
     }
 
     fn has_ended(&self, target: &TargetName, run: IncarnationNumber) -> bool {
@@ -191,23 +210,30 @@
             leaving: report.state == ReportedState::Draining,
             heard: now,
             down: false,
+            unconfirmed: 0,
             report,
         }
     }
 
+    fn is_unconfirmed(&self) -> bool {
+        self.unconfirmed > 0
+    }
+
     fn renew(&mut self, report: TargetReport, now: Instant) -> ReportEffect {
         let first = self.report.run.0 == 0;
         if !first && report.sequence <= self.report.sequence {
             return ReportEffect::Stale;
         }
-        let was_willing = !self.leaving && !self.down;
+        let was_willing = !self.leaving && !self.down && !self.is_unconfirmed();
         self.leaving |= report.state == ReportedState::Draining;
         self.heard = now;
         self.down = false;
+        self.unconfirmed = self.unconfirmed.saturating_sub(1);
+        let is_willing = !self.leaving && !self.is_unconfirmed();
         let changed = self.report.service != report.service
             || self.report.slots != report.slots
             || first
-            || was_willing == self.leaving;
+            || was_willing != is_willing;
         self.report = report;
         if changed {
             ReportEffect::Changed
--- a/crates/mesh/tests/beside.rs
+++ b/crates/mesh/tests/beside.rs
@@ -53,6 +53,47 @@
     assert!(own.is_leaving());
 }
 
+#[test]
+fn a_late_report_after_the_daemons_restart_opens_nothing() {
+    // The run of the daemon that ended had acknowledged that the target leaves.
+    let (mut own, clock) = fresh();
+    own.on_report(report("i-1", 100, 7, ReportedState::Ready));
+    assert!(own.willing().is_none(), "one report may be a late one");
+    assert!(own.is_unconfirmed());
+    clock.advance(ms(200));
+    own.on_report(report("i-1", 100, 8, ReportedState::Draining));
+    own.on_report(report("i-1", 100, 9, ReportedState::Ready));
+    assert!(own.willing().is_none(), "the target leaves");
+}
+
+#[test]
+fn a_target_that_was_there_before_the_daemon_is_confirmed_by_its_answer() {
+    let (mut own, _) = fresh();
+    own.on_report(report("i-1", 100, 7, ReportedState::Ready));
+    own.on_answer();
+    assert!(own.willing().is_some());
+}
+
+#[test]
+fn a_target_whose_health_lies_is_confirmed_by_reports_in_order() {
+    let (mut own, _) = fresh();
+    own.on_report(report("i-1", 100, 7, ReportedState::Ready));
+    own.on_report(report("i-1", 100, 6, ReportedState::Ready));
+    assert!(own.willing().is_none(), "an older report adds nothing");
+    own.on_report(report("i-1", 100, 8, ReportedState::Ready));
+    assert!(own.willing().is_none(), "two may be late ones");
+    let effect = own.on_report(report("i-1", 100, 9, ReportedState::Ready));
+    assert_eq!(effect, ReportEffect::Changed);
+    assert!(own.willing().is_some());
+}
+
+#[test]
+fn a_target_that_starts_beside_its_daemon_is_taken_at_its_first_report() {
+    let (mut own, _) = fresh();
+    own.on_report(report("i-1", 100, 1, ReportedState::Ready));
+    assert!(own.willing().is_some());
+}
+
 #[test]
 fn a_leave_without_a_run_ends_the_known_run_and_a_new_one_begins() {
     let (mut own, _) = fresh();
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -25,17 +25,17 @@
 /// Time for the target to answer.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Probes the target whenever it is unknown or down, until `token` is cancelled.
+/// Probes the target whenever it is unknown, unconfirmed or down, until `token` is cancelled.
 pub async fn watch_target(core: Arc<ProxyCore>, token: CancellationToken) {
     let watching = async {
         let mut willing = false;
         loop {
             sleep(LOOK_INTERVAL).await;
-            let (known, down, is_willing) = {
+            let (known, doubtful, is_willing) = {
                 let own = core.own();
                 (
                     own.report().is_some(),
-                    own.is_down(),
+                    own.is_down() || own.is_unconfirmed(),
                     own.willing().is_some(),
                 )
             };
@@ -43,7 +43,7 @@
             if std::mem::replace(&mut willing, is_willing) != is_willing {
                 apply_target(&core);
             }
-            if known && !down {
+            if known && !doubtful {
                 continue;
             }
             if let Err(error) = probe(&core).await {
