Take no late copy of an answer for the next request's

Cause: the target's word that it did not run a request was believed before its id was looked at. The request after a second answer also lost its own answer, which nobody may repeat if it must run once. Change: the id first; after a stray answer, requests that run once get connections of their own for five seconds.

--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -338,6 +338,14 @@
     let names = &core.edge.headers;
     let status = exchange.response.status();
     let headers = exchange.response.headers();
+    // A second copy of an answer may come in place of the next one, a refusal's too.
+    let answers = headers.get(&names.request_id);
+    let strange = answers.is_some_and(|id| id.as_bytes() != call.head.request_id.as_bytes());
+    if strange {
+        core.target_client.note_stray_answer();
+        place.finish(true);
+        return RunEnd::Broken("the answer belongs to another request".into());
+    }
     let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     if misdirected || headers.contains_key(&names.not_run) {
         if misdirected {
@@ -352,10 +360,9 @@
         };
         return RunEnd::Refused(refusal);
     }
-    let answers = headers.get(&names.request_id);
-    if answers.is_none_or(|id| id.as_bytes() != call.head.request_id.as_bytes()) {
+    if answers.is_none() {
         place.finish(true);
-        return RunEnd::Broken("the answer belongs to another request".into());
+        return RunEnd::Broken("the answer names no request".into());
     }
     if status.is_success() && !headers.contains_key(&names.signature) {
         place.finish(true);
--- a/crates/proxy/src/target_client.rs
+++ b/crates/proxy/src/target_client.rs
@@ -34,6 +34,10 @@
 /// targets close idle connections without notice, and the request would be lost.
 const FRESH_IDLE: Duration = Duration::from_millis(700);
 
+/// Time after a second answer in which requests that must not run twice get connections of
+/// their own: a target that sends some goes on for seconds.
+const STRAY_TIME: Duration = Duration::from_secs(5);
+
 /// Why a request got no answer.
 #[derive(Debug)]
 pub enum SendFailure {
@@ -48,6 +52,8 @@
 pub struct TargetClient {
     address: SocketAddr,
     idle: Arc<Mutex<Vec<IdleLink>>>,
+    /// When the last second answer came.
+    stray_at: Mutex<Option<Instant>>,
 }
 
 #[derive(Debug)]
@@ -79,9 +85,15 @@
         Self {
             address,
             idle: Arc::default(),
+            stray_at: Mutex::default(),
         }
     }
 
+    /// Notes that an answer came in place of another one.
+    pub fn note_stray_answer(&self) {
+        *lock(&self.stray_at) = Some(Instant::now());
+    }
+
     /// Sends `request` and waits for the head of the answer.
     ///
     /// `once` asks for a connection that the target is unlikely to have closed.
@@ -118,8 +130,13 @@
     }
 
     fn take_idle(&self, once: bool) -> Option<TargetLink> {
-        let mut idle = lock(&self.idle);
         let now = Instant::now();
+        let stray_at = *lock(&self.stray_at);
+        let stray = stray_at.is_some_and(|at| now.saturating_duration_since(at) < STRAY_TIME);
+        if once && stray {
+            return None;
+        }
+        let mut idle = lock(&self.idle);
         while let Some(kept) = idle.pop() {
             let rested = now.saturating_duration_since(kept.since);
             let usable = kept.link.sender.is_ready() && now < kept.until;
@@ -214,6 +231,6 @@
     SendFailure::Unknown(error.to_string().into())
 }
 
-fn lock(idle: &Mutex<Vec<IdleLink>>) -> MutexGuard<'_, Vec<IdleLink>> {
-    idle.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
