Tell the fleet how long the runs of a target take

Cause: at 108 targets of speeds 0.7 and 1.7 a daemon reaches each a few times a minute; its own observation of speed has faded by then, so it spreads calls evenly and fills the slow targets. Two more causes beside it: a target found by a daemon that started after it counted as started just now, at every change of the membership, and was given one slot; started targets were brought up over ten seconds though they are cold for three. Change: each daemon tells the mean run time of its gate in steps of a quarter, with its record (a change of step only, every two seconds at most); the choice of targets falls back on it when its own observations fade. Runs that were cut teach a gate their time if it was longer than usual, so that a target that slows down is noticed. A start that is not known was long ago. The platform's targets are brought up over three seconds. Tests: the picker sends more than half of the calls to the faster third of 108 targets; a gate notices slowness by cut runs; a target found later is warm.

--- a/crates/capacity/src/call_costs.rs
+++ b/crates/capacity/src/call_costs.rs
@@ -35,6 +35,7 @@
     let config = PickerConfig {
         domain: domain(0),
         region: smallvec::smallvec![domain(0), domain(1), domain(2)],
+        slow_start: route::SlowStart::default(),
     };
     let mut picker = TargetPicker::new(config, clock.shared(), SmallRng::seed_from_u64(65));
     let view = |index: usize| TargetView {
@@ -45,6 +46,7 @@
         connections: CallCount(130),
         state: TargetState::Ready,
         load: None,
+        pace: None,
         since: clock.now(),
     };
     for number in 0..SERVICES {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -109,6 +109,7 @@
         let picker_config = PickerConfig {
             domain: settings.domain.clone(),
             region: SmallVec::new(),
+            slow_start: route::SlowStart::default(),
         };
         let random = || SmallRng::from_rng(&mut rand::rng());
         let queue = CallCount(settings.numbers.queue_calls);
--- a/crates/members/src/digest.rs
+++ b/crates/members/src/digest.rs
@@ -50,6 +50,62 @@
     }
 }
 
+/// Time that runs of a target take, in steps of a quarter; 0 if it is not known.
+///
+/// A target is far from the next step most of the time, so the level rarely changes.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[display("pace {_0}")]
+#[serde(transparent)]
+pub struct PaceLevel(pub u8);
+
+impl PaceLevel {
+    /// Steps in which the time doubles.
+    const DOUBLING: f32 = 3.0;
+    /// Steps by which a time must be off a level to leave it.
+    const TOLERANCE: f32 = 0.8;
+    /// Longest time that is told apart, about three minutes.
+    const HIGHEST: f32 = 53.0;
+
+    /// The level nearest to `run`.
+    pub fn of(run: Duration) -> Self {
+        Self(Self::steps(run).round() as u8)
+    }
+
+    /// The level for `run`: this one unless the time has left it.
+    #[must_use]
+    pub fn follow(self, run: Duration) -> Self {
+        let off = (Self::steps(run) - f32::from(self.0)).abs();
+        if self.0 > 0 && off < Self::TOLERANCE {
+            return self;
+        }
+        Self::of(run)
+    }
+
+    /// The time that this level stands for.
+    pub fn run_time(self) -> Option<Duration> {
+        let millis = (f32::from(self.0.checked_sub(1)?) / Self::DOUBLING).exp2();
+        Some(Duration::from_secs_f32(millis / 1000.0))
+    }
+
+    fn steps(run: Duration) -> f32 {
+        let millis = (run.as_secs_f32() * 1000.0).max(1.0);
+        (millis.log2() * Self::DOUBLING + 1.0).min(Self::HIGHEST)
+    }
+}
+
 /// A target as every proxy knows it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetDigest {
@@ -67,6 +123,8 @@
     pub state: TargetState,
     /// Announced load; a hint, seconds old.
     pub load: LoadLevel,
+    /// How long its runs take, as the daemon beside it sees them.
+    pub pace: PaceLevel,
     /// Wall time at which this run first was ready, for slow start.
     pub ready_since: Option<SystemTime>,
 }
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -44,7 +44,7 @@
 
 pub use announce::{TargetAnnouncement, TargetChange, TargetRegistry, TargetState};
 pub use digest::{
-    LoadLevel, MemberProfile, MemberRecord, MemberStamp, SequenceNumber, TargetDigest,
+    LoadLevel, MemberProfile, MemberRecord, MemberStamp, PaceLevel, SequenceNumber, TargetDigest,
 };
 pub use health::LocalHealth;
 pub use join::JoinPace;
--- a/crates/members/src/packing.rs
+++ b/crates/members/src/packing.rs
@@ -19,8 +19,8 @@
 
 use crate::announce::{MAX_TARGETS, TargetState};
 use crate::digest::{
-    LoadLevel, MemberHeartbeat, MemberProfile, MemberRecord, MemberStamp, SequenceNumber,
-    TargetDigest,
+    LoadLevel, MemberHeartbeat, MemberProfile, MemberRecord, MemberStamp, PaceLevel,
+    SequenceNumber, TargetDigest,
 };
 use crate::message::{MemberUpdate, Result};
 
@@ -88,6 +88,7 @@
     slots: CallCount,
     state: TargetState,
     load: LoadLevel,
+    pace: PaceLevel,
     ready_since: Option<SystemTime>,
 }
 
@@ -198,6 +199,7 @@
             slots: target.slots,
             state: target.state,
             load: target.load,
+            pace: target.pace,
             ready_since: target.ready_since,
         }
     }
@@ -286,6 +288,7 @@
             slots: target.slots,
             state: target.state,
             load: target.load,
+            pace: target.pace,
             ready_since: target.ready_since,
         })
     }
--- a/crates/members/tests/fleet/mod.rs
+++ b/crates/members/tests/fleet/mod.rs
@@ -461,6 +461,7 @@
         slots: model::CallCount(10),
         state,
         load: quetzal_members::LoadLevel(2),
+        pace: quetzal_members::PaceLevel::default(),
         ready_since: None,
     }
 }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -38,6 +38,8 @@
 const WORK_WINDOW: Duration = Duration::from_millis(500);
 /// Least part of the slots that counts as left by more urgent requests.
 const MIN_LEFT_PART: f32 = 0.05;
+/// Runs after which their mean time is told; before, the assumed one weighs too much.
+const MIN_ENDED: u32 = 20;
 /// Waiting requests for each slot, which bounds memory.
 const WAITING_PER_SLOT: usize = 16;
 /// Least time after which a refused request is told to come back.
@@ -123,6 +125,8 @@
     arrivals: u64,
     run_s: HashMap<RouteKey, f32>,
     mean_s: f32,
+    /// Runs that the mean was learned from.
+    ended: u32,
     failing: f32,
     /// Work taken in lately, by route.
     admitted: HashMap<RouteKey, AdmittedWork>,
@@ -170,6 +174,7 @@
             arrivals: 0,
             run_s: HashMap::new(),
             mean_s: FIRST_RUN_S,
+            ended: 0,
             failing: 0.0,
             admitted: HashMap::new(),
         }
@@ -227,11 +232,14 @@
         self.start_next(now)
     }
 
-    /// Takes a request out that its caller gave up; says nothing about run times.
+    /// Takes a request out that its caller gave up.
     pub fn cancel(&mut self, call: CallId) -> StartList {
-        self.running.remove(&call);
-        self.waiting.retain(|_, waiting| waiting.call != call);
-        self.start_next(self.clock.now())
+        let now = self.clock.now();
+        match self.running.remove(&call) {
+            Some(running) => self.learn_time(running, true, now),
+            None => self.waiting.retain(|_, waiting| waiting.call != call),
+        }
+        self.start_next(now)
     }
 
     /// Refuses the waiting requests that can't end in time any more.
@@ -281,6 +289,11 @@
         }
     }
 
+    /// How long runs of all routes take; none until some have ended.
+    pub fn mean_run_time(&self) -> Option<Duration> {
+        (self.ended >= MIN_ENDED).then(|| Duration::from_secs_f32(self.mean_s))
+    }
+
     /// When a place in the queue may be free.
     pub fn retry_after(&self) -> Duration {
         let queued: f32 = self
@@ -331,10 +344,17 @@
     fn learn(&mut self, run: RunningCall, failed: bool, now: Instant) {
         let share = if failed { 1.0 } else { 0.0 };
         self.failing += (share - self.failing) * FAILURE_WEIGHT;
-        if failed {
+        self.learn_time(run, failed, now);
+    }
+
+    /// Learns how long a run took. One that was `cut` short tells nothing, unless it had
+    /// taken longer than usual by then: a target that slows down ends few runs in time.
+    fn learn_time(&mut self, run: RunningCall, cut: bool, now: Instant) {
+        let took = now.saturating_duration_since(run.since).as_secs_f32();
+        if cut && took <= self.run_s(run.route) {
             return;
         }
-        let took = now.saturating_duration_since(run.since).as_secs_f32();
+        self.ended = self.ended.saturating_add(1);
         self.mean_s += (took - self.mean_s) * RUN_WEIGHT;
         let mean = self.run_s.entry(run.route).or_insert(took);
         *mean += (took - *mean) * RUN_WEIGHT;
--- a/crates/mesh/tests/gate.rs
+++ b/crates/mesh/tests/gate.rs
@@ -231,3 +231,34 @@
     assert!(gate.cancel(CallId(2)).is_empty());
     assert_eq!(starts(&gate.cancel(CallId(1))), [CallId(3)]);
 }
+
+#[test]
+fn a_target_that_slows_down_is_noticed_by_runs_that_were_cut() {
+    // Runs of 10 ms take longer than their callers wait, so none ends well any more.
+    let clock = FakeClock::new();
+    let mut gate = KindGate::new(CallCount(1), Arc::new(clock.clone()));
+    let mut run = |numbers: std::ops::Range<u64>, time: u64, cut: bool| {
+        for number in numbers {
+            let ticket = GateTicket {
+                call: CallId(number),
+                route: RouteKey::of("browse"),
+                priority: CallPriority(0),
+                inner: false,
+                objective: clock.now() + ms(500),
+                deadline: clock.now() + ms(800),
+            };
+            assert_eq!(gate.enter(&ticket), GateAnswer::Start);
+            clock.advance(ms(time));
+            if cut {
+                gate.cancel(ticket.call);
+            } else {
+                gate.leave(ticket.call, false);
+            }
+        }
+        gate.mean_run_time().expect("runs have ended")
+    };
+    let before = run(0..100, 10, false);
+    assert_eq!(run(100..120, 2, true), before, "short cuts say nothing");
+    let after = run(120..130, 90, true);
+    assert!(after > before * 4, "{before:?} to {after:?}");
+}
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -15,7 +15,7 @@
 use once::poison::{PoisonMessage, PoisonOutput, PoisonSettings, PoisonWatch};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use route::{PickerConfig, TargetPicker};
+use route::{PickerConfig, SlowStart, TargetPicker};
 use tokio::sync::Notify;
 use tokio_util::task::TaskTracker;
 use wire::{PeerPool, WireLimits};
@@ -32,6 +32,11 @@
 /// Reports that a target may miss before it is not offered any more.
 const MISSED_REPORTS: u32 = 4;
 
+/// Targets of the platform are cold for about three seconds, in which they run at half speed.
+const PLATFORM_SLOW_START: SlowStart = SlowStart {
+    time: Duration::from_secs(3),
+    share: 0.4,
+};
 /// Time from a start until other daemons are known: a read of the store and a round of
 /// messages, on the slowest VMs.
 const JOIN_TIME: Duration = Duration::from_millis(800);
@@ -102,6 +107,7 @@
         let picker_config = PickerConfig {
             domain: settings.domain.clone(),
             region: settings.domains.iter().cloned().collect(),
+            slow_start: PLATFORM_SLOW_START,
         };
         let random = SmallRng::from_rng(&mut rand::rng());
         let silence = settings.report_interval * MISSED_REPORTS;
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -169,6 +169,11 @@
         lock(&self.state).gate.load()
     }
 
+    /// How long runs take; none until some have ended.
+    pub fn run_time(&self) -> Option<Duration> {
+        lock(&self.state).gate.mean_run_time()
+    }
+
     /// When a place may be free.
     pub fn retry_after(&self) -> Duration {
         lock(&self.state).gate.retry_after()
--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -10,11 +10,11 @@
 
 use feed::port::{LogRecord, ReadAnswer, RecordBatch};
 use members::{
-    JoinPace, MemberNode, MemberOutput, MemberProfile, MemberSettings, MemberState, TICK_INTERVAL,
-    TargetDigest, TargetState, TargetView,
+    JoinPace, MemberNode, MemberOutput, MemberProfile, MemberSettings, MemberState, PaceLevel,
+    TICK_INTERVAL, TargetDigest, TargetState, TargetView,
 };
 use mesh::{FollowMember, FollowPlan};
-use model::{CallCount, DaemonId, IncarnationNumber, LogOffset, ServiceName};
+use model::{CallCount, ClockPort, DaemonId, IncarnationNumber, LogOffset, ServiceName};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::mpsc;
@@ -32,6 +32,10 @@
 const MAX_UNDER_WAY: usize = 4;
 /// Delay of a tick above which it is told of; requests are answered that much too late.
 const PAUSE_NOTED: Duration = Duration::from_millis(300);
+/// Least time between two accounts of how long runs take: one goes to the whole fleet.
+const PACE_INTERVAL: Duration = Duration::from_secs(2);
+/// Age of a target whose start is not known; it is warm.
+const LONG_AGO: Duration = Duration::from_secs(60);
 /// Time between two writes of the own record, which the store keeps for good.
 const RECORD_INTERVAL: Duration = Duration::from_secs(3600);
 /// Time after a read of the store that named nobody, after which a daemon takes callers alone.
@@ -101,6 +105,9 @@
     read_at: Option<Instant>,
     /// When the last tick came.
     ticked: Instant,
+    /// How long runs of the own target take, as the others were told.
+    pace: PaceLevel,
+    paced: Instant,
 }
 
 impl MembershipLoop {
@@ -115,6 +122,8 @@
             stale: true,
             read_at: None,
             ticked: Instant::now(),
+            pace: PaceLevel::default(),
+            paced: Instant::now(),
         }
     }
 
@@ -128,6 +137,7 @@
             tokio::select! {
                 _ = ticks.tick() => {
                     self.note_pause();
+                    self.note_pace();
                     let outputs = self.node.on_tick();
                     self.carry_out(outputs);
                     self.note_lone();
@@ -137,7 +147,7 @@
                     self.on_event(event);
                 }
                 () = core.target_changed.notified() => {
-                    self.node.set_targets(own_digests(&core));
+                    self.node.set_targets(own_digests(&core, self.pace));
                     self.stale = true;
                 }
                 () = stages.drain.cancelled(), if !drained => {
@@ -186,6 +196,19 @@
         }
     }
 
+    /// Tells the others when runs of the own target take another time than they know.
+    fn note_pace(&mut self) {
+        let Some(run) = self.core.desk.run_time() else {
+            return;
+        };
+        let pace = self.pace.follow(run);
+        if pace != self.pace && self.paced.elapsed() >= PACE_INTERVAL {
+            self.pace = pace;
+            self.paced = Instant::now();
+            self.node.set_targets(own_digests(&self.core, pace));
+        }
+    }
+
     /// A daemon that nobody else is there to know takes callers alone.
     fn note_lone(&mut self) {
         let waited = self.read_at.is_some_and(|at| at.elapsed() >= LONE_TIME);
@@ -224,7 +247,7 @@
         let next = IncarnationNumber(last.0 + RECORD_INTERVAL.as_millis() as u64);
         log::warn!(run:% = next; "a later run of this daemon is known; renumbering");
         self.node = new_node(&self.core, next);
-        self.node.set_targets(own_digests(&self.core));
+        self.node.set_targets(own_digests(&self.core, self.pace));
         self.stale = true;
     }
 
@@ -305,7 +328,7 @@
         let mut services: HashMap<ServiceName, Vec<route::TargetView>> = HashMap::new();
         for view in self.node.all_targets() {
             let service = view.digest.service.clone();
-            let view = route_view(&self.core, view);
+            let view = route_view(self.core.clock.as_ref(), view);
             services.entry(service).or_default().push(view);
         }
         let mut picker = self.core.picker();
@@ -351,7 +374,7 @@
 }
 
 /// What the others are told of the target beside this daemon.
-fn own_digests(core: &ProxyCore) -> Vec<TargetDigest> {
+fn own_digests(core: &ProxyCore, pace: PaceLevel) -> Vec<TargetDigest> {
     let own = core.own();
     let Some(report) = own.willing() else {
         return Vec::new();
@@ -365,19 +388,20 @@
         slots: report.slots,
         state: TargetState::Ready,
         load: members::LoadLevel::default(),
+        pace,
         ready_since: (report.run.0 > 0).then_some(started),
     }]
 }
 
-fn route_view(core: &ProxyCore, view: TargetView) -> route::TargetView {
-    let wall = core.clock.wall();
-    let age = view
-        .digest
-        .ready_since
-        .and_then(|since| wall.duration_since(since).ok());
-    let now = core.clock.now();
+/// A target as the choice of targets sees it.
+pub fn route_view(clock: &dyn ClockPort, view: TargetView) -> route::TargetView {
+    let wall = clock.wall();
     // A start that is not known was long ago: only a daemon that came later has to ask.
-    let since = age.and_then(|age| now.checked_sub(age)).unwrap_or(now);
+    let age = view.digest.ready_since.map_or(LONG_AGO, |since| {
+        wall.duration_since(since).unwrap_or_default()
+    });
+    let now = clock.now();
+    let since = now.checked_sub(age).unwrap_or(now);
     route::TargetView {
         target: view.digest.target,
         daemon: view.daemon,
@@ -390,6 +414,7 @@
             route::TargetState::Ready
         },
         load: None,
+        pace: view.digest.pace.run_time(),
         since,
     }
 }
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -152,6 +152,7 @@
             connections: CallCount(64),
             state: TargetState::Ready,
             load: None,
+            pace: None,
             since: Instant::now(),
         }],
     );
--- /dev/null
+++ b/crates/proxy/tests/target_views.rs
@@ -0,0 +1,49 @@
+//! What the choice of targets is told of a target that the membership knows.
+
+use std::time::Duration;
+
+use members::{LoadLevel, PaceLevel, TargetDigest, TargetState, TargetView};
+use model::{CallCount, ClockPort, DaemonId, FakeClock, IncarnationNumber};
+use quetzal_proxy::membership::route_view;
+
+fn view(clock: &FakeClock, started: Option<Duration>) -> TargetView {
+    TargetView {
+        daemon: DaemonId(7),
+        daemon_incarnation: IncarnationNumber(1),
+        peer_address: "127.0.0.1:9".parse().expect("an address"),
+        domain: "cairo-a".parse().expect("a name"),
+        region: "cairo".parse().expect("a name"),
+        suspect: false,
+        digest: TargetDigest {
+            service: "catalog".parse().expect("a name"),
+            target: "i-1".parse().expect("a name"),
+            incarnation: IncarnationNumber(0),
+            address: "127.0.0.1:9".parse().expect("an address"),
+            slots: CallCount(9),
+            state: TargetState::Ready,
+            load: LoadLevel::default(),
+            pace: PaceLevel::of(Duration::from_millis(400)),
+            ready_since: started.map(|age| clock.wall() - age),
+        },
+    }
+}
+
+#[test]
+fn a_target_found_by_a_daemon_that_started_after_it_is_warm() {
+    let clock = FakeClock::new();
+    let view = route_view(&clock, view(&clock, None));
+    let age = clock.now().saturating_duration_since(view.since);
+    assert!(age >= Duration::from_secs(10), "{age:?}");
+}
+
+#[test]
+fn a_target_that_told_its_start_is_as_old_as_that() {
+    let clock = FakeClock::new();
+    let view = route_view(&clock, view(&clock, Some(Duration::from_secs(2))));
+    let age = clock.now().saturating_duration_since(view.since);
+    assert_eq!(age, Duration::from_secs(2));
+    assert!(
+        view.pace
+            .is_some_and(|pace| pace > Duration::from_millis(350))
+    );
+}
--- a/crates/route/benches/routing/chooser.rs
+++ b/crates/route/benches/routing/chooser.rs
@@ -66,6 +66,7 @@
         let config = PickerConfig {
             domain,
             region: SmallVec::new(),
+            slow_start: quetzal_route::SlowStart::default(),
         };
         let mut random = SmallRng::seed_from_u64(seed);
         let picker_random = SmallRng::from_rng(&mut random);
--- a/crates/route/examples/pick.rs
+++ b/crates/route/examples/pick.rs
@@ -16,6 +16,7 @@
     let config = PickerConfig {
         domain: "cairo-1".parse()?,
         region: SmallVec::new(),
+        slow_start: quetzal_route::SlowStart::default(),
     };
     let mut picker = TargetPicker::new(config, clock.shared(), SmallRng::seed_from_u64(1));
     let service = "catalog".parse()?;
@@ -29,6 +30,7 @@
             connections: CallCount(130),
             state: TargetState::Ready,
             load: None,
+            pace: None,
             since: model::ClockPort::now(&clock),
         });
     }
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use crate::health::TargetHealth;
+use crate::picker::SlowStart;
 use crate::target::{CallOutcome, CallResult, TargetLoad, TargetState, TargetView};
 
 /// Weight of the latest call in the average service time.
@@ -25,15 +26,9 @@
 /// Age at which an observed speed has moved half way to the service's mean.
 const SPEED_HALF_LIFE: Duration = Duration::from_secs(5);
 
-/// Time over which a started target is brought up to its full share.
-const SLOW_START: Duration = Duration::from_secs(10);
-
 /// Difference of two accounts of the same start: they come by different clocks.
 const SINCE_TOLERANCE: Duration = Duration::from_secs(1);
 
-/// Share that a target gets when it has just started.
-const SLOW_START_SHARE: f32 = 0.1;
-
 /// Time without further calls after a refusal for a full queue.
 const FULL_PAUSE: Duration = Duration::from_millis(20);
 
@@ -71,6 +66,7 @@
     others_at: Instant,
     service_s: Option<f32>,
     speed_at: Instant,
+    slow_start: SlowStart,
     ramp_from: Instant,
     full_until: Option<Instant>,
     left: bool,
@@ -78,7 +74,7 @@
 
 impl Candidate {
     /// A candidate without observations.
-    pub(crate) fn new(id: u64, view: Arc<TargetView>, now: Instant) -> Self {
+    pub(crate) fn new(id: u64, view: Arc<TargetView>, slow_start: SlowStart, now: Instant) -> Self {
         let others = view.load.map_or(0.0, |load| load.outstanding() as f32);
         Self {
             id,
@@ -89,6 +85,7 @@
             others_at: now,
             service_s: None,
             speed_at: now,
+            slow_start,
             ramp_from: view.since,
             full_until: None,
             left: false,
@@ -169,24 +166,22 @@
         self.ramp_from = now;
     }
 
-    /// Service time in seconds; `mean` where nothing is known.
+    /// Service time in seconds: own observations while they are fresh, then what the daemon
+    /// beside the target told; `mean` where nothing is known.
     pub(crate) fn service_s(&self, mean: f32, now: Instant) -> f32 {
+        let told = self.view.pace.map_or(mean, |pace| pace.as_secs_f32());
         let Some(service) = self.service_s else {
-            return mean;
+            return told;
         };
         let fresh = freshness(self.speed_at, SPEED_HALF_LIFE, now);
-        mean + (service - mean) * fresh
+        told + (service - told) * fresh
     }
 
     /// Calls that the target can take at once, fewer after a cold start.
     fn effective_slots(&self, now: Instant) -> f32 {
         let slots = self.view.slots.0.min(self.view.connections.0).max(1) as f32;
         let age = now.saturating_duration_since(self.ramp_from);
-        if age >= SLOW_START {
-            return slots;
-        }
-        let ramp = age.as_secs_f32() / SLOW_START.as_secs_f32();
-        (slots * ramp.max(SLOW_START_SHARE)).max(1.0)
+        (slots * self.slow_start.share_at(age)).max(1.0)
     }
 
     /// Estimate of all proxies' calls at the target.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -29,6 +29,6 @@
 pub use admission::{AdmissionGate, Admit, AdmitAnswer, CallId, CallTicket, GateConfig, LeftCall};
 pub use budget::{BudgetConfig, RetryBudget};
 pub use deadline::CallDeadline;
-pub use picker::{PickTicket, PickerConfig, TargetPicker};
+pub use picker::{PickTicket, PickerConfig, SlowStart, TargetPicker};
 pub use retry::{AttemptFailure, FailureCause, RetryBook, RetryMark, RetryPolicy, RetryVerdict};
 pub use target::{CallOutcome, CallResult, TargetLoad, TargetState, TargetView};
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -15,7 +15,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::{CallCount, DaemonId, DomainName, ErrorKind, KindError, ServiceName, SharedClock};
 use rand::rngs::SmallRng;
@@ -38,6 +38,35 @@
     pub domain: DomainName,
     /// Failure domains of its region; if empty, all belong to it.
     pub region: SmallVec<[DomainName; 4]>,
+    /// How targets that have just started are brought up.
+    pub slow_start: SlowStart,
+}
+
+/// How the share of a target that has just started grows to its full one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowStart {
+    /// Time until the share is full.
+    pub time: Duration,
+    /// Share at the start.
+    pub share: f32,
+}
+
+impl Default for SlowStart {
+    /// For targets of which nothing is known: caches fill within some seconds.
+    fn default() -> Self {
+        Self {
+            time: Duration::from_secs(10),
+            share: 0.1,
+        }
+    }
+}
+
+impl SlowStart {
+    /// Share of a target that started `age` ago.
+    pub(crate) fn share_at(&self, age: Duration) -> f32 {
+        let ramp = age.as_secs_f32() / self.time.as_secs_f32().max(f32::MIN_POSITIVE);
+        ramp.clamp(self.share, 1.0)
+    }
 }
 
 impl PickerConfig {
@@ -126,7 +155,7 @@
                 known
             } else {
                 self.next_id += 1;
-                Candidate::new(self.next_id, view, now)
+                Candidate::new(self.next_id, view, self.config.slow_start, now)
             };
             fresh.tiers[distance].push(fresh.candidates.len());
             fresh.candidates.push(candidate);
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -22,6 +22,9 @@
     pub state: TargetState,
     /// Load as last announced; only a first guess until calls show more.
     pub load: Option<TargetLoad>,
+    /// How long its runs take, as the daemon beside it tells; known before this proxy has
+    /// sent it a call.
+    pub pace: Option<Duration>,
     /// When its present state began.
     pub since: Instant,
 }
--- a/crates/route/tests/picker.rs
+++ b/crates/route/tests/picker.rs
@@ -28,6 +28,7 @@
         let config = PickerConfig {
             domain: "domain-0".parse().unwrap(),
             region: smallvec!["domain-0".parse().unwrap(), "domain-1".parse().unwrap()],
+            slow_start: quetzal_route::SlowStart::default(),
         };
         let view = |number| TargetView {
             target: format!("target-{number}").parse().unwrap(),
@@ -37,6 +38,7 @@
             connections: CallCount(20),
             state: TargetState::Ready,
             load: None,
+            pace: None,
             since,
         };
         let mut proxy = Self {
@@ -272,3 +274,28 @@
         ErrorKind::TargetAbsent
     );
 }
+
+#[test]
+fn of_a_hundred_targets_that_a_proxy_hardly_knows_the_faster_ones_get_more() {
+    // Each proxy of a large fleet reaches each target a few times a minute, so the speed
+    // that it has seen itself is old or unknown.
+    let mut proxy = Proxy::new(108, 1);
+    let run_ms = |daemon: u64| if daemon.is_multiple_of(3) { 240 } else { 570 };
+    for view in &mut proxy.views {
+        view.pace = Some(Duration::from_millis(run_ms(view.daemon.0)));
+    }
+    proxy.learn();
+    let mut fast = 0;
+    for _ in 0..2000 {
+        let ticket = proxy.pick().unwrap();
+        let daemon = ticket.view.daemon.0;
+        fast += usize::from(daemon.is_multiple_of(3));
+        proxy.clock.advance(Duration::from_millis(90));
+        proxy.finish(&ticket, CallResult::Done, run_ms(daemon));
+    }
+    // A third of the targets has 54 of 100 slots by speed; the better of two samples has more.
+    assert!(
+        fast * 100 >= 2000 * 54,
+        "{fast} of 2000 calls to the faster third"
+    );
+}
--- a/crates/route/tests/sessions.rs
+++ b/crates/route/tests/sessions.rs
@@ -33,6 +33,7 @@
         let config = PickerConfig {
             domain: "cairo-1".parse().unwrap(),
             region: SmallVec::new(),
+            slow_start: quetzal_route::SlowStart::default(),
         };
         let mut picker = TargetPicker::new(config, clock.shared(), SmallRng::seed_from_u64(2));
         let service: ServiceName = "studio".parse().unwrap();
@@ -44,6 +45,7 @@
             connections: CallCount(10),
             state: TargetState::Ready,
             load: None,
+            pace: None,
             since,
         };
         let views: Vec<TargetView> = (1..=targets).map(view).collect();
