Ask the target for its name as soon as a configuration is there

Cause: the first look for the target beside a daemon that started anew came before its first configuration, which names the path to ask, and counted as a probe that failed; the next one came half a second later. After a loss of all daemons targets were known only 0.8 to 1.2 s after the start, and callers that came back as told were refused twice. Change: no probe until a configuration is there; a look every 50 ms.

--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -19,7 +19,7 @@
 use crate::target_client::SendFailure;
 
 /// Time between two looks whether a probe is due.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two probes of a target that did not answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for the target to answer.
@@ -43,7 +43,8 @@
             if std::mem::replace(&mut willing, is_willing) != is_willing {
                 apply_target(&core);
             }
-            if known && !doubtful {
+            // Until a configuration has come the path to ask is not known.
+            if (known && !doubtful) || core.table().is_none() {
                 continue;
             }
             if let Err(error) = probe(&core).await {
