Leave what may be repeated to the calls that found no room

Cause: a request whose calls were turned away was run again whole, if it may run twice. The second run made its calls again, so it spent repeats at two services and failed as often; the calls themselves found none left. Change: such a run is delivered as it failed; its caller may send it again itself.

--- a/crates/mesh/tests/attempt.rs
+++ b/crates/mesh/tests/attempt.rs
@@ -38,6 +38,16 @@
     assert_eq!(step, NextStep::Deliver);
 }
 
+#[test]
+fn a_run_whose_calls_found_no_room_is_not_repeated() {
+    // Pattern: a called service turns half of its calls away. What the fleet may repeat
+    // there is needed for the calls themselves.
+    let now = Instant::now();
+    let mut plan = plan(CallSafety::Idempotent, now);
+    let step = plan.next(AttemptEnd::Starved, now, || panic!("nothing is spent"));
+    assert_eq!(step, NextStep::Deliver);
+}
+
 #[test]
 fn a_proven_refusal_goes_to_another_target_without_a_token() {
     let now = Instant::now();
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -164,7 +164,7 @@
 fn end_word(end: AttemptEnd) -> &'static str {
     match end {
         AttemptEnd::Answered => "answered",
-        AttemptEnd::ServerFailed => "failed",
+        AttemptEnd::ServerFailed | AttemptEnd::Starved => "failed",
         AttemptEnd::Refused { arrived: false, .. } => "refused",
         AttemptEnd::Refused { arrived: true, .. } => "refused-by-target",
         AttemptEnd::Broken => "broken",
@@ -424,10 +424,10 @@
     AttemptResult {
         called,
         starved,
-        end: if failed {
-            AttemptEnd::ServerFailed
-        } else {
-            AttemptEnd::Answered
+        end: match (failed, starved) {
+            (true, true) => AttemptEnd::Starved,
+            (true, false) => AttemptEnd::ServerFailed,
+            (false, _) => AttemptEnd::Answered,
         },
         reply: Some(reply),
         result: if failed {
