Ask a store that is away less often the longer it is away

Ruled out: leaving the store to the readers alone; a follower that is cut off from all others would then miss a configuration that it could read. Change: after a read that failed, a follower waits 0.5 s and then longer, 4 s at most; other daemons are still asked every 0.4 s, and the readers keep their pace.

--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -11,7 +11,7 @@
 //! follower asks its parent regularly how old the parent's knowledge is, and
 //! reads the store itself when that is too old or there is no answer.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use model::{DaemonId, DomainName};
 use smallvec::SmallVec;
@@ -23,6 +23,13 @@
 /// renewed each 0.6 s and each level of the tree adds up to 0.5 s.
 const SOURCE_AGE_PART: f32 = 0.8;
 
+/// Pause after the first read of the store that failed, of a daemon that follows others.
+const FIRST_BACKOFF: Duration = Duration::from_millis(500);
+/// Factor from one such pause to the next.
+const BACKOFF_FACTOR: f32 = 2.5;
+/// Longest such pause: the readers notice the store's return and tell all others.
+const MAX_BACKOFF: Duration = Duration::from_secs(4);
+
 /// Age of a source's knowledge above which a follower asks elsewhere, where a
 /// configuration must be in force within `bound`.
 pub fn max_source_age(bound: Duration) -> Duration {
@@ -90,3 +97,32 @@
         })
         .collect()
 }
+
+/// When a follower that trusts no source may read the store again.
+///
+/// In an outage all knowledge is old at once, so the whole fleet would ask a
+/// store that answers none of them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreBackoff {
+    failed: i32,
+    until: Option<Instant>,
+}
+
+impl StoreBackoff {
+    /// Whether a read is due.
+    pub fn is_over(&self, now: Instant) -> bool {
+        self.until.is_none_or(|until| now >= until)
+    }
+
+    /// Notes that the store answered.
+    pub fn on_answered(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Notes that it did not; `draw` is a random number from 0 to 1.
+    pub fn on_failed(&mut self, now: Instant, draw: f32) {
+        let pause = FIRST_BACKOFF.mul_f32(BACKOFF_FACTOR.powi(self.failed));
+        self.failed = (self.failed + 1).min(8);
+        self.until = Some(now + pause.min(MAX_BACKOFF).mul_f32(0.5 + draw));
+    }
+}
--- a/crates/mesh/tests/follow.rs
+++ b/crates/mesh/tests/follow.rs
@@ -1,8 +1,10 @@
 //! Readers and trees of fleets of many shapes.
 
 use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
 
 use model::DaemonId;
+use quetzal_mesh::follow::StoreBackoff;
 use quetzal_mesh::{FollowMember, FollowPlan};
 
 fn fleet(domains: &[usize]) -> Vec<FollowMember> {
@@ -85,3 +87,28 @@
     let most = plans.values().map(|plan| plan.told.len()).max();
     assert!(most.is_some_and(|most| most <= 12), "{most:?}");
 }
+
+#[test]
+fn an_outage_of_the_store_costs_a_large_fleet_few_calls() {
+    // Pattern: the store answers nobody for eight seconds, so that 194 daemons distrust
+    // their sources at once. Each looks every 0.4 s.
+    let start = Instant::now();
+    let mut calls = 0;
+    for daemon in 0..194_u32 {
+        let mut backoff = StoreBackoff::default();
+        for look in 0..20_u64 {
+            let now = start + Duration::from_millis(400 * look);
+            if backoff.is_over(now) {
+                calls += 1;
+                let draw = (daemon * 37 % 100) as f32 / 100.0;
+                backoff.on_failed(now, draw);
+            }
+        }
+        backoff.on_answered();
+        assert!(
+            backoff.is_over(start),
+            "a store that answers is asked at once"
+        );
+    }
+    assert!(calls <= 194 * 5, "{calls} calls to a store that is away");
+}
--- a/crates/proxy/src/config_watch.rs
+++ b/crates/proxy/src/config_watch.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use mesh::follow::max_source_age;
+use mesh::follow::{StoreBackoff, max_source_age};
 use mesh::{ConfigUpdate, FollowPlan, MeshVersion};
 use model::{DaemonId, ErrorKind, LogOffset};
 use rand::Rng;
@@ -93,6 +93,7 @@
         read_at: None,
         lost: false,
         parent_trusted: false,
+        backoff: StoreBackoff::default(),
     };
     tokio::select! {
         () = watch.follow() => {}
@@ -110,6 +111,8 @@
     lost: bool,
     /// Whether the parent answered last and its knowledge was young enough.
     parent_trusted: bool,
+    /// When the store may be read in place of other daemons.
+    backoff: StoreBackoff,
 }
 
 impl ConfigWatch {
@@ -155,7 +158,7 @@
         if !trusted {
             self.ask_anybody().await;
         }
-        if !self.is_confirmed() {
+        if !self.is_confirmed() && self.backoff.is_over(self.core.clock.now()) {
             self.read_on(Duration::ZERO).await;
         }
     }
@@ -187,6 +190,7 @@
             Ok(page) => {
                 self.core.metrics.set_store(true);
                 self.read_at = Some(begun);
+                self.backoff.on_answered();
                 if std::mem::take(&mut self.lost) {
                     log::info!("store regained");
                 }
@@ -209,6 +213,8 @@
             }
             Err(error) => {
                 self.core.metrics.set_store(false);
+                let now = self.core.clock.now();
+                self.backoff.on_failed(now, rand::rng().random());
                 if !std::mem::replace(&mut self.lost, true) {
                     log::warn!(cause:% = error; "store lost");
                 }
