Run at most once only after the sender has ended the body

Cause: a payout was sent whole to the daemon beside a target. If that daemon's VM was lost, everything sent there until its silence was noticed (a second), and all that waited at its gate, ended as outcome-unknown though nothing of it had run. Ruled out: a shorter silence time of links (delays on full links exceed it), and sending only to daemons heard of lately (a question each way for each pair of daemons). Change: the daemon beside the target tells when there is a place, the sender then ends the body, and only that starts the run. Whatever is lost before goes to another target. It costs a message each way for requests that run once; a daemon that says nothing for 0.4 s is left.

--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -1,23 +1,34 @@
 //! What other daemons send.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use mesh::CallSafety;
 use mesh::link::LinkRoom;
 use model::{ByteCount, ErrorKind, KindError};
 use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use wire::{BodyReceiver, BodySender, PeerResponder, PeerStream, WireLimits};
 
 use crate::core::ProxyCore;
 use crate::membership::MembershipDesk;
 use crate::message::{CallAnswer, CallHead, ConfigAnswer, MAX_ANSWER_BYTES, PeerHead};
-use crate::runner::{RunBody, RunEnd, TargetCall, run_call};
+use crate::runner::{
+    AdmittedCall, RunBody, RunEnd, RunRefusal, TargetCall, admit_call, run_admitted, run_call,
+};
 
 /// Results of an exchange; the kinds are those of [`wire`].
 type Result<T> = model::Result<T>;
 
+/// Time after which the sender of a call that must run at most once is told that it waits;
+/// it takes a daemon that says nothing for four times as long for lost.
+const WAITING_AFTER: Duration = Duration::from_millis(100);
+/// Time for such a sender to end the body; the place at the target stays free so long.
+const GO_TIME: Duration = Duration::from_millis(500);
+
 /// Serves other daemons until `token` is cancelled.
 pub async fn serve_inbound(
     core: Arc<ProxyCore>,
@@ -94,10 +105,29 @@
     };
     let body = read_body(&mut receiver, room, head.body_size).await?;
     let call = TargetCall { head, body, since };
-    let end = tokio::select! {
-        end = run_call(core, call) => end,
-        // Dropping the run closes its connection to the target.
-        () = responder.abandoned() => return Ok(()),
+    let end = match call.head.safety {
+        CallSafety::Idempotent => {
+            await_end(&mut receiver).await?;
+            tokio::select! {
+                end = run_call(core, call) => end,
+                // Dropping the run closes its connection to the target.
+                () = responder.abandoned() => return Ok(()),
+            }
+        }
+        CallSafety::AtMostOnce => {
+            let placed = admit_once(core, &call, responder, &mut receiver).await?;
+            let Some((begun, admitted)) = placed else {
+                return Ok(());
+            };
+            responder = begun;
+            match admitted {
+                Err(refusal) => RunEnd::Refused(refusal),
+                Ok(admitted) => tokio::select! {
+                    end = run_admitted(core, &call, admitted) => end,
+                    () = responder.abandoned() => return Ok(()),
+                },
+            }
+        }
     };
     let load = core.desk.load();
     match end {
@@ -140,6 +170,40 @@
     }
 }
 
+/// Waits for a place for a call that must run at most once, tells its sender, and waits
+/// until that has ended the body; nothing if it gave the call up.
+async fn admit_once(
+    core: &Arc<ProxyCore>,
+    call: &TargetCall,
+    mut responder: CallResponder,
+    receiver: &mut BodyReceiver,
+) -> Result<Option<(CallResponder, std::result::Result<AdmittedCall, RunRefusal>)>> {
+    let mut admitting = pin!(admit_call(core, call));
+    let mut placed = tokio::select! {
+        placed = &mut admitting => Some(placed),
+        () = sleep(WAITING_AFTER) => None,
+        () = responder.abandoned() => return Ok(None),
+    };
+    if placed.is_none() {
+        responder = responder.tell(&CallAnswer::Waiting).await?;
+        placed = tokio::select! {
+            placed = &mut admitting => Some(placed),
+            () = responder.abandoned() => return Ok(None),
+        };
+    }
+    let Some(placed) = placed else {
+        return Ok(None);
+    };
+    if placed.is_ok() {
+        responder = responder.tell(&CallAnswer::Admitted).await?;
+        let ended = timeout(GO_TIME, await_end(receiver)).await;
+        ended.map_err(|_elapsed| {
+            KindError::new(ErrorKind::IdleTimeout, "the body was not ended in time")
+        })??;
+    }
+    Ok(Some((responder, placed)))
+}
+
 /// The way to answer a call, whether or not it was told to send its body.
 #[derive(Debug)]
 enum CallResponder {
@@ -162,6 +226,11 @@
         self.answer(answer).await?.finish()
     }
 
+    /// Tells something after which an answer follows.
+    async fn tell(self, answer: &CallAnswer) -> Result<Self> {
+        Ok(Self::Begun(self.answer(answer).await?))
+    }
+
     /// Waits until the peer has given up the call.
     async fn abandoned(&mut self) {
         match self {
@@ -186,24 +255,39 @@
     responder.answer_whole(&answer).await
 }
 
-/// Reads a body of the announced `size`.
+/// Reads a body of the announced `size`, but not its end.
 async fn read_body(
     receiver: &mut BodyReceiver,
     mut room: LinkRoom,
     size: ByteCount,
 ) -> Result<Bytes> {
     let mut body = BytesMut::new();
-    while let Some(piece) = receiver.next().await {
+    while (body.len() as u64) < size.0 {
+        let Some(piece) = receiver.next().await else {
+            break;
+        };
         let piece = piece?;
         room.arrived(piece.len());
         body.extend_from_slice(&piece);
-        if body.len() as u64 > size.0 {
-            break;
-        }
     }
     if body.len() as u64 != size.0 {
-        let detail = format!("a body of {size} bytes was announced, {} came", body.len());
-        return Err(KindError::new(ErrorKind::FrameInvalid, detail));
+        return Err(wrong_size(size, body.len()));
     }
     Ok(body.freeze())
 }
+
+/// Waits for the end of a body that was read whole.
+async fn await_end(receiver: &mut BodyReceiver) -> Result<()> {
+    while let Some(piece) = receiver.next().await {
+        let piece = piece?;
+        if !piece.is_empty() {
+            return Err(wrong_size(ByteCount(0), piece.len()));
+        }
+    }
+    Ok(())
+}
+
+fn wrong_size(announced: ByteCount, came: usize) -> KindError {
+    let detail = format!("{announced} bytes were announced, {came} came");
+    KindError::new(ErrorKind::FrameInvalid, detail)
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod message;
 pub mod metrics;
 pub mod outbound;
+pub mod peer_call;
 pub mod probe;
 pub mod relay;
 pub mod reply;
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -91,10 +91,17 @@
 }
 
 /// What a daemon beside a target says of a call; a body follows `Answered`.
+///
+/// A call that must run at most once gets `Admitted`, after `Waiting` if its place is not
+/// there yet, and runs when its sender has then ended its body.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum CallAnswer {
     /// There is room for the body, which was kept back; another answer follows.
     Proceed,
+    /// It waits for a place at the target; another answer follows.
+    Waiting,
+    /// There is a place at the target; the call runs once its body is ended.
+    Admitted,
     /// The target answered.
     Answered {
         /// Status of the answer.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -10,11 +10,12 @@
 use route::{CallOutcome, CallResult, PickTicket, TargetLoad};
 use smallvec::SmallVec;
 use tokio::time::timeout;
-use wire::{BodyReceiver, BodySender, PeerExchange};
+use wire::BodyReceiver;
 
 use crate::core::ProxyCore;
-use crate::message::{CallAnswer, CallHead, MAX_ANSWER_BYTES};
+use crate::message::{CallAnswer, CallHead};
 use crate::metrics::RequestOutcome;
+use crate::peer_call::{PeerEnd, call_peer};
 use crate::reply::{CallerReply, ReplyBody, own_reply, target_reply};
 use crate::runner::{RunBody, RunEnd, TargetCall, run_call};
 
@@ -284,67 +285,13 @@
     let Some(address) = core.peers().get(&ticket.view.daemon).copied() else {
         return unsent("the daemon left the membership".into());
     };
-    match ask_daemon(core, address, &head, call).await {
-        Ok(result) => result,
-        Err(error) if error.kind == ErrorKind::PeerUnavailable => unsent(error.detail),
-        Err(error) => broken(error.detail, CallResult::Lost, None),
+    match call_peer(core, address, &head, call.body.clone()).await {
+        PeerEnd::Told(answer, receiver) => peer_result(answer, receiver).await,
+        PeerEnd::Unsent(detail) => unsent(detail),
+        PeerEnd::Lost(detail) => broken(detail, CallResult::Lost, None),
     }
 }
 
-async fn ask_daemon(
-    core: &ProxyCore,
-    address: std::net::SocketAddr,
-    head: &CallHead,
-    call: &RelayCall,
-) -> model::Result<AttemptResult> {
-    let message = crate::message::PeerHead::Call(Box::new(head.clone()));
-    let PeerExchange { sender, answer } = core.pool.open(address, &message).await?;
-    let body = call.body.clone();
-    if !head.waits_for_room() {
-        return send_and_wait(sender, body, answer.head::<CallAnswer>()).await;
-    }
-    match answer.head::<CallAnswer>().await.map_err(after_head)? {
-        (CallAnswer::Proceed, mut receiver) => {
-            let answering = async move {
-                let answer = receiver.read_message(MAX_ANSWER_BYTES).await?;
-                Ok((answer, receiver))
-            };
-            send_and_wait(sender, body, answering).await
-        }
-        (answer, receiver) => Ok(peer_result(answer, receiver).await),
-    }
-}
-
-/// Sends the body while the answer may already come.
-async fn send_and_wait(
-    mut sender: BodySender,
-    body: Bytes,
-    answering: impl Future<Output = model::Result<(CallAnswer, BodyReceiver)>>,
-) -> model::Result<AttemptResult> {
-    let mut answering = std::pin::pin!(answering);
-    let sending = async move {
-        sender.send(body).await?;
-        sender.finish()
-    };
-    // The other daemon may refuse before it has taken the body.
-    let answered = tokio::select! {
-        answered = &mut answering => answered,
-        sent = sending => {
-            if let Err(error) = sent {
-                log::debug!(cause:% = error; "body not taken");
-            }
-            answering.await
-        }
-    };
-    let (answer, receiver) = answered.map_err(after_head)?;
-    Ok(peer_result(answer, receiver).await)
-}
-
-/// Whatever fails after the head was sent proves nothing.
-fn after_head(error: model::KindError) -> model::KindError {
-    model::KindError::new(ErrorKind::OutcomeUnknown, error.detail)
-}
-
 async fn peer_result(answer: CallAnswer, receiver: BodyReceiver) -> AttemptResult {
     match answer {
         CallAnswer::Answered {
@@ -368,11 +315,9 @@
             load,
         } => refused(kind, arrived, retry_after, load),
         CallAnswer::Broken { detail, load } => broken(detail, CallResult::Failed, Some(load)),
-        CallAnswer::Proceed => broken(
-            "room was offered for a body that was sent".into(),
-            CallResult::Lost,
-            None,
-        ),
+        CallAnswer::Proceed | CallAnswer::Waiting | CallAnswer::Admitted => {
+            broken("an answer came out of turn".into(), CallResult::Lost, None)
+        }
     }
 }
 
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -120,9 +120,10 @@
 
 /// Admits the request and runs it.
 pub async fn run_call(core: &Arc<ProxyCore>, call: TargetCall) -> RunEnd {
-    let end = admit_and_run(core, &call).await;
-    note_run_end(core, &call, &end);
-    end
+    match admit_call(core, &call).await {
+        Ok(admitted) => run_admitted(core, &call, admitted).await,
+        Err(refusal) => RunEnd::Refused(refusal),
+    }
 }
 
 /// Tells how a run ended: all that did not end well, and the sampled ones.
@@ -164,15 +165,35 @@
     );
 }
 
-async fn admit_and_run(core: &Arc<ProxyCore>, call: &TargetCall) -> RunEnd {
-    let report = match willing_target(core, &call.head) {
-        Ok(report) => report,
-        Err(refusal) => return RunEnd::Refused(refusal),
-    };
-    let print = call.print();
-    if let Err(error) = core.poison().check(print) {
-        return RunEnd::Refused(refuse(error.kind, None));
+/// A request with a place at the target, which has not run yet.
+#[derive(Debug)]
+pub struct AdmittedCall {
+    place: DeskPlace,
+    target: TargetName,
+    print: RequestPrint,
+}
+
+/// Waits for a place at the target.
+pub async fn admit_call(
+    core: &Arc<ProxyCore>,
+    call: &TargetCall,
+) -> std::result::Result<AdmittedCall, RunRefusal> {
+    let admitted = find_place(core, call).await;
+    if let Err(refusal) = &admitted {
+        note_run_end(core, call, &RunEnd::Refused(*refusal));
     }
+    admitted
+}
+
+async fn find_place(
+    core: &ProxyCore,
+    call: &TargetCall,
+) -> std::result::Result<AdmittedCall, RunRefusal> {
+    let report = willing_target(core, &call.head)?;
+    let print = call.print();
+    core.poison()
+        .check(print)
+        .map_err(|error| refuse(error.kind, None))?;
     let request = DeskRequest {
         route: call.head.route,
         priority: call.head.priority,
@@ -180,32 +201,56 @@
         objective: call.since + call.head.objective,
         deadline: call.deadline(),
     };
-    let place = match core.desk.enter(request).await {
-        Ok(place) => place,
-        Err(refusal) => return RunEnd::Refused(refuse(refusal.kind, Some(refusal.retry_after))),
+    let place = core.desk.enter(request).await;
+    let place = place.map_err(|refusal| refuse(refusal.kind, Some(refusal.retry_after)))?;
+    Ok(AdmittedCall {
+        place,
+        target: report.target,
+        print,
+    })
+}
+
+/// Runs a request that has a place.
+pub async fn run_admitted(
+    core: &Arc<ProxyCore>,
+    call: &TargetCall,
+    admitted: AdmittedCall,
+) -> RunEnd {
+    let end = match begin_run(core, call, &admitted) {
+        Ok(watched) => run_watched(core, call, admitted.place, watched).await,
+        Err(refusal) => RunEnd::Refused(refusal),
     };
+    note_run_end(core, call, &end);
+    end
+}
+
+/// Notes that a run begins, unless its target is not there any more.
+fn begin_run(
+    core: &Arc<ProxyCore>,
+    call: &TargetCall,
+    admitted: &AdmittedCall,
+) -> std::result::Result<WatchedRun, RunRefusal> {
+    let AdmittedCall { target, print, .. } = admitted;
     // The target may have left or been replaced while the request waited.
-    match willing_target(core, &call.head) {
-        Ok(now) if now.target == report.target => {}
-        Ok(_) => return RunEnd::Refused(refuse(ErrorKind::TargetAbsent, None)),
-        Err(refusal) => return RunEnd::Refused(refusal),
-    }
-    if let Err(error) = core.poison().start(&report.target, print) {
-        return RunEnd::Refused(refuse(error.kind, None));
+    let report = willing_target(core, &call.head)?;
+    if report.target != *target {
+        return Err(refuse(ErrorKind::TargetAbsent, None));
     }
+    core.poison()
+        .start(target, *print)
+        .map_err(|error| refuse(error.kind, None))?;
     let origin = RunOrigin {
         priority: call.head.priority,
         repeat: call.head.repeat,
     };
     core.lineage().begin(&call.head.request_id, origin);
-    let watched = WatchedRun {
+    Ok(WatchedRun {
         core: Arc::clone(core),
-        target: report.target.clone(),
+        target: target.clone(),
         request: call.head.request_id.clone(),
-        print,
+        print: *print,
         sound: false,
-    };
-    run_admitted(core, call, place, watched).await
+    })
 }
 
 /// A run that the lineage and the watch of crashing requests know of until it is dropped.
@@ -248,7 +293,7 @@
     }
 }
 
-async fn run_admitted(
+async fn run_watched(
     core: &Arc<ProxyCore>,
     call: &TargetCall,
     place: DeskPlace,
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -108,32 +108,58 @@
     }
 }
 
+/// Gives the answers in turn: one before the body, if there are two, `Admitted` once the
+/// body is there, and the last one once it is ended.
 async fn play(stream: PeerStream<PeerHead>, counted: &AtomicUsize, answers: &[CallAnswer]) {
     let PeerStream {
+        head,
         mut receiver,
         responder,
         ..
     } = stream;
+    let PeerHead::Call(head) = head else {
+        panic!("{head:?}");
+    };
     let (last, before) = answers.split_last().expect("an answer");
-    if let [first] = before {
-        let mut sender = responder.answer(first).await.expect("sent");
-        count_body(&mut receiver, counted).await;
-        sender.send_message(last, 1 << 20).await.expect("sent");
-        sender.finish().expect("sent");
-    } else if matches!(last, CallAnswer::Refused { .. }) {
+    if before.is_empty() && matches!(last, CallAnswer::Refused { .. }) {
         responder.answer_whole(last).await.expect("sent");
         // What was under way when the refusal left still comes in.
-        count_body(&mut receiver, counted).await;
-    } else {
-        count_body(&mut receiver, counted).await;
-        responder.answer_whole(last).await.expect("sent");
+        while count_piece(&mut receiver, counted).await {}
+        return;
+    }
+    let mut begun = None;
+    let mut responder = Some(responder);
+    if let [first] = before {
+        let responder = responder.take().expect("not used yet");
+        begun = Some(responder.answer(first).await.expect("sent"));
+    }
+    while counted.load(Ordering::SeqCst) < head.body_size.0 as usize {
+        assert!(count_piece(&mut receiver, counted).await, "ended too early");
     }
+    let mut sender = match (begun, responder) {
+        (Some(mut sender), _) => {
+            let admitted = sender.send_message(&CallAnswer::Admitted, 1 << 20);
+            admitted.await.expect("sent");
+            sender
+        }
+        (None, Some(responder)) => {
+            let admitted = responder.answer(&CallAnswer::Admitted);
+            admitted.await.expect("sent")
+        }
+        (None, None) => unreachable!("one of them is there"),
+    };
+    while count_piece(&mut receiver, counted).await {}
+    sender.send_message(last, 1 << 20).await.expect("sent");
+    sender.finish().expect("sent");
 }
 
-async fn count_body(receiver: &mut wire::BodyReceiver, counted: &AtomicUsize) {
-    while let Some(Ok(piece)) = receiver.next().await {
-        counted.fetch_add(piece.len(), Ordering::SeqCst);
-    }
+/// Counts the next bytes of a body; whether there were any.
+async fn count_piece(receiver: &mut wire::BodyReceiver, counted: &AtomicUsize) -> bool {
+    let Some(Ok(piece)) = receiver.next().await else {
+        return false;
+    };
+    counted.fetch_add(piece.len(), Ordering::SeqCst);
+    true
 }
 
 /// Sends an upload to the only target, which is beside `peer`.
