Learn from runs in progress that a target has slowed down

Cause: a gate learned run times from runs that ended. Change: where the runs in progress have on average taken longer than a whole usual run, estimates of waits and the told run time grow by that factor. Test first: a_target_that_hangs_takes_nobody_in_to_wait.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -14,7 +14,9 @@
 //! - What can't end in time behind those ahead of it is refused at once, with
 //!   the time after which the queue will have shrunk enough.
 //!
-//! The time that a request takes is learned for each route.
+//! The time that a request takes is learned for each route, and corrected by
+//! the runs in progress: where they have all taken longer than usual already,
+//! the target has slowed down, long before one of them ends.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -38,6 +40,8 @@
 const WORK_WINDOW: Duration = Duration::from_millis(500);
 /// Least part of the slots that counts as left by more urgent requests.
 const MIN_LEFT_PART: f32 = 0.05;
+/// Runs in progress from which a slowdown is concluded; a single long run is common.
+const MIN_RUNNING: usize = 3;
 /// Runs after which their mean time is told; before, the assumed one weighs too much.
 const MIN_ENDED: u32 = 20;
 /// Waiting requests for each slot, which bounds memory.
@@ -190,7 +194,8 @@
         if now + run.mul_f32(0.5) >= ticket.deadline {
             return Self::refusal(ErrorKind::DeadlineExceeded, Duration::ZERO);
         }
-        let start_by = latest_end(ticket).checked_sub(run).unwrap_or(now);
+        let slowed = run.mul_f32(self.slowdown(now));
+        let start_by = latest_end(ticket).checked_sub(slowed).unwrap_or(now);
         let rank = WorkRank {
             outer: !ticket.inner,
             priority: ticket.priority,
@@ -291,7 +296,9 @@
 
     /// How long runs of all routes take; none until some have ended.
     pub fn mean_run_time(&self) -> Option<Duration> {
-        (self.ended >= MIN_ENDED).then(|| Duration::from_secs_f32(self.mean_s))
+        let slowdown = self.slowdown(self.clock.now());
+        let known = self.ended >= MIN_ENDED;
+        known.then(|| Duration::from_secs_f32(self.mean_s * slowdown))
     }
 
     /// When a place in the queue may be free.
@@ -330,7 +337,21 @@
         let urgent = self.admitted.values().filter(|work| work.rank < place.rank);
         let urgent: f32 = urgent.map(|work| work.slots_at(now)).sum();
         let left = (slots - urgent).max(slots * MIN_LEFT_PART);
-        Duration::from_secs_f32((queued + first) / left)
+        Duration::from_secs_f32((queued + first) / left * self.slowdown(now))
+    }
+
+    /// How many times as long as usual the runs in progress take, at least; 1 if they don't.
+    ///
+    /// At a steady pace they have taken about half of their time.
+    fn slowdown(&self, now: Instant) -> f32 {
+        if self.running.len() < MIN_RUNNING {
+            return 1.0;
+        }
+        let parts = self.running.values().map(|call| {
+            let age = now.saturating_duration_since(call.since);
+            age.as_secs_f32() / self.run_s(call.route).max(f32::MIN_POSITIVE)
+        });
+        (parts.sum::<f32>() / self.running.len() as f32).max(1.0)
     }
 
     fn run_time(&self, route: RouteKey) -> Duration {
--- a/crates/mesh/tests/gate.rs
+++ b/crates/mesh/tests/gate.rs
@@ -262,3 +262,35 @@
     let after = run(120..130, 90, true);
     assert!(after > before * 4, "{before:?} to {after:?}");
 }
+
+#[test]
+fn a_target_that_hangs_takes_nobody_in_to_wait() {
+    // Pattern: a target turns twelve times slower while all its slots are taken.
+    let clock = FakeClock::new();
+    let mut gate = KindGate::new(CallCount(4), Arc::new(clock.clone()));
+    let ticket = |number| GateTicket {
+        call: CallId(number),
+        route: RouteKey::of("browse"),
+        priority: CallPriority(0),
+        inner: false,
+        objective: clock.now() + ms(1500),
+        deadline: clock.now() + ms(6000),
+    };
+    for number in 0..40 {
+        gate.enter(&ticket(number));
+        clock.advance(ms(400));
+        gate.leave(CallId(number), false);
+    }
+    let usual = gate.mean_run_time().expect("runs have ended");
+    for number in 100..104 {
+        assert_eq!(gate.enter(&ticket(number)), GateAnswer::Start);
+    }
+    clock.advance(ms(300));
+    assert_eq!(gate.mean_run_time(), Some(usual), "nothing is late yet");
+    assert_eq!(gate.enter(&ticket(104)), GateAnswer::Wait);
+    clock.advance(ms(1300));
+    let told = gate.mean_run_time().expect("runs have ended");
+    assert!(told > usual * 3, "{usual:?} to {told:?}");
+    let answer = gate.enter(&ticket(105));
+    assert!(matches!(answer, GateAnswer::Refuse { .. }), "{answer:?}");
+}
