Write the last log lines before the process ends

Cause: lines are gathered for 0.2 s by a thread that nobody waited for, so the lines of a daemon's end (stopped, or stopped with requests in progress) were never written, and on the grown site "8 processes were still there at the end of the grace" had no trace. Change: the output is closed when the daemon ends and waits 0.3 s at most for the writer. Test first: the_last_lines_before_an_end_are_written.

--- a/crates/daemon/src/log_output.rs
+++ b/crates/daemon/src/log_output.rs
@@ -21,23 +21,39 @@
 const BUFFER_BYTES: usize = 256 << 10;
 /// Time for which lines are gathered before they are written at once.
 const GATHER_TIME: Duration = Duration::from_millis(200);
+/// Time for the last lines to be written before the process ends; a reader that stalls
+/// holds no stop up.
+const CLOSE_TIME: Duration = Duration::from_millis(300);
 /// Lines of one kind in a second.
 const LINES_PER_SECOND: f64 = 20.0;
 /// Lines of one kind at once after a quiet time.
 const LINE_BURST: f64 = 60.0;
 
+/// Lines that are written until dropped, which waits for the last of them.
+#[derive(Debug)]
+pub struct LogOutput(LineBuffer);
+
+impl Drop for LogOutput {
+    fn drop(&mut self) {
+        if !self.0.close(CLOSE_TIME) {
+            eprintln!("quetzald: the last log lines were not taken");
+        }
+    }
+}
+
 /// Starts writing JSON lines to standard output; each names `vm`.
-///
-/// The thread that writes lives as long as the process.
-pub fn start_log_output(vm: &DaemonName) {
-    let buffer = LineBuffer::default();
+#[must_use]
+pub fn start_log_output(vm: &DaemonName) -> LogOutput {
+    let output = LogOutput(LineBuffer::default());
+    let buffer = output.0.clone();
     let writer = buffer.clone();
     let spawned = thread::Builder::new()
         .name("log-lines".into())
         .spawn(move || writer.write_out(&mut io::stdout()));
     if let Err(error) = spawned {
         eprintln!("quetzald: no thread for log lines: {error}");
-        return;
+        output.0.end();
+        return output;
     }
     let vm = vm.clone();
     let limits = Mutex::new(LineLimits::default());
@@ -51,6 +67,7 @@
         })
         .target(Target::Pipe(Box::new(buffer)))
         .init();
+    output
 }
 
 /// One record as a JSON object.
@@ -136,30 +153,64 @@
 #[derive(Debug, Default)]
 struct BufferShared {
     state: Mutex<BufferState>,
+    /// Told of new lines and of the end.
     filled: Condvar,
+    /// Told when nothing is written any more.
+    ended: Condvar,
 }
 
 #[derive(Debug, Default)]
 struct BufferState {
     bytes: Vec<u8>,
     lost_lines: u64,
+    /// Whether the last line has come.
+    closed: bool,
+    /// Whether nothing is written any more.
+    ended: bool,
 }
 
 impl LineBuffer {
-    /// Writes to `out` what comes into the buffer, until `out` fails.
+    /// Writes to `out` what comes into the buffer, until it is closed or `out` fails.
     pub fn write_out(&self, out: &mut impl Write) {
-        loop {
-            let bytes = self.wait_for_lines();
+        while let Some(bytes) = self.wait_for_lines() {
             if out.write_all(&bytes).and_then(|()| out.flush()).is_err() {
-                return;
+                break;
             }
-            thread::sleep(GATHER_TIME);
+            let state = lock(&self.shared.state);
+            let gathering = |state: &mut BufferState| !state.closed;
+            let waited = self
+                .shared
+                .filled
+                .wait_timeout_while(state, GATHER_TIME, gathering);
+            drop(waited.unwrap_or_else(PoisonError::into_inner));
         }
+        self.end();
     }
 
-    fn wait_for_lines(&self) -> Vec<u8> {
+    /// Takes no more lines and waits until those that are there are written; false if that
+    /// takes longer than `time`.
+    pub fn close(&self, time: Duration) -> bool {
+        let mut state = lock(&self.shared.state);
+        state.closed = true;
+        self.shared.filled.notify_all();
+        let writing = |state: &mut BufferState| !state.ended;
+        let waited = self.shared.ended.wait_timeout_while(state, time, writing);
+        let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        state.ended
+    }
+
+    fn end(&self) {
+        lock(&self.shared.state).ended = true;
+        self.shared.ended.notify_all();
+    }
+
+    /// The next lines; none once the buffer is closed and empty.
+    fn wait_for_lines(&self) -> Option<Vec<u8>> {
         let mut state = lock(&self.shared.state);
         while state.bytes.is_empty() {
+            if state.closed {
+                return None;
+            }
             let waited = self.shared.filled.wait(state);
             state = waited.unwrap_or_else(PoisonError::into_inner);
         }
@@ -169,7 +220,7 @@
             let line = format!("{{\"event\":\"log lines lost\",\"lines\":{lost}}}\n");
             bytes.extend_from_slice(line.as_bytes());
         }
-        bytes
+        Some(bytes)
     }
 }
 
--- a/crates/daemon/src/on_platform.rs
+++ b/crates/daemon/src/on_platform.rs
@@ -30,7 +30,7 @@
     })?;
     let path = PathBuf::from(path);
     let settings = read_settings(&path)?;
-    start_log_output(&settings.vm);
+    let _output = start_log_output(&settings.vm);
     let parts = ProxyParts {
         store: Arc::new(PlatformStore::new(settings.store_address)),
         edge: edge_protocol(),
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -131,3 +131,28 @@
     let text = String::from_utf8_lossy(&reader.given);
     assert!(text.contains(r#""event":"log lines lost","lines":1744"#));
 }
+
+#[test]
+fn the_last_lines_before_an_end_are_written() {
+    let mut buffer = LineBuffer::default();
+    let writer = buffer.clone();
+    let writing = thread::spawn(move || {
+        let mut out = Vec::new();
+        writer.write_out(&mut out);
+        out
+    });
+    buffer.write_all(b"first\n").expect("taken");
+    // The writer has just written, and gathers lines before it writes again.
+    thread::sleep(Duration::from_millis(50));
+    buffer.write_all(b"stopped\n").expect("taken");
+    assert!(buffer.close(Duration::from_secs(5)), "nothing is left");
+    let out = writing.join().expect("no panic");
+    assert_eq!(String::from_utf8_lossy(&out), "first\nstopped\n");
+}
+
+#[test]
+fn a_reader_that_stalls_holds_no_end_up() {
+    let mut buffer = LineBuffer::default();
+    buffer.write_all(b"nobody reads this\n").expect("taken");
+    assert!(!buffer.close(Duration::from_millis(20)));
+}
