Find daemons that start again while the log is down

A daemon that starts finds others through the store only, so each knew nobody, had no configuration and refused every request until the store came back (started 21.1 to 24.3 s, first configuration 26.35 s); its sound target was lost to all others for as long. Ruled out: the settings' seeds, which are empty where no role serves reports of others. Change: members look at the address of a member that ended, all together a few times a second, for 20 s; whoever runs there again learns of them by that. A daemon without a configuration asks another one as soon as it knows one, in place of waiting for the store. Tests first: a_daemon_that_starts_while_the_log_is_down_is_found_where_it_was, and a bound on the number of looks; both failed without the change. Daemons on new VMs still wait for the store.

--- a/crates/members/src/contact.rs
+++ b/crates/members/src/contact.rs
@@ -1,4 +1,8 @@
 //! How a [`MemberNode`] finds its first peers: the log and the settings.
+//!
+//! A daemon that starts while the log is down knows nobody. Its former run had
+//! members, and most daemons start again where they ended, so those members
+//! look there for a while.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -17,6 +21,12 @@
 const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
 /// Daemons contacted in one attempt.
 const CONTACT_COUNT: usize = 12;
+/// Time between looks at addresses of members that have ended.
+const REVISIT_INTERVAL: Duration = Duration::from_millis(400);
+/// Looks of the whole fleet at one such address in that time; a few, since some are lost.
+const REVISITS: f64 = 2.0;
+/// Time after an end in which its address is looked at; a restart takes a few seconds.
+const REVISIT_TIME: Duration = Duration::from_secs(20);
 
 impl MemberNode {
     /// Takes records of the stream `members` that the daemon read for other ends.
@@ -86,6 +96,32 @@
         }
     }
 
+    /// Looks whether a member that has ended runs again where it was; now and then, so that
+    /// all members together look at each address a few times in an interval.
+    pub(crate) fn revisit_ended(&mut self, now: Instant, outputs: &mut Vec<MemberOutput>) {
+        if now < self.revisit_at {
+            return;
+        }
+        self.revisit_at = now + REVISIT_INTERVAL;
+        let ended: Vec<SocketAddr> = self
+            .table
+            .iter()
+            .filter(|entry| !entry.state.is_live() && now - entry.since < REVISIT_TIME)
+            .map(|entry| entry.profile().peer_address)
+            .collect();
+        if ended.is_empty() {
+            return;
+        }
+        self.revisit_at += REVISIT_INTERVAL.mul_f64(self.rng.random_range(0.0..0.4));
+        let due = REVISITS * ended.len() as f64 / self.live_count() as f64;
+        if self.rng.random_range(0.0..1.0) >= due {
+            return;
+        }
+        let address = ended[self.rng.random_range(0..ended.len())];
+        let message = self.message(true, self.contact_ping(), vec![self.own_update()]);
+        outputs.push(MemberOutput::Contact { address, message });
+    }
+
     fn contact_seeds(&mut self, outputs: &mut Vec<MemberOutput>) {
         for index in 0..self.seeds.len() {
             let address = self.seeds[index];
--- a/crates/members/src/node.rs
+++ b/crates/members/src/node.rs
@@ -79,6 +79,7 @@
     pub(crate) join: JoinPlan,
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) contact_at: Instant,
+    pub(crate) revisit_at: Instant,
     pub(crate) load_at: Instant,
     pub(crate) digests: Vec<TargetDigest>,
     tick: u64,
@@ -127,6 +128,7 @@
             plan_at: now,
             seeds: settings.seeds,
             contact_at: now,
+            revisit_at: now,
             load_at: now,
             digests: Vec::new(),
             tick: 0,
@@ -148,6 +150,7 @@
             self.start_probes(now, &mut outputs);
             self.use_log(now, &mut outputs);
             self.contact_candidates(now, &mut outputs);
+            self.revisit_ended(now, &mut outputs);
             self.publish_targets(now);
         }
         self.gossip(now, &mut outputs);
--- a/crates/members/tests/fleet/mod.rs
+++ b/crates/members/tests/fleet/mod.rs
@@ -82,6 +82,8 @@
     pub record_interval: Duration,
     pub pace: JoinPace,
     pub regions: usize,
+    /// Messages sent to an address, whoever is there.
+    pub contacts: u64,
     pub kinds: BTreeMap<&'static str, (u64, u64)>,
     by_id: BTreeMap<DaemonId, usize>,
     queue: BinaryHeap<Reverse<(Duration, u64, usize)>>,
@@ -124,6 +126,7 @@
             })
             .collect();
         Self {
+            contacts: 0,
             clock: FakeClock::new(),
             by_id: slots
                 .iter()
@@ -351,6 +354,7 @@
                 self.send(index, target, message);
             }
             MemberOutput::Contact { address, message } => {
+                self.contacts += 1;
                 let target = (0..self.slots.len()).find(|to| Self::address(*to) == address);
                 self.send(index, target.unwrap(), message);
             }
--- a/crates/members/tests/node.rs
+++ b/crates/members/tests/node.rs
@@ -401,3 +401,37 @@
         .tests(25)
         .quickcheck(converges as fn(u64, Vec<(u8, u8)>) -> TestResult);
 }
+
+/// Pattern: daemons are stopped and started in turn while the log answers nobody.
+#[test]
+fn a_daemon_that_starts_while_the_log_is_down_is_found_where_it_was() {
+    let mut fleet = warm(14, 3, 1);
+    fleet.log_up = false;
+    fleet.crash(5);
+    fleet.run_for(8 * SECOND);
+    assert!(fleet.share_holding(5, |state| state == MemberState::Dead) >= 0.99);
+    fleet.start(5);
+    fleet.run_for(2 * SECOND);
+    let known = fleet.node(5).live_count();
+    assert!(known > 1, "nobody came to see");
+    fleet.run_for(5 * SECOND);
+    assert!(fleet.is_complete());
+}
+
+#[test]
+fn addresses_of_members_that_ended_are_looked_at_a_few_times_a_second() {
+    let mut fleet = warm(60, 3, 1);
+    fleet.crash(5);
+    fleet.run_for(8 * SECOND);
+    let before = fleet.contacts;
+    fleet.run_for(4 * SECOND);
+    let looks = fleet.contacts - before;
+    assert!(
+        (8..=40).contains(&looks),
+        "{looks} looks of 59 daemons in 4 s"
+    );
+    fleet.run_for(30 * SECOND);
+    let before = fleet.contacts;
+    fleet.run_for(4 * SECOND);
+    assert_eq!(fleet.contacts, before, "it is given up");
+}
--- a/crates/proxy/src/config_watch.rs
+++ b/crates/proxy/src/config_watch.rs
@@ -51,7 +51,8 @@
     pub fn set_plan(&self, plan: FollowPlan) {
         let news = {
             let mut held = lock(&self.plan);
-            let news = held.parent != plan.parent;
+            let first = held.told.is_empty() && !plan.told.is_empty();
+            let news = first || held.parent != plan.parent;
             *held = plan;
             news
         };
@@ -131,12 +132,22 @@
                     let pause = ASK_INTERVAL.mul_f32(rand::rng().random_range(0.8..1.2));
                     self.pause(pause).await;
                 }
-                // The first configuration comes from the store whoever reads it later.
+                Some(_) | None if core.table().is_none() => self.read_first().await,
+                // Where the log stands is told by the store whoever reads it later.
                 Some(_) | None => self.read_on(READ_WAIT).await,
             }
         }
     }
 
+    /// Reads the store, or asks another daemon if one is known before the store answers.
+    async fn read_first(&mut self) {
+        let core = Arc::clone(&self.core);
+        tokio::select! {
+            () = self.read_on(READ_WAIT) => {}
+            () = core.follow.woken.notified() => self.ask_anybody().await,
+        }
+    }
+
     /// Waits for `time`, or until there are news or another place.
     async fn pause(&self, time: Duration) {
         tokio::select! {
