Tell run times from more runs and in coarser steps

Cause: each change of a told run time goes to all daemons, and the mean of about ten runs left its step often: 51 times in 2000 runs of mixed lengths. Change: the told time is a mean of about thirty runs, and a level is left at 1.4 steps in place of 0.8; a mean of few runs that is off by half or twice is still told at once. Test first: runs_of_different_lengths_leave_the_told_time_as_it_is, 51 changes before, three at most now. A test shows besides that an answer without a length is whole only if its connection ends well.

--- a/crates/members/src/digest.rs
+++ b/crates/members/src/digest.rs
@@ -74,8 +74,9 @@
 impl PaceLevel {
     /// Steps in which the time doubles.
     const DOUBLING: f32 = 3.0;
-    /// Steps by which a time must be off a level to leave it.
-    const TOLERANCE: f32 = 0.8;
+    /// Steps by which a time must be off a level to leave it; each change goes to the whole
+    /// fleet, and the fastest targets are four steps from the slowest.
+    const TOLERANCE: f32 = 1.4;
     /// Longest time that is told apart, about three minutes.
     const HIGHEST: f32 = 53.0;
 
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -29,6 +29,11 @@
 
 /// Weight of the latest run in a route's average run time.
 const RUN_WEIGHT: f32 = 0.1;
+/// Weight of the latest run in the mean time that the fleet is told: each change of it goes
+/// to all daemons, and single runs differ by more than a step.
+const TOLD_WEIGHT: f32 = 0.03;
+/// Factor between the means of few and of many runs from which that of few is told.
+const TOLD_FACTOR: f32 = 2.0;
 /// Weight of the latest run in the average share of failures.
 const FAILURE_WEIGHT: f32 = 0.1;
 /// Run time assumed before any request of any route has ended, in seconds.
@@ -129,7 +134,9 @@
     arrivals: u64,
     run_s: HashMap<RouteKey, f32>,
     mean_s: f32,
-    /// Runs that the mean was learned from.
+    /// The same over more runs, for the fleet.
+    told_s: f32,
+    /// Runs that the means were learned from.
     ended: u32,
     failing: f32,
     /// Work taken in lately, by route.
@@ -178,6 +185,7 @@
             arrivals: 0,
             run_s: HashMap::new(),
             mean_s: FIRST_RUN_S,
+            told_s: FIRST_RUN_S,
             ended: 0,
             failing: 0.0,
             admitted: HashMap::new(),
@@ -297,8 +305,12 @@
     /// How long runs of all routes take; none until some have ended.
     pub fn mean_run_time(&self) -> Option<Duration> {
         let slowdown = self.slowdown(self.clock.now());
+        // A change beyond what single runs make is told at once.
+        let apart = self.mean_s / self.told_s;
+        let steady = (1.0 / TOLD_FACTOR..TOLD_FACTOR).contains(&apart);
+        let mean = if steady { self.told_s } else { self.mean_s };
         let known = self.ended >= MIN_ENDED;
-        known.then(|| Duration::from_secs_f32(self.mean_s * slowdown))
+        known.then(|| Duration::from_secs_f32(mean * slowdown))
     }
 
     /// When a place in the queue may be free.
@@ -377,6 +389,8 @@
         }
         self.ended = self.ended.saturating_add(1);
         self.mean_s += (took - self.mean_s) * RUN_WEIGHT;
+        let weight = TOLD_WEIGHT.max(1.0 / self.ended as f32);
+        self.told_s += (took - self.told_s) * weight;
         let mean = self.run_s.entry(run.route).or_insert(took);
         *mean += (took - *mean) * RUN_WEIGHT;
     }
--- a/crates/mesh/tests/gate.rs
+++ b/crates/mesh/tests/gate.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use members::PaceLevel;
 use model::{CallCount, ClockPort, ErrorKind, FakeClock};
 use quetzal_mesh::gate::StartedCall;
 use quetzal_mesh::{CallPriority, GateAnswer, GateTicket, KindGate, RouteKey};
@@ -294,3 +295,33 @@
     let answer = gate.enter(&ticket(105));
     assert!(matches!(answer, GateAnswer::Refuse { .. }), "{answer:?}");
 }
+
+#[test]
+fn runs_of_different_lengths_leave_the_told_time_as_it_is() {
+    // Pattern: a target of a large fleet runs requests of three kinds. Each change of the
+    // time that it tells goes to all daemons.
+    let clock = FakeClock::new();
+    let mut gate = KindGate::new(CallCount(1), Arc::new(clock.clone()));
+    let mut level = PaceLevel::default();
+    let mut changes = 0;
+    for number in 0..2000_u64 {
+        let ticket = GateTicket {
+            call: CallId(number),
+            route: RouteKey::of("browse"),
+            priority: CallPriority(0),
+            inner: false,
+            objective: clock.now() + ms(5000),
+            deadline: clock.now() + ms(8000),
+        };
+        assert_eq!(gate.enter(&ticket), GateAnswer::Start);
+        // Lengths of 20 to 1220 ms in no order.
+        clock.advance(ms(20 + number * 7919 % 1201));
+        gate.leave(ticket.call, false);
+        if let Some(run) = gate.mean_run_time() {
+            let next = level.follow(run);
+            changes += u32::from(next != level);
+            level = next;
+        }
+    }
+    assert!(changes <= 3, "{changes} changes in 2000 runs");
+}
--- a/crates/proxy/tests/target_client.rs
+++ b/crates/proxy/tests/target_client.rs
@@ -53,3 +53,34 @@
     exchange(&client, false).await;
     assert_eq!(count.load(Ordering::Relaxed), 3, "others may be repeated");
 }
+
+/// Answers one request without a length; `cut` resets the connection in place of its end.
+async fn read_unframed(cut: bool) -> bool {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let client = TargetClient::new(listener.local_addr().expect("bound"));
+    let (begun, goes_on) = tokio::sync::oneshot::channel::<()>();
+    let answering = tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.expect("a socket");
+        let mut held = [0; 4096];
+        let size = socket.read(&mut held).await.expect("a request");
+        assert!(size > 0);
+        let answer = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf of it";
+        socket.write_all(answer).await.expect("taken");
+        goes_on.await.expect("the answer has begun");
+        if cut {
+            socket.set_zero_linger().expect("an open socket");
+        }
+    });
+    let request = Request::new(Full::new(Bytes::new()));
+    let mut exchange = client.send(request, true).await.expect("an answer");
+    begun.send(()).expect("the target waits");
+    let body = exchange.response.body_mut().collect().await;
+    answering.await.expect("no panic");
+    body.is_ok()
+}
+
+#[tokio::test]
+async fn an_answer_without_a_length_is_whole_only_if_its_connection_ends_well() {
+    assert!(read_unframed(false).await, "it ended");
+    assert!(!read_unframed(true).await, "it was reset on the way");
+}
