--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -16,8 +16,9 @@
 use crate::core::ProxyCore;
 use crate::membership::MembershipDesk;
 use crate::message::{CallAnswer, CallHead, ConfigAnswer, MAX_ANSWER_BYTES, PeerHead};
+use crate::run_body::RunBody;
 use crate::runner::{
-    AdmittedCall, RunBody, RunEnd, RunRefusal, TargetCall, admit_call, run_admitted, run_call,
+    AdmittedCall, RunEnd, RunRefusal, TargetCall, admit_call, run_admitted, run_call,
 };
 
 /// Results of an exchange; the kinds are those of [`wire`].
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod relay;
 pub mod reply;
 pub mod run;
+pub mod run_body;
 pub mod runner;
 pub mod settings;
 pub mod store;
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -12,7 +12,7 @@
 
 use crate::edge::EdgeProtocol;
 use crate::message::{HeaderList, unpack_headers};
-use crate::runner::BodyStream;
+use crate::run_body::BodyStream;
 
 /// An answer to a caller.
 pub type CallerReply = Response<ReplyBody>;
--- /dev/null
+++ b/crates/proxy/src/run_body.rs
@@ -0,0 +1,103 @@
+//! The body of a target's answer, read whole or begun.
+//!
+//! A body up to a size is held whole, so that a broken one can be asked for
+//! again; a longer one keeps its place at the target until its end.
+
+use bytes::{Bytes, BytesMut};
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::desk::DeskPlace;
+use crate::target_client::TargetExchange;
+
+/// Longest answer that is held whole before its head is passed on.
+const WHOLE_ANSWER_BYTES: usize = 512 << 10;
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum RunBody {
+    /// All of it, checked to be complete.
+    Whole(Bytes),
+    /// The beginning of a long one; the rest is read from the stream.
+    Stream(Box<BodyStream>),
+}
+
+/// The rest of a long answer.
+#[derive(Debug)]
+pub struct BodyStream {
+    first: Option<Bytes>,
+    exchange: Option<TargetExchange>,
+    place: Option<DeskPlace>,
+}
+
+/// What was read of a body.
+pub(crate) enum ReadBody {
+    /// All of it.
+    Whole(Bytes),
+    /// The beginning of a long one.
+    Begun(Bytes),
+}
+
+/// Reads the body to its end, or until it is too long to hold.
+pub(crate) async fn read_body(
+    response: &mut Response<Incoming>,
+) -> std::result::Result<ReadBody, Box<str>> {
+    let mut held = BytesMut::new();
+    while let Some(frame) = response.body_mut().frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if held.is_empty() && http_body::Body::is_end_stream(response.body()) {
+            return Ok(ReadBody::Whole(data));
+        }
+        held.extend_from_slice(&data);
+        if held.len() > WHOLE_ANSWER_BYTES {
+            return Ok(ReadBody::Begun(held.freeze()));
+        }
+    }
+    Ok(ReadBody::Whole(held.freeze()))
+}
+
+impl BodyStream {
+    /// The rest of an answer of which `first` was read.
+    pub(crate) fn new(first: Bytes, exchange: TargetExchange, place: DeskPlace) -> Self {
+        Self {
+            first: Some(first),
+            exchange: Some(exchange),
+            place: Some(place),
+        }
+    }
+
+    /// The next bytes; nothing after the end of a whole body.
+    pub async fn next(&mut self) -> Option<std::result::Result<Bytes, Box<str>>> {
+        if let Some(first) = self.first.take() {
+            return Some(Ok(first));
+        }
+        loop {
+            let exchange = self.exchange.as_mut()?;
+            match exchange.response.body_mut().frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Some(Ok(data));
+                    }
+                }
+                Some(Err(error)) => {
+                    self.exchange = None;
+                    self.place = None;
+                    return Some(Err(error.to_string().into()));
+                }
+                None => {
+                    if let Some(exchange) = self.exchange.take() {
+                        exchange.finish();
+                    }
+                    if let Some(place) = self.place.take() {
+                        place.finish(false);
+                    }
+                    return None;
+                }
+            }
+        }
+    }
+}
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -6,10 +6,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use bytes::Bytes;
+use http::{HeaderValue, Request, StatusCode, header};
 use mesh::lineage::{CalledServices, RunOrigin};
 use mesh::{CallSafety, TargetReport};
 use model::{CustomerName, ErrorKind, TargetName};
@@ -20,14 +18,13 @@
 use crate::desk::{DeskPlace, DeskRequest};
 use crate::message::{CallHead, HeaderList, pack_headers, unpack_headers};
 use crate::relay::is_sampled;
+use crate::run_body::{BodyStream, ReadBody, RunBody, read_body};
 use crate::target_client::{SendFailure, TargetExchange};
 
 /// Time kept back for the answer's way to the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(3);
 /// Least time worth starting a run for.
 const MIN_RUN: Duration = Duration::from_millis(2);
-/// Longest answer that is held whole before its head is passed on.
-const WHOLE_ANSWER_BYTES: usize = 512 << 10;
 /// Time after which a refused request may find the target back.
 const DOWN_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -59,23 +56,6 @@
     pub waited: Duration,
 }
 
-/// The body of an answer.
-#[derive(Debug)]
-pub enum RunBody {
-    /// All of it, checked to be complete.
-    Whole(Bytes),
-    /// The beginning of a long one; the rest is read from the stream.
-    Stream(Box<BodyStream>),
-}
-
-/// The rest of a long answer.
-#[derive(Debug)]
-pub struct BodyStream {
-    first: Option<Bytes>,
-    exchange: Option<TargetExchange>,
-    place: Option<DeskPlace>,
-}
-
 /// A proven refusal.
 #[derive(Clone, Copy, Debug)]
 pub struct RunRefusal {
@@ -429,11 +409,9 @@
             exchange.finish();
             RunBody::Whole(bytes)
         }
-        Ok(Ok(ReadBody::Begun(first))) => RunBody::Stream(Box::new(BodyStream {
-            first: Some(first),
-            exchange: Some(exchange),
-            place: Some(place),
-        })),
+        Ok(Ok(ReadBody::Begun(first))) => {
+            RunBody::Stream(Box::new(BodyStream::new(first, exchange, place)))
+        }
         Ok(Err(detail)) => {
             place.finish(true);
             return RunEnd::Broken(detail);
@@ -454,63 +432,6 @@
     }))
 }
 
-enum ReadBody {
-    Whole(Bytes),
-    Begun(Bytes),
-}
-
-/// Reads the body to its end, or until it is too long to hold.
-async fn read_body(response: &mut Response<Incoming>) -> std::result::Result<ReadBody, Box<str>> {
-    let mut held = BytesMut::new();
-    while let Some(frame) = response.body_mut().frame().await {
-        let frame = frame.map_err(|error| error.to_string())?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if held.is_empty() && http_body::Body::is_end_stream(response.body()) {
-            return Ok(ReadBody::Whole(data));
-        }
-        held.extend_from_slice(&data);
-        if held.len() > WHOLE_ANSWER_BYTES {
-            return Ok(ReadBody::Begun(held.freeze()));
-        }
-    }
-    Ok(ReadBody::Whole(held.freeze()))
-}
-
-impl BodyStream {
-    /// The next bytes; nothing after the end of a whole body.
-    pub async fn next(&mut self) -> Option<std::result::Result<Bytes, Box<str>>> {
-        if let Some(first) = self.first.take() {
-            return Some(Ok(first));
-        }
-        loop {
-            let exchange = self.exchange.as_mut()?;
-            match exchange.response.body_mut().frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Some(Ok(data));
-                    }
-                }
-                Some(Err(error)) => {
-                    self.exchange = None;
-                    self.place = None;
-                    return Some(Err(error.to_string().into()));
-                }
-                None => {
-                    if let Some(exchange) = self.exchange.take() {
-                        exchange.finish();
-                    }
-                    if let Some(place) = self.place.take() {
-                        place.finish(false);
-                    }
-                    return None;
-                }
-            }
-        }
-    }
-}
-
 /// Notes that nothing listens at the target's address.
 fn note_down(core: &ProxyCore, detail: &str) {
     if core.own().on_refused() {
