Know the others within milliseconds of a start

Ruled out: the store (4 ms an answer), the configuration (0.02 s). Change: records of the members are read at the first tick; a target that came or went is told to twelve members at once; a request at a daemon younger than a second waits for the first target for an eighth of its objective and for the first configuration 30 ms; the time told until others are known falls from 800 to 250 ms.

--- a/crates/members/src/join.rs
+++ b/crates/members/src/join.rs
@@ -65,6 +65,8 @@
 pub struct JoinPace {
     /// Time over which the appends are spread.
     pub append_spread: Duration,
+    /// Whether the log is read at the start already, for the records of earlier runs.
+    pub read_at_start: bool,
     /// Least wait from the first append to the first read.
     pub read_delay: Duration,
     /// Time over which the reads are spread.
@@ -77,6 +79,7 @@
     fn default() -> Self {
         Self {
             append_spread: APPEND_SPREAD,
+            read_at_start: false,
             read_delay: READ_DELAY,
             read_spread: READ_SPREAD,
             max_backoff: MAX_BACKOFF,
@@ -110,12 +113,13 @@
         rng: &mut SmallRng,
     ) -> Self {
         let append_at = now + spread(pace.append_spread, rng);
+        let turn = append_at + pace.read_delay + spread(pace.read_spread, rng);
         Self {
             own,
             pace,
             record_interval,
             append_at,
-            read_at: append_at + pace.read_delay + spread(pace.read_spread, rng),
+            read_at: if pace.read_at_start { now } else { turn },
             stage: ReadStage::Idle,
             starting: true,
             waived: 0,
--- a/crates/members/src/own.rs
+++ b/crates/members/src/own.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use rand::Rng;
+use rand::seq::IteratorRandom;
 
 use crate::digest::{LOAD_INTERVAL, LOAD_STEP, MemberRecord, SequenceNumber, TargetDigest};
 use crate::message::{MemberUpdate, MessageBody};
@@ -14,6 +15,8 @@
 
 /// Members told at once when this daemon leaves.
 const LEAVE_FANOUT: usize = 8;
+/// Members told at once when another target is beside this daemon, or none.
+const TARGET_FANOUT: usize = 12;
 
 impl MemberNode {
     /// Replaces the targets beside this daemon, as its registry gives them.
@@ -23,6 +26,24 @@
         self.publish_targets(now);
     }
 
+    /// Does the same when a target came or went, and tells some members without waiting for
+    /// the next tick: until they hear it, they call a target that is not there or none.
+    pub fn announce_targets(&mut self, digests: Vec<TargetDigest>) -> Vec<MemberOutput> {
+        let before = self.own.content;
+        self.set_targets(digests);
+        let mut outputs = Vec::new();
+        if self.own.content == before {
+            return outputs;
+        }
+        // Any of the table: the active sets of a daemon that has just started are empty.
+        let live = self.table.live().map(|entry| entry.record.id);
+        for id in live.choose_multiple(&mut self.rng, TARGET_FANOUT) {
+            let own = self.own_update();
+            self.send_to(id, MessageBody::Gossip, vec![own], &mut outputs);
+        }
+        outputs
+    }
+
     /// Tells all members that this daemon takes no new calls.
     pub fn drain(&mut self) {
         self.renew(|record| record.draining = true);
--- a/crates/members/tests/node.rs
+++ b/crates/members/tests/node.rs
@@ -78,6 +78,7 @@
     let mut fleet = warm(14, 3, 1);
     fleet.pace = JoinPace {
         append_spread: Duration::from_millis(100),
+        read_at_start: true,
         read_delay: Duration::ZERO,
         read_spread: Duration::from_millis(150),
         max_backoff: SECOND,
@@ -88,12 +89,34 @@
     for index in 0..14 {
         fleet.start(index);
     }
-    // The read is due within 250 ms, at a tick, and a turn of the log has two calls.
-    fleet.run_for(Duration::from_millis(600));
+    // The read is due at the first tick, and a turn of the log has two calls of 20 ms.
+    fleet.run_for(TICK_INTERVAL + Duration::from_millis(60));
     let alone = fleet.running().filter(|node| node.live_count() == 1);
     assert_eq!(alone.count(), 0, "daemons that know nobody");
 }
 
+/// Pattern: a target comes up beside a daemon of a fleet; until others hear of it they
+/// refuse what it could run.
+#[test]
+fn a_target_that_came_or_went_is_told_between_ticks() {
+    let mut fleet = warm(10, 3, 1);
+    for targets in [vec![target_of(77, TargetState::Ready)], Vec::new()] {
+        let wanted = targets.len();
+        let outputs = fleet.node(3).announce_targets(targets);
+        fleet.carry_out(3, outputs);
+        fleet.run_for(Duration::from_millis(5));
+        let service = target_of(77, TargetState::Ready).service;
+        let id = fleet.slots[3].id;
+        let knowing = fleet.running().filter(|node| {
+            let targets = node.targets(&service);
+            targets.iter().filter(|view| view.daemon == id).count() == wanted
+        });
+        assert_eq!(knowing.count(), 10);
+    }
+    // News that are none are not told again.
+    assert!(fleet.node(3).announce_targets(Vec::new()).is_empty());
+}
+
 #[test]
 fn an_old_run_stops_when_it_hears_of_a_newer_one() {
     let mut fleet = warm(4, 2, 1);
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -17,6 +17,7 @@
 use rand::rngs::SmallRng;
 use route::{PickerConfig, SlowStart, TargetPicker};
 use tokio::sync::Notify;
+use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 use wire::{PeerPool, WireLimits};
 
@@ -38,10 +39,12 @@
     share: 0.4,
 };
 /// Time from a start until other daemons are known: a read of the store and a round of
-/// messages, on the slowest VMs.
-const JOIN_TIME: Duration = Duration::from_millis(800);
+/// messages, while all daemons start and each has a part of one core.
+const JOIN_TIME: Duration = Duration::from_millis(250);
 /// Time in which a start that takes longer may end.
-const LATE_JOIN_TIME: Duration = Duration::from_millis(200);
+const LATE_JOIN_TIME: Duration = Duration::from_millis(100);
+/// Age up to which a daemon that knows no target of a service may hear of one any moment.
+const STARTING_TIME: Duration = Duration::from_secs(1);
 
 /// Other daemons and where they are reached.
 pub type PeerBook = HashMap<DaemonId, SocketAddr>;
@@ -77,6 +80,8 @@
     pub tasks: TaskTracker,
     /// Wakes the membership after a change of the target.
     pub target_changed: Notify,
+    /// Wakes what waits for a first configuration or for first targets.
+    pub learned: Notify,
     keeper: Mutex<ConfigKeeper>,
     picker: Mutex<TargetPicker>,
     budget: Mutex<FleetBudget>,
@@ -123,6 +128,7 @@
             link: LinkGate::new(settings.link_bytes_per_s),
             tasks: TaskTracker::new(),
             target_changed: Notify::new(),
+            learned: Notify::new(),
             keeper: Mutex::default(),
             picker: Mutex::new(TargetPicker::new(picker_config, Arc::clone(&clock), random)),
             budget: Mutex::new(FleetBudget::new(settings.budget, 1)),
@@ -223,6 +229,27 @@
         JOIN_TIME.saturating_sub(age).max(LATE_JOIN_TIME)
     }
 
+    /// Whether the daemon started so short a time ago that it may not know the others yet.
+    pub fn is_starting(&self) -> bool {
+        self.clock.now().saturating_duration_since(self.started) < STARTING_TIME
+    }
+
+    /// Waits until a configuration is in force, for `limit` at most.
+    pub async fn await_table(&self, limit: Duration) {
+        let learning = async {
+            loop {
+                // Taken before the look, so that what comes between them wakes it.
+                let learned = self.learned.notified();
+                if self.table().is_some() {
+                    break;
+                }
+                learned.await;
+            }
+        };
+        // Without a configuration the request is refused, which needs no other sign.
+        let _elapsed = timeout(limit, learning).await;
+    }
+
     /// Notes that a caller sends a request.
     pub fn note_caller(&self) {
         *lock(&self.caller_at) = Some(self.clock.now());
--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -45,6 +45,7 @@
 /// a read does not wait for the records of this start.
 const PACE: JoinPace = JoinPace {
     append_spread: Duration::from_millis(100),
+    read_at_start: true,
     read_delay: Duration::ZERO,
     read_spread: Duration::from_millis(150),
     max_backoff: Duration::from_secs(1),
@@ -140,14 +141,14 @@
                     self.note_pace();
                     let outputs = self.node.on_tick();
                     self.carry_out(outputs);
-                    self.note_lone();
                 }
                 event = inbox.recv() => {
                     let Some(event) = event else { return };
                     self.on_event(event);
                 }
                 () = core.target_changed.notified() => {
-                    self.node.set_targets(own_digests(&core, self.pace));
+                    let outputs = self.node.announce_targets(own_digests(&core, self.pace));
+                    self.carry_out(outputs);
                     self.stale = true;
                 }
                 () = stages.drain.cancelled(), if !drained => {
@@ -162,6 +163,7 @@
                     return;
                 }
             }
+            self.note_lone();
             if std::mem::take(&mut self.stale) {
                 self.publish();
             }
@@ -343,6 +345,8 @@
         for (service, views) in &services {
             picker.set_targets(service, views);
         }
+        drop(picker);
+        self.core.learned.notify_waiters();
     }
 }
 
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -34,6 +34,9 @@
 /// Time for which the connection of a request that was refused unread stays open; a
 /// caller in another region takes its answer in this time.
 const LINGER_TIME: Duration = Duration::from_millis(500);
+/// Time for which a request waits for the first configuration, which a daemon reads as soon
+/// as it starts; an eighth of the shortest objective that callers of a mesh have.
+const CONFIG_WAIT: Duration = Duration::from_millis(30);
 /// When a daemon without a configuration may have one.
 const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -43,6 +46,7 @@
     _peer: SocketAddr,
     request: Request<Incoming>,
 ) -> CallerReply {
+    core.await_table(CONFIG_WAIT).await;
     let mut reply = match take_in(&core, request) {
         Ok(entry) => serve(&core, entry).await,
         Err(error) => turn_down(&core, &error),
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -30,7 +30,10 @@
     let watching = async {
         let mut willing = false;
         loop {
-            sleep(LOOK_INTERVAL).await;
+            tokio::select! {
+                () = sleep(LOOK_INTERVAL) => {}
+                () = core.learned.notified() => {}
+            }
             let (known, doubtful, is_willing) = {
                 let own = core.own();
                 (
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -26,6 +26,10 @@
 /// One in this many requests that end well is told of in the log.
 const SAMPLED_PART: u64 = 128;
 
+/// Part of its objective, one in this many, for which a request waits at a daemon that has
+/// just started and knows no target yet.
+const START_WAIT_PART: u32 = 8;
+
 /// A request on its way out.
 #[derive(Debug)]
 pub struct RelayCall {
@@ -80,7 +84,7 @@
     let mut asked = SmallVec::<[DaemonId; 4]>::new();
     let mut last = LastAnswer::default();
     loop {
-        let picked = pick(core, &call, &asked);
+        let picked = pick_known(core, &call, &asked).await;
         let Some(ticket) = picked else {
             let kind = core.picker().absence(&service).kind;
             let step = plan.exhausted(kind).not_before(core.time_to_join());
@@ -173,6 +177,28 @@
     }
 }
 
+/// Picks a target. A daemon that has just started hears of others any moment, so a request
+/// waits for that as long as its objective bears.
+async fn pick_known(
+    core: &ProxyCore,
+    call: &RelayCall,
+    asked: &[DaemonId],
+) -> Option<PickTicket> {
+    let until = call.since + call.rule.objective / START_WAIT_PART;
+    loop {
+        // Taken before the look, so that what comes between them wakes it.
+        let learned = core.learned.notified();
+        let picked = pick(core, call, asked);
+        if picked.is_some() || !asked.is_empty() || !core.is_starting() {
+            return picked;
+        }
+        let rest = until.saturating_duration_since(core.clock.now());
+        if timeout(rest, learned).await.is_err() {
+            return None;
+        }
+    }
+}
+
 fn pick(core: &ProxyCore, call: &RelayCall, asked: &[DaemonId]) -> Option<PickTicket> {
     let mut picker = core.picker();
     match call.rule.safety {
