Write again what a store lost that came back from a copy

The users' page: the store may come back from a copy some seconds old; offsets are given out again, and the header Store-Era rises by one. Nothing read it: a daemon's record that was lost stayed lost for an hour, and a reader behind re-used offsets missed the configuration written there. On a rise the own record is written again and the configuration is read from the newest on; an answer of an earlier era changes nothing; a configuration in force is never replaced by an older one. Messages between daemons have a new form.

--- a/crates/members/src/contact.rs
+++ b/crates/members/src/contact.rs
@@ -55,6 +55,12 @@
         self.join.on_append_failed(now, &mut self.rng);
     }
 
+    /// Notes that the log lost the own record, which it had acknowledged.
+    pub fn on_record_lost(&mut self) {
+        let now = self.clock.now();
+        self.join.append_soon(now, &mut self.rng);
+    }
+
     pub(crate) fn use_log(&mut self, now: Instant, outputs: &mut Vec<MemberOutput>) {
         if self.join.take_append(now, &mut self.rng) {
             outputs.push(MemberOutput::append(&self.join_record()));
--- a/crates/members/src/join.rs
+++ b/crates/members/src/join.rs
@@ -143,6 +143,11 @@
         self.append_at = now + self.backoff(rng);
     }
 
+    /// Plans an append as after a start; the whole fleet may do so at once.
+    pub fn append_soon(&mut self, now: Instant, rng: &mut SmallRng) {
+        self.append_at = now + spread(self.pace.append_spread, rng);
+    }
+
     /// The read that is due; `members` are known already.
     pub fn take_read(
         &mut self,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`MeshTable`] finds the route of a request; [`ConfigKeeper`] never goes
 //!   back to an older configuration.
+//! - [`EraWatch`] tells answers of a store that came back from an older copy.
 //! - [`FollowPlan`] says who reads the store and who hears from whom.
 //! - [`AttemptPlan`] decides after each attempt whether the request goes to
 //!   another target, within [`FleetBudget`], this daemon's share of the
@@ -24,6 +25,7 @@
 pub mod budget;
 pub mod config;
 pub mod delta;
+pub mod era;
 pub mod follow;
 pub mod gate;
 pub mod keeper;
@@ -42,6 +44,7 @@
     RouteRule, ServiceRule,
 };
 pub use delta::{ConfigDelta, ConfigUpdate};
+pub use era::{EraMark, EraWatch, StoreEra};
 pub use follow::{FollowMember, FollowPlan};
 pub use gate::{GateAnswer, GateTicket, KindGate};
 pub use keeper::ConfigKeeper;
--- a/crates/proxy/src/config_watch.rs
+++ b/crates/proxy/src/config_watch.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use mesh::follow::{StoreBackoff, max_source_age};
-use mesh::{ConfigUpdate, FollowPlan, MeshVersion};
+use mesh::{ConfigUpdate, EraMark, FollowPlan, MeshVersion};
 use model::{DaemonId, ErrorKind, LogOffset};
 use rand::Rng;
 use rand::seq::IteratorRandom;
@@ -105,7 +105,7 @@
 struct ConfigWatch {
     core: Arc<ProxyCore>,
     /// Where the next read of the store goes on; none before the first.
-    next: Option<LogOffset>,
+    next: Option<EraMark<LogOffset>>,
     /// When the store was read last.
     read_at: Option<Instant>,
     /// Whether the store did not answer the last read.
@@ -188,7 +188,10 @@
         let recent = self
             .read_at
             .is_some_and(|at| begun.saturating_duration_since(at) < CATCH_UP_TIME);
-        let from = self.next.filter(|_| recent);
+        // Offsets of an earlier era are given out again for other records.
+        let latest = self.core.eras().latest();
+        let from = self.next.filter(|mark| recent && mark.holds(latest));
+        let from = from.map(|mark| mark.value);
         // A store that was lost is asked for what it has: a read that waits could hang
         // past its return.
         let waits = from.is_some() && !self.lost;
@@ -205,7 +208,20 @@
                 if std::mem::take(&mut self.lost) {
                     log::info!("store regained");
                 }
-                self.next = Some(page.next);
+                if self.core.note_era(page.era) {
+                    log::info!("answer of an earlier era of the store; reading again");
+                    return;
+                }
+                let outdated = self.next.is_some_and(|mark| !mark.holds(page.era));
+                self.next = Some(EraMark {
+                    value: page.next,
+                    era: page.era,
+                });
+                if outdated && from.is_some() {
+                    // What was read on from there may lack records before it.
+                    self.next = None;
+                    return;
+                }
                 let found = page.newest.is_some();
                 if let Some(config) = page.newest {
                     self.take(ConfigUpdate::Whole(Arc::new(config)), "store");
@@ -257,6 +273,7 @@
                 return false;
             }
         };
+        self.core.note_era(answer.era);
         if let Some(update) = answer.update {
             self.take(update, "peer");
         }
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use mesh::{
-    ConfigKeeper, EntryThrottle, FleetBudget, LinkGate, MeshTable, OwnTarget, RouteKey, RunLineage,
-    StopPlan, WeightedTurn,
+    ConfigKeeper, EntryThrottle, EraWatch, FleetBudget, LinkGate, MeshTable, OwnTarget, RouteKey,
+    RunLineage, StopPlan, StoreEra, WeightedTurn,
 };
 use model::{DaemonId, IncarnationNumber, SharedClock};
 use once::HolderId;
@@ -91,6 +91,7 @@
     own: Mutex<OwnTarget>,
     poison: Mutex<PoisonWatch>,
     peers: Mutex<Arc<PeerBook>>,
+    eras: Mutex<EraWatch>,
     caller_at: Mutex<Option<Instant>>,
     started: Instant,
     joined: AtomicBool,
@@ -142,6 +143,7 @@
                 Arc::clone(&clock),
             )),
             peers: Mutex::default(),
+            eras: Mutex::default(),
             caller_at: Mutex::default(),
             started: clock.now(),
             joined: AtomicBool::new(false),
@@ -198,6 +200,25 @@
         lock(&self.poison)
     }
 
+    /// Eras of the store.
+    pub fn eras(&self) -> MutexGuard<'_, EraWatch> {
+        lock(&self.eras)
+    }
+
+    /// Takes the era of an answer of the store, or as another daemon tells it; whether a later
+    /// one was known already.
+    pub fn note_era(&self, era: Option<StoreEra>) -> bool {
+        let mut watch = self.eras();
+        let before = watch.latest();
+        let outdated = watch.is_outdated(era);
+        if let (Some(before), Some(latest)) = (before, watch.latest())
+            && before < latest
+        {
+            log::warn!(before:% = before, latest:% = latest; "the store came back from an older copy");
+        }
+        outdated
+    }
+
     /// Other daemons.
     pub fn peers(&self) -> Arc<PeerBook> {
         Arc::clone(&lock(&self.peers))
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -76,6 +76,7 @@
             let answer = ConfigAnswer {
                 update: core.keeper().update_for(have),
                 age: core.follow.age(core.clock.now()),
+                era: core.eras().latest(),
             };
             responder.answer_whole(&answer).await
         }
--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -13,7 +13,7 @@
     JoinPace, MemberNode, MemberOutput, MemberProfile, MemberSettings, MemberState, PaceLevel,
     TICK_INTERVAL, TargetDigest, TargetState, TargetView,
 };
-use mesh::{FollowMember, FollowPlan};
+use mesh::{EraMark, FollowMember, FollowPlan, StoreEra};
 use model::{CallCount, ClockPort, DaemonId, IncarnationNumber, LogOffset, ServiceName};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -64,6 +64,8 @@
     Message(DaemonId, Vec<u8>),
     /// The store's records, or none if it did not answer.
     Records(Option<Vec<Box<[u8]>>>),
+    /// The own record was written, in an era of the store.
+    Written(Option<StoreEra>),
     /// The own record could not be written.
     WriteFailed,
 }
@@ -103,6 +105,8 @@
     node: MemberNode,
     under_way: Arc<std::sync::Mutex<HashMap<SocketAddr, usize>>>,
     stale: bool,
+    /// The own record as the store keeps it.
+    written: Option<EraMark<()>>,
     read_at: Option<Instant>,
     /// When the last tick came.
     ticked: Instant,
@@ -121,6 +125,7 @@
             node,
             under_way: Arc::default(),
             stale: true,
+            written: None,
             read_at: None,
             ticked: Instant::now(),
             pace: PaceLevel::default(),
@@ -139,6 +144,7 @@
                 _ = ticks.tick() => {
                     self.note_pause();
                     self.note_pace();
+                    self.note_era();
                     let outputs = self.node.on_tick();
                     self.carry_out(outputs);
                 }
@@ -185,6 +191,10 @@
                 self.carry_out(outputs);
             }
             InboxEvent::Records(None) => self.node.on_read_failed(),
+            InboxEvent::Written(era) => {
+                self.core.note_era(era);
+                self.written = Some(EraMark { value: (), era });
+            }
             InboxEvent::WriteFailed => self.node.on_append_failed(),
         }
     }
@@ -211,6 +221,15 @@
         }
     }
 
+    /// Has the own record written again where the store has lost it.
+    fn note_era(&mut self) {
+        let latest = self.core.eras().latest();
+        if self.written.is_some_and(|mark| !mark.holds(latest)) {
+            self.written = None;
+            self.node.on_record_lost();
+        }
+    }
+
     /// A daemon that nobody else is there to know takes callers alone.
     fn note_lone(&mut self) {
         let waited = self.read_at.is_some_and(|at| at.elapsed() >= LONE_TIME);
@@ -277,13 +296,16 @@
         let leaves = self.core.is_stopping();
         self.core.tasks.spawn(async move {
             let written = if leaves {
-                core.store.drop_member(core.id).await
+                core.store.drop_member(core.id).await.map(|()| None)
             } else {
                 core.store.put_member(core.id, body).await
             };
-            if let Err(error) = written {
-                log::warn!(cause:% = error; "own record not written");
-                desk.pass(InboxEvent::WriteFailed);
+            match written {
+                Ok(era) => desk.pass(InboxEvent::Written(era)),
+                Err(error) => {
+                    log::warn!(cause:% = error; "own record not written");
+                    desk.pass(InboxEvent::WriteFailed);
+                }
             }
         });
     }
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use mesh::lineage::CalledServices;
 use mesh::link::SMALL_BODY;
-use mesh::{CallPriority, CallSafety, ConfigUpdate, MeshVersion, RouteKey};
+use mesh::{CallPriority, CallSafety, ConfigUpdate, MeshVersion, RouteKey, StoreEra};
 use model::{ByteCount, DaemonId, ErrorKind, KindError, ServiceName};
 use once::poison::PoisonMessage;
 use route::TargetLoad;
@@ -55,6 +55,8 @@
     pub update: Option<ConfigUpdate>,
     /// Time since the store confirmed it; none if it never did.
     pub age: Option<Duration>,
+    /// The latest era of the store that the daemon has seen.
+    pub era: Option<StoreEra>,
 }
 
 /// A request on its way to a target.
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mesh::MeshConfig;
+use mesh::{MeshConfig, StoreEra};
 use model::{DaemonId, LogOffset};
 
 /// Results of the store.
@@ -24,6 +24,8 @@
     pub newest: Option<MeshConfig>,
     /// Where the next read goes on.
     pub next: LogOffset,
+    /// Era of the store, to which the offset belongs; none if it tells none.
+    pub era: Option<StoreEra>,
 }
 
 /// What the daemons need of the store.
@@ -34,8 +36,8 @@
     /// Waits up to `wait` for configurations from the offset `from` on.
     fn next_config(&self, from: LogOffset, wait: Duration) -> StoreFuture<'_, ConfigPage>;
 
-    /// Keeps `record` under the daemon's id.
-    fn put_member(&self, id: DaemonId, record: Box<[u8]>) -> StoreFuture<'_, ()>;
+    /// Keeps `record` under the daemon's id; the era of the store that acknowledged it.
+    fn put_member(&self, id: DaemonId, record: Box<[u8]>) -> StoreFuture<'_, Option<StoreEra>>;
 
     /// Drops what is kept under the daemon's id.
     fn drop_member(&self, id: DaemonId) -> StoreFuture<'_, ()>;
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -136,7 +136,7 @@
         lost()
     }
 
-    fn put_member(&self, _: DaemonId, _: Box<[u8]>) -> StoreFuture<'_, ()> {
+    fn put_member(&self, _: DaemonId, _: Box<[u8]>) -> StoreFuture<'_, Option<mesh::StoreEra>> {
         lost()
     }
 
