Know a returning caller by its request and the end of its patience

Ruled out: a tolerance alone; it would miss the returns of the first 300 ms, which are the ones that can still be in time. Change: refusals are remembered by a hash of the path and the moment at which the caller stops waiting, which is the same in its next try; time left tells of earlier tries only below 0.8 of what callers of the route begin with, as after a daemon's restart. The time spent travels with the call.

--- a/crates/mesh/src/patience.rs
+++ b/crates/mesh/src/patience.rs
@@ -1,9 +1,14 @@
 //! How long a caller has been waiting when its request arrives.
 //!
 //! A caller that was refused sends the request again with the time that it has
-//! left, but its objective counts from the first try. All callers of a route
-//! begin with about the same time, so what is missing of the longest time seen
-//! lately has been spent on earlier tries.
+//! left, but its objective counts from the first try. Nothing in the second
+//! try names the first one; yet it is the same request, and its caller waits
+//! until the same moment. So the refusals of the last moments are remembered
+//! by request and by the end of the caller's patience.
+//!
+//! What was refused elsewhere, or by the daemon's former run, is recognised
+//! only where the caller has much less time left than callers of the route
+//! begin with; they differ among one another.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -12,18 +17,42 @@
 
 use crate::config::RouteKey;
 
+/// Refusals that are remembered; a few seconds' worth of a daemon that refuses hundreds a second.
+const MAX_REFUSED: usize = 4096;
+/// Difference of two accounts of the end of a caller's patience: the way of both tries.
+const END_TOLERANCE: Duration = Duration::from_millis(25);
 /// Time after which an account begins anew; the longest time of the one before counts too.
 const ACCOUNT_TIME: Duration = Duration::from_secs(10);
-/// Part of the longest time, one in this many, that counts as none: callers differ a little.
-const TOLERANCE_PART: u32 = 50;
+/// Part of the longest time of a route that its callers begin with at least.
+const LEAST_PART: f64 = 0.8;
+
+/// What is told of a request on arrival.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerTry {
+    /// Its route.
+    pub route: RouteKey,
+    /// Hash of what the caller asks for.
+    pub print: u64,
+    /// When the caller stops waiting.
+    pub end: Instant,
+}
 
-/// The longest times that callers of each route had left lately.
+/// Refusals of the last moments, and the times that callers of each route had left lately.
 #[derive(Debug)]
 pub struct CallerPatience {
     clock: SharedClock,
+    refused: HashMap<u64, RefusedTry>,
     routes: HashMap<RouteKey, RoutePatience>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct RefusedTry {
+    /// When the caller sent the request first.
+    first: Instant,
+    /// When it stops waiting.
+    end: Instant,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct RoutePatience {
     longest: Duration,
@@ -37,15 +66,50 @@
     pub fn new(clock: SharedClock) -> Self {
         Self {
             clock,
+            refused: HashMap::new(),
             routes: HashMap::new(),
         }
     }
 
-    /// Time that a caller on `route` who still waits for `remaining` has waited already.
-    pub fn spent(&mut self, route: RouteKey, remaining: Duration) -> Duration {
+    /// Time that the caller of a request that arrives now has waited already.
+    pub fn spent(&mut self, caller: &CallerTry) -> Duration {
+        let now = self.clock.now();
+        let missing = self.missing(caller, now);
+        if let Some(known) = self.refused.get(&caller.print) {
+            let apart = caller.end.max(known.end) - caller.end.min(known.end);
+            if apart <= END_TOLERANCE {
+                return now.saturating_duration_since(known.first);
+            }
+        }
+        missing
+    }
+
+    /// Remembers that a request was refused whose caller has waited for `spent`.
+    pub fn note_refused(&mut self, caller: &CallerTry, spent: Duration) {
+        let now = self.clock.now();
+        if self.refused.len() >= MAX_REFUSED {
+            self.refused.retain(|_, known| known.end > now);
+        }
+        if self.refused.len() < MAX_REFUSED {
+            let first = now.checked_sub(spent).unwrap_or(now);
+            let end = caller.end;
+            self.refused
+                .insert(caller.print, RefusedTry { first, end });
+        }
+    }
+
+    /// Forgets routes without requests, and callers who have stopped waiting.
+    pub fn forget_idle(&mut self) {
         let now = self.clock.now();
-        let known = self.routes.entry(route).or_insert(RoutePatience {
-            longest: remaining,
+        self.refused.retain(|_, known| known.end > now);
+        self.routes
+            .retain(|_, known| now.saturating_duration_since(known.began) < 2 * ACCOUNT_TIME);
+    }
+
+    /// What a caller lacks of the least time that callers of its route begin with.
+    fn missing(&mut self, caller: &CallerTry, now: Instant) -> Duration {
+        let known = self.routes.entry(caller.route).or_insert(RoutePatience {
+            longest: Duration::ZERO,
             before: Duration::ZERO,
             began: now,
         });
@@ -56,19 +120,9 @@
             known.longest = Duration::ZERO;
             known.began = now;
         }
+        let remaining = caller.end.saturating_duration_since(now);
         known.longest = known.longest.max(remaining);
-        let longest = known.longest.max(known.before);
-        let spent = longest - remaining;
-        if spent <= longest / TOLERANCE_PART {
-            return Duration::ZERO;
-        }
-        spent
-    }
-
-    /// Forgets routes without requests.
-    pub fn forget_idle(&mut self) {
-        let now = self.clock.now();
-        self.routes
-            .retain(|_, known| now.saturating_duration_since(known.began) < 2 * ACCOUNT_TIME);
+        let least = known.longest.max(known.before).mul_f64(LEAST_PART);
+        least.saturating_sub(remaining)
     }
 }
--- a/crates/mesh/tests/patience.rs
+++ b/crates/mesh/tests/patience.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::FakeClock;
+use model::{ClockPort, FakeClock};
+use quetzal_mesh::patience::CallerTry;
 use quetzal_mesh::{CallerPatience, RouteKey};
 use support::ms;
 
@@ -15,27 +16,70 @@
     (clock, book)
 }
 
+fn caller(clock: &FakeClock, print: u64, remaining: u64) -> CallerTry {
+    CallerTry {
+        route: RouteKey::of("browse"),
+        print,
+        end: clock.now() + ms(remaining),
+    }
+}
+
 #[test]
-fn what_a_caller_lacks_of_the_usual_time_was_spent_on_earlier_tries() {
+fn a_request_that_was_refused_here_is_known_when_it_returns() {
     let (clock, mut book) = patience();
-    let route = RouteKey::of("browse");
-    assert_eq!(book.spent(route, ms(1500)), Duration::ZERO);
-    clock.advance(ms(200));
-    assert_eq!(book.spent(route, ms(1290)), ms(210));
-    assert_eq!(book.spent(route, ms(1499)), Duration::ZERO, "callers differ");
-    // Another route's callers have less time from the start.
-    assert_eq!(book.spent(RouteKey::of("status"), ms(400)), Duration::ZERO);
+    assert_eq!(book.spent(&caller(&clock, 1, 1400)), Duration::ZERO);
+    clock.advance(ms(20));
+    book.note_refused(&caller(&clock, 1, 1380), ms(20));
+    clock.advance(ms(100));
+    assert_eq!(book.spent(&caller(&clock, 1, 1285)), ms(120));
+    // Refused again, it still began when it began.
+    book.note_refused(&caller(&clock, 1, 1280), ms(120));
+    clock.advance(ms(80));
+    assert_eq!(book.spent(&caller(&clock, 1, 1200)), ms(200));
+}
+
+#[test]
+fn the_same_request_of_another_caller_is_a_first_try() {
+    let (clock, mut book) = patience();
+    book.spent(&caller(&clock, 1, 1400));
+    book.note_refused(&caller(&clock, 1, 1400), Duration::ZERO);
+    clock.advance(ms(100));
+    assert_eq!(book.spent(&caller(&clock, 1, 1450)), Duration::ZERO);
+    assert_eq!(book.spent(&caller(&clock, 2, 1300)), Duration::ZERO);
+}
+
+#[test]
+fn after_a_restart_a_caller_with_little_time_left_is_taken_for_a_returning_one() {
+    let (clock, mut book) = patience();
+    // Callers differ by 15 in 100 from the start.
+    for remaining in [1500, 1280, 1400] {
+        assert_eq!(book.spent(&caller(&clock, remaining, remaining)), Duration::ZERO);
+    }
+    clock.advance(ms(100));
+    assert_eq!(book.spent(&caller(&clock, 7, 700)), ms(500));
 }
 
 #[test]
 fn callers_that_begin_with_less_time_are_not_taken_for_returning_ones_for_long() {
     let (clock, mut book) = patience();
-    let route = RouteKey::of("browse");
-    book.spent(route, ms(6000));
+    book.spent(&caller(&clock, 0, 6000));
     let mut spent = Duration::MAX;
-    for _ in 0..250 {
+    for number in 0..250 {
         clock.advance(ms(100));
-        spent = book.spent(route, ms(2000));
+        spent = book.spent(&caller(&clock, number, 2000));
     }
     assert_eq!(spent, Duration::ZERO);
 }
+
+#[test]
+fn what_is_remembered_is_bounded() {
+    let (clock, mut book) = patience();
+    for number in 0..10_000 {
+        book.note_refused(&caller(&clock, number, 1000), Duration::ZERO);
+    }
+    // Once those have stopped waiting there is room for others.
+    clock.advance(ms(1001));
+    book.note_refused(&caller(&clock, 20_000, 1000), Duration::ZERO);
+    clock.advance(ms(50));
+    assert_eq!(book.spent(&caller(&clock, 20_000, 950)), ms(50));
+}
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -88,8 +88,10 @@
     pub repeat: bool,
     /// Time for which its caller still waits.
     pub remaining: Duration,
-    /// Time within which its answer has its full worth.
+    /// Time within which its answer has its full worth, from the caller's first try.
     pub objective: Duration,
+    /// Time that has passed since that try.
+    pub spent: Duration,
 }
 
 /// What a daemon beside a target says of a call; a body follows `Answered`.
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use mesh::link::{LinkRoom, SMALL_BODY};
+use mesh::patience::CallerTry;
 use mesh::{EntryEnd, RouteRule};
 use model::{ByteCount, ErrorKind, KindError, ServiceName};
 use rand::Rng;
@@ -17,7 +18,7 @@
 use crate::core::ProxyCore;
 use crate::message::{CallHead, pack_headers};
 use crate::relay::{RelayCall, relay_call};
-use crate::reply::{CallerReply, own_reply};
+use crate::reply::{CallerReply, is_refusal, own_reply};
 
 /// Results of taking a request in.
 ///
@@ -79,7 +80,13 @@
     let mut reply = if entry.head.inner {
         serve_inner(core, entry).await
     } else {
-        serve_entering(core, entry).await
+        let (caller, spent, since) = (entry.caller, entry.head.spent, entry.since);
+        let reply = serve_entering(core, entry).await;
+        if is_refusal(&reply) {
+            let waited = core.clock.now().saturating_duration_since(since);
+            core.patience().note_refused(&caller, spent + waited);
+        }
+        reply
     };
     watch.answered = true;
     if let Ok(id) = HeaderValue::from_str(&request_id) {
@@ -183,6 +190,7 @@
     head: CallHead,
     body: Incoming,
     rule: Arc<RouteRule>,
+    caller: CallerTry,
     max_body_bytes: usize,
     since: Instant,
     deadline: Instant,
@@ -216,12 +224,17 @@
         .and_then(|text| text.trim().parse().ok())
         .map_or(DEFAULT_REMAINING, Duration::from_millis);
     let deadline = since + remaining.min(rule.timeout);
+    let caller = CallerTry {
+        route: rule.key,
+        print: xxhash_rust::xxh3::xxh3_64(path.as_bytes()),
+        end: since + remaining,
+    };
     let service = next_service(core, &rule)?;
     let parent = core.lineage().note_call(request_id, &service);
     // Calls of a run come with what is left of their parent's time.
     let spent = match parent {
         Some(_) => Duration::ZERO,
-        None => core.patience().spent(rule.key, remaining),
+        None => core.patience().spent(&caller),
     };
     let dropped = [
         &names.request_id,
@@ -243,12 +256,14 @@
         inner: parent.is_some(),
         repeat: parent.is_some_and(|parent| parent.repeat),
         remaining,
-        objective: rule.objective.saturating_sub(spent),
+        objective: rule.objective,
+        spent,
     };
     Ok(EntryCall {
         head,
         body,
         rule,
+        caller,
         max_body_bytes: table.limits().max_body_bytes,
         since,
         deadline,
@@ -268,6 +283,7 @@
         max_body_bytes,
         since,
         deadline,
+        ..
     } = entry;
     let rest = deadline.saturating_duration_since(core.clock.now());
     let body = read_body(max_body_bytes, body, room, rest).await?;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -298,8 +298,7 @@
     let mut head = call.head.clone();
     head.repeat |= repeat;
     head.remaining = call.deadline.saturating_duration_since(now);
-    let spent = now.saturating_duration_since(call.since);
-    head.objective = call.head.objective.saturating_sub(spent);
+    head.spent += now.saturating_duration_since(call.since);
     if ticket.view.daemon == core.id {
         let own = TargetCall {
             head,
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -14,6 +14,9 @@
 use crate::message::{HeaderList, unpack_headers};
 use crate::run_body::BodyStream;
 
+/// Header of the daemon's own answers that names the kind of error.
+const ERROR_HEADER: &str = "x-quetzal-error";
+
 /// An answer to a caller.
 pub type CallerReply = Response<ReplyBody>;
 
@@ -140,7 +143,7 @@
     *response.status_mut() = edge_status(kind);
     let headers = response.headers_mut();
     headers.insert(
-        "x-quetzal-error",
+        ERROR_HEADER,
         HeaderValue::from_static(kind.answer().name),
     );
     if let Some(time) = retry_after {
@@ -149,6 +152,12 @@
     response
 }
 
+/// Whether the daemon itself refused the request, which has not run.
+pub fn is_refusal(reply: &CallerReply) -> bool {
+    let headers = reply.headers();
+    headers.contains_key(ERROR_HEADER) && headers.contains_key(header::RETRY_AFTER)
+}
+
 /// The status for `kind`.
 ///
 /// A request that is stopped because it crashes targets is answered like an
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -83,6 +83,12 @@
         self.since + self.head.remaining
     }
 
+    /// Until when its answer has its full worth; long past for a caller that comes back late.
+    fn objective(&self) -> Instant {
+        let latest = self.since + self.head.objective;
+        latest.checked_sub(self.head.spent).unwrap_or(self.since)
+    }
+
     fn print(&self) -> RequestPrint {
         let head = &self.head;
         // The fingerprint names a party; within the mesh that is the calling service.
@@ -178,7 +184,7 @@
         route: call.head.route,
         priority: call.head.priority,
         inner: call.head.inner,
-        objective: call.since + call.head.objective,
+        objective: call.objective(),
         deadline: call.deadline(),
     };
     let place = core.desk.enter(request).await;
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -57,6 +57,7 @@
         repeat: false,
         remaining: TEST_TIMEOUT,
         objective: rule.objective,
+        spent: Duration::ZERO,
     }
 }
 
