Tell refused callers to return while they can still be in time

The gate told them the time until its queue would be short, several times their slack. Ruled out: longer times; they make the answer a late one for certain. Change: a gate tells at most 0.4 of the time by which the request must start, the entry a quarter of the objective on average in place of 150 ms; who is late already gets the time of the queue.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -54,6 +54,9 @@
 const MIN_ENDED: u32 = 20;
 /// Waiting requests for each slot, which bounds memory.
 const WAITING_PER_SLOT: usize = 16;
+/// Part of the time by which it must start after which a refused request is told to come
+/// back at the latest; with the rest it goes ahead of those who can still wait.
+const RETURN_PART: f32 = 0.4;
 /// Least time after which a refused request is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(30);
 /// Longest such time.
@@ -235,7 +238,9 @@
         let start = now + self.wait_ahead_of(place, now);
         if start > start_by || self.waiting.len() >= self.slots * WAITING_PER_SLOT {
             let excess = start.saturating_duration_since(start_by);
-            return Self::refusal(ErrorKind::QueueFull, excess);
+            // Back while it can still meet its objective, rather than with the queue gone.
+            let latest = if late { excess } else { rank.slack.mul_f32(RETURN_PART) };
+            return Self::refusal(ErrorKind::QueueFull, excess.min(latest));
         }
         self.note_admitted(ticket.route, rank, now);
         let waiting = WaitingCall {
--- a/crates/mesh/tests/gate.rs
+++ b/crates/mesh/tests/gate.rs
@@ -325,3 +325,33 @@
     }
     assert!(changes <= 3, "{changes} changes in 2000 runs");
 }
+
+#[test]
+fn a_refused_request_is_told_to_return_while_it_can_still_meet_its_objective() {
+    // Pattern: bookings keep a target busy; browsing is refused for much longer than its
+    // objective lasts.
+    let clock = FakeClock::new();
+    let mut gate = KindGate::new(CallCount(2), Arc::new(clock.clone()));
+    let ticket = |number, name: &str, priority| GateTicket {
+        call: CallId(number),
+        route: RouteKey::of(name),
+        priority: CallPriority(priority),
+        inner: false,
+        objective: clock.now() + ms(400),
+        deadline: clock.now() + ms(1500),
+    };
+    for number in 0..20 {
+        gate.enter(&ticket(number, "booking", 1));
+        clock.advance(ms(120));
+        gate.leave(CallId(number), false);
+    }
+    for number in 100..120 {
+        gate.enter(&ticket(number, "booking", 1));
+    }
+    let GateAnswer::Refuse { retry_after, .. } = gate.enter(&ticket(200, "browse", 2)) else {
+        panic!("a full gate admitted a request");
+    };
+    // A run takes 120 ms, so it must start within 280 ms.
+    assert!(retry_after <= ms(140), "{retry_after:?}");
+    assert!(retry_after >= ms(30), "{retry_after:?}");
+}
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -28,8 +28,9 @@
 
 /// Time for which a caller waits that names none.
 const DEFAULT_REMAINING: Duration = Duration::from_secs(30);
-/// Mean time after which a request that was refused at the entry is to come back.
-const ENTRY_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// Part of its objective after which a request that was refused at the entry is to come back,
+/// on average: its objective counts from the first try.
+const ENTRY_RETURN_PART: f32 = 0.25;
 /// Size assumed of a body that comes in chunks; twice a typical upload's is refused too often.
 const CHUNKED_BODY: ByteCount = ByteCount(128 << 10);
 /// Time for which the connection of a request that was refused unread stays open; a
@@ -136,7 +137,7 @@
     core.note_caller();
     let draw = rand::rng().random::<f32>();
     if !core.throttle().admit(&rule, draw) {
-        let retry_after = ENTRY_RETRY_AFTER.mul_f32(0.5 + draw);
+        let retry_after = rule.objective.mul_f32(ENTRY_RETURN_PART * (0.5 + draw));
         return refuse_entry(core, entry, "runs of its kind find no room", retry_after).await;
     }
     let remaining = entry.deadline.saturating_duration_since(entry.since);
