Do not refuse at the entry what targets shed whatever the load

Fewer runs are shed just as often; nothing is saved by refusing them. Ruled out: repeats of the whole run, which would need the budget of the calls. Change: a run tells whether its calls were shed by a target or found no room; only the latter makes it a vain one for the throttle.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -214,7 +214,10 @@
         // another one than in its queue.
         let late = !ticket.inner && now + run > ticket.objective;
         let latest_end = if late {
-            now + ticket.deadline.saturating_duration_since(now).mul_f32(LATE_PART)
+            now + ticket
+                .deadline
+                .saturating_duration_since(now)
+                .mul_f32(LATE_PART)
         } else {
             latest_end(ticket)
         };
@@ -239,7 +242,11 @@
         if start > start_by || self.waiting.len() >= self.slots * WAITING_PER_SLOT {
             let excess = start.saturating_duration_since(start_by);
             // Back while it can still meet its objective, rather than with the queue gone.
-            let latest = if late { excess } else { rank.slack.mul_f32(RETURN_PART) };
+            let latest = if late {
+                excess
+            } else {
+                rank.slack.mul_f32(RETURN_PART)
+            };
             return Self::refusal(ErrorKind::QueueFull, excess.min(latest));
         }
         self.note_admitted(ticket.route, rank, now);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -50,7 +50,7 @@
 pub use follow::{FollowMember, FollowPlan};
 pub use gate::{GateAnswer, GateTicket, KindGate};
 pub use keeper::ConfigKeeper;
-pub use lineage::RunLineage;
+pub use lineage::{CallsEnd, RunLineage};
 pub use link::LinkGate;
 pub use patience::CallerPatience;
 pub use stop::StopPlan;
--- a/crates/mesh/src/lineage.rs
+++ b/crates/mesh/src/lineage.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 
 use model::ServiceName;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::config::CallPriority;
@@ -19,6 +20,18 @@
 /// Services that one run has called.
 pub type CalledServices = SmallVec<[ServiceName; 2]>;
 
+/// How the calls of a run ended, the worst of them.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum CallsEnd {
+    /// All ran, or it made none.
+    #[default]
+    Ran,
+    /// A target refused one, whatever the load.
+    Shed,
+    /// One found no room.
+    NoRoom,
+}
+
 /// What a run passes on to the calls that it makes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RunOrigin {
@@ -39,8 +52,8 @@
     origin: RunOrigin,
     /// Services that it has called.
     called: CalledServices,
-    /// Whether one of its calls found no room.
-    starved: bool,
+    /// How they ended.
+    calls: CallsEnd,
     /// Runs under this id, which a caller may have sent twice.
     count: u32,
 }
@@ -51,25 +64,25 @@
         let entry = self.running.entry(request.into()).or_insert(RunEntry {
             origin,
             called: CalledServices::new(),
-            starved: false,
+            calls: CallsEnd::Ran,
             count: 0,
         });
         entry.count += 1;
     }
 
-    /// Services that `request` has called so far, and whether a call found no room.
-    pub fn calls(&self, request: &str) -> (CalledServices, bool) {
+    /// Services that `request` has called so far, and how the calls ended.
+    pub fn calls(&self, request: &str) -> (CalledServices, CallsEnd) {
         let entry = self.running.get(request);
         entry
-            .map(|entry| (entry.called.clone(), entry.starved))
+            .map(|entry| (entry.called.clone(), entry.calls))
             .unwrap_or_default()
     }
 
-    /// Notes that `request`, made by a running one, found no room.
-    pub fn note_refused(&mut self, request: &str) {
+    /// Notes how `request`, made by a running one, ended.
+    pub fn note_end(&mut self, request: &str, end: CallsEnd) {
         let parent = request.rsplit_once(SEPARATOR).map(|(parent, _)| parent);
         if let Some(entry) = parent.and_then(|parent| self.running.get_mut(parent)) {
-            entry.starved = true;
+            entry.calls = entry.calls.max(end);
         }
     }
 
--- a/crates/mesh/src/patience.rs
+++ b/crates/mesh/src/patience.rs
@@ -93,8 +93,7 @@
         if self.refused.len() < MAX_REFUSED {
             let first = now.checked_sub(spent).unwrap_or(now);
             let end = caller.end;
-            self.refused
-                .insert(caller.print, RefusedTry { first, end });
+            self.refused.insert(caller.print, RefusedTry { first, end });
         }
     }
 
--- a/crates/mesh/src/throttle.rs
+++ b/crates/mesh/src/throttle.rs
@@ -26,6 +26,7 @@
 use smallvec::SmallVec;
 
 use crate::config::{CallPriority, RouteKey, RouteRule};
+use crate::lineage::CallsEnd;
 
 /// Age at which an observation counts for half.
 const HALF_LIFE: Duration = Duration::from_secs(1);
@@ -61,6 +62,21 @@
     Starved,
 }
 
+impl EntryEnd {
+    /// The end of a request that ran; `failed` if its target failed it, for the sake of calls
+    /// that ended as `calls`.
+    ///
+    /// A target that refuses calls whatever the load refuses the same part of fewer, so
+    /// only calls that found no room make a run a vain one.
+    pub fn of_run(failed: bool, calls: CallsEnd) -> Self {
+        if failed && calls == CallsEnd::NoRoom {
+            Self::Starved
+        } else {
+            Self::Ran
+        }
+    }
+}
+
 /// How requests of each route ended lately.
 #[derive(Debug)]
 pub struct EntryThrottle {
--- a/crates/mesh/tests/config.rs
+++ b/crates/mesh/tests/config.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use quetzal_mesh::{
-    CallPriority, ConfigKeeper, Destination, MeshVersion, RunLineage, WeightedTurn,
+    CallPriority, CallsEnd, ConfigKeeper, Destination, MeshVersion, RunLineage, WeightedTurn,
     lineage::RunOrigin,
 };
 use support::{config, rule, service};
@@ -90,12 +90,14 @@
     assert_eq!(lineage.note_call("ab12.cd34", &deals), Some(origin));
     assert_eq!(
         lineage.calls("ab12"),
-        ([deals.clone()].into_iter().collect(), false)
+        ([deals.clone()].into_iter().collect(), CallsEnd::Ran)
     );
     assert_eq!(lineage.note_call("ab12", &deals), None);
     assert_eq!(lineage.note_call("ef56.cd34", &deals), None);
-    lineage.note_refused("ab12.cd34");
-    assert!(lineage.calls("ab12").1, "a call found no room");
+    lineage.note_end("ab12.cd34", CallsEnd::NoRoom);
+    lineage.note_end("ab12.cd35", CallsEnd::Shed);
+    let worst = lineage.calls("ab12").1;
+    assert_eq!(worst, CallsEnd::NoRoom, "whichever call ended last");
     lineage.end("ab12");
     assert_eq!(lineage.note_call("ab12.ee", &deals), None);
 }
--- a/crates/mesh/tests/patience.rs
+++ b/crates/mesh/tests/patience.rs
@@ -53,7 +53,10 @@
     let (clock, mut book) = patience();
     // Callers differ by 15 in 100 from the start.
     for remaining in [1500, 1280, 1400] {
-        assert_eq!(book.spent(&caller(&clock, remaining, remaining)), Duration::ZERO);
+        assert_eq!(
+            book.spent(&caller(&clock, remaining, remaining)),
+            Duration::ZERO
+        );
     }
     clock.advance(ms(100));
     assert_eq!(book.spent(&caller(&clock, 7, 700)), ms(500));
--- a/crates/mesh/tests/throttle.rs
+++ b/crates/mesh/tests/throttle.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use model::FakeClock;
-use quetzal_mesh::{EntryEnd, EntryThrottle, RouteRule};
+use quetzal_mesh::{CallsEnd, EntryEnd, EntryThrottle, RouteRule};
 use support::{ms, rule, service};
 
 /// Asks `count` times, a millisecond apart; `end` says how an admitted request ends.
@@ -153,3 +153,21 @@
     let admitted = ask(&mut throttle, &clock, &browse, 100, "", |_| EntryEnd::Ran);
     assert_eq!(admitted, 100);
 }
+
+#[test]
+fn runs_whose_calls_a_target_sheds_are_let_in_as_before() {
+    // Pattern: all targets of a called service refuse half of what they get, with room free.
+    let (mut throttle, clock) = fresh();
+    let browse = rule("browse", "catalog", 2);
+    let end = |number: u32| {
+        if number.is_multiple_of(5) {
+            EntryEnd::of_run(false, CallsEnd::Ran)
+        } else {
+            EntryEnd::of_run(true, CallsEnd::Shed)
+        }
+    };
+    let admitted = ask(&mut throttle, &clock, &browse, 3000, "deals", end);
+    assert_eq!(admitted, 3000);
+    assert_eq!(EntryEnd::of_run(true, CallsEnd::NoRoom), EntryEnd::Starved);
+    assert_eq!(EntryEnd::of_run(false, CallsEnd::NoRoom), EntryEnd::Ran);
+}
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use mesh::{
-    CallerPatience, ConfigKeeper, EntryThrottle, EraWatch, FleetBudget, LinkGate, MeshTable, OwnTarget, RouteKey,
-    RunLineage, StopPlan, StoreEra, WeightedTurn,
+    CallerPatience, ConfigKeeper, EntryThrottle, EraWatch, FleetBudget, LinkGate, MeshTable,
+    OwnTarget, RouteKey, RunLineage, StopPlan, StoreEra, WeightedTurn,
 };
 use model::{DaemonId, IncarnationNumber, SharedClock};
 use once::HolderId;
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -151,7 +151,7 @@
                 status: answer.status.as_u16(),
                 headers: answer.headers,
                 called: answer.called,
-                starved: answer.starved,
+                calls: answer.calls,
                 waited: answer.waited,
                 load,
             };
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use mesh::lineage::CalledServices;
 use mesh::link::SMALL_BODY;
-use mesh::{CallPriority, CallSafety, ConfigUpdate, MeshVersion, RouteKey, StoreEra};
+use mesh::{CallPriority, CallSafety, CallsEnd, ConfigUpdate, MeshVersion, RouteKey, StoreEra};
 use model::{ByteCount, DaemonId, ErrorKind, KindError, ServiceName};
 use once::poison::PoisonMessage;
 use route::TargetLoad;
@@ -114,8 +114,8 @@
         headers: HeaderList,
         /// Services that the run called.
         called: CalledServices,
-        /// Whether one of its calls found no room.
-        starved: bool,
+        /// How these calls ended.
+        calls: CallsEnd,
         /// Time for which the request waited for a slot.
         waited: Duration,
         /// Load of the target.
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use mesh::link::{LinkRoom, SMALL_BODY};
 use mesh::patience::CallerTry;
-use mesh::{EntryEnd, RouteRule};
+use mesh::{CallsEnd, EntryEnd, RouteRule};
 use model::{ByteCount, ErrorKind, KindError, ServiceName};
 use rand::Rng;
 use tokio::time::{sleep, timeout};
@@ -121,7 +121,12 @@
     };
     let ended = relay_call(core, call).await;
     if ended.end == EntryEnd::Refused {
-        core.lineage().note_refused(&request_id);
+        let end = if ended.shed {
+            CallsEnd::Shed
+        } else {
+            CallsEnd::NoRoom
+        };
+        core.lineage().note_end(&request_id, end);
     }
     ended.reply
 }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use mesh::lineage::CalledServices;
-use mesh::{AttemptEnd, AttemptPlan, CallSafety, EntryEnd, NextStep, RouteRule};
+use mesh::{AttemptEnd, AttemptPlan, CallSafety, CallsEnd, EntryEnd, NextStep, RouteRule};
 use model::{DaemonId, ErrorKind};
 use route::{CallOutcome, CallResult, PickTicket, TargetLoad};
 use smallvec::SmallVec;
@@ -54,13 +54,15 @@
     pub end: EntryEnd,
     /// Services that its last run called.
     pub called: CalledServices,
+    /// Whether a target itself refused it.
+    pub shed: bool,
 }
 
 /// How one attempt ended, with the answer if there is one.
 struct AttemptResult {
     end: AttemptEnd,
     called: CalledServices,
-    starved: bool,
+    calls: CallsEnd,
     reply: Option<CallerReply>,
     result: CallResult,
     waited: Duration,
@@ -73,7 +75,9 @@
 struct LastAnswer {
     reply: Option<CallerReply>,
     called: CalledServices,
-    starved: bool,
+    calls: CallsEnd,
+    /// Whether a target itself refused the request.
+    shed: bool,
 }
 
 /// Sends `call` until it is answered; dropping the future gives it up everywhere.
@@ -117,13 +121,14 @@
                 core.budget().spend(&service, call.head.inner, now)
             })
         };
+        last.shed |= matches!(attempt.end, AttemptEnd::Refused { arrived: true, .. });
         if attempt.end != AttemptEnd::Answered {
             note_attempt(&call, daemon, &attempt, step);
         }
         if let Some(reply) = attempt.reply.take() {
             last.reply = Some(reply);
             last.called = attempt.called;
-            last.starved = attempt.starved;
+            last.calls = attempt.calls;
         }
         if step != NextStep::Another {
             return conclude(core, &call, step, last);
@@ -179,11 +184,7 @@
 
 /// Picks a target. A daemon that has just started hears of others any moment, so a request
 /// waits for that as long as its objective bears.
-async fn pick_known(
-    core: &ProxyCore,
-    call: &RelayCall,
-    asked: &[DaemonId],
-) -> Option<PickTicket> {
+async fn pick_known(core: &ProxyCore, call: &RelayCall, asked: &[DaemonId]) -> Option<PickTicket> {
     let until = call.since + call.rule.objective / START_WAIT_PART;
     loop {
         // Taken before the look, so that what comes between them wakes it.
@@ -211,12 +212,7 @@
     let called = last.called;
     let (kind, retry_after) = match (step, last.reply) {
         (NextStep::Deliver, Some(reply)) => {
-            let vain = last.starved && reply.status().is_server_error();
-            let end = if vain {
-                EntryEnd::Starved
-            } else {
-                EntryEnd::Ran
-            };
+            let end = EntryEnd::of_run(reply.status().is_server_error(), last.calls);
             let outcome = if reply.status().is_server_error() {
                 RequestOutcome::Failed
             } else {
@@ -227,7 +223,12 @@
             if failed || is_sampled(&call.head.request_id) {
                 note_end(core, call, outcome.as_str(), None);
             }
-            return RelayEnd { reply, end, called };
+            return RelayEnd {
+                reply,
+                end,
+                called,
+                shed: false,
+            };
         }
         (NextStep::Refuse { kind, retry_after }, _) => (refusal_kind(kind), Some(retry_after)),
         (NextStep::Fail(kind), _) => (kind, None),
@@ -248,6 +249,7 @@
             EntryEnd::Ran
         },
         called,
+        shed: last.shed,
     }
 }
 
@@ -324,13 +326,13 @@
             status,
             headers,
             called,
-            starved,
+            calls,
             waited,
             load,
         } => match read_reply(receiver).await {
             Ok(body) => {
                 let reply = target_reply(status, &headers, body);
-                answered(status, reply, (called, starved), waited, load)
+                answered(status, reply, (called, calls), waited, load)
             }
             Err(error) => broken(error.detail, CallResult::Lost, Some(load)),
         },
@@ -360,7 +362,7 @@
             answered(
                 status,
                 reply,
-                (answer.called, answer.starved),
+                (answer.called, answer.calls),
                 answer.waited,
                 load,
             )
@@ -387,17 +389,17 @@
 fn answered(
     status: u16,
     reply: CallerReply,
-    (called, starved): (CalledServices, bool),
+    (called, calls): (CalledServices, CallsEnd),
     waited: Duration,
     load: TargetLoad,
 ) -> AttemptResult {
     let failed = status >= 500;
     AttemptResult {
         called,
-        starved,
-        end: match (failed, starved) {
-            (true, true) => AttemptEnd::Starved,
-            (true, false) => AttemptEnd::ServerFailed,
+        calls,
+        end: match (failed, calls) {
+            (true, CallsEnd::Ran) => AttemptEnd::ServerFailed,
+            (true, CallsEnd::Shed | CallsEnd::NoRoom) => AttemptEnd::Starved,
             (false, _) => AttemptEnd::Answered,
         },
         reply: Some(reply),
@@ -420,7 +422,7 @@
 ) -> AttemptResult {
     AttemptResult {
         called: CalledServices::new(),
-        starved: false,
+        calls: CallsEnd::Ran,
         end: AttemptEnd::Refused {
             kind,
             arrived,
@@ -451,7 +453,7 @@
 fn unsent(detail: Box<str>) -> AttemptResult {
     AttemptResult {
         called: CalledServices::new(),
-        starved: false,
+        calls: CallsEnd::Ran,
         end: AttemptEnd::Refused {
             kind: ErrorKind::PeerUnavailable,
             arrived: false,
@@ -477,7 +479,7 @@
 fn broken(detail: Box<str>, result: CallResult, load: Option<TargetLoad>) -> AttemptResult {
     AttemptResult {
         called: CalledServices::new(),
-        starved: false,
+        calls: CallsEnd::Ran,
         end: AttemptEnd::Broken,
         reply: None,
         result,
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -142,10 +142,7 @@
     let mut response = Response::new(ReplyBody::Whole(None));
     *response.status_mut() = edge_status(kind);
     let headers = response.headers_mut();
-    headers.insert(
-        ERROR_HEADER,
-        HeaderValue::from_static(kind.answer().name),
-    );
+    headers.insert(ERROR_HEADER, HeaderValue::from_static(kind.answer().name));
     if let Some(time) = retry_after {
         headers.insert(header::RETRY_AFTER, (edge.write_retry_after)(time));
     }
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, header};
 use mesh::lineage::{CalledServices, RunOrigin};
-use mesh::{CallSafety, TargetReport};
+use mesh::{CallSafety, CallsEnd, TargetReport};
 use model::{CustomerName, ErrorKind, TargetName};
 use once::{PrintHasher, RequestPrint};
 use tokio::time::timeout;
@@ -50,8 +50,8 @@
     pub body: RunBody,
     /// Services that the run called.
     pub called: CalledServices,
-    /// Whether one of its calls found no room.
-    pub starved: bool,
+    /// How these calls ended.
+    pub calls: CallsEnd,
     /// Time for which the request waited for a slot.
     pub waited: Duration,
 }
@@ -121,10 +121,10 @@
                 return;
             }
             let word = if failed { "failed" } else { "answered" };
-            let cause = if answer.starved {
-                "a call found no room"
-            } else {
-                ""
+            let cause = match answer.calls {
+                CallsEnd::Ran => "",
+                CallsEnd::Shed => "a target refused a call",
+                CallsEnd::NoRoom => "a call found no room",
             };
             (word, "", cause, answer.waited)
         }
@@ -427,13 +427,13 @@
             return RunEnd::Broken("the answer did not end in time".into());
         }
     };
-    let (called, starved) = core.lineage().calls(&call.head.request_id);
+    let (called, calls) = core.lineage().calls(&call.head.request_id);
     RunEnd::Answered(Box::new(RunAnswer {
         status,
         headers: packed,
         body,
         called,
-        starved,
+        calls,
         waited,
     }))
 }
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use mesh::CallsEnd;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -56,7 +57,7 @@
         status: 200,
         headers: Vec::new(),
         called: smallvec::SmallVec::new(),
-        starved: false,
+        calls: CallsEnd::Ran,
         waited: Duration::ZERO,
         load: TargetLoad::default(),
     }
