Refuse a route for a more urgent one only where both lack room

Posts, which are more urgent and call that service, lacked room at their own one, and the entry refused reports as often as posts. Ruled out: overload of the reports' service (load of every target told each 0.2 s). Change: refusals are counted by the service that lacked the room; a route gives way only for those at a service that it uses too.

--- a/crates/mesh/src/throttle.rs
+++ b/crates/mesh/src/throttle.rs
@@ -12,8 +12,9 @@
 //!   part grows again, doubling in half a second.
 //! - *Inversion.* Calls of running requests go before new requests at every
 //!   gate, so a less urgent route could take a service away from a more urgent
-//!   one through its calls. A route is refused at least as often as the more
-//!   urgent ones with which it shares a service, less a small margin.
+//!   one through its calls. A route is refused at least as often as more urgent
+//!   ones are refused at a service that it uses too, less a small margin. What
+//!   they lack elsewhere it does not take from them.
 //!
 //! Both are judged by the last second or two, for each daemon by itself. Runs
 //! that fail for other reasons change nothing, since fewer of them would fail
@@ -88,6 +89,8 @@
 struct RouteFlow {
     priority: CallPriority,
     services: SmallVec<[ServiceName; 4]>,
+    /// Those of them that its runs call.
+    called: SmallVec<[ServiceName; 4]>,
     /// Part of the requests that is let in for the sake of starved runs.
     part: f32,
     adjusted: Instant,
@@ -95,6 +98,8 @@
     throttled: f32,
     /// Requests refused by a gate.
     refused: f32,
+    /// Refusals by the service that lacked the room, those at the entry for its sake included.
+    lacking: SmallVec<[(ServiceName, f32); 4]>,
     /// Requests let in, those included.
     entered: f32,
     ran: f32,
@@ -121,23 +126,41 @@
         let starving = 1.0 - flow.part;
         let gate_share = flow.gate_share();
         let services = flow.services.clone();
-        let urgent = self.urgent_share(rule.priority, &services, now);
+        let (urgent, contended) = self.urgent_share(rule.priority, &services, now);
         // What the gates refuse anyway counts towards the share that is due.
         let due = (urgent - INVERSION_MARGIN - gate_share) / (1.0 - gate_share).max(0.01);
-        let admitted = draw >= starving.max(due.min(MAX_REFUSED));
+        let due = due.min(MAX_REFUSED);
+        let admitted = draw >= starving.max(due);
         if !admitted {
-            self.flow(rule, now).throttled += 1.0;
+            let flow = self.flow(rule, now);
+            flow.throttled += 1.0;
+            if due > starving {
+                flow.note_lacking(contended.as_ref().map_or(&[][..], std::slice::from_ref));
+            } else {
+                let called = flow.called.clone();
+                flow.note_lacking(&called);
+            }
         }
         admitted
     }
 
-    /// Counts how an admitted request ended; `called` are the services that its run called.
-    pub fn finish(&mut self, rule: &RouteRule, end: EntryEnd, called: &[ServiceName]) {
+    /// Counts how an admitted request for `service` ended; `called` are the services that its
+    /// run called.
+    pub fn finish(
+        &mut self,
+        rule: &RouteRule,
+        service: &ServiceName,
+        end: EntryEnd,
+        called: &[ServiceName],
+    ) {
         let now = self.clock.now();
         let flow = self.flow(rule, now);
         flow.entered += 1.0;
         match end {
-            EntryEnd::Refused => flow.refused += 1.0,
+            EntryEnd::Refused => {
+                flow.refused += 1.0;
+                flow.note_lacking(std::slice::from_ref(service));
+            }
             EntryEnd::Ran => flow.ran += 1.0,
             EntryEnd::Starved => flow.starved += 1.0,
         }
@@ -145,6 +168,9 @@
             if flow.services.len() < MAX_SERVICES && !flow.services.contains(service) {
                 flow.services.push(service.clone());
             }
+            if flow.called.len() < MAX_SERVICES && !flow.called.contains(service) {
+                flow.called.push(service.clone());
+            }
         }
     }
 
@@ -157,22 +183,24 @@
         });
     }
 
-    /// Largest share refused among the routes that are more urgent and share a service.
+    /// Largest share that a more urgent route is refused at one of `services`, and which.
     fn urgent_share(
         &mut self,
         priority: CallPriority,
         services: &[ServiceName],
         now: Instant,
-    ) -> f32 {
-        let mut largest = 0.0_f32;
+    ) -> (f32, Option<ServiceName>) {
+        let mut largest = (0.0_f32, None);
         for flow in self.flows.values_mut() {
-            let shares = flow
-                .services
-                .iter()
-                .any(|service| services.contains(service));
-            if flow.priority < priority && shares {
-                flow.decay(now);
-                largest = largest.max(flow.refused_share());
+            if flow.priority >= priority {
+                continue;
+            }
+            flow.decay(now);
+            for service in services {
+                let share = flow.share_lacking(service);
+                if share > largest.0 {
+                    largest = (share, Some(service.clone()));
+                }
             }
         }
         largest
@@ -182,10 +210,12 @@
         let flow = self.flows.entry(rule.key).or_insert_with(|| RouteFlow {
             priority: rule.priority,
             services: SmallVec::new(),
+            called: SmallVec::new(),
             part: 1.0,
             adjusted: now,
             throttled: 0.0,
             refused: 0.0,
+            lacking: SmallVec::new(),
             entered: 0.0,
             ran: 0.0,
             starved: 0.0,
@@ -207,12 +237,27 @@
         self.throttled + self.entered
     }
 
-    /// Share of all requests that was refused, here or by a gate.
-    fn refused_share(&self) -> f32 {
+    /// Share of all requests that was refused for lack of room at `service`.
+    fn share_lacking(&self, service: &ServiceName) -> f32 {
         if self.asked() < MIN_ASKED {
             return 0.0;
         }
-        (self.throttled + self.refused) / self.asked()
+        let mut lacking = self.lacking.iter();
+        let count = lacking.find(|(name, _)| name == service);
+        count.map_or(0.0, |(_, count)| count / self.asked())
+    }
+
+    fn note_lacking(&mut self, services: &[ServiceName]) {
+        for service in services {
+            let known = self.lacking.iter().position(|(name, _)| name == service);
+            match known {
+                Some(index) => self.lacking[index].1 += 1.0,
+                None if self.lacking.len() < MAX_SERVICES => {
+                    self.lacking.push((service.clone(), 1.0));
+                }
+                None => {}
+            }
+        }
     }
 
     /// Share of the requests let in that a gate refused.
@@ -249,6 +294,9 @@
         let kept_runs = (-age / STARVED_HALF_LIFE.as_secs_f32()).exp2();
         self.throttled *= kept;
         self.refused *= kept;
+        for (_, count) in &mut self.lacking {
+            *count *= kept;
+        }
         self.entered *= kept;
         self.ran *= kept_runs;
         self.starved *= kept_runs;
--- a/crates/mesh/tests/throttle.rs
+++ b/crates/mesh/tests/throttle.rs
@@ -24,7 +24,8 @@
         let draw = (number * 37 % 100) as f32 / 100.0;
         if throttle.admit(rule, draw) {
             admitted += 1;
-            throttle.finish(rule, end(number), &called);
+            let service = &rule.destinations[0].service;
+            throttle.finish(rule, service, end(number), &called);
         }
         clock.advance(ms(1));
     }
@@ -171,3 +172,25 @@
     assert_eq!(EntryEnd::of_run(true, CallsEnd::NoRoom), EntryEnd::Starved);
     assert_eq!(EntryEnd::of_run(false, CallsEnd::NoRoom), EntryEnd::Ran);
 }
+
+#[test]
+fn a_less_urgent_route_is_not_refused_for_room_that_it_does_not_take() {
+    // Pattern: bookings lack room at their own service and call another one, which has room
+    // and runs reports.
+    let (mut throttle, clock) = fresh();
+    let report = rule("report", "studio", 2);
+    let booking = rule("booking", "deals", 1);
+    let half = |number: u32| {
+        if number.is_multiple_of(2) {
+            EntryEnd::Refused
+        } else {
+            EntryEnd::Ran
+        }
+    };
+    for _ in 0..100 {
+        ask(&mut throttle, &clock, &report, 20, "", |_| EntryEnd::Ran);
+        ask(&mut throttle, &clock, &booking, 20, "studio", half);
+    }
+    let admitted = ask(&mut throttle, &clock, &report, 100, "", |_| EntryEnd::Ran);
+    assert_eq!(admitted, 100);
+}
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -156,8 +156,10 @@
         Ok(call) => call,
         Err(error) => return turn_down(core, &error),
     };
+    let service = call.head.service.clone();
     let ended = relay_call(core, call).await;
-    core.throttle().finish(&rule, ended.end, &ended.called);
+    core.throttle()
+        .finish(&rule, &service, ended.end, &ended.called);
     ended.reply
 }
 
