--- a/crates/mesh/src/throttle.rs
+++ b/crates/mesh/src/throttle.rs
@@ -135,7 +135,7 @@
             let flow = self.flow(rule, now);
             flow.throttled += 1.0;
             if due > starving {
-                flow.note_lacking(contended.as_ref().map_or(&[][..], std::slice::from_ref));
+                flow.note_lacking(contended.as_slice());
             } else {
                 let called = flow.called.clone();
                 flow.note_lacking(&called);
