Cut off answers without an end

A head was bounded by the library; a body beyond 512 kB was passed on for as long as the caller stayed. Change: such a body is cut off at 64 MB and when the caller stops waiting; its connection is closed and the target's slot is given back with it.

--- a/crates/proxy/src/run_body.rs
+++ b/crates/proxy/src/run_body.rs
@@ -1,12 +1,15 @@
 //! The body of a target's answer, read whole or begun.
 //!
 //! A body up to a size is held whole, so that a broken one can be asked for
-//! again; a longer one keeps its place at the target until its end.
+//! again; a longer one keeps its place at the target until its end. A target in
+//! trouble may send bytes without end, so a body is cut off at a size and when
+//! its caller stops waiting; its connection is closed then.
 
 use bytes::{Bytes, BytesMut};
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
 
 use crate::desk::DeskPlace;
 use crate::target_client::TargetExchange;
@@ -14,6 +17,9 @@
 /// Longest answer that is held whole before its head is passed on.
 const WHOLE_ANSWER_BYTES: usize = 512 << 10;
 
+/// Longest answer that is passed on; none of a sound target comes near it.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
 /// The body of an answer.
 #[derive(Debug)]
 pub enum RunBody {
@@ -29,6 +35,10 @@
     first: Option<Bytes>,
     exchange: Option<TargetExchange>,
     place: Option<DeskPlace>,
+    /// Bytes so far.
+    passed: usize,
+    /// When the caller stops waiting.
+    end: Instant,
 }
 
 /// What was read of a body.
@@ -61,9 +71,16 @@
 }
 
 impl BodyStream {
-    /// The rest of an answer of which `first` was read.
-    pub(crate) fn new(first: Bytes, exchange: TargetExchange, place: DeskPlace) -> Self {
+    /// The rest of an answer of which `first` was read, for a caller that waits until `end`.
+    pub(crate) fn new(
+        first: Bytes,
+        exchange: TargetExchange,
+        place: DeskPlace,
+        end: Instant,
+    ) -> Self {
         Self {
+            passed: first.len(),
+            end,
             first: Some(first),
             exchange: Some(exchange),
             place: Some(place),
@@ -77,17 +94,22 @@
         }
         loop {
             let exchange = self.exchange.as_mut()?;
-            match exchange.response.body_mut().frame().await {
+            let reading = exchange.response.body_mut().frame();
+            let Ok(read) = timeout_at(self.end, reading).await else {
+                return Some(Err(self.cut_off("the answer did not end in time")));
+            };
+            match read {
                 Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Some(Ok(data));
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    self.passed += data.len();
+                    if self.passed > MAX_ANSWER_BYTES {
+                        return Some(Err(self.cut_off("the answer is too long")));
                     }
+                    return Some(Ok(data));
                 }
-                Some(Err(error)) => {
-                    self.exchange = None;
-                    self.place = None;
-                    return Some(Err(error.to_string().into()));
-                }
+                Some(Err(error)) => return Some(Err(self.cut_off(&error.to_string()))),
                 None => {
                     if let Some(exchange) = self.exchange.take() {
                         exchange.finish();
@@ -100,4 +122,14 @@
             }
         }
     }
+
+    /// Closes the connection, so that the target lets go, and gives the place back.
+    fn cut_off(&mut self, cause: &str) -> Box<str> {
+        self.exchange = None;
+        if let Some(place) = self.place.take() {
+            place.finish(true);
+        }
+        log::warn!(cause, bytes = self.passed; "answer cut off");
+        cause.into()
+    }
 }
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -416,7 +416,8 @@
             RunBody::Whole(bytes)
         }
         Ok(Ok(ReadBody::Begun(first))) => {
-            RunBody::Stream(Box::new(BodyStream::new(first, exchange, place)))
+            let end = call.deadline().into();
+            RunBody::Stream(Box::new(BodyStream::new(first, exchange, place, end)))
         }
         Ok(Err(detail)) => {
             place.finish(true);
