Let who is late for certain wait for no slot

Ruled out: its part in late answers; they fall no further with it. Change: the class goes. Who can't meet the objective starts if a slot is free, and is refused otherwise, with the time of the queue, since coming back at once is of no use.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -41,9 +41,6 @@
 /// Part of the time between objective and deadline that a wait may use up, for the calls of
 /// running requests: they are of use until their deadline.
 const INNER_LATE_PART: f32 = 0.8;
-/// Part of its remaining time within which a request must end that can't meet its objective
-/// any more; the rest is for a wait that takes longer than foreseen.
-const LATE_PART: f32 = 0.6;
 /// Time over which admitted work is averaged.
 const WORK_WINDOW: Duration = Duration::from_millis(500);
 /// Least part of the slots that counts as left by more urgent requests.
@@ -161,7 +158,6 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct WorkRank {
     outer: bool,
-    late: bool,
     priority: CallPriority,
     slack: Duration,
 }
@@ -210,21 +206,9 @@
             return Self::refusal(ErrorKind::DeadlineExceeded, Duration::ZERO);
         }
         let slowed = run.mul_f32(self.slowdown(now));
-        // By the usual time: at a target that has slowed down all are late, and better off at
-        // another one than in its queue.
-        let late = !ticket.inner && now + run > ticket.objective;
-        let latest_end = if late {
-            now + ticket
-                .deadline
-                .saturating_duration_since(now)
-                .mul_f32(LATE_PART)
-        } else {
-            latest_end(ticket)
-        };
-        let start_by = latest_end.checked_sub(slowed).unwrap_or(now);
+        let start_by = latest_end(ticket).checked_sub(slowed).unwrap_or(now);
         let rank = WorkRank {
             outer: !ticket.inner,
-            late,
             priority: ticket.priority,
             slack: start_by.saturating_duration_since(now),
         };
@@ -242,7 +226,7 @@
         if start > start_by || self.waiting.len() >= self.slots * WAITING_PER_SLOT {
             let excess = start.saturating_duration_since(start_by);
             // Back while it can still meet its objective, rather than with the queue gone.
-            let latest = if late {
+            let latest = if rank.slack.is_zero() {
                 excess
             } else {
                 rank.slack.mul_f32(RETURN_PART)
