Answer a request that crashed its target when the others know it

The news of a crash went out beside the answer, and the caller's next try, over two hops, could overtake it.

--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -17,6 +17,7 @@
 use rand::rngs::SmallRng;
 use route::{PickerConfig, SlowStart, TargetPicker};
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 use wire::{PeerPool, WireLimits};
@@ -43,6 +44,8 @@
 const JOIN_TIME: Duration = Duration::from_millis(250);
 /// Time in which a start that takes longer may end.
 const LATE_JOIN_TIME: Duration = Duration::from_millis(100);
+/// Time for which the answer of a request that crashed its target waits until others know.
+const POISON_DELIVERY_TIME: Duration = Duration::from_millis(50);
 /// Age up to which a daemon that knows no target of a service may hear of one any moment.
 const STARTING_TIME: Duration = Duration::from_secs(1);
 
@@ -309,8 +312,24 @@
         plan.map_or(Ok(()), |plan| plan.admit(self.clock.now(), deadline))
     }
 
+    /// Tells the other daemons what the watch of crashing requests wants told, and waits until
+    /// they have it, for a moment at most: a caller may repeat the request with its answer.
+    pub async fn deliver_poison(&self, outputs: Vec<PoisonOutput>) {
+        let telling = self.send_poison(outputs);
+        let delivery = async {
+            for told in telling {
+                // How a message was lost is told by the task that sent it.
+                let _ended = told.await;
+            }
+        };
+        if timeout(POISON_DELIVERY_TIME, delivery).await.is_err() {
+            log::debug!("a crash is not known everywhere yet");
+        }
+    }
+
     /// Tells the other daemons what the watch of crashing requests wants told.
-    pub fn send_poison(&self, outputs: Vec<PoisonOutput>) {
+    pub fn send_poison(&self, outputs: Vec<PoisonOutput>) -> Vec<JoinHandle<()>> {
+        let mut telling = Vec::new();
         for output in outputs {
             let message = match output {
                 PoisonOutput::Tell(message) => message,
@@ -320,24 +339,21 @@
                     continue;
                 }
             };
-            self.tell_peers(&PeerHead::Poison(message));
+            let head = PeerHead::Poison(message);
+            let peers = self.peers();
+            telling.extend(peers.values().map(|address| self.tell(*address, &head)));
         }
+        telling
     }
 
     /// Sends `head`, which is whole in itself, to the daemon at `address`.
-    pub fn tell(&self, address: SocketAddr, head: &PeerHead) {
+    pub fn tell(&self, address: SocketAddr, head: &PeerHead) -> JoinHandle<()> {
         let (pool, head) = (Arc::clone(&self.pool), head.clone());
         self.tasks.spawn(async move {
             if let Err(error) = pool.tell(address, &head).await {
                 log::debug!(peer:% = address, cause:% = error; "message lost");
             }
-        });
-    }
-
-    fn tell_peers(&self, head: &PeerHead) {
-        for address in self.peers().values() {
-            self.tell(*address, head);
-        }
+        })
     }
 }
 
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -460,7 +460,7 @@
     let (target, print) = (&watched.target, watched.print);
     let known = core.poison().on_broken(target, print);
     if let Some(outputs) = known {
-        core.send_poison(outputs);
+        core.deliver_poison(outputs).await;
         return;
     }
     if core.target_client.is_listening().await {
@@ -468,5 +468,5 @@
     }
     note_down(core, "its connections broke and it takes no new one");
     let outputs = core.poison().on_crash_found(target, print);
-    core.send_poison(outputs);
+    core.deliver_poison(outputs).await;
 }
