Hold the times of a planned stop in its plan

And the time until the gate closes was tested by wall time only. Change: mesh::stop says when the others are told, the gate closes and connections close; the adapter follows it. A daemon whose target has ended stays as long as it may; all other times are as before.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -53,7 +53,7 @@
 pub use lineage::{CallsEnd, RunLineage};
 pub use link::LinkGate;
 pub use patience::CallerPatience;
-pub use stop::StopPlan;
+pub use stop::{StopLook, StopPlan};
 pub use table::MeshTable;
 pub use throttle::{EntryEnd, EntryThrottle};
 pub use turn::WeightedTurn;
--- a/crates/mesh/src/stop.rs
+++ b/crates/mesh/src/stop.rs
@@ -12,13 +12,18 @@
 use std::time::{Duration, Instant};
 
 /// Time after which the others are told that the target beside takes no more.
-pub const TELL_AFTER: Duration = Duration::from_millis(1900);
+const TELL_AFTER: Duration = Duration::from_millis(1900);
 /// Time after which the gate closes: news are everywhere, and what was admitted last mostly
 /// ends before connections close.
-pub const CLOSE_GATE_AFTER: Duration = Duration::from_millis(2200);
+const CLOSE_GATE_AFTER: Duration = Duration::from_millis(2200);
 /// Least time until connections close: the platform needs two looks, a second apart, to
 /// send no more callers.
-pub const CLOSE_AFTER: Duration = Duration::from_millis(2600);
+const CLOSE_AFTER: Duration = Duration::from_millis(2600);
+/// Time without a new request after which callers have moved away. Where most daemons of a
+/// failure domain stop at once, the platform goes on sending callers to them.
+const QUIET_TIME: Duration = Duration::from_millis(1200);
+/// Part of the grace kept back for closing connections.
+const CLOSING_TIME: Duration = Duration::from_millis(900);
 /// Part of the grace in which all requests are taken; they mostly end within the other.
 const TAKE_ALL_PART: f32 = 0.5;
 /// Time from an end until the next run of the daemon serves.
@@ -28,22 +33,65 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StopPlan {
     begun: Instant,
-    /// Time from the beginning until connections are cut.
-    span: Duration,
+    /// Time from the beginning until the platform kills the process.
+    grace: Duration,
+}
+
+/// What decides whether a stopping daemon may end before it must.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StopLook {
+    /// Whether nothing runs or waits at its gate.
+    pub idle: bool,
+    /// Time since the last request of a caller.
+    pub quiet: Duration,
+    /// Whether its target runs on, for which the daemon's next run is awaited.
+    pub awaited: bool,
 }
 
 impl StopPlan {
-    /// A stop that begins at `begun` and cuts connections after `span`.
-    pub fn new(begun: Instant, span: Duration) -> Self {
-        Self { begun, span }
+    /// A stop that begins at `begun`, of a process that is killed after `grace`.
+    pub fn new(begun: Instant, grace: Duration) -> Self {
+        Self { begun, grace }
+    }
+
+    /// When the others are told that the target beside takes no more.
+    pub fn told_at(&self) -> Instant {
+        self.begun + TELL_AFTER
+    }
+
+    /// When the gate closes.
+    pub fn gate_closes_at(&self) -> Instant {
+        self.begun + CLOSE_GATE_AFTER
+    }
+
+    /// When connections may close at the earliest.
+    pub fn closes_from(&self) -> Instant {
+        self.begun + CLOSE_AFTER
+    }
+
+    /// When connections are cut, whatever they carry.
+    pub fn cut_at(&self) -> Instant {
+        self.begun + self.grace.saturating_sub(CLOSING_TIME / 2)
+    }
+
+    /// Whether connections close at `now`.
+    ///
+    /// A daemon whose target has ended has no next run to make room for, and may be sent
+    /// callers again when other daemons of its failure domain stop: it stays as long as it may.
+    pub fn closes(&self, now: Instant, look: &StopLook) -> bool {
+        if now >= self.begun + self.grace.saturating_sub(CLOSING_TIME) {
+            return true;
+        }
+        now >= self.closes_from() && look.idle && look.awaited && look.quiet >= QUIET_TIME
     }
 
     /// Takes in a request whose caller waits until `deadline`.
     ///
     /// The error is the time after which the next run may serve it.
     pub fn admit(&self, now: Instant, deadline: Instant) -> Result<(), Duration> {
-        let end = self.begun + self.span;
-        let early = now < self.begun + self.span.mul_f32(TAKE_ALL_PART);
+        let end = self.cut_at();
+        let span = end.saturating_duration_since(self.begun);
+        let early = now < self.begun + span.mul_f32(TAKE_ALL_PART);
         if early || deadline <= end {
             return Ok(());
         }
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -9,11 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mesh::stop::{CLOSE_AFTER, CLOSE_GATE_AFTER, TELL_AFTER};
-use mesh::{CallerLimits, StopPlan};
+use mesh::{CallerLimits, StopLook, StopPlan};
 use model::SharedClock;
 use tokio::net::TcpListener;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wire::WireLimits;
@@ -33,11 +32,6 @@
 /// Results of a run; the kind is `LocalFailed`.
 pub type Result<T> = model::Result<T>;
 
-/// Time without a new request after which callers have moved away. Where most daemons of a
-/// failure domain stop at once, the platform goes on sending callers to them.
-const QUIET_TIME: Duration = Duration::from_millis(1200);
-/// Part of the grace kept back for closing.
-const CLOSING_TIME: Duration = Duration::from_millis(900);
 /// Listeners of the platform: readiness, reports and metrics.
 const CONTROL_LISTENERS: usize = 3;
 /// Time between two looks whether all has ended.
@@ -177,24 +171,27 @@
     }
 }
 
+/// What decides whether a stopping daemon may end.
+fn stop_look(core: &ProxyCore) -> StopLook {
+    StopLook {
+        idle: core.desk.is_idle(),
+        quiet: core.time_since_caller(),
+        awaited: core.own().willing().is_some(),
+    }
+}
+
 impl RunningParts {
     async fn stop(self, core: &Arc<ProxyCore>) {
-        let begun = Instant::now();
-        let latest = core.settings.grace.saturating_sub(CLOSING_TIME);
-        let cut_after = latest + CLOSING_TIME / 2;
-        core.start_stopping(StopPlan::new(core.clock.now(), cut_after));
+        let plan = StopPlan::new(core.clock.now(), core.settings.grace);
+        core.start_stopping(plan);
         log::info!("stopping: no new callers");
-        sleep(TELL_AFTER).await;
+        sleep_until(plan.told_at().into()).await;
         self.stages.drain.cancel();
-        sleep(CLOSE_GATE_AFTER.saturating_sub(begun.elapsed())).await;
+        sleep_until(plan.gate_closes_at().into()).await;
         core.desk.close();
         log::info!("stopping: the target takes no more requests from here");
-        sleep(CLOSE_AFTER.saturating_sub(begun.elapsed())).await;
-        while begun.elapsed() < latest {
-            let quiet = core.time_since_caller() >= QUIET_TIME;
-            if quiet && core.desk.is_idle() {
-                break;
-            }
+        sleep_until(plan.closes_from().into()).await;
+        while !plan.closes(core.clock.now(), &stop_look(core)) {
             sleep(IDLE_POLL).await;
         }
         self.callers.cancel();
@@ -212,8 +209,7 @@
             core.pool.close().await;
             core.tasks.wait().await;
         };
-        let rest = cut_after.saturating_sub(begun.elapsed());
-        if timeout(rest, closing).await.is_err() {
+        if timeout_at(plan.cut_at().into(), closing).await.is_err() {
             log::warn!("stopped with requests in progress");
         }
     }
