Remember the refusals of all callers of one path

Cause: found in reading: refusals were held by a hash of the path, so a second caller of the path took the place of the first, whose return then counted as a first try; where many callers ask for one path, most returns did. Change: they are held by request and by when the caller stops waiting, in order, and looked up within the tolerance of the latter. The look for callers who are gone goes over all at most each 0.1 s. Tests: callers_of_one_path_do_not_hide_one_another failed before; the one of the bound could not fail and now asks for what must not be remembered, for one path and for many.

--- a/crates/mesh/src/patience.rs
+++ b/crates/mesh/src/patience.rs
@@ -10,7 +10,7 @@
 //! only where the caller has much less time left than callers of the route
 //! begin with; they differ among one another.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use model::SharedClock;
@@ -19,6 +19,8 @@
 
 /// Refusals that are remembered; a few seconds' worth of a daemon that refuses hundreds a second.
 const MAX_REFUSED: usize = 4096;
+/// Least time between two looks for callers who are gone, since each looks at all.
+const FORGET_INTERVAL: Duration = Duration::from_millis(100);
 /// Difference of two accounts of the end of a caller's patience: the way of both tries.
 const END_TOLERANCE: Duration = Duration::from_millis(25);
 /// Time after which an account begins anew; the longest time of the one before counts too.
@@ -31,7 +33,7 @@
 pub struct CallerTry {
     /// Its route.
     pub route: RouteKey,
-    /// Hash of what the caller asks for.
+    /// Hash of what the caller asks for; its route is part of it.
     pub print: u64,
     /// When the caller stops waiting.
     pub end: Instant,
@@ -41,16 +43,11 @@
 #[derive(Debug)]
 pub struct CallerPatience {
     clock: SharedClock,
-    refused: HashMap<u64, RefusedTry>,
+    /// When callers sent a request first that was refused, by request and by when they stop
+    /// waiting.
+    refused: BTreeMap<(u64, Instant), Instant>,
     routes: HashMap<RouteKey, RoutePatience>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct RefusedTry {
-    /// When the caller sent the request first.
-    first: Instant,
-    /// When it stops waiting.
-    end: Instant,
+    forget_at: Instant,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -65,8 +62,9 @@
     /// Without observations.
     pub fn new(clock: SharedClock) -> Self {
         Self {
+            forget_at: clock.now(),
             clock,
-            refused: HashMap::new(),
+            refused: BTreeMap::new(),
             routes: HashMap::new(),
         }
     }
@@ -75,36 +73,41 @@
     pub fn spent(&mut self, caller: &CallerTry) -> Duration {
         let now = self.clock.now();
         let missing = self.missing(caller, now);
-        if let Some(known) = self.refused.get(&caller.print) {
-            let apart = caller.end.max(known.end) - caller.end.min(known.end);
-            if apart <= END_TOLERANCE {
-                return now.saturating_duration_since(known.first);
-            }
-        }
-        missing
+        let least = caller.end.checked_sub(END_TOLERANCE).unwrap_or(now);
+        let most = caller.end + END_TOLERANCE;
+        let mut known = self
+            .refused
+            .range((caller.print, least)..=(caller.print, most));
+        let first = known.next().map(|(_, first)| *first);
+        first.map_or(missing, |first| now.saturating_duration_since(first))
     }
 
     /// Remembers that a request was refused whose caller has waited for `spent`.
     pub fn note_refused(&mut self, caller: &CallerTry, spent: Duration) {
         let now = self.clock.now();
-        if self.refused.len() >= MAX_REFUSED {
-            self.refused.retain(|_, known| known.end > now);
+        if self.refused.len() >= MAX_REFUSED && now >= self.forget_at {
+            self.forget_gone(now);
+            self.forget_at = now + FORGET_INTERVAL;
         }
         if self.refused.len() < MAX_REFUSED {
             let first = now.checked_sub(spent).unwrap_or(now);
-            let end = caller.end;
-            self.refused.insert(caller.print, RefusedTry { first, end });
+            self.refused.insert((caller.print, caller.end), first);
         }
     }
 
     /// Forgets routes without requests, and callers who have stopped waiting.
     pub fn forget_idle(&mut self) {
         let now = self.clock.now();
-        self.refused.retain(|_, known| known.end > now);
+        self.forget_gone(now);
         self.routes
             .retain(|_, known| now.saturating_duration_since(known.began) < 2 * ACCOUNT_TIME);
     }
 
+    /// Forgets callers who have stopped waiting.
+    fn forget_gone(&mut self, now: Instant) {
+        self.refused.retain(|(_, end), _| *end > now);
+    }
+
     /// What a caller lacks of the least time that callers of its route begin with.
     fn missing(&mut self, caller: &CallerTry, now: Instant) -> Duration {
         let known = self.routes.entry(caller.route).or_insert(RoutePatience {
--- a/crates/mesh/tests/patience.rs
+++ b/crates/mesh/tests/patience.rs
@@ -74,15 +74,41 @@
     assert_eq!(spent, Duration::ZERO);
 }
 
+#[test]
+fn callers_of_one_path_do_not_hide_one_another() {
+    let (clock, mut book) = patience();
+    for remaining in [1400, 1450, 1500] {
+        book.note_refused(&caller(&clock, 1, remaining), Duration::ZERO);
+    }
+    clock.advance(ms(100));
+    for remaining in [1300, 1350, 1400] {
+        assert_eq!(book.spent(&caller(&clock, 1, remaining)), ms(100));
+    }
+}
+
 #[test]
 fn what_is_remembered_is_bounded() {
     let (clock, mut book) = patience();
-    for number in 0..10_000 {
-        book.note_refused(&caller(&clock, number, 1000), Duration::ZERO);
+    // All of one path, and each of its own.
+    for print in [|_| 1, |number| number] {
+        for number in 0..10_000 {
+            let caller = caller(&clock, print(number), 1000 + 30 * number);
+            book.note_refused(&caller, Duration::ZERO);
+        }
+        clock.advance(ms(50));
+        let (first, last) = (0, 9_999);
+        let mut spent = |number| {
+            let caller = caller(&clock, print(number), 950 + 30 * number);
+            book.spent(&caller)
+        };
+        assert_eq!(spent(last), Duration::ZERO, "there is no room for it");
+        assert_eq!(spent(first), ms(50));
+        // Once those have stopped waiting there is room for others.
+        clock.advance(ms(400_000));
+        let late = caller(&clock, 20_000, 1000);
+        book.note_refused(&late, Duration::ZERO);
+        clock.advance(ms(50));
+        assert_eq!(book.spent(&late), ms(50));
+        clock.advance(ms(400_000));
     }
-    // Once those have stopped waiting there is room for others.
-    clock.advance(ms(1001));
-    book.note_refused(&caller(&clock, 20_000, 1000), Duration::ZERO);
-    clock.advance(ms(50));
-    assert_eq!(book.spent(&caller(&clock, 20_000, 950)), ms(50));
 }
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -234,7 +234,7 @@
     let deadline = since + remaining.min(rule.timeout);
     let caller = CallerTry {
         route: rule.key,
-        print: xxhash_rust::xxh3::xxh3_64(path.as_bytes()),
+        print: xxhash_rust::xxh3::xxh3_64_with_seed(path.as_bytes(), rule.key.0),
         end: since + remaining,
     };
     let service = next_service(core, &rule)?;
