--- a/crates/proxy/src/config_watch.rs
+++ b/crates/proxy/src/config_watch.rs
@@ -212,16 +212,16 @@
                     log::info!("answer of an earlier era of the store; reading again");
                     return;
                 }
-                let outdated = self.next.is_some_and(|mark| !mark.holds(page.era));
+                let crossed = self.next.is_some_and(|mark| !mark.holds(page.era));
+                if from.is_some() && crossed {
+                    // The offset belonged to an earlier era: records before it may be missing.
+                    self.next = None;
+                    return;
+                }
                 self.next = Some(EraMark {
                     value: page.next,
                     era: page.era,
                 });
-                if outdated && from.is_some() {
-                    // What was read on from there may lack records before it.
-                    self.next = None;
-                    return;
-                }
                 let found = page.newest.is_some();
                 if let Some(config) = page.newest {
                     self.take(ConfigUpdate::Whole(Arc::new(config)), "store");
