Make no route give way for what targets shed

Ruled out: nothing to save for the more urgent route; the same part of fewer is shed. Change: a request ends as refused for room or as shed; only the former makes others give way and a run a vain one. The two ends are told by one type for entering requests and calls, where a flag beside the end and a look at the answer's headers stood. The services of a flow are no longer held twice. Test: what_targets_shed_is_no_room_that_another_route_takes; it can't be written for the code before, which had no such end. The closures that the throttle's tests repeated stand once.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -26,8 +26,8 @@
     Answered,
     /// The target answered with a failure of its own, which counts as a run.
     ServerFailed,
-    /// The target answered with a failure, since a call of the run found no room.
-    Starved,
+    /// The target answered with a failure, since a call of the run was refused.
+    CallRefused,
     /// Proven not to have run.
     Refused {
         /// Why.
@@ -133,7 +133,7 @@
             }
             // Another run would call the same service; a repeat of one call costs less than
             // one of all, and the caller may still send the request again itself.
-            AttemptEnd::Starved => {
+            AttemptEnd::CallRefused => {
                 self.arrived += 1;
                 self.may_have_run = true;
                 self.failed = true;
--- a/crates/mesh/src/throttle.rs
+++ b/crates/mesh/src/throttle.rs
@@ -49,14 +49,16 @@
 const INVERSION_MARGIN: f32 = 0.03;
 /// Largest share of requests that is refused for that.
 const MAX_REFUSED: f32 = 0.9;
-/// Services that are remembered for one route.
+/// Services that are remembered of those that a route's runs call, and that lack room.
 const MAX_SERVICES: usize = 8;
 
 /// How a request that was let in ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EntryEnd {
-    /// A gate refused it; it cost no target anything.
+    /// It found no room; it cost no target anything.
     Refused,
+    /// Targets refused it themselves, whatever the load.
+    Shed,
     /// It ran, well or not.
     Ran,
     /// It ran in vain, since one of its calls found no room.
@@ -64,6 +66,26 @@
 }
 
 impl EntryEnd {
+    /// The end of a request that has not run; `shed` if a target itself refused it.
+    pub fn of_refusal(shed: bool) -> Self {
+        if shed { Self::Shed } else { Self::Refused }
+    }
+
+    /// Whether it has not run.
+    pub fn is_refusal(self) -> bool {
+        matches!(self, Self::Refused | Self::Shed)
+    }
+
+    /// What a call that ended so is to the run that made it.
+    pub fn as_call(self) -> CallsEnd {
+        match self {
+            Self::Refused => CallsEnd::NoRoom,
+            Self::Shed => CallsEnd::Shed,
+            // How its own calls ended is for its own caller only.
+            Self::Ran | Self::Starved => CallsEnd::Ran,
+        }
+    }
+
     /// The end of a request that ran; `failed` if its target failed it, for the sake of calls
     /// that ended as `calls`.
     ///
@@ -88,8 +110,9 @@
 #[derive(Clone, Debug)]
 struct RouteFlow {
     priority: CallPriority,
-    services: SmallVec<[ServiceName; 4]>,
-    /// Those of them that its runs call.
+    /// Where its requests go.
+    destinations: SmallVec<[ServiceName; 2]>,
+    /// What its runs call.
     called: SmallVec<[ServiceName; 4]>,
     /// Part of the requests that is let in for the sake of starved runs.
     part: f32,
@@ -125,7 +148,7 @@
         flow.adjust(now);
         let starving = 1.0 - flow.part;
         let gate_share = flow.gate_share();
-        let services = flow.services.clone();
+        let services: SmallVec<[ServiceName; 4]> = flow.services().cloned().collect();
         let (urgent, contended) = self.urgent_share(rule.priority, &services, now);
         // What the gates refuse anyway counts towards the share that is due.
         let due = (urgent - INVERSION_MARGIN - gate_share) / (1.0 - gate_share).max(0.01);
@@ -161,13 +184,12 @@
                 flow.refused += 1.0;
                 flow.note_lacking(std::slice::from_ref(service));
             }
+            // The same part of fewer would be shed, so nobody has to give way.
+            EntryEnd::Shed => {}
             EntryEnd::Ran => flow.ran += 1.0,
             EntryEnd::Starved => flow.starved += 1.0,
         }
         for service in called {
-            if flow.services.len() < MAX_SERVICES && !flow.services.contains(service) {
-                flow.services.push(service.clone());
-            }
             if flow.called.len() < MAX_SERVICES && !flow.called.contains(service) {
                 flow.called.push(service.clone());
             }
@@ -209,7 +231,7 @@
     fn flow(&mut self, rule: &RouteRule, now: Instant) -> &mut RouteFlow {
         let flow = self.flows.entry(rule.key).or_insert_with(|| RouteFlow {
             priority: rule.priority,
-            services: SmallVec::new(),
+            destinations: SmallVec::new(),
             called: SmallVec::new(),
             part: 1.0,
             adjusted: now,
@@ -222,17 +244,19 @@
             at: now,
         });
         flow.priority = rule.priority;
-        for destination in &rule.destinations {
-            if !flow.services.contains(&destination.service) {
-                flow.services.push(destination.service.clone());
-            }
-        }
+        let destinations = rule.destinations.iter();
+        flow.destinations = destinations.map(|part| part.service.clone()).collect();
         flow.decay(now);
         flow
     }
 }
 
 impl RouteFlow {
+    /// All services that its requests use.
+    fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.destinations.iter().chain(&self.called)
+    }
+
     fn asked(&self) -> f32 {
         self.throttled + self.entered
     }
--- a/crates/mesh/tests/attempt.rs
+++ b/crates/mesh/tests/attempt.rs
@@ -44,7 +44,7 @@
     // there is needed for the calls themselves.
     let now = Instant::now();
     let mut plan = plan(CallSafety::Idempotent, now);
-    let step = plan.next(AttemptEnd::Starved, now, || panic!("nothing is spent"));
+    let step = plan.next(AttemptEnd::CallRefused, now, || panic!("nothing is spent"));
     assert_eq!(step, NextStep::Deliver);
 }
 
--- a/crates/mesh/tests/throttle.rs
+++ b/crates/mesh/tests/throttle.rs
@@ -32,6 +32,17 @@
     admitted
 }
 
+/// One in `count` requests ends as `few`, the others as `most`.
+fn one_in(count: u32, few: EntryEnd, most: EntryEnd) -> impl Fn(u32) -> EntryEnd + Copy {
+    move |number| {
+        if number.is_multiple_of(count) {
+            few
+        } else {
+            most
+        }
+    }
+}
+
 fn fresh() -> (EntryThrottle, FakeClock) {
     let clock = FakeClock::new();
     (EntryThrottle::new(Arc::new(clock.clone())), clock)
@@ -42,13 +53,7 @@
     // A called service has room for a fifth of the runs.
     let (mut throttle, clock) = fresh();
     let browse = rule("browse", "catalog", 2);
-    let end = |number: u32| {
-        if number.is_multiple_of(5) {
-            EntryEnd::Ran
-        } else {
-            EntryEnd::Starved
-        }
-    };
+    let end = one_in(5, EntryEnd::Ran, EntryEnd::Starved);
     ask(&mut throttle, &clock, &browse, 2000, "deals", end);
     let admitted = ask(&mut throttle, &clock, &browse, 1000, "deals", end);
     assert!(admitted < 200, "{admitted} of 1000 admitted");
@@ -59,13 +64,7 @@
     // They cost no target anything, so there is nothing to save.
     let (mut throttle, clock) = fresh();
     let browse = rule("browse", "catalog", 2);
-    let end = |number: u32| {
-        if number.is_multiple_of(2) {
-            EntryEnd::Refused
-        } else {
-            EntryEnd::Ran
-        }
-    };
+    let end = one_in(2, EntryEnd::Refused, EntryEnd::Ran);
     let admitted = ask(&mut throttle, &clock, &browse, 2000, "", end);
     assert_eq!(admitted, 2000);
 }
@@ -74,13 +73,7 @@
 fn a_few_failures_are_no_overload() {
     let (mut throttle, clock) = fresh();
     let browse = rule("browse", "catalog", 2);
-    let end = |number: u32| {
-        if number.is_multiple_of(10) {
-            EntryEnd::Starved
-        } else {
-            EntryEnd::Ran
-        }
-    };
+    let end = one_in(10, EntryEnd::Starved, EntryEnd::Ran);
     let admitted = ask(&mut throttle, &clock, &browse, 2000, "", end);
     assert_eq!(admitted, 2000);
 }
@@ -90,13 +83,7 @@
     let (mut throttle, clock) = fresh();
     let browse = rule("browse", "catalog", 2);
     let booking = rule("booking", "deals", 1);
-    let half = |number: u32| {
-        if number.is_multiple_of(2) {
-            EntryEnd::Refused
-        } else {
-            EntryEnd::Ran
-        }
-    };
+    let half = one_in(2, EntryEnd::Refused, EntryEnd::Ran);
     for _ in 0..100 {
         ask(&mut throttle, &clock, &browse, 20, "deals", |_| {
             EntryEnd::Ran
@@ -160,13 +147,8 @@
     // Pattern: all targets of a called service refuse half of what they get, with room free.
     let (mut throttle, clock) = fresh();
     let browse = rule("browse", "catalog", 2);
-    let end = |number: u32| {
-        if number.is_multiple_of(5) {
-            EntryEnd::of_run(false, CallsEnd::Ran)
-        } else {
-            EntryEnd::of_run(true, CallsEnd::Shed)
-        }
-    };
+    let shed = EntryEnd::of_run(true, CallsEnd::Shed);
+    let end = one_in(5, EntryEnd::Ran, shed);
     let admitted = ask(&mut throttle, &clock, &browse, 3000, "deals", end);
     assert_eq!(admitted, 3000);
     assert_eq!(EntryEnd::of_run(true, CallsEnd::NoRoom), EntryEnd::Starved);
@@ -180,13 +162,7 @@
     let (mut throttle, clock) = fresh();
     let report = rule("report", "studio", 2);
     let booking = rule("booking", "deals", 1);
-    let half = |number: u32| {
-        if number.is_multiple_of(2) {
-            EntryEnd::Refused
-        } else {
-            EntryEnd::Ran
-        }
-    };
+    let half = one_in(2, EntryEnd::Refused, EntryEnd::Ran);
     for _ in 0..100 {
         ask(&mut throttle, &clock, &report, 20, "", |_| EntryEnd::Ran);
         ask(&mut throttle, &clock, &booking, 20, "studio", half);
@@ -194,3 +170,23 @@
     let admitted = ask(&mut throttle, &clock, &report, 100, "", |_| EntryEnd::Ran);
     assert_eq!(admitted, 100);
 }
+
+#[test]
+fn what_targets_shed_is_no_room_that_another_route_takes() {
+    // Pattern: all targets of a service shed half of what they get, with room free; bookings
+    // go there, and browsing calls it.
+    let (mut throttle, clock) = fresh();
+    let browse = rule("browse", "catalog", 2);
+    let booking = rule("booking", "deals", 1);
+    let half = one_in(2, EntryEnd::Shed, EntryEnd::Ran);
+    for _ in 0..100 {
+        ask(&mut throttle, &clock, &browse, 20, "deals", |_| {
+            EntryEnd::Ran
+        });
+        ask(&mut throttle, &clock, &booking, 20, "", half);
+    }
+    let admitted = ask(&mut throttle, &clock, &browse, 100, "deals", |_| {
+        EntryEnd::Ran
+    });
+    assert_eq!(admitted, 100);
+}
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -8,9 +8,9 @@
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use mesh::RouteRule;
 use mesh::link::{LinkRoom, SMALL_BODY};
 use mesh::patience::CallerTry;
-use mesh::{CallsEnd, EntryEnd, RouteRule};
 use model::{ByteCount, ErrorKind, KindError, ServiceName};
 use rand::Rng;
 use tokio::time::{sleep, timeout};
@@ -18,7 +18,7 @@
 use crate::core::ProxyCore;
 use crate::message::{CallHead, pack_headers};
 use crate::relay::{RelayCall, relay_call};
-use crate::reply::{CallerReply, is_refusal, own_reply};
+use crate::reply::{CallerReply, own_reply};
 
 /// Results of taking a request in.
 ///
@@ -82,8 +82,8 @@
         serve_inner(core, entry).await
     } else {
         let (caller, spent, since) = (entry.caller, entry.head.spent, entry.since);
-        let reply = serve_entering(core, entry).await;
-        if is_refusal(&reply) {
+        let (reply, refused) = serve_entering(core, entry).await;
+        if refused {
             let waited = core.clock.now().saturating_duration_since(since);
             core.patience().note_refused(&caller, spent + waited);
         }
@@ -120,47 +120,45 @@
         Err(error) => return turn_down(core, &error),
     };
     let ended = relay_call(core, call).await;
-    if ended.end == EntryEnd::Refused {
-        let end = if ended.shed {
-            CallsEnd::Shed
-        } else {
-            CallsEnd::NoRoom
-        };
-        core.lineage().note_end(&request_id, end);
-    }
+    core.lineage().note_end(&request_id, ended.end.as_call());
     ended.reply
 }
 
 /// Serves a request that no running request made, if such requests end well and the
-/// link has room for its body.
-async fn serve_entering(core: &Arc<ProxyCore>, entry: EntryCall) -> CallerReply {
+/// link has room for its body; whether it was refused, to be sent again.
+async fn serve_entering(core: &Arc<ProxyCore>, entry: EntryCall) -> (CallerReply, bool) {
     let rule = Arc::clone(&entry.rule);
     if let Err(retry_after) = core.admit_before_stop(entry.deadline) {
         let cause = "the daemon stops before it would end";
-        return refuse_entry(core, entry, cause, retry_after).await;
+        let reply = refuse_entry(core, entry, cause, retry_after).await;
+        return (reply, true);
     }
     core.note_caller();
     let draw = rand::rng().random::<f32>();
     if !core.throttle().admit(&rule, draw) {
         let retry_after = rule.objective.mul_f32(ENTRY_RETURN_PART * (0.5 + draw));
-        return refuse_entry(core, entry, "runs of its kind find no room", retry_after).await;
+        let cause = "runs of its kind find no room";
+        let reply = refuse_entry(core, entry, cause, retry_after).await;
+        return (reply, true);
     }
     let remaining = entry.deadline.saturating_duration_since(entry.since);
     let room = match core.link.admit(entry.body_size(), remaining) {
         Ok(room) => room,
         Err(retry_after) => {
-            return refuse_entry(core, entry, "the link is full of bodies", retry_after).await;
+            let cause = "the link is full of bodies";
+            let reply = refuse_entry(core, entry, cause, retry_after).await;
+            return (reply, true);
         }
     };
     let call = match read_call(core, entry, Some(room)).await {
         Ok(call) => call,
-        Err(error) => return turn_down(core, &error),
+        Err(error) => return (turn_down(core, &error), false),
     };
     let service = call.head.service.clone();
     let ended = relay_call(core, call).await;
     core.throttle()
         .finish(&rule, &service, ended.end, &ended.called);
-    ended.reply
+    (ended.reply, ended.end.is_refusal())
 }
 
 /// Refuses a request; a large body is left unread, with its connection.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -54,8 +54,6 @@
     pub end: EntryEnd,
     /// Services that its last run called.
     pub called: CalledServices,
-    /// Whether a target itself refused it.
-    pub shed: bool,
 }
 
 /// How one attempt ended, with the answer if there is one.
@@ -175,7 +173,7 @@
 fn end_word(end: AttemptEnd) -> &'static str {
     match end {
         AttemptEnd::Answered => "answered",
-        AttemptEnd::ServerFailed | AttemptEnd::Starved => "failed",
+        AttemptEnd::ServerFailed | AttemptEnd::CallRefused => "failed",
         AttemptEnd::Refused { arrived: false, .. } => "refused",
         AttemptEnd::Refused { arrived: true, .. } => "refused-by-target",
         AttemptEnd::Broken => "broken",
@@ -223,12 +221,7 @@
             if failed || is_sampled(&call.head.request_id) {
                 note_end(core, call, outcome.as_str(), None);
             }
-            return RelayEnd {
-                reply,
-                end,
-                called,
-                shed: false,
-            };
+            return RelayEnd { reply, end, called };
         }
         (NextStep::Refuse { kind, retry_after }, _) => (refusal_kind(kind), Some(retry_after)),
         (NextStep::Fail(kind), _) => (kind, None),
@@ -244,12 +237,11 @@
     RelayEnd {
         reply: own_reply(&core.edge, kind, retry_after),
         end: if retry_after.is_some() {
-            EntryEnd::Refused
+            EntryEnd::of_refusal(last.shed)
         } else {
             EntryEnd::Ran
         },
         called,
-        shed: last.shed,
     }
 }
 
@@ -399,7 +391,7 @@
         calls,
         end: match (failed, calls) {
             (true, CallsEnd::Ran) => AttemptEnd::ServerFailed,
-            (true, CallsEnd::Shed | CallsEnd::NoRoom) => AttemptEnd::Starved,
+            (true, CallsEnd::Shed | CallsEnd::NoRoom) => AttemptEnd::CallRefused,
             (false, _) => AttemptEnd::Answered,
         },
         reply: Some(reply),
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -14,9 +14,6 @@
 use crate::message::{HeaderList, unpack_headers};
 use crate::run_body::BodyStream;
 
-/// Header of the daemon's own answers that names the kind of error.
-const ERROR_HEADER: &str = "x-quetzal-error";
-
 /// An answer to a caller.
 pub type CallerReply = Response<ReplyBody>;
 
@@ -142,19 +139,16 @@
     let mut response = Response::new(ReplyBody::Whole(None));
     *response.status_mut() = edge_status(kind);
     let headers = response.headers_mut();
-    headers.insert(ERROR_HEADER, HeaderValue::from_static(kind.answer().name));
+    headers.insert(
+        "x-quetzal-error",
+        HeaderValue::from_static(kind.answer().name),
+    );
     if let Some(time) = retry_after {
         headers.insert(header::RETRY_AFTER, (edge.write_retry_after)(time));
     }
     response
 }
 
-/// Whether the daemon itself refused the request, which has not run.
-pub fn is_refusal(reply: &CallerReply) -> bool {
-    let headers = reply.headers();
-    headers.contains_key(ERROR_HEADER) && headers.contains_key(header::RETRY_AFTER)
-}
-
 /// The status for `kind`.
 ///
 /// A request that is stopped because it crashes targets is answered like an
