--- a/crates/mesh/tests/gate.rs
+++ b/crates/mesh/tests/gate.rs
@@ -108,6 +108,24 @@
     list.iter().map(|start| start.call).collect()
 }
 
+/// The request `number` of a route with its rank, with milliseconds until its objective and
+/// its deadline.
+fn ticket_at(
+    clock: &FakeClock,
+    number: u64,
+    (route, priority): (&str, u8),
+    (objective, deadline): (u64, u64),
+) -> GateTicket {
+    GateTicket {
+        call: CallId(number),
+        route: RouteKey::of(route),
+        priority: CallPriority(priority),
+        inner: false,
+        objective: clock.now() + ms(objective),
+        deadline: clock.now() + ms(deadline),
+    }
+}
+
 fn stream(name: &'static str, priority: u8, every: u64, run: u64, aim: u64, limit: u64) -> Stream {
     Stream {
         name,
@@ -170,14 +188,8 @@
 fn a_gate_that_is_full_for_one_kind_takes_a_more_urgent_one() {
     let clock = FakeClock::new();
     let mut gate = KindGate::new(CallCount(1), Arc::new(clock.clone()));
-    let ticket = |number, name: &str, priority| GateTicket {
-        call: CallId(number),
-        route: RouteKey::of(name),
-        priority: CallPriority(priority),
-        inner: false,
-        objective: clock.now() + ms(200),
-        deadline: clock.now() + ms(400),
-    };
+    let ticket =
+        |number, name: &str, priority| ticket_at(&clock, number, (name, priority), (200, 400));
     let mut refused = 0;
     for number in 0..10 {
         if let GateAnswer::Refuse { .. } = gate.enter(&ticket(number, "browse", 2)) {
@@ -194,14 +206,7 @@
 fn a_draining_gate_refuses_those_who_wait_and_new_ones() {
     let clock = FakeClock::new();
     let mut gate = KindGate::new(CallCount(1), Arc::new(clock.clone()));
-    let ticket = |number| GateTicket {
-        call: CallId(number),
-        route: RouteKey::of("browse"),
-        priority: CallPriority(0),
-        inner: false,
-        objective: clock.now() + ms(500),
-        deadline: clock.now() + ms(800),
-    };
+    let ticket = |number| ticket_at(&clock, number, ("browse", 0), (500, 800));
     assert_eq!(gate.enter(&ticket(1)), GateAnswer::Start);
     assert_eq!(gate.enter(&ticket(2)), GateAnswer::Wait);
     assert_eq!(gate.drain(), [CallId(2)]);
@@ -218,14 +223,7 @@
 fn a_cancelled_request_gives_its_slot_to_the_next() {
     let clock = FakeClock::new();
     let mut gate = KindGate::new(CallCount(1), Arc::new(clock.clone()));
-    let ticket = |number| GateTicket {
-        call: CallId(number),
-        route: RouteKey::of("browse"),
-        priority: CallPriority(0),
-        inner: false,
-        objective: clock.now() + ms(500),
-        deadline: clock.now() + ms(800),
-    };
+    let ticket = |number| ticket_at(&clock, number, ("browse", 0), (500, 800));
     gate.enter(&ticket(1));
     gate.enter(&ticket(2));
     gate.enter(&ticket(3));
@@ -240,14 +238,7 @@
     let mut gate = KindGate::new(CallCount(1), Arc::new(clock.clone()));
     let mut run = |numbers: std::ops::Range<u64>, time: u64, cut: bool| {
         for number in numbers {
-            let ticket = GateTicket {
-                call: CallId(number),
-                route: RouteKey::of("browse"),
-                priority: CallPriority(0),
-                inner: false,
-                objective: clock.now() + ms(500),
-                deadline: clock.now() + ms(800),
-            };
+            let ticket = ticket_at(&clock, number, ("browse", 0), (500, 800));
             assert_eq!(gate.enter(&ticket), GateAnswer::Start);
             clock.advance(ms(time));
             if cut {
@@ -269,14 +260,7 @@
     // Pattern: a target turns twelve times slower while all its slots are taken.
     let clock = FakeClock::new();
     let mut gate = KindGate::new(CallCount(4), Arc::new(clock.clone()));
-    let ticket = |number| GateTicket {
-        call: CallId(number),
-        route: RouteKey::of("browse"),
-        priority: CallPriority(0),
-        inner: false,
-        objective: clock.now() + ms(1500),
-        deadline: clock.now() + ms(6000),
-    };
+    let ticket = |number| ticket_at(&clock, number, ("browse", 0), (1500, 6000));
     for number in 0..40 {
         gate.enter(&ticket(number));
         clock.advance(ms(400));
@@ -305,14 +289,7 @@
     let mut level = PaceLevel::default();
     let mut changes = 0;
     for number in 0..2000_u64 {
-        let ticket = GateTicket {
-            call: CallId(number),
-            route: RouteKey::of("browse"),
-            priority: CallPriority(0),
-            inner: false,
-            objective: clock.now() + ms(5000),
-            deadline: clock.now() + ms(8000),
-        };
+        let ticket = ticket_at(&clock, number, ("browse", 0), (5000, 8000));
         assert_eq!(gate.enter(&ticket), GateAnswer::Start);
         // Lengths of 20 to 1220 ms in no order.
         clock.advance(ms(20 + number * 7919 % 1201));
@@ -332,14 +309,8 @@
     // objective lasts.
     let clock = FakeClock::new();
     let mut gate = KindGate::new(CallCount(2), Arc::new(clock.clone()));
-    let ticket = |number, name: &str, priority| GateTicket {
-        call: CallId(number),
-        route: RouteKey::of(name),
-        priority: CallPriority(priority),
-        inner: false,
-        objective: clock.now() + ms(400),
-        deadline: clock.now() + ms(1500),
-    };
+    let ticket =
+        |number, name: &str, priority| ticket_at(&clock, number, (name, priority), (400, 1500));
     for number in 0..20 {
         gate.enter(&ticket(number, "booking", 1));
         clock.advance(ms(120));
