--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -17,12 +17,9 @@
 use crate::metrics::RequestOutcome;
 use crate::peer_call::{PeerEnd, call_peer};
 use crate::reply::{CallerReply, ReplyBody, own_reply, target_reply};
-use crate::run_body::RunBody;
+use crate::run_body::{RunBody, WHOLE_ANSWER_BYTES};
 use crate::runner::{RunEnd, TargetCall, run_call};
 
-/// Longest answer that is held whole, so that a broken one can be asked for again.
-const WHOLE_ANSWER_BYTES: usize = 512 << 10;
-
 /// One in this many requests that end well is told of in the log.
 const SAMPLED_PART: u64 = 128;
 
--- a/crates/proxy/src/run_body.rs
+++ b/crates/proxy/src/run_body.rs
@@ -17,8 +17,8 @@
 use crate::desk::DeskPlace;
 use crate::target_client::TargetExchange;
 
-/// Longest answer that is held whole before its head is passed on.
-const WHOLE_ANSWER_BYTES: usize = 512 << 10;
+/// Longest answer that is held whole before its head is passed on, at either daemon.
+pub(crate) const WHOLE_ANSWER_BYTES: usize = 512 << 10;
 
 /// The body of an answer.
 #[derive(Debug)]
