Show what targets say of themselves in their answers

Change: the limit and the leaving flag in a target's answers are decoded at the boundary and logged when they change; metrics tell the limit named and the requests sent. No decision depends on them yet.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -59,7 +59,9 @@
 pub use gate::{GateDecision, GateRequest, PriorityGate};
 pub use lineage::{NestedCallOutcome, RunLineage};
 pub use link::LinkGate;
-pub use local_target::{LocalTarget, ReportEffect, ReportedState, TargetLeave, TargetReport};
+pub use local_target::{
+    LocalTarget, ReportEffect, ReportedState, TargetLeave, TargetNotice, TargetReport,
+};
 pub use response::ResponseLimit;
 pub use round_robin::WeightedRoundRobin;
 pub use stop::{StopConditions, StopPlan};
--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -14,7 +14,7 @@
 
 use std::time::{Duration, Instant};
 
-use model::{CallCount, IncarnationNumber, ServiceName, SharedClock, TargetName};
+use model::{CallCount, CallRate, IncarnationNumber, ServiceName, SharedClock, TargetName};
 use smallvec::SmallVec;
 
 /// Maximum number of ended runs whose late reports are still recognized.
@@ -59,6 +59,15 @@
     pub run: IncarnationNumber,
 }
 
+/// What a target says of itself in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TargetNotice {
+    /// Rate of requests that the target accepts from the whole fleet; none if it names no limit.
+    pub limit: Option<CallRate>,
+    /// Whether the target is leaving.
+    pub leaving: bool,
+}
+
 /// Effect of a report.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReportEffect {
@@ -79,6 +88,8 @@
     down: bool,
     /// Number of reports missing until the target counts as confirmed.
     unconfirmed: u8,
+    /// What the last answer said.
+    notice: TargetNotice,
 }
 
 /// State of the target beside the daemon.
@@ -158,6 +169,18 @@
         }
     }
 
+    /// Records what `target` said of itself in an answer.
+    ///
+    /// Returns what it said before, if that differs. An answer of any other target is ignored.
+    pub fn on_notice(&mut self, target: &TargetName, notice: TargetNotice) -> Option<TargetNotice> {
+        let known = self.known.as_mut()?;
+        if known.report.target != *target {
+            return None;
+        }
+        let previous = std::mem::replace(&mut known.notice, notice);
+        (previous != notice).then_some(previous)
+    }
+
     /// Records that a connection to the target was refused.
     ///
     /// Returns whether there is a known target that was not down before.
@@ -178,6 +201,12 @@
         self.known.as_ref().map(|known| &known.report)
     }
 
+    /// Returns what the target said of itself in its last answer.
+    pub fn notice(&self) -> TargetNotice {
+        let known = self.known.as_ref();
+        known.map_or_else(TargetNotice::default, |known| known.notice)
+    }
+
     /// Returns whether the target has reported that it is leaving.
     pub fn is_leaving(&self) -> bool {
         self.known.as_ref().is_some_and(|known| known.leaving)
@@ -224,6 +253,7 @@
             last_seen: now,
             down: false,
             unconfirmed: 0,
+            notice: TargetNotice::default(),
             report,
         }
     }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -7,8 +7,8 @@
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use mesh::{ReportEffect, TargetLeave, TargetReport};
-use model::{CallCount, ErrorKind, KindError};
+use mesh::{ReportEffect, TargetLeave, TargetNotice, TargetReport};
+use model::{CallCount, CallRate, ErrorKind, KindError, TargetName};
 
 use crate::core::ProxyCore;
 use crate::edge::ControlCall;
@@ -89,6 +89,24 @@
     }
 }
 
+/// Applies what `target` said of itself in an answer with `status`.
+pub fn apply_notice(
+    core: &ProxyCore,
+    target: &TargetName,
+    notice: TargetNotice,
+    status: StatusCode,
+) {
+    let Some(previous) = core.local_target().on_notice(target, notice) else {
+        return;
+    };
+    let per_second = |limit: Option<CallRate>| limit.map(|rate| rate.0);
+    log::info!(
+        target_name:% = target, status = status.as_u16(), leaving = notice.leaving,
+        limit:? = per_second(notice.limit), limit_before:? = per_second(previous.limit);
+        "target says of itself"
+    );
+}
+
 /// Opens or closes the gate depending on whether the target takes requests, and wakes the
 /// membership loop to announce it.
 pub fn apply_target(core: &ProxyCore) {
--- a/crates/proxy/src/edge.rs
+++ b/crates/proxy/src/edge.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use http::{HeaderName, HeaderValue, Method};
-use mesh::{TargetLeave, TargetReport};
-use model::CallCount;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use mesh::{TargetLeave, TargetNotice, TargetReport};
+use model::{CallCount, CallRate};
 
 /// Result of decoding; errors are of kind `RequestInvalid`.
 pub type Result<T> = model::Result<T>;
@@ -24,6 +24,10 @@
     pub target_name: HeaderName,
     /// Load reported by the answering target.
     pub target_load: HeaderName,
+    /// Rate of requests that the answering target accepts from the whole fleet.
+    pub target_limit: HeaderName,
+    /// Present if the answering target is leaving.
+    pub target_leaving: HeaderName,
     /// Present if the target has not run the request.
     pub not_run: HeaderName,
     /// Service of the VM on which the request entered the mesh.
@@ -52,6 +56,27 @@
     pub acknowledgement: &'static str,
     /// Parses the number of slots from the load reported by a target.
     pub parse_slots: fn(&str) -> Option<CallCount>,
+    /// Parses the rate limit named by a target; `None` if the text is not a rate.
+    pub parse_limit: fn(&str) -> Option<CallRate>,
     /// Formats the time after which a caller may retry.
     pub format_retry_after: fn(Duration) -> HeaderValue,
 }
+
+impl EdgeProtocol {
+    /// Reads what a target says of itself in the headers of an answer.
+    ///
+    /// A limit that cannot be parsed is logged and counts as none.
+    pub fn read_notice(&self, headers: &HeaderMap) -> TargetNotice {
+        let limit = headers.get(&self.headers.target_limit).and_then(|value| {
+            let limit = value.to_str().ok().and_then(self.parse_limit);
+            if limit.is_none() {
+                log::warn!(value:? = value; "limit of a target unreadable");
+            }
+            limit
+        });
+        TargetNotice {
+            limit,
+            leaving: headers.contains_key(&self.headers.target_leaving),
+        }
+    }
+}
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -10,7 +10,8 @@
 use http::{HeaderValue, Response, header};
 use model::{ErrorKind, KindError};
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::core::ProxyCore;
@@ -56,6 +57,7 @@
     requests: IntCounterVec,
     request_s: HistogramVec,
     attempts: IntCounterVec,
+    sent: IntCounterVec,
     queue_s: HistogramVec,
     target_s: HistogramVec,
     errors: IntCounterVec,
@@ -65,6 +67,7 @@
     running: IntGauge,
     waiting: IntGauge,
     target_up: IntGauge,
+    target_limit: Gauge,
     store_up: IntGauge,
 }
 
@@ -94,7 +97,16 @@
                 .map_err(local_failed)?;
             Ok::<_, KindError>(metric)
         };
+        let target_limit = Gauge::new(
+            "quetzal_target_limit_per_second",
+            "Limit named by the target here; -1 if it names none.",
+        )
+        .map_err(local_failed)?;
+        registry
+            .register(Box::new(target_limit.clone()))
+            .map_err(local_failed)?;
         Ok(Self {
+            target_limit,
             requests: counter(
                 "quetzal_requests_total",
                 "Requests taken in, by service, origin and outcome.",
@@ -110,6 +122,11 @@
                 "Attempts at daemons beside targets, by how they ended.",
                 &["service", "end"],
             )?,
+            sent: counter(
+                "quetzal_target_sent_total",
+                "Requests sent to the target beside this daemon.",
+                &["service"],
+            )?,
             queue_s: histogram(
                 "quetzal_queue_seconds",
                 "Time for which requests that ran here waited for a slot.",
@@ -164,6 +181,11 @@
         self.attempts.with_label_values(&[service, end]).inc();
     }
 
+    /// Counts a request sent to the target beside the daemon.
+    pub fn count_sent(&self, service: &str) {
+        self.sent.with_label_values(&[service]).inc();
+    }
+
     /// Records the queue time and run time of a request at the target beside the daemon.
     pub fn observe_run(&self, service: &str, waited: Duration, ran: Duration) {
         self.queue_s
@@ -198,6 +220,8 @@
         self.waiting.set(i64::from(load.queued.0));
         self.target_up
             .set(i64::from(core.local_target().available().is_some()));
+        let limit = core.local_target().notice().limit;
+        self.target_limit.set(limit.map_or(-1.0, |rate| rate.0));
         let mut text = Vec::new();
         TextEncoder::new()
             .encode(&self.registry.gather(), &mut text)
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -14,7 +14,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::control::{apply_report, apply_target};
+use crate::control::{apply_notice, apply_report, apply_target};
 use crate::core::ProxyCore;
 use crate::target_client::SendFailure;
 
@@ -92,6 +92,12 @@
     if matches!(body.await, Ok(Ok(_))) {
         exchange.finish();
     }
+    let notice = core.edge.read_notice(&headers);
+    let name = headers.get(&core.edge.headers.target_name);
+    let name = name.and_then(|value| value.to_str().ok());
+    if let Some(target) = name.and_then(|name| name.parse().ok()) {
+        apply_notice(core, &target, notice, status);
+    }
     if status != StatusCode::OK {
         return Err(probe_failed("the target is unhealthy or leaving"));
     }
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::answer_body::{AnswerBody, BodyStream, ReadBody, read_body};
+use crate::control::apply_notice;
 use crate::core::ProxyCore;
 use crate::desk::{DeskPlace, DeskRequest};
 use crate::message::{CallHead, HeaderList, pack_headers, unpack_headers};
@@ -303,6 +304,7 @@
         Err(error) => return TargetRunOutcome::Refused(refuse(error.kind, None)),
     };
     let at_most_once = call.head.safety == CallSafety::AtMostOnce;
+    core.metrics.count_sent(call.head.service.as_str());
     let sending = core.target_client.send(request, at_most_once);
     let Ok(sent) = timeout(remaining + ANSWER_MARGIN, sending).await else {
         slot.finish(true);
@@ -325,7 +327,7 @@
         }
     };
     core.local_target().on_answer();
-    let end = read_answer(core, call, exchange, slot).await;
+    let end = read_answer(core, call, &run.target, exchange, slot).await;
     match &end {
         TargetRunOutcome::Answered(_) => run.succeeded = true,
         TargetRunOutcome::Broken(_) => check_for_crash(core, &run).await,
@@ -372,6 +374,7 @@
 async fn read_answer(
     core: &Arc<ProxyCore>,
     call: &TargetCall,
+    target: &TargetName,
     mut exchange: TargetExchange,
     slot: DeskPlace,
 ) -> TargetRunOutcome {
@@ -387,6 +390,7 @@
         slot.finish(true);
         return TargetRunOutcome::Broken("the answer belongs to another request".into());
     }
+    apply_notice(core, target, core.edge.read_notice(headers), status);
     let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     if misdirected || headers.contains_key(&names.not_run) {
         if misdirected {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -113,12 +113,15 @@
             expected_target: name("expected"),
             target_name: name("target"),
             target_load: name("load"),
+            target_limit: name("limit"),
+            target_leaving: name("leaving"),
             not_run: name("not-run"),
             caller_service: name("caller"),
         },
         parse_control: |_, _, _| Ok(quetzal_proxy::edge::ControlCall::Ready),
         acknowledgement: "",
         parse_slots: |_| None,
+        parse_limit: |text| text.parse().ok(),
         format_retry_after: |time| HeaderValue::from(time.as_secs()),
     }
 }
