Keep the requests sent to a target within the limit that it names

Cause: the gate beside a target bounds concurrency only; a limit on the rate that comes with an answer was never read. Class: a signal of the target that the product does not know is dropped without notice, and no check counts what a target gets. Change: the gate paces what it starts with a token bucket at the named rate and a burst of a quarter of a second. Requests wait for the limit in the order in which they wait for slots, and are refused at once if that takes too long. An answer that names no limit lifts it. A daemon that restarts learns the limit from its probe before the gate opens. The bucket is the one of the plan limits, which now gets its burst passed in.

--- a/crates/daemon/src/peer_messages.rs
+++ b/crates/daemon/src/peer_messages.rs
@@ -183,7 +183,7 @@
 }
 
 /// Head of a target's answer.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ResponseHead {
     /// HTTP status.
     pub status: u16,
@@ -196,7 +196,7 @@
 }
 
 /// Reason why a call has no answer of a target.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct CallRefusal {
     /// The error.
     pub error: KindError,
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -6,14 +6,15 @@
 //! - [`LoadShedder`] refuses calls early that the gates beside the targets
 //!   would refuse anyway: less important classes first, and customers that
 //!   flood the service before others.
+//! - [`TokenBucket`] bounds a rate; it can be embedded on its own.
 //!
-//! Both are state machines that read time from a [`model::SharedClock`] and do
+//! The gate and the shedder are state machines that read time from a [`model::SharedClock`] and do
 //! no I/O. To embed the gate, pass it the members, call
 //! [`LimitGate::on_tick`] every [`TICK_INTERVAL`], send its outputs to the
 //! daemons they name and pass received messages to [`LimitGate::on_message`].
 //! `examples/limit.rs` runs three gates in one process.
 
-mod bucket;
+pub mod bucket;
 mod coordinated_key;
 mod coordinator;
 mod demand;
@@ -26,6 +27,7 @@
 
 use std::time::Duration;
 
+pub use bucket::{BurstSize, TokenBucket};
 pub use gate::{LimitGate, LimitTicket};
 pub use message::{LimitKey, LimitMessage, LimitOutput, PlanLimit};
 pub use refusal::LimitRefusal;
--- a/crates/limits/src/local.rs
+++ b/crates/limits/src/local.rs
@@ -9,7 +9,7 @@
 
 use model::{CallCount, CallRate, ErrorKind};
 
-use crate::bucket::TokenBucket;
+use crate::bucket::{BurstSize, TokenBucket};
 use crate::demand::DemandMeter;
 use crate::message::{
     DemandReport, GRANT_LIFETIME_INTERVALS, LimitKey, PlanLimit, ShareGrant, Thousandths,
@@ -22,6 +22,13 @@
 /// Maximum credit of a new key, in calls.
 const MAX_INITIAL_CREDIT: f64 = 10.0;
 
+/// Capacity of a key's bucket. With room for one call only, a bucket refuses calls that happen to
+/// arrive close together: a third of all calls when demand is half of the share.
+const BURST: BurstSize = BurstSize {
+    seconds: 1.0,
+    min_tokens: 4.0,
+};
+
 /// Minimum time between two reports of one key.
 const MIN_REPORT_GAP: Duration = Duration::from_millis(100);
 
@@ -56,6 +63,10 @@
 /// first.
 const EXPIRY_TIME: Duration = Duration::from_secs(60);
 
+/// Shortest and longest retry delay of a refusal by the rate limit.
+const MIN_RATE_DELAY: Duration = Duration::from_millis(1);
+const MAX_RATE_DELAY: Duration = Duration::from_secs(60);
+
 /// Retry delay of a refusal by the concurrency limit.
 const CONCURRENCY_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -104,7 +115,7 @@
         let credit = (limit.rate.0 * INITIAL_CREDIT_S).clamp(1.0, MAX_INITIAL_CREDIT);
         Self {
             limit,
-            bucket: TokenBucket::new(equal_part(limit, members), credit, now),
+            bucket: TokenBucket::new(equal_part(limit, members), BURST, credit, now),
             demand: DemandMeter::new(now),
             in_flight: 0,
             fraction_credit: 0.0,
@@ -141,7 +152,10 @@
             ));
         }
         if !self.bucket.has_token(now) {
-            let delay = Duration::from_secs_f64(self.bucket.wait_s().clamp(0.001, 60.0));
+            let delay = self
+                .bucket
+                .wait_from(now)
+                .clamp(MIN_RATE_DELAY, MAX_RATE_DELAY);
             return Err(LimitRefusal::new(ErrorKind::RateExceeded, delay));
         }
         self.bucket.take_token();
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -16,6 +16,10 @@
 //! - A request that cannot end in time behind those ahead of it is refused at
 //!   once, with the time after which the queue will be short enough.
 //!
+//! A target may also name a limit on the rate of requests. Requests then wait in
+//! the same order until the limit allows them, and those that would wait too
+//! long are refused like those that find no slot in time.
+//!
 //! Run times are learned per route and corrected by the runs in progress: if
 //! these have already taken longer than usual, the target has slowed down,
 //! which is noticed long before any of them ends.
@@ -23,11 +27,12 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use model::{CallCount, ErrorKind, SharedClock};
+use model::{CallCount, CallRate, ErrorKind, SharedClock};
 use route::{CallId, TargetLoad};
 use smallvec::SmallVec;
 
 use crate::config::{CallPriority, RouteKey};
+use crate::pacer::RequestPacer;
 
 /// Weight of the latest run in a route's average run time.
 const RUN_WEIGHT: f32 = 0.1;
@@ -138,6 +143,7 @@
 pub struct PriorityGate {
     clock: SharedClock,
     slots: usize,
+    pacer: RequestPacer,
     draining: bool,
     running: HashMap<CallId, RunningCall>,
     waiting: BTreeMap<QueueKey, WaitingCall>,
@@ -193,6 +199,7 @@
         Self {
             clock,
             slots: slots.0 as usize,
+            pacer: RequestPacer::default(),
             draining: false,
             running: HashMap::new(),
             waiting: BTreeMap::new(),
@@ -226,7 +233,7 @@
             priority: request.priority,
             slack: start_by.saturating_duration_since(now),
         };
-        if self.running.len() < self.slots && self.waiting.is_empty() {
+        if self.waiting.is_empty() && self.may_start(now) {
             self.record_admitted(request.route, urgency, now);
             self.start(request.call, request.route, now);
             return GateDecision::Start;
@@ -285,9 +292,29 @@
         self.take_waiting(|waiting| waiting.start_by <= now)
     }
 
-    /// Returns when [`PriorityGate::expire`] is due next.
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.waiting.values().map(|waiting| waiting.start_by).min()
+    /// Starts and returns the waiting requests that the target's limit allows by now.
+    pub fn start_paced(&mut self) -> StartList {
+        self.start_next(self.clock.now())
+    }
+
+    /// Returns when [`PriorityGate::expire`] or [`PriorityGate::start_paced`] is due next.
+    ///
+    /// Changes when a request starts to wait, a slot becomes free, or the limit changes.
+    pub fn next_due(&self) -> Option<Instant> {
+        let next_expiry = self
+            .waiting
+            .values()
+            .map(|waiting| waiting.start_by)
+            .min()?;
+        let has_slot = self.running.len() < self.slots;
+        let next_send = self.pacer.next_send(self.clock.now());
+        let next_start = next_send.filter(|_| has_slot);
+        Some(next_start.map_or(next_expiry, |start| start.min(next_expiry)))
+    }
+
+    /// Returns whether the target names a limit and requests wait.
+    pub fn is_pacing(&self) -> bool {
+        self.pacer.limit().is_some() && !self.waiting.is_empty()
     }
 
     /// Sets the number of slots; returns the requests that start now.
@@ -296,6 +323,14 @@
         self.start_next(self.clock.now())
     }
 
+    /// Sets the limit on the rate of requests that the target names; returns the requests that
+    /// start now.
+    pub fn set_limit(&mut self, limit: Option<CallRate>) -> StartList {
+        let now = self.clock.now();
+        self.pacer.set_limit(limit, now);
+        self.start_next(now)
+    }
+
     /// Refuses new requests from now on; removes and returns the waiting ones.
     pub fn drain(&mut self) -> Vec<CallId> {
         self.draining = true;
@@ -323,6 +358,8 @@
             in_flight: CallCount(self.running.len() as u32),
             queued: CallCount(self.waiting.len() as u32),
             failing: (self.failure_rate * 100.0) as u8,
+            limit: self.pacer.limit(),
+            ..TargetLoad::default()
         }
     }
 
@@ -349,8 +386,14 @@
             .values()
             .map(|call| self.run_s(call.route))
             .sum();
-        let time = Duration::from_secs_f32(queued / self.slots.max(1) as f32);
-        time.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        let slot_wait = Duration::from_secs_f32(queued / self.slots.max(1) as f32);
+        let now = self.clock.now();
+        let paced_wait = self
+            .pacer
+            .expected_wait(self.waiting.len(), CallRate::default(), now);
+        slot_wait
+            .max(paced_wait)
+            .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 
     fn refusal(kind: ErrorKind, delay: Duration) -> GateDecision {
@@ -362,10 +405,11 @@
 
     /// Estimates the time until a request with `key` would start.
     ///
-    /// More urgent requests that arrive in the meantime also go ahead, so only the slots
-    /// that they leave free count.
+    /// More urgent requests that arrive in the meantime also go ahead, so only the slots, and
+    /// the part of the target's limit, that they leave free count.
     fn expected_wait(&self, key: QueueKey, now: Instant) -> Duration {
         let ahead = self.waiting.range(..key);
+        let ahead_count = ahead.clone().count();
         let queued: f32 = ahead.map(|(_, call)| self.run_s(call.route)).sum();
         let running: f32 = self
             .running
@@ -376,13 +420,19 @@
         // If the runs started at random times, the first of them ends after the mean run
         // time divided by the number of slots.
         let first_end = running / slots;
-        let more_urgent = self
-            .admitted
-            .values()
-            .filter(|work| work.urgency < key.urgency);
-        let used: f32 = more_urgent.map(|work| work.slots_at(now)).sum();
+        let (mut used, mut urgent_rate) = (0.0, 0.0);
+        for (route, work) in &self.admitted {
+            if work.urgency < key.urgency {
+                let slots_used = work.slots_at(now);
+                used += slots_used;
+                urgent_rate += slots_used / self.run_s(*route).max(f32::MIN_POSITIVE);
+            }
+        }
         let free = (slots - used).max(slots * MIN_FREE_FRACTION);
-        Duration::from_secs_f32((queued + first_end) / free * self.slowdown(now))
+        let slot_wait = Duration::from_secs_f32((queued + first_end) / free * self.slowdown(now));
+        let urgent_rate = CallRate(f64::from(urgent_rate));
+        let paced_wait = self.pacer.expected_wait(ahead_count, urgent_rate, now);
+        slot_wait.max(paced_wait)
     }
 
     /// Returns a lower bound of the factor by which runs in progress are slower than usual,
@@ -443,13 +493,19 @@
         work.add(urgency, run_s, now);
     }
 
+    /// Returns whether there is a free slot and the target's limit allows another request.
+    fn may_start(&mut self, now: Instant) -> bool {
+        self.running.len() < self.slots && self.pacer.may_send(now)
+    }
+
     fn start(&mut self, call: CallId, route: RouteKey, now: Instant) {
+        self.pacer.record_sent();
         self.running.insert(call, RunningCall { route, since: now });
     }
 
     fn start_next(&mut self, now: Instant) -> StartList {
         let mut started = StartList::new();
-        while self.running.len() < self.slots {
+        while self.may_start(now) {
             // Expired requests are left to `expire`, whose caller answers them.
             let mut candidates = self.waiting.iter();
             let next = candidates.find(|(_, waiting)| waiting.start_by > now);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -19,6 +19,8 @@
 //! - [`RunLineage`] tracks which requests were made by a running request.
 //! - [`PriorityGate`] is the admission control of one target: it starts, queues
 //!   or refuses each request.
+//! - [`RequestPacer`] keeps the requests sent to one target within the limit that the target
+//!   names.
 //! - [`LinkGate`] keeps large bodies from saturating a slow link.
 //! - [`ResponseLimit`] bounds the duration and size of a response.
 //! - [`StopPlan`] schedules the stages of a graceful stop.
@@ -39,6 +41,7 @@
 pub mod lineage;
 pub mod link;
 pub mod local_target;
+pub mod pacer;
 pub mod response;
 pub mod round_robin;
 pub mod stop;
@@ -62,6 +65,7 @@
 pub use local_target::{
     LocalTarget, ReportEffect, ReportedState, TargetLeave, TargetNotice, TargetReport,
 };
+pub use pacer::RequestPacer;
 pub use response::ResponseLimit;
 pub use round_robin::WeightedRoundRobin;
 pub use stop::{StopConditions, StopPlan};
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -67,17 +67,21 @@
 }
 
 /// Applies a target report; its changes are in force when this returns.
-pub fn apply_report(core: &ProxyCore, report: TargetReport) {
+fn apply_report(core: &ProxyCore, report: TargetReport) {
+    if record_report(core, report) == ReportEffect::Changed {
+        apply_target(core);
+    }
+}
+
+/// Records a target report without opening or closing the gate.
+pub fn record_report(core: &ProxyCore, report: TargetReport) -> ReportEffect {
     let target = report.target.clone();
     let (run, sequence) = (report.run, report.sequence);
     let effect = core.local_target().on_report(report);
-    if effect == ReportEffect::Renewed {
-        return;
-    }
-    log::info!(target_name:% = target, run:% = run, sequence, effect:? = effect; "target report");
-    if effect == ReportEffect::Changed {
-        apply_target(core);
+    if effect != ReportEffect::Renewed {
+        log::info!(target_name:% = target, run:% = run, sequence, effect:? = effect; "target report");
     }
+    effect
 }
 
 fn apply_leave(core: &ProxyCore, leave: TargetLeave) {
@@ -105,15 +109,24 @@
         limit:? = per_second(notice.limit), limit_before:? = per_second(previous.limit);
         "target says of itself"
     );
+    if notice.leaving && !previous.leaving {
+        apply_target(core);
+    } else {
+        core.gate.set_limit(notice.limit);
+    }
 }
 
 /// Opens or closes the gate depending on whether the target takes requests, and wakes the
 /// membership loop to announce it.
 pub fn apply_target(core: &ProxyCore) {
-    let slots = core.local_target().available().map(|report| report.slots);
+    let (slots, limit) = {
+        let target = core.local_target();
+        let slots = target.available().map(|report| report.slots);
+        (slots, target.notice().limit)
+    };
     match slots {
         Some(slots) if !core.is_stopping() => {
-            core.gate.open(CallCount(slots.0 + REQUESTS_AHEAD));
+            core.gate.open(CallCount(slots.0 + REQUESTS_AHEAD), limit);
         }
         Some(_) | None => core.gate.close(),
     }
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -12,7 +12,7 @@
 
 use mesh::gate::StartList;
 use mesh::{CallPriority, GateDecision, GateRequest, PriorityGate, RouteKey};
-use model::{CallCount, ErrorKind, SharedClock};
+use model::{CallCount, CallRate, ErrorKind, SharedClock};
 use route::{CallId, TargetLoad};
 use tokio::sync::{Notify, oneshot};
 
@@ -45,12 +45,18 @@
 
 /// A [`PriorityGate`] and the tasks that wait for it.
 pub struct GateDesk {
-    state: Arc<Mutex<DeskState>>,
-    waiters_changed: Arc<Notify>,
+    shared: Arc<DeskShared>,
     clock: SharedClock,
     next_call: AtomicU64,
 }
 
+/// State of the desk, shared with the places at it.
+struct DeskShared {
+    state: Mutex<DeskState>,
+    /// Wakes [`GateDesk::serve_waiting`] when [`PriorityGate::next_due`] may have changed.
+    due_changed: Notify,
+}
+
 struct DeskState {
     gate: PriorityGate,
     waiters: HashMap<CallId, oneshot::Sender<Result<Duration>>>,
@@ -58,7 +64,7 @@
 
 /// A reserved slot at the target; released when dropped.
 pub struct DeskPlace {
-    state: Arc<Mutex<DeskState>>,
+    shared: Arc<DeskShared>,
     call: CallId,
     /// Time for which the request was queued.
     pub waited: Duration,
@@ -73,8 +79,10 @@
             waiters: HashMap::new(),
         };
         Self {
-            state: Arc::new(Mutex::new(state)),
-            waiters_changed: Arc::default(),
+            shared: Arc::new(DeskShared {
+                state: Mutex::new(state),
+                due_changed: Notify::new(),
+            }),
             clock,
             next_call: AtomicU64::new(0),
         }
@@ -92,13 +100,13 @@
             deadline: request.deadline,
         };
         let mut place = DeskPlace {
-            state: Arc::clone(&self.state),
+            shared: Arc::clone(&self.shared),
             call,
             waited: Duration::ZERO,
             released: false,
         };
         let admission = {
-            let mut state = lock(&self.state);
+            let mut state = self.lock();
             match state.gate.admit(&gate_request) {
                 GateDecision::Start => return Ok(place),
                 GateDecision::Refuse { kind, retry_after } => {
@@ -112,7 +120,7 @@
                 }
             }
         };
-        self.waiters_changed.notify_one();
+        self.shared.due_changed.notify_one();
         match admission.await {
             Ok(Ok(waited)) => {
                 place.waited = waited;
@@ -130,59 +138,77 @@
         }
     }
 
-    /// Refuses queued requests when their time has run out; never returns.
-    pub async fn expire_waiting(&self) {
+    /// Starts queued requests when the target's limit allows it, and refuses them when their time
+    /// has run out; never returns.
+    pub async fn serve_waiting(&self) {
         loop {
-            let next_expiry = lock(&self.state).gate.next_expiry();
-            let Some(at) = next_expiry else {
-                self.waiters_changed.notified().await;
+            let next_due = self.lock().gate.next_due();
+            let Some(at) = next_due else {
+                self.shared.due_changed.notified().await;
                 continue;
             };
             let wait = at.saturating_duration_since(self.clock.now());
             tokio::select! {
                 () = tokio::time::sleep(wait) => {}
-                () = self.waiters_changed.notified() => continue,
+                () = self.shared.due_changed.notified() => continue,
             }
-            let mut state = lock(&self.state);
+            let mut state = self.lock();
             let expired = state.gate.expire();
             let retry_after = state.gate.retry_after();
             state.refuse(&expired, ErrorKind::QueueFull, retry_after);
+            let started = state.gate.start_paced();
+            state.wake_started(started);
         }
     }
 
-    /// Admits up to `slots` concurrent requests.
-    pub fn open(&self, slots: CallCount) {
-        let mut state = lock(&self.state);
+    /// Admits up to `slots` concurrent requests, at no higher rate than `limit`.
+    pub fn open(&self, slots: CallCount, limit: Option<CallRate>) {
+        let mut state = self.lock();
         state.gate.reopen();
         let started = state.gate.resize(slots);
         state.wake_started(started);
+        drop(state);
+        self.set_limit(limit);
+    }
+
+    /// Sets the limit that the target names.
+    pub fn set_limit(&self, limit: Option<CallRate>) {
+        let mut state = self.lock();
+        let started = state.gate.set_limit(limit);
+        state.wake_started(started);
+        drop(state);
+        self.shared.due_changed.notify_one();
     }
 
     /// Refuses new and queued requests; running ones continue.
     pub fn close(&self) {
-        let mut state = lock(&self.state);
+        let mut state = self.lock();
         let refused = state.gate.drain();
         state.refuse(&refused, ErrorKind::Draining, Duration::ZERO);
     }
 
     /// Returns the current load of the target.
     pub fn load(&self) -> TargetLoad {
-        lock(&self.state).gate.load()
+        self.lock().gate.load()
     }
 
     /// Returns the mean run time; none until some runs have ended.
     pub fn mean_run_time(&self) -> Option<Duration> {
-        lock(&self.state).gate.mean_run_time()
+        self.lock().gate.mean_run_time()
     }
 
     /// Returns the time after which a slot may be free.
     pub fn retry_after(&self) -> Duration {
-        lock(&self.state).gate.retry_after()
+        self.lock().gate.retry_after()
     }
 
     /// Returns whether no request runs or is queued.
     pub fn is_idle(&self) -> bool {
-        lock(&self.state).gate.is_idle()
+        self.lock().gate.is_idle()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DeskState> {
+        self.shared.lock()
     }
 }
 
@@ -192,6 +218,22 @@
     }
 }
 
+impl DeskShared {
+    fn lock(&self) -> MutexGuard<'_, DeskState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes [`GateDesk::serve_waiting`] after a slot was released, if requests wait for the
+    /// target's limit.
+    fn notify_if_pacing(&self, state: MutexGuard<'_, DeskState>) {
+        let is_pacing = state.gate.is_pacing();
+        drop(state);
+        if is_pacing {
+            self.due_changed.notify_one();
+        }
+    }
+}
+
 impl DeskState {
     /// Wakes the tasks of requests that the gate has started.
     fn wake_started(&mut self, started: StartList) {
@@ -217,9 +259,10 @@
     /// Releases the slot after a run; `failed` if the target failed the request.
     pub fn finish(mut self, failed: bool) {
         self.released = true;
-        let mut state = lock(&self.state);
+        let mut state = self.shared.lock();
         let started = state.gate.release(self.call, failed);
         state.wake_started(started);
+        self.shared.notify_if_pacing(state);
     }
 }
 
@@ -228,10 +271,11 @@
         if self.released {
             return;
         }
-        let mut state = lock(&self.state);
+        let mut state = self.shared.lock();
         state.waiters.remove(&self.call);
         let started = state.gate.cancel(self.call);
         state.wake_started(started);
+        self.shared.notify_if_pacing(state);
     }
 }
 
@@ -242,7 +286,3 @@
             .finish_non_exhaustive()
     }
 }
-
-fn lock(state: &Mutex<DeskState>) -> MutexGuard<'_, DeskState> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -10,11 +10,11 @@
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use mesh::{ReportedState, TargetReport};
-use model::{CallCount, ErrorKind, IncarnationNumber, KindError, ServiceName};
+use model::{CallCount, ErrorKind, IncarnationNumber, KindError, ServiceName, TargetName};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::control::{apply_notice, apply_report, apply_target};
+use crate::control::{apply_notice, apply_target, record_report};
 use crate::core::ProxyCore;
 use crate::target_client::SendFailure;
 
@@ -92,12 +92,6 @@
     if matches!(body.await, Ok(Ok(_))) {
         exchange.finish();
     }
-    let notice = core.edge.read_notice(&headers);
-    let name = headers.get(&core.edge.headers.target_name);
-    let name = name.and_then(|value| value.to_str().ok());
-    if let Some(target) = name.and_then(|name| name.parse().ok()) {
-        apply_notice(core, &target, notice, status);
-    }
     if status != StatusCode::OK {
         return Err(probe_failed("the target is unhealthy or leaving"));
     }
@@ -110,24 +104,31 @@
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
     let target =
         text(&names.target_name).ok_or_else(|| probe_failed("the answer names no target"))?;
-    let target = target.parse()?;
+    let target: TargetName = target.parse()?;
     let known = core.local_target().report().cloned();
     if known.is_some_and(|known| known.target == target) {
         core.local_target().on_answer();
-        apply_target(core);
-        return Ok(());
+    } else {
+        let slots = text(&names.target_load).and_then(core.edge.parse_slots);
+        let report = TargetReport {
+            target: target.clone(),
+            run: IncarnationNumber(0),
+            sequence: 0,
+            service,
+            slots: slots.unwrap_or(CallCount(1)),
+            state: ReportedState::Ready,
+        };
+        core.local_target().on_replaced();
+        record_report(core, report);
     }
-    let slots = text(&names.target_load).and_then(core.edge.parse_slots);
-    let report = TargetReport {
-        target,
-        run: IncarnationNumber(0),
-        sequence: 0,
-        service,
-        slots: slots.unwrap_or(CallCount(1)),
-        state: ReportedState::Ready,
-    };
-    core.local_target().on_replaced();
-    apply_report(core, report);
+    // Before the gate opens, so that no request precedes the limit.
+    apply_notice(
+        core,
+        &target,
+        core.edge.read_notice(headers),
+        StatusCode::OK,
+    );
+    apply_target(core);
     Ok(())
 }
 
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -127,7 +127,7 @@
     tracker.spawn(members.run(inbox, running.stages.clone()));
     tracker.spawn(watch_config(Arc::clone(core), running.background.clone()));
     tracker.spawn(watch_target(Arc::clone(core), running.background.clone()));
-    tracker.spawn(expire_waiting(Arc::clone(core), running.background.clone()));
+    tracker.spawn(serve_waiting(Arc::clone(core), running.background.clone()));
     let inbound = serve_inbound(
         Arc::clone(core),
         sender,
@@ -156,9 +156,9 @@
     running
 }
 
-async fn expire_waiting(core: Arc<ProxyCore>, token: CancellationToken) {
+async fn serve_waiting(core: Arc<ProxyCore>, token: CancellationToken) {
     tokio::select! {
-        () = core.gate.expire_waiting() => {}
+        () = core.gate.serve_waiting() => {}
         () = token.cancelled() => {}
     }
 }
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -262,6 +262,7 @@
             in_flight: CallCount(self.running.len() as u32),
             queued: CallCount(self.queue.len() as u32),
             failing: (self.failure_rate * 100.0) as u8,
+            ..TargetLoad::default()
         }
     }
 
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use model::{CallCount, DaemonId, DomainName, ErrorKind, TargetName};
+use model::{CallCount, CallRate, DaemonId, DomainName, ErrorKind, TargetName};
 use serde::{Deserialize, Serialize};
 
 /// Description of a target, as provided by the membership.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct TargetView {
     /// Name of the target.
     pub target: TargetName,
@@ -41,7 +41,7 @@
 }
 
 /// Load of a target, measured by the daemon beside it and sent with each answer.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct TargetLoad {
     /// Number of running calls.
     pub in_flight: CallCount,
@@ -49,6 +49,10 @@
     pub queued: CallCount,
     /// Percentage of recent calls that failed.
     pub failing: u8,
+    /// Limit on the rate of calls of the whole fleet that the target names.
+    pub limit: Option<CallRate>,
+    /// Whether the target has said that it is leaving.
+    pub leaving: bool,
 }
 
 impl TargetLoad {
@@ -59,7 +63,7 @@
 }
 
 /// Outcome of a call that was sent to a target.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CallOutcome {
     /// Time from the pick to the end of the answer.
     pub latency: Duration,
