Send nothing to a target that has said in an answer that it leaves

What operators of targets would see: requests at a target that has said in its answers that it leaves, until its report arrives; and, where the daemon beside it restarts in between, for as long as the target answers its health path. Cause: the flag in answers was never read, and what a daemon knows of a leaving target ends with its process, also for the VMs that were told. Change: an answer or a probe with the flag closes the gate for the rest of the target's run. The flag goes back with the load of each answer, and every proxy remembers the departures that it was told of until the target is started anew.

--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -2,8 +2,8 @@
 //!
 //! A target reports when it was started and numbers its reports, so a late
 //! report of an earlier run, or one that arrives out of order, has no effect. A
-//! target that has reported that it is leaving stays leaving for the rest of
-//! that run.
+//! target that has said, in a report or an answer, that it is leaving stays
+//! leaving for the rest of that run.
 //!
 //! A daemon that restarts beside a running target asks the target for its name
 //! and relies on the answer until the first report arrives. Reports that the daemon
@@ -177,6 +177,7 @@
         if known.report.target != *target {
             return None;
         }
+        known.leaving |= notice.leaving;
         let previous = std::mem::replace(&mut known.notice, notice);
         (previous != notice).then_some(previous)
     }
@@ -207,7 +208,7 @@
         known.map_or_else(TargetNotice::default, |known| known.notice)
     }
 
-    /// Returns whether the target has reported that it is leaving.
+    /// Returns whether the target has said that it is leaving.
     pub fn is_leaving(&self) -> bool {
         self.known.as_ref().is_some_and(|known| known.leaving)
     }
--- a/crates/mesh/tests/local_target.rs
+++ b/crates/mesh/tests/local_target.rs
@@ -4,8 +4,10 @@
 
 use std::sync::Arc;
 
-use model::{CallCount, FakeClock, IncarnationNumber};
-use quetzal_mesh::{LocalTarget, ReportEffect, ReportedState, TargetLeave, TargetReport};
+use model::{CallCount, CallRate, FakeClock, IncarnationNumber};
+use quetzal_mesh::{
+    LocalTarget, ReportEffect, ReportedState, TargetLeave, TargetNotice, TargetReport,
+};
 use support::{ms, service};
 
 fn new_target() -> (LocalTarget, FakeClock) {
@@ -176,3 +178,45 @@
     let next = report("i-1", 100, 2, ReportedState::Ready);
     assert_eq!(target.on_report(next), ReportEffect::Renewed);
 }
+
+// Guards against requests that reach a target after it has said in an answer that it leaves.
+#[test]
+fn a_target_that_says_in_an_answer_that_it_leaves_stays_leaving_for_its_run() {
+    let (mut target, _) = new_target();
+    let name = "i-1".parse().expect("a short name");
+    let leaving = TargetNotice {
+        limit: None,
+        leaving: true,
+    };
+    target.on_report(report("i-1", 100, 1, ReportedState::Ready));
+    assert_eq!(
+        target.on_notice(&name, leaving),
+        Some(TargetNotice::default())
+    );
+    assert!(target.available().is_none());
+    target.on_notice(&name, TargetNotice::default());
+    target.on_report(report("i-1", 100, 2, ReportedState::Ready));
+    target.on_answer();
+    assert!(target.is_leaving());
+    target.on_report(report("i-1", 200, 1, ReportedState::Ready));
+    assert!(target.available().is_some(), "it was started anew");
+}
+
+#[test]
+fn a_limit_ends_with_the_run_that_named_it_and_is_not_taken_from_another_target() {
+    let (mut target, _) = new_target();
+    let limited = TargetNotice {
+        limit: Some(CallRate(25.0)),
+        leaving: false,
+    };
+    let (name, other) = ("i-1".parse().expect("short"), "i-2".parse().expect("short"));
+    target.on_report(report("i-1", 100, 1, ReportedState::Ready));
+    assert_eq!(target.on_notice(&other, limited), None);
+    assert_eq!(target.notice().limit, None);
+    assert!(target.on_notice(&name, limited).is_some());
+    assert_eq!(target.on_notice(&name, limited), None, "nothing new");
+    target.on_report(report("i-1", 100, 2, ReportedState::Ready));
+    assert_eq!(target.notice(), limited);
+    target.on_report(report("i-1", 200, 1, ReportedState::Ready));
+    assert_eq!(target.notice(), TargetNotice::default());
+}
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -93,19 +93,14 @@
     }
 }
 
-/// Applies what `target` said of itself in an answer with `status`.
-pub fn apply_notice(
-    core: &ProxyCore,
-    target: &TargetName,
-    notice: TargetNotice,
-    status: StatusCode,
-) {
+/// Applies what `target` said of itself in an answer.
+pub fn apply_notice(core: &ProxyCore, target: &TargetName, notice: TargetNotice) {
     let Some(previous) = core.local_target().on_notice(target, notice) else {
         return;
     };
     let per_second = |limit: Option<CallRate>| limit.map(|rate| rate.0);
     log::info!(
-        target_name:% = target, status = status.as_u16(), leaving = notice.leaving,
+        target_name:% = target, leaving = notice.leaving,
         limit:? = per_second(notice.limit), limit_before:? = per_second(previous.limit);
         "target says of itself"
     );
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -15,7 +15,7 @@
 use once::poison::{PoisonDetector, PoisonMessage, PoisonOutput, PoisonSettings};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use route::{PickerConfig, SlowStart, TargetPicker};
+use route::{PickerConfig, SlowStart, TargetLoad, TargetPicker};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -208,6 +208,14 @@
         lock(&self.local_target)
     }
 
+    /// Returns the load of the target beside the daemon, to report with each answer.
+    pub fn target_load(&self) -> TargetLoad {
+        TargetLoad {
+            leaving: self.local_target().is_leaving(),
+            ..self.gate.load()
+        }
+    }
+
     /// Locks the detection of requests that crash targets.
     pub fn poison(&self) -> MutexGuard<'_, PoisonDetector> {
         lock(&self.poison)
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -132,7 +132,7 @@
             }
         }
     };
-    let load = core.gate.load();
+    let load = core.target_load();
     match end {
         TargetRunOutcome::Refused(refusal) => {
             let answer = CallAnswer::Refused {
@@ -256,7 +256,7 @@
         kind: ErrorKind::QueueFull,
         arrived: false,
         retry_after: Some(retry_after),
-        load: core.gate.load(),
+        load: core.target_load(),
     };
     responder.respond_head(&answer).await
 }
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use mesh::{ReportedState, TargetReport};
+use mesh::{ReportedState, TargetNotice, TargetReport};
 use model::{CallCount, ErrorKind, IncarnationNumber, KindError, ServiceName, TargetName};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -92,14 +92,21 @@
     if matches!(body.await, Ok(Ok(_))) {
         exchange.finish();
     }
-    if status != StatusCode::OK {
+    let notice = core.edge.read_notice(&headers);
+    // A target that leaves is unhealthy by intent, and is recorded as leaving.
+    if status != StatusCode::OK && !notice.leaving {
         return Err(probe_failed("the target is unhealthy or leaving"));
     }
-    apply_probe(core, &headers, service)
+    apply_probe(core, &headers, notice, service)
 }
 
-/// Reads the target's name and slots from its answer and applies them.
-fn apply_probe(core: &ProxyCore, headers: &HeaderMap, service: ServiceName) -> model::Result<()> {
+/// Reads the target's name and slots from its answer and applies them, with its `notice`.
+fn apply_probe(
+    core: &ProxyCore,
+    headers: &HeaderMap,
+    notice: TargetNotice,
+    service: ServiceName,
+) -> model::Result<()> {
     let names = &core.edge.headers;
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
     let target =
@@ -116,18 +123,17 @@
             sequence: 0,
             service,
             slots: slots.unwrap_or(CallCount(1)),
-            state: ReportedState::Ready,
+            state: if notice.leaving {
+                ReportedState::Draining
+            } else {
+                ReportedState::Ready
+            },
         };
         core.local_target().on_replaced();
         record_report(core, report);
     }
     // Before the gate opens, so that no request precedes the limit.
-    apply_notice(
-        core,
-        &target,
-        core.edge.read_notice(headers),
-        StatusCode::OK,
-    );
+    apply_notice(core, &target, notice);
     apply_target(core);
     Ok(())
 }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -378,7 +378,7 @@
 }
 
 fn local_result(core: &ProxyCore, end: TargetRunOutcome) -> AttemptResult {
-    let load = core.gate.load();
+    let load = core.target_load();
     match end {
         TargetRunOutcome::Answered(answer) => {
             let status = answer.status.as_u16();
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -152,6 +152,7 @@
     }
 
     fn record_load(&mut self, load: TargetLoad, now: Instant) {
+        self.refused_draining |= load.leaving;
         let own = self.in_flight().saturating_sub(1);
         let remote_calls = load.outstanding().saturating_sub(own) as f32;
         self.remote_calls = remote_calls;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod budget;
 mod candidate;
 pub mod deadline;
+mod departure;
 mod health;
 pub mod picker;
 mod queue;
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -22,6 +22,7 @@
 use smallvec::SmallVec;
 
 use crate::candidate::{Candidate, InFlightGuard};
+use crate::departure::DepartureLog;
 use crate::service::{CandidateFilter, HealthFilter, ServiceTargets};
 use crate::target::{CallOutcome, TargetState, TargetView};
 
@@ -102,6 +103,7 @@
     clock: SharedClock,
     rng: SmallRng,
     services: HashMap<ServiceName, ServiceTargets>,
+    departures: DepartureLog,
     next_id: u64,
 }
 
@@ -122,6 +124,7 @@
             clock,
             rng,
             services: HashMap::new(),
+            departures: DepartureLog::default(),
             next_id: 0,
         }
     }
@@ -138,9 +141,14 @@
 
     /// Replaces the targets of `service`, keeping the measurements of those that remain.
     ///
-    /// An empty list removes the service.
+    /// Targets that have said that they leave are left out. If none remains, the service is removed.
     pub fn set_targets(&mut self, service: &ServiceName, views: &[TargetView]) {
-        if views.is_empty() {
+        let departures = &self.departures;
+        let mut staying = views
+            .iter()
+            .filter(|view| !departures.contains(view))
+            .peekable();
+        if staying.peek().is_none() {
             self.services.remove(service);
             return;
         }
@@ -150,7 +158,7 @@
             old.as_ref()
                 .map_or(INITIAL_SERVICE_S, |old| old.mean_service_s),
         );
-        for view in views.iter().take(MAX_TARGETS) {
+        for view in staying.take(MAX_TARGETS) {
             let known = old.as_mut().and_then(|old| old.take_matching(view));
             let view = Arc::new(view.clone());
             let distance = self.config.distance(&view.domain);
@@ -248,6 +256,9 @@
     /// Records the outcome of a call; drop `picked` afterwards.
     pub fn finish(&mut self, picked: &PickedTarget, outcome: &CallOutcome) {
         let now = self.clock.now();
+        if outcome.load.is_some_and(|load| load.leaving) {
+            self.departures.record(&picked.view, now);
+        }
         let Some(targets) = self.services.get_mut(&picked.service) else {
             return;
         };
--- a/crates/route/tests/picker.rs
+++ b/crates/route/tests/picker.rs
@@ -60,11 +60,22 @@
     }
 
     fn finish(&mut self, picked: &PickedTarget, result: CallResult, latency_ms: u64) {
+        self.finish_with(picked, result, latency_ms, TargetLoad::default());
+    }
+
+    /// Like [`Proxy::finish`], with the load that the answer reports.
+    fn finish_with(
+        &mut self,
+        picked: &PickedTarget,
+        result: CallResult,
+        latency_ms: u64,
+        load: TargetLoad,
+    ) {
         let outcome = CallOutcome {
             latency: Duration::from_millis(latency_ms),
             waited: Duration::ZERO,
             result,
-            load: Some(TargetLoad::default()),
+            load: Some(load),
         };
         self.picker.finish(picked, &outcome);
     }
@@ -308,3 +319,25 @@
         "{fast} of 2000 calls to the faster third"
     );
 }
+
+// Guards against calls to a target that has said that it leaves, when the daemon beside it
+// restarts and announces it again.
+#[test]
+fn a_leaving_target_is_not_picked_again_until_it_is_started_anew() {
+    let mut proxy = Proxy::new(1, 1);
+    let picked = proxy.pick().expect("a target");
+    let load = TargetLoad {
+        leaving: true,
+        ..TargetLoad::default()
+    };
+    proxy.finish_with(&picked, CallResult::Done, 8, load);
+    assert!(proxy.pick().is_none(), "the target leaves");
+    let service = proxy.service.clone();
+    proxy.picker.set_targets(&service, &[]);
+    proxy.update_targets();
+    assert!(proxy.pick().is_none(), "the same target is announced again");
+    proxy.clock.advance(Duration::from_secs(2));
+    proxy.views[0].since = proxy.clock.now();
+    proxy.update_targets();
+    assert!(proxy.pick().is_some(), "it was started anew under its name");
+}
