Choose targets by the limits that they name

What callers saw: with limits in force, requests went on to targets that had none left and were refused there, while others had room. Cause: the selection of a target counts slots and run times only; a limited target looks idle, since few requests run there. Change: the limit goes back with the load of each answer, and a target's slots count only as far as its limit lets them be used, for 5 s from the last answer. Evidence: the new test gives the limited target 450 of 900 calls before, where 180 are allowed.

--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -4,12 +4,15 @@
 //! service time, plus the queueing delay caused by the calls in flight. This
 //! proxy's own calls in flight are counted exactly. Those of other proxies are
 //! taken from the latest answer and decay towards the target's average as that
-//! answer ages.
+//! answer ages. The slots of a target that names a limit on the rate of calls
+//! count only as far as the limit lets them be used.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+use model::CallRate;
+
 use crate::health::TargetHealth;
 use crate::picker::SlowStart;
 use crate::target::{CallOutcome, CallResult, TargetLoad, TargetState, TargetView};
@@ -36,6 +39,12 @@
 /// Utilization up to which a target counts as having spare capacity.
 const SPARE_CAPACITY_UTILIZATION: f32 = 0.8;
 
+/// Age from which a limit is not relied on any more; the next answer renews or lifts it.
+const LIMIT_LIFETIME: Duration = Duration::from_secs(5);
+
+/// Minimum number of slots that a limit leaves usable.
+const MIN_LIMITED_SLOTS: f32 = 0.05;
+
 /// Smallest free share of the slots assumed when estimating the queueing delay.
 const MIN_FREE_SHARE: f32 = 0.05;
 
@@ -73,6 +82,7 @@
     slow_start_from: Instant,
     queue_full_until: Option<Instant>,
     refused_draining: bool,
+    limit: Option<CallRate>,
 }
 
 impl Candidate {
@@ -92,6 +102,7 @@
             slow_start_from: view.since,
             queue_full_until: None,
             refused_draining: false,
+            limit: view.load.and_then(|load| load.limit),
             view,
         }
     }
@@ -153,6 +164,7 @@
 
     fn record_load(&mut self, load: TargetLoad, now: Instant) {
         self.refused_draining |= load.leaving;
+        self.limit = load.limit;
         let own = self.in_flight().saturating_sub(1);
         let remote_calls = load.outstanding().saturating_sub(own) as f32;
         self.remote_calls = remote_calls;
@@ -188,11 +200,20 @@
         reported + (service - reported) * weight
     }
 
-    /// Returns the number of usable slots, which is reduced during slow start.
-    fn effective_slots(&self, now: Instant) -> f32 {
+    /// Returns the number of usable slots, which is reduced during slow start and by the limit that
+    /// the target names.
+    fn effective_slots(&self, fallback_s: f32, now: Instant) -> f32 {
         let slots = self.view.slots.0.min(self.view.connections.0).max(1) as f32;
         let age = now.saturating_duration_since(self.slow_start_from);
-        (slots * self.slow_start.share_at(age)).max(1.0)
+        let slots = (slots * self.slow_start.share_at(age)).max(1.0);
+        let limit_age = now.saturating_duration_since(self.remote_calls_at);
+        match self.limit {
+            Some(limit) if limit_age < LIMIT_LIFETIME => {
+                let used = limit.0 as f32 * self.expected_service_s(fallback_s, now);
+                slots.min(used.max(MIN_LIMITED_SLOTS))
+            }
+            Some(_) | None => slots,
+        }
     }
 
     /// Estimates the calls of all proxies at the target.
@@ -207,16 +228,16 @@
     ///
     /// `fallback_s` is the mean service time of all targets of the service.
     pub(crate) fn capacity(&self, fallback_s: f32, now: Instant) -> f32 {
-        self.effective_slots(now)
+        self.effective_slots(fallback_s, now)
             / self
                 .expected_service_s(fallback_s, now)
                 .max(f32::MIN_POSITIVE)
     }
 
     /// Returns whether one more call keeps the target within `SPARE_CAPACITY_UTILIZATION`.
-    pub(crate) fn has_spare_capacity(&self, now: Instant) -> bool {
-        self.outstanding(now) + 1.0
-            <= (self.effective_slots(now) * SPARE_CAPACITY_UTILIZATION).max(1.0)
+    pub(crate) fn has_spare_capacity(&self, fallback_s: f32, now: Instant) -> bool {
+        let slots = self.effective_slots(fallback_s, now);
+        self.outstanding(now) + 1.0 <= (slots * SPARE_CAPACITY_UTILIZATION).max(1.0)
     }
 
     /// Returns the expected time of one more call in seconds.
@@ -225,7 +246,7 @@
     /// steeply near full utilization, and `queue`, for the calls beyond the slots. The failure
     /// rate is accounted for as additional attempts.
     pub(crate) fn score(&self, fallback_s: f32, now: Instant) -> f32 {
-        let slots = self.effective_slots(now);
+        let slots = self.effective_slots(fallback_s, now);
         let outstanding = self.outstanding(now) + 1.0;
         let utilization = (outstanding / slots).min(1.0);
         let free = (1.0 - utilization).max(MIN_FREE_SHARE);
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -79,7 +79,8 @@
                 if better {
                     best = Some((score, index));
                 }
-                let has_spare_capacity = self.candidates[index].has_spare_capacity(filter.now);
+                let has_spare_capacity =
+                    self.candidates[index].has_spare_capacity(self.mean_service_s, filter.now);
                 if better && has_spare_capacity && score <= self.mean_service_s * SLOW_SCORE_FACTOR
                 {
                     break;
--- a/crates/route/tests/picker.rs
+++ b/crates/route/tests/picker.rs
@@ -1,8 +1,9 @@
 //! Tests which targets the picker chooses and how call outcomes change that.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
-use model::{CallCount, ClockPort, DaemonId, ErrorKind, FakeClock, ServiceName};
+use model::{CallCount, CallRate, ClockPort, DaemonId, ErrorKind, FakeClock, ServiceName};
 use quetzal_route::{
     CallOutcome, CallResult, PickedTarget, PickerConfig, TargetLoad, TargetPicker, TargetState,
     TargetView,
@@ -341,3 +342,33 @@
     proxy.update_targets();
     assert!(proxy.pick().is_some(), "it was started anew under its name");
 }
+
+// Guards against calls that are sent to a target beyond its limit, only to be refused beside it.
+#[test]
+fn a_target_that_names_a_limit_gets_its_part_of_the_calls() {
+    // 100 calls a second of 60 ms each, at 66 a second for a target of 4 slots without a limit.
+    const LIMIT: f64 = 20.0;
+    let mut proxy = Proxy::new(2, 1);
+    let mut running = VecDeque::new();
+    let mut to_limited = 0;
+    for number in 0..1000 {
+        let picked = proxy.pick().expect("a target");
+        // The first calls show the limit.
+        to_limited += usize::from(number >= 100 && picked.view.daemon == DaemonId(0));
+        running.push_back(picked);
+        proxy.clock.advance(Duration::from_millis(10));
+        if running.len() < 6 {
+            continue;
+        }
+        let ended = running.pop_front().expect("a call is running");
+        let load = TargetLoad {
+            limit: (ended.view.daemon == DaemonId(0)).then_some(CallRate(LIMIT)),
+            ..TargetLoad::default()
+        };
+        proxy.finish_with(&ended, CallResult::Done, 60, load);
+    }
+    assert!(
+        (45..=270).contains(&to_limited),
+        "{to_limited} of 900, 180 are allowed"
+    );
+}
