--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -12,7 +12,7 @@
 //! report does not make the target available: the target must also answer a
 //! request, or keep reporting.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use model::{CallCount, CallRate, IncarnationNumber, ServiceName, SharedClock, TargetName};
 use smallvec::SmallVec;
@@ -24,6 +24,9 @@
 /// answer. Delayed reports arrive singly, so a series in order is a current one.
 const CONFIRMING_REPORTS: u8 = 2;
 
+/// Longest time by which the start of a run may seem to lie ahead, since clocks differ.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(60);
+
 /// State that a target reports.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReportedState {
@@ -75,7 +78,8 @@
     Changed,
     /// Only the time of the last report changed.
     Renewed,
-    /// The report was ignored, since it is out of order or from an ended run.
+    /// The report was ignored, since it is out of order, from an ended run, or from one whose start
+    /// lies in the future.
     Stale,
 }
 
@@ -117,7 +121,7 @@
     /// Applies a report of a target.
     pub fn on_report(&mut self, report: TargetReport) -> ReportEffect {
         let now = self.clock.now();
-        if self.has_ended(&report.target, report.run) {
+        if self.is_ahead(report.run) || self.has_ended(&report.target, report.run) {
             return ReportEffect::Stale;
         }
         let Some(known) = &mut self.known else {
@@ -234,6 +238,13 @@
         available.then_some(&known.report)
     }
 
+    /// Returns whether `run` starts in the future, so that its report is not that of a target.
+    fn is_ahead(&self, run: IncarnationNumber) -> bool {
+        let wall = self.clock.wall().duration_since(UNIX_EPOCH);
+        let latest = wall.map_or(MAX_CLOCK_LEAD, |wall| wall + MAX_CLOCK_LEAD);
+        Duration::from_millis(run.0) > latest
+    }
+
     fn has_ended(&self, target: &TargetName, run: IncarnationNumber) -> bool {
         let mut ended = self.ended.iter();
         ended.any(|(name, last)| name == target && (run <= *last || last.0 == 0))
--- a/crates/mesh/tests/local_target.rs
+++ b/crates/mesh/tests/local_target.rs
@@ -3,8 +3,9 @@
 mod support;
 
 use std::sync::Arc;
+use std::time::UNIX_EPOCH;
 
-use model::{CallCount, CallRate, FakeClock, IncarnationNumber};
+use model::{CallCount, CallRate, ClockPort, FakeClock, IncarnationNumber};
 use quetzal_mesh::{
     LocalTarget, ReportEffect, ReportedState, TargetLeave, TargetNotice, TargetReport,
 };
@@ -220,3 +221,23 @@
     target.on_report(report("i-1", 200, 1, ReportedState::Ready));
     assert_eq!(target.notice(), TargetNotice::default());
 }
+
+// Guards against an entry of another writer whose start lies in the future: all reports of the
+// real target would count as late ones.
+#[test]
+fn a_report_of_a_run_that_starts_in_the_future_is_ignored() {
+    let (mut target, clock) = new_target();
+    let wall = clock.wall().duration_since(UNIX_EPOCH).expect("after 1970");
+    let now = wall.as_millis() as u64;
+    target.on_report(report("i-1", now, 1, ReportedState::Ready));
+    for run in [now + 3_600_000, u64::MAX] {
+        let odd = report("i-2", run, 1, ReportedState::Ready);
+        assert_eq!(target.on_report(odd), ReportEffect::Stale);
+    }
+    target.on_report(report("i-1", now, 2, ReportedState::Ready));
+    let available = target.available().expect("the real target");
+    assert_eq!(available.target.as_str(), "i-1");
+    // Clocks of VMs may differ by some seconds.
+    let next = report("i-3", now + 5_000, 1, ReportedState::Ready);
+    assert_eq!(target.on_report(next), ReportEffect::Changed);
+}
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -121,7 +121,8 @@
     };
     match slots {
         Some(slots) if !core.is_stopping() => {
-            core.gate.open(CallCount(slots.0 + REQUESTS_AHEAD), limit);
+            core.gate
+                .open(CallCount(slots.0.saturating_add(REQUESTS_AHEAD)), limit);
         }
         Some(_) | None => core.gate.close(),
     }
--- a/crates/proxy/src/edge.rs
+++ b/crates/proxy/src/edge.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use mesh::{TargetLeave, TargetNotice, TargetReport};
-use model::{CallCount, CallRate};
+use model::CallCount;
 
 /// Result of decoding; errors are of kind `RequestInvalid`.
 pub type Result<T> = model::Result<T>;
@@ -24,10 +24,6 @@
     pub target_name: HeaderName,
     /// Load reported by the answering target.
     pub target_load: HeaderName,
-    /// Rate of requests that the answering target accepts from the whole fleet.
-    pub target_limit: HeaderName,
-    /// Present if the answering target is leaving.
-    pub target_leaving: HeaderName,
     /// Present if the target has not run the request.
     pub not_run: HeaderName,
     /// Service of the VM on which the request entered the mesh.
@@ -56,27 +52,9 @@
     pub acknowledgement: &'static str,
     /// Parses the number of slots from the load reported by a target.
     pub parse_slots: fn(&str) -> Option<CallCount>,
-    /// Parses the rate limit named by a target; `None` if the text is not a rate.
-    pub parse_limit: fn(&str) -> Option<CallRate>,
+    /// Reads what a target says of itself in the headers of an answer. A limit that is not a rate
+    /// counts as none.
+    pub read_notice: fn(&HeaderMap) -> TargetNotice,
     /// Formats the time after which a caller may retry.
     pub format_retry_after: fn(Duration) -> HeaderValue,
 }
-
-impl EdgeProtocol {
-    /// Reads what a target says of itself in the headers of an answer.
-    ///
-    /// A limit that cannot be parsed is logged and counts as none.
-    pub fn read_notice(&self, headers: &HeaderMap) -> TargetNotice {
-        let limit = headers.get(&self.headers.target_limit).and_then(|value| {
-            let limit = value.to_str().ok().and_then(self.parse_limit);
-            if limit.is_none() {
-                log::warn!(value:? = value; "limit of a target unreadable");
-            }
-            limit
-        });
-        TargetNotice {
-            limit,
-            leaving: headers.contains_key(&self.headers.target_leaving),
-        }
-    }
-}
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -92,7 +92,7 @@
     if matches!(body.await, Ok(Ok(_))) {
         exchange.finish();
     }
-    let notice = core.edge.read_notice(&headers);
+    let notice = (core.edge.read_notice)(&headers);
     // A target that leaves is unhealthy by intent, and is recorded as leaving.
     if status != StatusCode::OK && !notice.leaving {
         return Err(probe_failed("the target is unhealthy or leaving"));
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -390,7 +390,7 @@
         slot.finish(true);
         return TargetRunOutcome::Broken("the answer belongs to another request".into());
     }
-    apply_notice(core, target, core.edge.read_notice(headers));
+    apply_notice(core, target, (core.edge.read_notice)(headers));
     let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     if misdirected || headers.contains_key(&names.not_run) {
         if misdirected {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use http::{HeaderName, HeaderValue};
-use mesh::{BudgetLimits, CallPriority, CallSafety, Destination, RouteKey, RouteRule};
+use mesh::{
+    BudgetLimits, CallPriority, CallSafety, Destination, RouteKey, RouteRule, TargetNotice,
+};
 use model::{ByteCount, DaemonId, ErrorKind, KindError, LogOffset, SharedClock, SystemClock};
 use quetzal_proxy::ProxySettings;
 use quetzal_proxy::core::ProxyCore;
@@ -113,15 +115,13 @@
             expected_target: name("expected"),
             target_name: name("target"),
             target_load: name("load"),
-            target_limit: name("limit"),
-            target_leaving: name("leaving"),
             not_run: name("not-run"),
             caller_service: name("caller"),
         },
         parse_control: |_, _, _| Ok(quetzal_proxy::edge::ControlCall::Ready),
         acknowledgement: "",
         parse_slots: |_| None,
-        parse_limit: |text| text.parse().ok(),
+        read_notice: |_| TargetNotice::default(),
         format_retry_after: |time| HeaderValue::from(time.as_secs()),
     }
 }
