--- a/crates/proxy/tests/target_client.rs
+++ b/crates/proxy/tests/target_client.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use quetzal_proxy::target_client::{SendFailure, TargetClient};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
 /// Timeout of operations that end without intervention.
@@ -37,6 +37,15 @@
     (client, count)
 }
 
+/// Accepts a connection and reads its first request.
+async fn accept_request(listener: &TcpListener) -> TcpStream {
+    let (mut socket, _) = listener.accept().await.expect("a socket");
+    let mut buffer = [0; 4096];
+    let size = socket.read(&mut buffer).await.expect("a request");
+    assert!(size > 0);
+    socket
+}
+
 async fn exchange(client: &TargetClient, at_most_once: bool) {
     let request = Request::new(Full::new(Bytes::new()));
     let mut exchange = client.send(request, at_most_once).await.expect("an answer");
@@ -70,10 +79,7 @@
     let client = TargetClient::new(listener.local_addr().expect("bound"));
     let (head_received, proceed) = tokio::sync::oneshot::channel::<()>();
     let answering = tokio::spawn(async move {
-        let (mut socket, _) = listener.accept().await.expect("a socket");
-        let mut buffer = [0; 4096];
-        let size = socket.read(&mut buffer).await.expect("a request");
-        assert!(size > 0);
+        let mut socket = accept_request(&listener).await;
         let answer = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf of it";
         socket.write_all(answer).await.expect("sent");
         proceed.await.expect("the answer has begun");
@@ -101,10 +107,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let client = TargetClient::new(listener.local_addr().expect("bound"));
     let answering = tokio::spawn(async move {
-        let (mut socket, _) = listener.accept().await.expect("a socket");
-        let mut buffer = [0; 4096];
-        let size = socket.read(&mut buffer).await.expect("a request");
-        assert!(size > 0);
+        let mut socket = accept_request(&listener).await;
         let mut written = socket.write_all(begin).await;
         while written.is_ok() {
             written = socket.write_all(piece).await;
@@ -146,10 +149,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let client = TargetClient::new(listener.local_addr().expect("bound"));
         let answering = tokio::spawn(async move {
-            let (mut socket, _) = listener.accept().await.expect("a socket");
-            let mut buffer = [0; 4096];
-            let size = socket.read(&mut buffer).await.expect("a request");
-            assert!(size > 0);
+            let mut socket = accept_request(&listener).await;
             socket.write_all(cut).await.expect("sent");
         });
         let request = Request::new(Full::new(Bytes::new()));
