Let a request wait for a limit that its own route has not used up

Cause: the estimate of the wait counted the route's own earlier requests as more urgent when their run time was thought longer, so nothing of the limit seemed free. Change: only other routes count against the limit; requests of the own route that wait are counted by their place. The pacer, which keeps the limit, and the estimate for slots are unchanged. Evidence: the new test under a fake clock was refused before, and waits now; the tests of mesh and target_notices pass.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -243,7 +243,7 @@
             urgency,
             arrival: self.arrivals,
         };
-        let start = now + self.expected_wait(key, now);
+        let start = now + self.expected_wait(key, request.route, now);
         if start > start_by || self.waiting.len() >= self.slots * WAITING_PER_SLOT {
             let excess = start.saturating_duration_since(start_by);
             // Retrying while the objective can still be met is better than waiting until the
@@ -403,11 +403,11 @@
         }
     }
 
-    /// Estimates the time until a request with `key` would start.
+    /// Estimates the time until a request of `own_route` with `key` would start.
     ///
     /// More urgent requests that arrive in the meantime also go ahead, so only the slots, and
     /// the part of the target's limit, that they leave free count.
-    fn expected_wait(&self, key: QueueKey, now: Instant) -> Duration {
+    fn expected_wait(&self, key: QueueKey, own_route: RouteKey, now: Instant) -> Duration {
         let ahead = self.waiting.range(..key);
         let ahead_count = ahead.clone().count();
         let queued: f32 = ahead.map(|(_, call)| self.run_s(call.route)).sum();
@@ -425,7 +425,11 @@
             if work.urgency < key.urgency {
                 let slots_used = work.slots_at(now);
                 used += slots_used;
-                urgent_rate += slots_used / self.run_s(*route).max(f32::MIN_POSITIVE);
+                // Earlier requests of the same route no longer need the limit, and those that wait
+                // are among those ahead.
+                if *route != own_route {
+                    urgent_rate += slots_used / self.run_s(*route).max(f32::MIN_POSITIVE);
+                }
             }
         }
         let free = (slots - used).max(slots * MIN_FREE_FRACTION);
--- a/crates/mesh/tests/pacing.rs
+++ b/crates/mesh/tests/pacing.rs
@@ -190,3 +190,19 @@
     simulation.gate.set_limit(None);
     assert_eq!(simulation.gate.load().limit, None);
 }
+
+// Guards against earlier requests of a route being counted as more urgent than its next one, so
+// that a limit of which nothing is used seems used up.
+#[test]
+fn a_request_waits_for_an_unused_limit_whatever_its_route_ran_before() {
+    let mut simulation = Simulation::new(4.0);
+    simulation.gate.set_limit(None);
+    for run_ms in [10, 8, 6, 4] {
+        assert_eq!(simulation.send(false), GateDecision::Start);
+        simulation.clock.advance(ms(run_ms));
+        let call = CallId(simulation.next_call);
+        simulation.gate.release(call, false);
+    }
+    simulation.gate.set_limit(Some(CallRate(4.0)));
+    assert_eq!(simulation.send(false), GateDecision::Wait);
+}
