review: show that one large upload kills the daemon

Cause: a daemon reads a request body into memory twice over, and nothing relates the largest body that the operator allows to the memory of the process.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 //! `TROUBLE=0` in the environment the case runs without its disruption.
 
 mod endless_health;
+mod large_uploads;
 mod platform;
 mod record;
 mod requester;
@@ -37,6 +38,7 @@
     record.line(format_args!("case {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
         "endless-health" => endless_health::run(&record, trouble).await,
+        "large-uploads" => large_uploads::run(&record, trouble).await,
         other => Err(format!("unknown case {other}")),
     };
     match verdict {
