review: show that a leaving server is used after its restart

Cause: a leave message of a later run of a known target does not match the known run and is acknowledged without effect.

Adds the case as a script: a server starts again under its id and leaves before its first status report.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod large_uploads;
 mod platform;
 mod record;
+mod renewed_leave;
 mod requester;
 mod server;
 mod store;
@@ -39,7 +40,7 @@
     let verdict = match case.as_str() {
         "endless-health" => endless_health::run(&record, trouble).await,
         "large-uploads" => large_uploads::run(&record, trouble).await,
-        other => Err(format!("unknown case {other}")),
+        "renewed-leave" => renewed_leave::run(&record, trouble).await,
     };
     match verdict {
         Ok(false) => {
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -24,6 +24,8 @@
 const MEMORY_POLL: Duration = Duration::from_millis(2);
 /// Time after which a process that has ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// Time from SIGTERM until the platform kills a process, `bounds.grace` of the settings.
+const GRACE: Duration = Duration::from_secs(6);
 /// Time for a daemon to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -51,6 +53,8 @@
     record: Record,
     child: Mutex<Option<Child>>,
     ended: AtomicBool,
+    /// Whether a planned stop is in progress.
+    planned: AtomicBool,
     /// Times at which the process ended by itself or for its memory.
     own_ends: Mutex<Vec<Duration>>,
     peak_mb: Mutex<u64>,
@@ -82,13 +86,7 @@
             folder,
         };
         for machine in &deployment.machines {
-            let until = Instant::now() + READY_TIMEOUT;
-            while send_once(machine.at(8302), "GET", "/v1/ready", "").await != Some(200) {
-                if Instant::now() > until {
-                    return Err(format!("{} is not ready", machine.name));
-                }
-                sleep(Duration::from_millis(50)).await;
-            }
+            machine.await_ready().await?;
         }
         Ok(deployment)
     }
@@ -133,6 +131,7 @@
             record: record.clone(),
             child: Mutex::default(),
             ended: AtomicBool::new(false),
+            planned: AtomicBool::new(false),
             own_ends: Mutex::default(),
             peak_mb: Mutex::new(0),
             name: name.clone(),
@@ -163,6 +162,34 @@
         self.at(8306)
     }
 
+    /// Stops the daemon with SIGTERM, kills it after the grace time, and starts it again.
+    pub async fn restart_daemon(&self) -> Result<(), String> {
+        self.process.planned.store(true, Ordering::Relaxed);
+        self.process.signal("TERM")?;
+        let until = Instant::now() + GRACE;
+        let mut killed = false;
+        while self.process.planned.load(Ordering::Relaxed) {
+            if Instant::now() > until && !killed {
+                self.process.record.say(format_args!("platform: {} outlived its grace", self.name));
+                self.process.signal("KILL")?;
+                killed = true;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        self.await_ready().await
+    }
+
+    async fn await_ready(&self) -> Result<(), String> {
+        let until = Instant::now() + READY_TIMEOUT;
+        while send_once(self.at(8302), "GET", "/v1/ready", "").await != Some(200) {
+            if Instant::now() > until {
+                return Err(format!("{} is not ready", self.name));
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    }
+
     /// Times at which the daemon ended by itself; memory over the limit counts.
     pub fn own_ends(&self) -> Vec<Duration> {
         self.process.own_ends.lock().expect("not poisoned").clone()
@@ -190,6 +217,15 @@
         Ok(())
     }
 
+    fn signal(&self, signal: &str) -> Result<(), String> {
+        let child = self.child.lock().expect("not poisoned");
+        let Some(child) = &*child else { return Ok(()) };
+        let command = format!("kill -{signal} {}", child.id());
+        self.record.line(format_args!("platform: {} gets SIG{signal}", self.name));
+        let status = Command::new("sh").arg("-c").arg(command).status();
+        status.map(drop).map_err(|error| error.to_string())
+    }
+
     /// Keeps the limit of memory, and starts the process again when it has ended.
     fn watch(&self) {
         while !self.ended.load(Ordering::Relaxed) {
@@ -208,6 +244,17 @@
                     self.name
                 ));
             } else if let Ok(Some(status)) = running.try_wait() {
+                if self.planned.load(Ordering::Relaxed) {
+                    *child = None;
+                    drop(child);
+                    self.record.line(format_args!("platform: {} has stopped", self.name));
+                    thread::sleep(RESTART_DELAY);
+                    if let Err(error) = self.spawn() {
+                        self.record.say(error);
+                    }
+                    self.planned.store(false, Ordering::Relaxed);
+                    continue;
+                }
                 self.record.say(format_args!("platform: {} ended by itself: {status}", self.name));
             } else {
                 continue;
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -16,7 +16,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
@@ -57,6 +57,7 @@
     leaving: AtomicBool,
     runs: Mutex<Vec<Run>>,
     connections: Mutex<Vec<JoinHandle<()>>>,
+    crashing: Notify,
 }
 
 /// A server, and the reports that it sends to the daemon beside it.
@@ -83,6 +84,7 @@
                 leaving: AtomicBool::new(false),
                 runs: Mutex::default(),
                 connections: Mutex::default(),
+                crashing: Notify::new(),
             }),
             tasks: Arc::default(),
         }
@@ -142,6 +144,21 @@
         }
     }
 
+    /// Crashes with each request that crashes it, and is back `down_time` later, until cancelled.
+    pub async fn run_crashes(self, control: SocketAddr, down_time: Duration) {
+        for number in 2.. {
+            self.state.crashing.notified().await;
+            self.crash().await;
+            sleep(down_time).await;
+            let id = self.id();
+            let name = id.rsplit_once('-').map_or(&*id, |(name, _)| name);
+            self.renew(&format!("{name}-{number}"));
+            if let Err(error) = self.start(control, Duration::from_millis(400)).await {
+                self.state.record.say(format_args!("server {id} not back: {error}"));
+            }
+        }
+    }
+
     /// Begins a new incarnation, under a new id or the one that it had.
     pub fn renew(&self, id: &str) {
         *self.state.id.lock().expect("not poisoned") = id.to_owned();
@@ -170,6 +187,28 @@
         self.state.runs.lock().expect("not poisoned").clone()
     }
 
+    /// Reports that the server drains. From now on its liveness check fails and its answers say that
+    /// it leaves. Returns whether that was acknowledged.
+    pub async fn drain(&self, control: SocketAddr) -> bool {
+        self.state.leaving.store(true, Ordering::Relaxed);
+        self.report(control, "draining").await
+    }
+
+    /// Sends a report of another writer, which names this server and lacks some fields.
+    pub async fn report_as_other_writer(&self, control: SocketAddr) -> bool {
+        let body = serde_json::json!({
+            "service": self.state.service,
+            "address": self.state.address,
+            "slots": SLOTS,
+            "state": "ready",
+            "sequence": 1,
+            "born": unix_millis(),
+        });
+        let path = format!("/v1/Instances.Heartbeat/{}", self.id());
+        self.state.record.line("a report of another writer, without zone, version and cold_remaining:");
+        self.post(control, &path, &body).await
+    }
+
     async fn report(&self, control: SocketAddr, state: &str) -> bool {
         let body = serde_json::json!({
             "service": self.state.service,
@@ -256,6 +295,10 @@
         server: id.clone(),
         at: state.record.now(),
     });
+    if path.contains("/crash/") {
+        state.crashing.notify_one();
+        std::future::pending::<()>().await;
+    }
     sleep(work_time(&path)).await;
     drop(slot);
     state.record.line(format_args!("server {id} answers {request_id} 200"));
--- a/review/standins/src/traffic.rs
+++ b/review/standins/src/traffic.rs
@@ -39,6 +39,7 @@
         "version": format!("r{version}"),
         "routes": {
             "r-album": route("/album/", "gallery", "safe", "1200ms", "400ms"),
+            "r-order": route("/order/", "gallery", "unsafe", "1500ms", "500ms"),
             "r-photo": route("/photo/", "printdesk", "upload", "1500ms", "500ms"),
             "r-status": route("/status/", "printdesk", "safe", "1200ms", "400ms"),
         },
@@ -76,9 +77,9 @@
                     let sent = requester
                         .send(Order {
                             id: format!("{label}{number}x{}", all.len()),
-                            method: "GET",
+                            method: if prefix == "order" { "POST" } else { "GET" },
                             host: HOST,
-                            path: format!("/{prefix}/{}/{number}", work.as_millis()),
+                            path: format!("/{prefix}/{}/{number}x{}", work.as_millis(), all.len()),
                             deadline: Duration::from_millis(2500),
                             body: Bytes::new(),
                         })
