review: show that a foreign report hides the leaving of a server

Cause: a status report with missing fields is taken for one of the target, and its later start makes the target's own reports stale; these are acknowledged without effect.

Adds the case as a script: one report of another writer, some seconds before the server drains.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 
 mod endless_health;
 mod large_uploads;
+mod other_writer;
 mod platform;
 mod record;
 mod renewed_leave;
@@ -41,6 +42,8 @@
         "endless-health" => endless_health::run(&record, trouble).await,
         "large-uploads" => large_uploads::run(&record, trouble).await,
         "renewed-leave" => renewed_leave::run(&record, trouble).await,
+        "other-writer" => other_writer::run(&record, trouble).await,
+        other => Err(format!("unknown case {other}")),
     };
     match verdict {
         Ok(false) => {
