review: show that daemons forget a request that crashes servers

Cause: what is known of such a request is kept in the memory of each daemon and told only at the moment of a crash, so a daemon that was restarted lets the request through to its server again.

Adds the case as a script: the request comes again while six daemons of seven are restarted in turn.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod large_uploads;
 mod other_writer;
 mod platform;
+mod poison_roll;
 mod record;
 mod renewed_leave;
 mod requester;
@@ -42,6 +43,7 @@
         "endless-health" => endless_health::run(&record, trouble).await,
         "large-uploads" => large_uploads::run(&record, trouble).await,
         "renewed-leave" => renewed_leave::run(&record, trouble).await,
+        "poison-roll" => poison_roll::run(&record, trouble).await,
         "other-writer" => other_writer::run(&record, trouble).await,
         other => Err(format!("unknown case {other}")),
     };
--- /dev/null
+++ b/review/standins/src/poison_roll.rs
@@ -0,0 +1,114 @@
+//! A request that crashes the servers comes again while the daemons are restarted in turn.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::{Instant, sleep};
+
+use crate::Verdict;
+use crate::platform::Deployment;
+use crate::record::Record;
+use crate::requester::{Ending, Order, Requester, Sent};
+use crate::traffic::{HOST, SERVICES, Traffic, config};
+
+/// Machines, all but the last of which are restarted.
+const MACHINES: usize = 7;
+/// `bounds.stability_window` of the settings.
+const STABILITY_WINDOW: Duration = Duration::from_secs(3);
+/// Largest number of retries that reach servers later than that after the third crash.
+const RETRIES_ALLOWED: usize = 3;
+/// Time until a crashed server is back.
+const DOWN_TIME: Duration = Duration::from_secs(2);
+/// Pause between two requests that crash servers.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Time before the first restart, and after the last.
+const TIME_BEFORE: Duration = Duration::from_secs(8);
+const TIME_AFTER: Duration = Duration::from_secs(15);
+/// Pause between two restarts.
+const RESTART_PAUSE: Duration = Duration::from_secs(5);
+
+pub async fn run(record: &Record, trouble: bool) -> Verdict {
+    let deployment = Deployment::start(&[SERVICES[0]; MACHINES], &config(1), record).await?;
+    sleep(Duration::from_secs(2)).await;
+    let entry = &deployment.machines[MACHINES - 1];
+    let crashes: Vec<_> = deployment
+        .machines
+        .iter()
+        .map(|machine| {
+            let server = machine.server.clone();
+            tokio::spawn(server.run_crashes(machine.control(), DOWN_TIME))
+        })
+        .collect();
+    let work = ("order", Duration::from_millis(160));
+    let traffic = Traffic::start(entry.outbound(), "o", work, 8, record);
+    let (address, repeated) = (entry.outbound(), record.clone());
+    let poison = tokio::spawn(async move {
+        let mut all: Vec<Sent> = Vec::new();
+        loop {
+            let mut requester = Requester::new(address, &repeated);
+            let sent = requester
+                .send(Order {
+                    id: format!("p{}", all.len()),
+                    method: "POST",
+                    host: HOST,
+                    path: "/order/crash/7".into(),
+                    deadline: Duration::from_millis(3000),
+                    body: Bytes::from_static(b"the same body"),
+                })
+                .await;
+            repeated.line(format_args!("crashing request {}: {:?}", sent.id, sent.ending));
+            all.push(sent);
+            sleep(PAUSE).await;
+        }
+    });
+    sleep(TIME_BEFORE).await;
+    let started = Instant::now();
+    if trouble {
+        for machine in &deployment.machines[..MACHINES - 1] {
+            record.say(format_args!("the daemon on {} is restarted", machine.name));
+            machine.restart_daemon().await?;
+            sleep(RESTART_PAUSE).await;
+        }
+    } else {
+        sleep(Duration::from_secs(30)).await;
+    }
+    record.line(format_args!("restarts took {:.1} s", started.elapsed().as_secs_f64()));
+    sleep(TIME_AFTER).await;
+    poison.abort();
+    let sent = traffic.stop().await;
+    for task in crashes {
+        task.abort();
+    }
+    let mut reached: Vec<_> = deployment
+        .machines
+        .iter()
+        .flat_map(|machine| machine.server.runs())
+        .filter(|run| run.request.starts_with('p'))
+        .collect();
+    reached.sort_by_key(|run| run.at);
+    for run in &reached {
+        record.say(format_args!(
+            "crash: {} reached {} at {:.1} s",
+            run.request,
+            run.server,
+            run.at.as_secs_f64()
+        ));
+    }
+    let late = reached.get(2).map_or(0, |third| {
+        let later = |run: &&crate::server::Run| run.at > third.at + STABILITY_WINDOW;
+        reached.iter().filter(later).count()
+    });
+    let unknown = sent
+        .iter()
+        .filter(|sent| matches!(sent.ending, Ending::Answered(502 | 504) | Ending::Closed))
+        .count();
+    record.say(format_args!(
+        "{} orders of others sent, {unknown} of them ended without the answer of a server",
+        sent.len()
+    ));
+    record.say(format_args!(
+        "{late} retries reached servers later than stability_window after the third crash \
+         ({RETRIES_ALLOWED} allowed)"
+    ));
+    Ok(late > RETRIES_ALLOWED)
+}
