review: let the cases show what is lost, and tighten the conditions

The request that crashes servers pauses for 3.5 s after each restart and comes at three machines. The stand-ins are formatted.

--- a/review/standins/src/endless_health.rs
+++ b/review/standins/src/endless_health.rs
@@ -24,7 +24,10 @@
     let traffic = Traffic::start(machine.outbound(), "a", work, 12, record);
     let elsewhere = Traffic::start(deployment.machines[1].outbound(), "b", work, 24, record);
     sleep(PART_TIME).await;
-    record.say(format_args!("the server on {} restarts, in trouble: {trouble}", machine.name));
+    record.say(format_args!(
+        "the server on {} restarts, in trouble: {trouble}",
+        machine.name
+    ));
     machine.server.crash().await;
     sleep(DOWN_TIME).await;
     machine.server.renew("i-1-2");
@@ -43,6 +46,10 @@
             machine.own_ends().len()
         ));
     }
-    let unsound = if trouble { vec![machine.server.id()] } else { Vec::new() };
+    let unsound = if trouble {
+        vec![machine.server.id()]
+    } else {
+        Vec::new()
+    };
     Ok(is_lost_broken(&deployment, &sent, &unsound, record))
 }
--- a/review/standins/src/large_uploads.rs
+++ b/review/standins/src/large_uploads.rs
@@ -19,7 +19,13 @@
 const UPLOADS: usize = 3;
 
 pub async fn run(record: &Record, trouble: bool) -> Verdict {
-    let services = [SERVICES[0], SERVICES[0], SERVICES[0], SERVICES[1], SERVICES[1]];
+    let services = [
+        SERVICES[0],
+        SERVICES[0],
+        SERVICES[0],
+        SERVICES[1],
+        SERVICES[1],
+    ];
     let deployment = Deployment::start(&services, &config(1), record).await?;
     sleep(Duration::from_secs(2)).await;
     let machine = &deployment.machines[0];
@@ -39,7 +45,10 @@
             body: body.clone(),
         };
         let sent = requester.send(order).await;
-        record.say(format_args!("upload {} of {size} bytes: {:?}", sent.id, sent.ending));
+        record.say(format_args!(
+            "upload {} of {size} bytes: {:?}",
+            sent.id, sent.ending
+        ));
     }
     sleep(PAUSE).await;
     let sent = traffic.stop().await;
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -114,10 +114,17 @@
         folder: &Path,
         record: &Record,
     ) -> Result<Self, String> {
-        let IpAddr::V4(v4) = ip else { unreachable!("loopback addresses are IPv4 here") };
+        let IpAddr::V4(v4) = ip else {
+            unreachable!("loopback addresses are IPv4 here")
+        };
         let name = format!("sidecar-{}", v4.octets()[3]);
         let at = |port| SocketAddr::new(ip, port);
-        let server = Server::new(at(8301), service, &format!("i-{}-1", v4.octets()[3]), record);
+        let server = Server::new(
+            at(8301),
+            service,
+            &format!("i-{}-1", v4.octets()[3]),
+            record,
+        );
         server
             .start(at(8306), Duration::from_millis(400))
             .await
@@ -170,7 +177,9 @@
         let mut killed = false;
         while self.process.planned.load(Ordering::Relaxed) {
             if Instant::now() > until && !killed {
-                self.process.record.say(format_args!("platform: {} outlived its grace", self.name));
+                self.process
+                    .record
+                    .say(format_args!("platform: {} outlived its grace", self.name));
                 self.process.signal("KILL")?;
                 killed = true;
             }
@@ -203,7 +212,10 @@
 
 impl DaemonProcess {
     fn spawn(&self) -> Result<(), String> {
-        let log = fs::File::options().create(true).append(true).open(&self.log);
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log);
         let log = log.map_err(|error| error.to_string())?;
         let child = Command::new(PROGRAM)
             .arg("--platform")
@@ -212,7 +224,11 @@
             .stdout(log)
             .spawn()
             .map_err(|error| format!("{PROGRAM}: {error}"))?;
-        self.record.line(format_args!("platform starts {} as {}", self.name, child.id()));
+        self.record.line(format_args!(
+            "platform starts {} as {}",
+            self.name,
+            child.id()
+        ));
         *self.child.lock().expect("not poisoned") = Some(child);
         Ok(())
     }
@@ -221,7 +237,8 @@
         let child = self.child.lock().expect("not poisoned");
         let Some(child) = &*child else { return Ok(()) };
         let command = format!("kill -{signal} {}", child.id());
-        self.record.line(format_args!("platform: {} gets SIG{signal}", self.name));
+        self.record
+            .line(format_args!("platform: {} gets SIG{signal}", self.name));
         let status = Command::new("sh").arg("-c").arg(command).status();
         status.map(drop).map_err(|error| error.to_string())
     }
@@ -231,7 +248,9 @@
         while !self.ended.load(Ordering::Relaxed) {
             thread::sleep(MEMORY_POLL);
             let mut child = self.child.lock().expect("not poisoned");
-            let Some(running) = child.as_mut() else { continue };
+            let Some(running) = child.as_mut() else {
+                continue;
+            };
             let memory = resident_mb(running.id());
             let mut peak = self.peak_mb.lock().expect("not poisoned");
             *peak = (*peak).max(memory);
@@ -247,7 +266,8 @@
                 if self.planned.load(Ordering::Relaxed) {
                     *child = None;
                     drop(child);
-                    self.record.line(format_args!("platform: {} has stopped", self.name));
+                    self.record
+                        .line(format_args!("platform: {} has stopped", self.name));
                     thread::sleep(RESTART_DELAY);
                     if let Err(error) = self.spawn() {
                         self.record.say(error);
@@ -255,7 +275,10 @@
                     self.planned.store(false, Ordering::Relaxed);
                     continue;
                 }
-                self.record.say(format_args!("platform: {} ended by itself: {status}", self.name));
+                self.record.say(format_args!(
+                    "platform: {} ended by itself: {status}",
+                    self.name
+                ));
             } else {
                 continue;
             }
--- a/review/standins/src/poison_roll.rs
+++ b/review/standins/src/poison_roll.rs
@@ -1,9 +1,11 @@
 //! A request that crashes the servers comes again while the daemons are restarted in turn.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::Verdict;
 use crate::platform::Deployment;
@@ -11,8 +13,9 @@
 use crate::requester::{Ending, Order, Requester, Sent};
 use crate::traffic::{HOST, SERVICES, Traffic, config};
 
-/// Machines, all but the last of which are restarted.
-const MACHINES: usize = 7;
+/// Machines, and how many of them are restarted; the others take the requests.
+const MACHINES: usize = 8;
+const RESTARTED: usize = 5;
 /// `bounds.stability_window` of the settings.
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 /// Largest number of retries that reach servers later than that after the third crash.
@@ -20,12 +23,11 @@
 /// Time until a crashed server is back.
 const DOWN_TIME: Duration = Duration::from_secs(2);
 /// Pause between two requests that crash servers.
-const PAUSE: Duration = Duration::from_millis(250);
-/// Time before the first restart, and after the last.
-const TIME_BEFORE: Duration = Duration::from_secs(8);
-const TIME_AFTER: Duration = Duration::from_secs(15);
-/// Pause between two restarts.
-const RESTART_PAUSE: Duration = Duration::from_secs(5);
+const PAUSE: Duration = Duration::from_millis(100);
+/// Time for which the request comes again, at first and after each restart.
+const REPEATED_TIME: Duration = Duration::from_secs(7);
+/// Time from the end of a restart until the request comes again; longer than the stability window.
+const SETTLING_TIME: Duration = Duration::from_millis(3500);
 
 pub async fn run(record: &Record, trouble: bool) -> Verdict {
     let deployment = Deployment::start(&[SERVICES[0]; MACHINES], &config(1), record).await?;
@@ -41,10 +43,18 @@
         .collect();
     let work = ("order", Duration::from_millis(160));
     let traffic = Traffic::start(entry.outbound(), "o", work, 8, record);
-    let (address, repeated) = (entry.outbound(), record.clone());
+    let entries = &deployment.machines[RESTARTED..];
+    let addresses: Vec<_> = entries.iter().map(|machine| machine.outbound()).collect();
+    let repeated = record.clone();
+    let coming = Arc::new(AtomicBool::new(true));
+    let is_coming = Arc::clone(&coming);
     let poison = tokio::spawn(async move {
         let mut all: Vec<Sent> = Vec::new();
         loop {
+            while !is_coming.load(Ordering::Relaxed) {
+                sleep(PAUSE).await;
+            }
+            let address = addresses[all.len() % addresses.len()];
             let mut requester = Requester::new(address, &repeated);
             let sent = requester
                 .send(Order {
@@ -56,24 +66,25 @@
                     body: Bytes::from_static(b"the same body"),
                 })
                 .await;
-            repeated.line(format_args!("crashing request {}: {:?}", sent.id, sent.ending));
+            repeated.line(format_args!(
+                "crashing request {}: {:?}",
+                sent.id, sent.ending
+            ));
             all.push(sent);
             sleep(PAUSE).await;
         }
     });
-    sleep(TIME_BEFORE).await;
-    let started = Instant::now();
-    if trouble {
-        for machine in &deployment.machines[..MACHINES - 1] {
+    sleep(REPEATED_TIME).await;
+    for machine in &deployment.machines[..RESTARTED] {
+        coming.store(false, Ordering::Relaxed);
+        if trouble {
             record.say(format_args!("the daemon on {} is restarted", machine.name));
             machine.restart_daemon().await?;
-            sleep(RESTART_PAUSE).await;
         }
-    } else {
-        sleep(Duration::from_secs(30)).await;
+        sleep(SETTLING_TIME).await;
+        coming.store(true, Ordering::Relaxed);
+        sleep(REPEATED_TIME).await;
     }
-    record.line(format_args!("restarts took {:.1} s", started.elapsed().as_secs_f64()));
-    sleep(TIME_AFTER).await;
     poison.abort();
     let sent = traffic.stop().await;
     for task in crashes {
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -37,6 +37,10 @@
     pub fn say(&self, text: impl std::fmt::Display) {
         println!("{text}");
         self.line(text);
-        self.output.lock().expect("not poisoned").flush().expect("a writable record");
+        self.output
+            .lock()
+            .expect("not poisoned")
+            .flush()
+            .expect("a writable record");
     }
 }
--- a/review/standins/src/requester.rs
+++ b/review/standins/src/requester.rs
@@ -78,7 +78,10 @@
         if !matches!(ending, Ending::Answered(_)) {
             self.connection = None;
         }
-        self.record.line(format_args!("requester {} ends: {ending:?}, kept {kept}", order.id));
+        self.record.line(format_args!(
+            "requester {} ends: {ending:?}, kept {kept}",
+            order.id
+        ));
         Sent {
             id: order.id,
             kept,
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -131,13 +131,16 @@
 
     /// Ends the process of the server: nothing listens, and all connections are closed.
     pub async fn crash(&self) {
-        self.state.record.line(format_args!("server {} ends", self.id()));
+        self.state
+            .record
+            .line(format_args!("server {} ends", self.id()));
         let tasks: Vec<_> = self.tasks.lock().expect("not poisoned").drain(..).collect();
         for task in tasks {
             task.abort();
             let _ = task.await;
         }
-        let connections = std::mem::take(&mut *self.state.connections.lock().expect("not poisoned"));
+        let connections =
+            std::mem::take(&mut *self.state.connections.lock().expect("not poisoned"));
         for connection in connections {
             connection.abort();
             let _ = connection.await;
@@ -154,7 +157,9 @@
             let name = id.rsplit_once('-').map_or(&*id, |(name, _)| name);
             self.renew(&format!("{name}-{number}"));
             if let Err(error) = self.start(control, Duration::from_millis(400)).await {
-                self.state.record.say(format_args!("server {id} not back: {error}"));
+                self.state
+                    .record
+                    .say(format_args!("server {id} not back: {error}"));
             }
         }
     }
@@ -205,7 +210,9 @@
             "born": unix_millis(),
         });
         let path = format!("/v1/Instances.Heartbeat/{}", self.id());
-        self.state.record.line("a report of another writer, without zone, version and cold_remaining:");
+        self.state
+            .record
+            .line("a report of another writer, without zone, version and cold_remaining:");
         self.post(control, &path, &body).await
     }
 
@@ -241,7 +248,9 @@
         let body = body.to_string();
         let posting = send_once(control, "POST", path, &body);
         let status = timeout(REPORT_TIMEOUT, posting).await.unwrap_or(None);
-        self.state.record.line(format_args!("server POST {path} {body} -> {status:?}"));
+        self.state
+            .record
+            .line(format_args!("server POST {path} {body} -> {status:?}"));
         status == Some(200)
     }
 }
@@ -255,14 +264,20 @@
     };
     let request_id = header("x-request-id").unwrap_or_default();
     if state.endless.load(Ordering::Relaxed) {
-        state.record.line(format_args!("server {id} answers {path} {request_id} without end"));
+        state.record.line(format_args!(
+            "server {id} answers {path} {request_id} without end"
+        ));
         let mut response = Response::new(Either::Right(EndlessBody));
         set(&mut response, "x-instance-id", &id);
         return response;
     }
     if path == "/health" {
         let leaving = state.leaving.load(Ordering::Relaxed);
-        return finish(state, reply(if leaving { 503 } else { 200 }, Bytes::new()), &id);
+        return finish(
+            state,
+            reply(if leaving { 503 } else { 200 }, Bytes::new()),
+            &id,
+        );
     }
     if request_id.is_empty() {
         let mut response = reply(400, Bytes::new());
@@ -289,7 +304,9 @@
     let slot = state.slots.acquire().await.expect("never closed");
     drop(place);
     let size = body.to_bytes().len();
-    state.record.line(format_args!("server {id} runs {request_id} {path}, {size} bytes"));
+    state.record.line(format_args!(
+        "server {id} runs {request_id} {path}, {size} bytes"
+    ));
     state.runs.lock().expect("not poisoned").push(Run {
         request: request_id.clone(),
         server: id.clone(),
@@ -301,7 +318,9 @@
     }
     sleep(work_time(&path)).await;
     drop(slot);
-    state.record.line(format_args!("server {id} answers {request_id} 200"));
+    state
+        .record
+        .line(format_args!("server {id} answers {request_id} 200"));
     let mut response = reply(200, Bytes::from(format!("{request_id} by {id}")));
     set(&mut response, "x-request-id", &request_id);
     set(&mut response, "x-response-signature", &format!("sign.{id}"));
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -45,8 +45,7 @@
                     let state = Arc::clone(&state);
                     async move { Ok::<_, Infallible>(answer(&state, request).await) }
                 });
-                let serving =
-                    http1::Builder::new().serve_connection(TokioIo::new(socket), service);
+                let serving = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
                 tokio::spawn(async move { drop(serving.await) });
             }
         });
@@ -89,7 +88,12 @@
     }
 }
 
-async fn read(state: &StoreState, topic: &str, from: usize, wait: Duration) -> Response<Full<Bytes>> {
+async fn read(
+    state: &StoreState,
+    topic: &str,
+    from: usize,
+    wait: Duration,
+) -> Response<Full<Bytes>> {
     let until = Instant::now() + wait;
     loop {
         let appended = state.appended.notified();
--- a/review/standins/src/traffic.rs
+++ b/review/standins/src/traffic.rs
@@ -109,7 +109,10 @@
     unsound: &[String],
     record: &Record,
 ) -> bool {
-    let runs = deployment.machines.iter().flat_map(|machine| machine.server.runs());
+    let runs = deployment
+        .machines
+        .iter()
+        .flat_map(|machine| machine.server.runs());
     let passed_on: HashSet<String> = runs
         .filter(|run| !unsound.contains(&run.server))
         .map(|run| run.request)
@@ -126,7 +129,10 @@
             sent.ended.as_secs_f64()
         ));
     }
-    let served = sent.iter().filter(|sent| sent.ending == Ending::Answered(200)).count();
+    let served = sent
+        .iter()
+        .filter(|sent| sent.ending == Ending::Answered(200))
+        .count();
     record.say(format_args!(
         "{} requests sent, {served} served; {} from kept connections were passed on to a sound \
          server and lost ({LOST_ALLOWED} allowed)",
