--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use mesh::{ReportedState, TargetNotice, TargetReport};
 use model::{CallCount, ErrorKind, IncarnationNumber, KindError, ServiceName, TargetName};
 use tokio::time::{sleep, timeout};
@@ -24,6 +24,8 @@
 const PROBE_RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Time for the target to answer.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum size of the body of an answer; the daemon uses only the head.
+const MAX_BODY_BYTES: usize = 64 << 10;
 
 /// Probes the target whenever it is unknown, unconfirmed or down, until `token` is cancelled.
 pub async fn watch_target(core: Arc<ProxyCore>, token: CancellationToken) {
@@ -88,8 +90,14 @@
     })?;
     let status = exchange.response.status();
     let headers = exchange.response.headers().clone();
-    let body = timeout(PROBE_TIMEOUT, exchange.response.body_mut().collect());
-    let complete = matches!(body.await, Ok(Ok(_)));
+    let body = Limited::new(exchange.response.body_mut(), MAX_BODY_BYTES);
+    let complete = match timeout(PROBE_TIMEOUT, body.collect()).await {
+        Ok(Ok(_)) => true,
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            return Err(probe_failed("the answer to the probe is too long"));
+        }
+        Ok(Err(_)) | Err(_) => false,
+    };
     // Probes have no ids, so a late copy of a failed one's answer could not be told apart.
     if complete && status == StatusCode::OK {
         exchange.finish();
