Let daemons learn which requests crash targets after their start

Cause: a crash is told to the daemons that run at that moment, and only the daemon beside the target checks. One that starts later knows nothing, and the daemon that took the request sent it on although it knew. Ruled out: the target's new name (the fingerprint does not contain it) and the retention (600 s).

Change: a daemon asks three others for their suspects at its start and three more times within 4.3 s, when its own target crashed, and when another daemon refused a request as crashing that it knew nothing of. The daemon that takes a request refuses it if it is stopped. Daemons of the build before do not understand the new question.

--- a/crates/once/src/poison/detector.rs
+++ b/crates/once/src/poison/detector.rs
@@ -290,6 +290,21 @@
         self.report(&others)
     }
 
+    /// Returns whether any request is remembered.
+    pub fn has_suspects(&self) -> bool {
+        !self.rows.is_empty()
+    }
+
+    /// Returns reports about all remembered requests, for a daemon that has just started.
+    pub fn all_reports(&self) -> Vec<SuspectReport> {
+        let live = self.rows.iter().filter(|(_, row)| !self.is_expired(row));
+        let mut fingerprints: Vec<RequestFingerprint> =
+            live.map(|(fingerprint, _)| *fingerprint).collect();
+        fingerprints.sort_unstable();
+        let chunks = fingerprints.chunks(MAX_SUSPECTS);
+        chunks.map(|chunk| self.report(chunk)).collect()
+    }
+
     /// Drops requests past their retention.
     pub fn on_tick(&mut self) {
         let now = self.clock.now();
--- a/crates/once/tests/poison.rs
+++ b/crates/once/tests/poison.rs
@@ -144,6 +144,33 @@
     assert!(fleet.detectors[1].check(unrelated).is_ok());
 }
 
+// Guards against a daemon that knows nothing of a stopped request since it started after the crashes.
+#[test]
+fn daemon_that_starts_after_the_crashes_learns_of_all_stopped_requests() {
+    let mut fleet = DetectorFleet::new(2);
+    let prints: Vec<_> = (0..100).map(RequestFingerprint).collect();
+    for fingerprint in &prints {
+        for _ in 0..2 {
+            fleet.detectors[0]
+                .start(&target_name(), *fingerprint)
+                .expect("not stopped yet");
+            fleet.crash(0);
+        }
+    }
+    let me = HolderId::new(DaemonId(9), IncarnationNumber(2));
+    let mut started = PoisonDetector::new(me, PoisonSettings::default(), fleet.clock.shared());
+    assert!(!started.has_suspects());
+    for report in fleet.detectors[1].all_reports() {
+        started.on_report(&report);
+    }
+    for fingerprint in &prints {
+        let error = started.check(*fingerprint).expect_err("stopped");
+        assert_eq!(error.kind, ErrorKind::PoisonRequest);
+    }
+    fleet.clock.advance(PoisonSettings::default().retention);
+    assert!(fleet.detectors[1].all_reports().is_empty());
+}
+
 #[test]
 fn repeated_report_counts_once() {
     let mut fleet = DetectorFleet::new(2);
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -16,7 +16,9 @@
 use crate::answer_body::AnswerBody;
 use crate::core::ProxyCore;
 use crate::membership::MembershipSender;
-use crate::message::{CallAnswer, CallHead, ConfigAnswer, MAX_ANSWER_BYTES, PeerRequest};
+use crate::message::{
+    CallAnswer, CallHead, ConfigAnswer, MAX_ANSWER_BYTES, PeerRequest, SuspectAnswer,
+};
 use crate::runner::{
     AdmittedCall, RunRefusal, TargetCall, TargetRunOutcome, admit_call, run_admitted, run_call,
 };
@@ -73,6 +75,10 @@
             core.send_poison(outputs);
             responder.acknowledge()
         }
+        PeerRequest::Suspects => {
+            let reports = core.poison().all_reports();
+            responder.respond_head(&SuspectAnswer { reports }).await
+        }
         PeerRequest::Config { have } => {
             let answer = ConfigAnswer {
                 update: core.config().update_for(have),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -13,8 +13,8 @@
 //! 4. [`desk`] admits it, and [`runner`] runs it at the target through [`target_client`].
 //!
 //! In the background run [`control`] (target reports and readiness),
-//! [`config_watch`], [`membership`], [`probe`] and [`metrics`]. [`run`] starts
-//! and stops everything.
+//! [`config_watch`], [`membership`], [`probe`], [`suspects`] and [`metrics`].
+//! [`run`] starts and stops everything.
 
 pub mod answer_body;
 pub mod config_watch;
@@ -36,6 +36,7 @@
 pub mod runner;
 pub mod settings;
 pub mod store;
+pub mod suspects;
 pub mod target_client;
 
 pub use run::{ProxyParts, run_proxy};
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -8,8 +8,9 @@
 use mesh::{
     CallPriority, CallSafety, ConfigUpdate, MeshVersion, NestedCallOutcome, RouteKey, StoreEra,
 };
-use model::{ByteCount, DaemonId, ErrorKind, KindError, ServiceName};
-use once::poison::PoisonMessage;
+use model::{ByteCount, CustomerName, DaemonId, ErrorKind, KindError, ServiceName};
+use once::poison::{PoisonMessage, SuspectReport};
+use once::{PrintHasher, RequestFingerprint};
 use route::TargetLoad;
 use serde::{Deserialize, Serialize};
 
@@ -35,7 +36,7 @@
         /// The message as encoded by [`members`].
         bytes: Vec<u8>,
     },
-    /// Shares what is known of requests that crash targets.
+    /// Shares news of requests that crash targets.
     Poison(PoisonMessage),
     /// Asks for the configuration in force if it is newer than the sender's.
     Config {
@@ -49,6 +50,15 @@
         /// The version.
         version: MeshVersion,
     },
+    /// Asks for all that the receiver knows of requests that crash targets.
+    Suspects,
+}
+
+/// The answer to [`PeerRequest::Suspects`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct SuspectAnswer {
+    /// Reports about all requests that the answering daemon remembers.
+    pub reports: Vec<SuspectReport>,
 }
 
 /// The answer to [`PeerRequest::Config`].
@@ -151,6 +161,21 @@
     pub fn expects_proceed(&self) -> bool {
         self.body_size > SMALL_BODY
     }
+
+    /// Returns the fingerprint of the request with this `body`, by which requests that crash targets
+    /// are recognized.
+    pub fn fingerprint(&self, body: &[u8]) -> RequestFingerprint {
+        // The fingerprint includes a customer name; in the mesh that is the calling service.
+        let caller: CustomerName = self
+            .caller_service
+            .as_str()
+            .parse()
+            .expect("names of services and customers have the same form");
+        let length = Some(body.len() as u64);
+        let mut hasher = PrintHasher::new(&caller, &self.method, &self.path, length);
+        hasher.update(body);
+        hasher.finish()
+    }
 }
 
 /// Hop-by-hop headers, which apply to a single connection.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::peer_call::{PeerOutcome, call_peer};
 use crate::reply::{CallerReply, ReplyBody, error_reply, target_reply};
 use crate::runner::{TargetCall, TargetRunOutcome, run_call};
+use crate::suspects::ask_suspects;
 
 /// One in this many successful requests is logged.
 const SAMPLING_INTERVAL: u64 = 128;
@@ -91,6 +92,10 @@
     let mut plan = AttemptPlan::new(&call.rule, call.deadline);
     let mut tried = SmallVec::<[DaemonId; 4]>::new();
     let mut last = LastAnswer::default();
+    if is_stopped(core, &call) {
+        let step = plan.exhausted(ErrorKind::PoisonRequest);
+        return conclude(core, &call, step, last);
+    }
     loop {
         let picked = pick_or_wait(core, &call, &tried).await;
         let Some(target) = picked else {
@@ -125,6 +130,9 @@
                 core.budget().spend(&service, call.head.inner, now)
             })
         };
+        if is_poison_refusal(attempt.outcome) && daemon != core.id {
+            core.tasks.spawn(ask_suspects(Arc::clone(core), daemon));
+        }
         last.refused_by_target |= matches!(
             attempt.outcome,
             AttemptOutcome::Refused {
@@ -157,6 +165,14 @@
     }
 }
 
+/// Returns whether the request is known to crash targets. The daemon beside the target checks that
+/// too, but it may have started later and not know of the request.
+fn is_stopped(core: &ProxyCore, call: &RelayCall) -> bool {
+    let detector = core.poison();
+    // Without suspects the body need not be hashed.
+    detector.has_suspects() && detector.check(call.head.fingerprint(&call.body)).is_err()
+}
+
 /// Logs an attempt that the target did not answer successfully.
 fn log_attempt(call: &RelayCall, daemon: DaemonId, attempt: &AttemptResult, step: NextStep) {
     let load = attempt.load.unwrap_or_default();
@@ -176,6 +192,17 @@
     );
 }
 
+/// Returns whether the daemon beside the target refused a request that crashes targets.
+fn is_poison_refusal(outcome: AttemptOutcome) -> bool {
+    matches!(
+        outcome,
+        AttemptOutcome::Refused {
+            kind: ErrorKind::PoisonRequest,
+            ..
+        }
+    )
+}
+
 /// Returns the name of a decision in log lines.
 fn step_label(step: NextStep) -> &'static str {
     match step {
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -32,6 +32,7 @@
 use crate::probe::watch_target;
 use crate::settings::ProxySettings;
 use crate::store::SharedStore;
+use crate::suspects::watch_suspects;
 
 /// Result of running a daemon; errors are of kind `LocalFailed`.
 pub type Result<T> = model::Result<T>;
@@ -127,6 +128,7 @@
     tracker.spawn(members.run(inbox, running.stages.clone()));
     tracker.spawn(watch_config(Arc::clone(core), running.background.clone()));
     tracker.spawn(watch_target(Arc::clone(core), running.background.clone()));
+    tracker.spawn(watch_suspects(Arc::clone(core), running.background.clone()));
     tracker.spawn(serve_waiting(Arc::clone(core), running.background.clone()));
     let inbound = serve_inbound(
         Arc::clone(core),
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -10,8 +10,8 @@
 use http::{HeaderValue, Request, StatusCode, header};
 use mesh::lineage::{CalledServices, RunOrigin};
 use mesh::{CallSafety, NestedCallOutcome, ResponseLimit, TargetReport};
-use model::{CustomerName, ErrorKind, TargetName};
-use once::{PrintHasher, RequestFingerprint};
+use model::{ErrorKind, TargetName};
+use once::RequestFingerprint;
 use tokio::time::timeout;
 
 use crate::answer_body::{AnswerBody, BodyStream, ReadBody, read_body};
@@ -20,6 +20,7 @@
 use crate::desk::{DeskPlace, DeskRequest};
 use crate::message::{CallHead, HeaderList, pack_headers, unpack_headers};
 use crate::relay::is_sampled;
+use crate::suspects::learn_suspects;
 use crate::target_client::{SendFailure, TargetExchange};
 
 /// Time reserved for sending the answer back to the caller.
@@ -90,20 +91,6 @@
         let latest = self.since + self.head.objective;
         latest.checked_sub(self.head.spent).unwrap_or(self.since)
     }
-
-    fn fingerprint(&self) -> RequestFingerprint {
-        let head = &self.head;
-        // The fingerprint includes a customer name; in the mesh that is the calling service.
-        let caller: CustomerName = head
-            .caller_service
-            .as_str()
-            .parse()
-            .expect("names of services and customers have the same form");
-        let length = Some(self.body.len() as u64);
-        let mut hasher = PrintHasher::new(&caller, &head.method, &head.path, length);
-        hasher.update(&self.body);
-        hasher.finish()
-    }
 }
 
 /// Waits for a slot at the target and runs the request.
@@ -178,7 +165,7 @@
     call: &TargetCall,
 ) -> std::result::Result<AdmittedCall, RunRefusal> {
     let report = available_target(core, &call.head)?;
-    let fingerprint = call.fingerprint();
+    let fingerprint = call.head.fingerprint(&call.body);
     core.poison()
         .check(fingerprint)
         .map_err(|error| refuse(error.kind, None))?;
@@ -488,5 +475,9 @@
     }
     mark_down(core, "connections broke and the target accepts no new ones");
     let outputs = core.poison().on_crash_found(target, fingerprint);
+    if !outputs.is_empty() {
+        // The others may know the request already, and their messages did not arrive here.
+        core.tasks.spawn(learn_suspects(Arc::clone(core)));
+    }
     core.deliver_poison(outputs).await;
 }
