Apply the leave of a run that the daemon has no report of

Cause: on_leave compared the run of the message with that of the last report and noted any other run as ended, also a later one. The log line 'target leaves' with news: false and the later run showed it.

Change: a leave of a later run ends the known run and applies to the target of that name; one of an earlier run changes nothing; one of a run that starts in the future is ignored, like such a report. After a probe, which tells no run, the run of the leave is kept.

--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -148,19 +148,32 @@
 
     /// Applies the final report of a target.
     ///
-    /// Returns whether the known target started to leave.
+    /// A target may start again under its name and leave before its first report, so a leave of a
+    /// later run than the known one ends that one and applies to the target. A leave of a run whose
+    /// start lies in the future is ignored. Returns whether the known target started to leave.
     pub fn on_leave(&mut self, leave: TargetLeave) -> bool {
-        let Some(known) = &mut self.known else {
+        if self.is_ahead(leave.run) {
+            return false;
+        }
+        let known = self.known.as_mut();
+        let Some(known) = known.filter(|known| known.report.target == leave.target) else {
             self.record_ended(leave.target, leave.run);
             return false;
         };
-        let report = &known.report;
-        let run_unknown = leave.run.0 == 0 || report.run.0 == 0;
-        if report.target == leave.target && (report.run == leave.run || run_unknown) {
-            return !std::mem::replace(&mut known.leaving, true);
+        let last = known.report.run;
+        if leave.run.0 != 0 && leave.run < last {
+            return false;
+        }
+        let was_leaving = std::mem::replace(&mut known.leaving, true);
+        if leave.run > last {
+            // Its reports have to come from this run to be renewals.
+            known.report.run = leave.run;
+            known.report.sequence = 0;
+            if last.0 != 0 {
+                self.record_ended(leave.target, last);
+            }
         }
-        self.record_ended(leave.target, leave.run);
-        false
+        !was_leaving
     }
 
     /// Records that the target answered a request.
--- a/crates/mesh/tests/local_target.rs
+++ b/crates/mesh/tests/local_target.rs
@@ -103,6 +103,58 @@
     assert!(target.available().is_some());
 }
 
+// Guards against a leave that is acknowledged and ignored, since the target has started again under
+// its name and the daemon has no report of that run yet.
+#[test]
+fn a_leave_of_a_later_run_applies_to_the_target_that_has_its_name() {
+    let (mut target, _) = new_target();
+    target.on_report(report("i-1", 100, 4, ReportedState::Ready));
+    target.on_answer();
+    assert!(target.on_leave(leave("i-1", 200)));
+    assert!(target.is_leaving());
+    assert!(target.available().is_none());
+    for late in [
+        report("i-1", 100, 5, ReportedState::Ready),
+        report("i-1", 200, 1, ReportedState::Ready),
+    ] {
+        target.on_report(late);
+        assert!(
+            target.available().is_none(),
+            "a late report changes nothing"
+        );
+    }
+    target.on_report(report("i-1", 300, 1, ReportedState::Ready));
+    assert!(target.available().is_some(), "the next run is another one");
+}
+
+// Guards against a late leave of an earlier run that locks out the run that the daemon has found.
+#[test]
+fn a_late_leave_does_not_apply_to_a_later_run_found_by_asking() {
+    let (mut target, _) = new_target();
+    target.on_report(report("i-1", 0, 0, ReportedState::Ready));
+    target.on_leave(leave("i-1", 100));
+    assert!(target.available().is_none(), "the run is not known yet");
+    target.on_report(report("i-1", 200, 1, ReportedState::Ready));
+    assert!(target.available().is_some());
+    assert!(!target.on_leave(leave("i-1", 100)));
+    assert!(target.available().is_some());
+}
+
+// Guards against a leave with an impossible start, after which no report of the target counts.
+#[test]
+fn a_leave_of_a_run_that_starts_in_the_future_is_ignored() {
+    let (mut target, clock) = new_target();
+    let now = clock.wall().duration_since(UNIX_EPOCH).expect("after 1970");
+    let ahead = now.as_millis() as u64 + 120_000;
+    target.on_report(report("i-1", 100, 1, ReportedState::Ready));
+    assert!(!target.on_leave(leave("i-1", ahead)));
+    assert!(!target.on_leave(leave("i-2", u64::MAX)));
+    assert!(target.available().is_some());
+    target.on_report(report("i-2", 200, 1, ReportedState::Ready));
+    let available = target.available().expect("the new run accepts requests");
+    assert_eq!(available.target.as_str(), "i-2");
+}
+
 #[test]
 fn a_leave_without_a_run_ends_the_known_run_but_not_later_ones() {
     let (mut target, _) = new_target();
