Answer every request that a planned stop would cut off

Cause: calls that running requests make were not checked against the end of the stop; late requests were accepted up to the instant at which connections close; and what was in progress then was dropped. Ruled out: callers' late requests with longer deadlines, which are refused with 503.

--- a/crates/mesh/src/stop.rs
+++ b/crates/mesh/src/stop.rs
@@ -7,7 +7,9 @@
 //! The platform moves callers away only after some time, and not at all if most
 //! daemons of a failure domain stop at once. A request that would still be
 //! running when the process ends is refused before it is read: its caller can
-//! retry it, which would not be safe after the connection broke.
+//! retry it, which would not be safe after the connection broke. One that was
+//! accepted before that and still runs gets a final answer shortly before
+//! connections are closed.
 
 use std::time::{Duration, Instant};
 
@@ -25,6 +27,9 @@
 /// Time before the end of the grace period at which connections start to close at the latest.
 /// Half of it is left for requests in progress to end, the rest for the process to end.
 const CLOSING_TIME: Duration = Duration::from_millis(900);
+/// Time before all connections are closed at which requests still in progress get a final answer,
+/// so that the answer reaches the caller.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
 /// Fraction of the time until connections are closed in which all requests are accepted; they
 /// mostly end within the rest.
 const ACCEPT_ALL_FRACTION: f32 = 0.5;
@@ -71,6 +76,12 @@
         self.started + CLOSE_AFTER
     }
 
+    /// Returns when requests still in progress get a final answer.
+    pub fn answers_due(&self) -> Instant {
+        let cutoff = self.grace.saturating_sub(CLOSING_TIME / 2);
+        self.started + cutoff.saturating_sub(ANSWER_TIME)
+    }
+
     /// Returns when all connections are closed, even with requests in progress.
     pub fn cutoff(&self) -> Instant {
         self.started + self.grace.saturating_sub(CLOSING_TIME / 2)
@@ -99,7 +110,7 @@
         let cutoff = self.cutoff();
         let span = cutoff.saturating_duration_since(self.started);
         let early = now < self.started + span.mul_f32(ACCEPT_ALL_FRACTION);
-        if early || deadline <= cutoff {
+        if early || deadline <= self.answers_due() {
             return Ok(());
         }
         Err(cutoff.saturating_duration_since(now) + RESTART_TIME)
--- a/crates/mesh/tests/stop.rs
+++ b/crates/mesh/tests/stop.rs
@@ -38,6 +38,29 @@
     assert_eq!(plan.admit(now, now + ms(400)), Ok(()));
 }
 
+// Guards against a request that is accepted though its answer, sent at its deadline, meets a closed
+// connection.
+#[test]
+fn a_request_is_accepted_only_if_its_answer_can_still_be_sent() {
+    let started = Instant::now();
+    let plan = StopPlan::new(started, GRACE);
+    let now = started + ms(4940);
+    assert!(plan.cutoff() - plan.answers_due() >= ms(100));
+    assert!(plan.admit(now, plan.cutoff()).is_err());
+    assert!(plan.admit(now, plan.answers_due() + ms(1)).is_err());
+    assert_eq!(plan.admit(now, plan.answers_due()), Ok(()));
+}
+
+#[test]
+fn a_short_grace_period_still_leaves_a_plan_in_order() {
+    let started = Instant::now();
+    for grace in [0, 100, 500, 700] {
+        let plan = StopPlan::new(started, ms(grace));
+        assert!(plan.answers_due() >= started);
+        assert!(plan.answers_due() <= plan.cutoff());
+    }
+}
+
 #[test]
 fn all_requests_are_accepted_while_callers_move_away() {
     let started = Instant::now();
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -19,6 +19,7 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wire::{PeerPool, WireLimits};
 
@@ -88,6 +89,8 @@
     pub target_changed: Notify,
     /// Wakes tasks that wait for a first configuration or for the first targets.
     pub routing_changed: Notify,
+    /// Cancelled in a planned stop when requests still in progress get a final answer.
+    pub answers_due: CancellationToken,
     config: Mutex<ActiveConfig>,
     picker: Mutex<TargetPicker>,
     budget: Mutex<FleetRetryBudget>,
@@ -137,6 +140,7 @@
             tasks: TaskTracker::new(),
             target_changed: Notify::new(),
             routing_changed: Notify::new(),
+            answers_due: CancellationToken::new(),
             config: Mutex::default(),
             picker: Mutex::new(TargetPicker::new(picker_config, Arc::clone(&clock), rng)),
             budget: Mutex::new(FleetRetryBudget::new(settings.budget, 1)),
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -8,9 +8,9 @@
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use mesh::RouteRule;
 use mesh::link::{LinkReservation, SMALL_BODY};
 use mesh::wait_tracker::CallerRequest;
+use mesh::{EntryOutcome, RouteRule};
 use model::{ByteCount, ErrorKind, KindError, ServiceName};
 use rand::Rng;
 use tokio::time::{sleep, timeout};
@@ -33,6 +33,8 @@
 const ENTRY_RETRY_FRACTION: f32 = 0.25;
 /// Size assumed for a chunked body. Assuming twice the size of a typical upload refused too many.
 const CHUNKED_BODY_SIZE: ByteCount = ByteCount(128 << 10);
+/// Cause of a refusal during a planned stop, for the log.
+const STOP_REFUSAL: &str = "the daemon may stop before the request ends";
 /// Time for which the connection stays open after its request was refused unread, so that a
 /// caller in another region can still read the answer.
 const LINGER_TIME: Duration = Duration::from_millis(500);
@@ -50,7 +52,7 @@
 ) -> CallerReply {
     core.wait_for_config(CONFIG_WAIT).await;
     let mut reply = match accept_request(&core, request) {
-        Ok(entry) => serve(&core, entry).await,
+        Ok(entry) => serve_until_stopped(&core, entry).await,
         Err(error) => reject(&core, &error),
     };
     if core.is_stopping() {
@@ -72,22 +74,22 @@
     )
 }
 
-async fn serve(core: &Arc<ProxyCore>, entry: EntryCall) -> CallerReply {
+/// Serves a request; one that is still in progress at the end of a planned stop gets an answer that
+/// promises nothing.
+async fn serve_until_stopped(core: &Arc<ProxyCore>, entry: EntryCall) -> CallerReply {
     let request_id = entry.head.request_id.clone();
     let mut disconnect_logger = DisconnectLogger {
         request_id: request_id.clone(),
         answered: false,
     };
-    let mut reply = if entry.head.inner {
-        serve_nested(core, entry).await
-    } else {
-        let (caller, spent, since) = (entry.caller, entry.head.spent, entry.since);
-        let (reply, refused) = serve_entering(core, entry).await;
-        if refused {
-            let waited = core.clock.now().saturating_duration_since(since);
-            core.caller_waits().record_refusal(&caller, spent + waited);
+    let mut reply = tokio::select! {
+        reply = serve(core, entry) => reply,
+        () = core.answers_due.cancelled() => {
+            let kind = ErrorKind::OutcomeUnknown;
+            log::info!(request = &*request_id, kind:% = kind; "request ended by a planned stop");
+            core.metrics.count_error(kind);
+            error_reply(&core.edge, kind, None)
         }
-        reply
     };
     disconnect_logger.answered = true;
     if let Ok(id) = HeaderValue::from_str(&request_id) {
@@ -97,6 +99,19 @@
     reply
 }
 
+async fn serve(core: &Arc<ProxyCore>, entry: EntryCall) -> CallerReply {
+    if entry.head.inner {
+        return serve_nested(core, entry).await;
+    }
+    let (caller, spent, since) = (entry.caller, entry.head.spent, entry.since);
+    let (reply, refused) = serve_entering(core, entry).await;
+    if refused {
+        let waited = core.clock.now().saturating_duration_since(since);
+        core.caller_waits().record_refusal(&caller, spent + waited);
+    }
+    reply
+}
+
 /// Logs a caller that disconnects: its connection drops the future that holds this.
 struct DisconnectLogger {
     request_id: Box<str>,
@@ -113,8 +128,15 @@
 
 /// Serves a request that was made by a request running at the target beside the daemon.
 async fn serve_nested(core: &Arc<ProxyCore>, entry: EntryCall) -> CallerReply {
-    core.record_caller_request();
     let request_id = entry.head.request_id.clone();
+    if let Err(retry_after) = core.admit_before_stop(entry.deadline) {
+        let reply = refuse_entry(core, entry, STOP_REFUSAL, retry_after).await;
+        let outcome = EntryOutcome::from_refusal(false);
+        core.lineage()
+            .record_outcome(&request_id, outcome.as_nested_call());
+        return reply;
+    }
+    core.record_caller_request();
     let call = match read_call(core, entry, None).await {
         Ok(call) => call,
         Err(error) => return reject(core, &error),
@@ -130,8 +152,7 @@
 async fn serve_entering(core: &Arc<ProxyCore>, entry: EntryCall) -> (CallerReply, bool) {
     let rule = Arc::clone(&entry.rule);
     if let Err(retry_after) = core.admit_before_stop(entry.deadline) {
-        let cause = "the daemon may stop before the request ends";
-        let reply = refuse_entry(core, entry, cause, retry_after).await;
+        let reply = refuse_entry(core, entry, STOP_REFUSAL, retry_after).await;
         return (reply, true);
     }
     core.record_caller_request();
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -8,8 +8,10 @@
 //!    shortly after that the gate closes.
 //! 3. Connections close when all requests have ended, no caller sends new ones
 //!    and the target keeps running, or shortly before the platform would kill
-//!    the process.
+//!    the process. Requests that are still in progress get a final answer
+//!    before that.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -218,7 +220,18 @@
             core.pool.close().await;
             core.tasks.wait().await;
         };
-        if timeout_at(plan.cutoff().into(), closing).await.is_err() {
+        let answering = async {
+            sleep_until(plan.answers_due().into()).await;
+            core.answers_due.cancel();
+            pending::<()>().await;
+        };
+        let ending = async {
+            tokio::select! {
+                () = closing => {}
+                () = answering => {}
+            }
+        };
+        if timeout_at(plan.cutoff().into(), ending).await.is_err() {
             log::warn!("stopped with requests in progress");
         }
     }
