--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -30,6 +30,7 @@
 use crate::metrics::ProxyMetrics;
 use crate::settings::ProxySettings;
 use crate::store::SharedStore;
+use crate::suspects::store_suspect;
 use crate::target_client::TargetClient;
 
 /// Number of missed reports after which a target is no longer offered.
@@ -352,6 +353,7 @@
                 PoisonOutput::ReplyCleared(fingerprints) => PoisonMessage::Cleared(fingerprints),
                 PoisonOutput::Stopped(fingerprint) => {
                     log::warn!(print:% = fingerprint; "request stopped: it crashes targets");
+                    store_suspect(self, fingerprint);
                     continue;
                 }
             };
--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -24,6 +24,7 @@
 
 use crate::core::{PeerAddresses, ProxyCore};
 use crate::message::PeerRequest;
+use crate::suspects::apply_stored_suspects;
 
 /// Maximum number of queued events.
 const INBOX_SIZE: usize = 1024;
@@ -331,11 +332,17 @@
         }
         let (core, sender) = (Arc::clone(&self.core), self.sender.clone());
         self.core.tasks.spawn(async move {
-            let read = core.store.members().await;
-            if let Err(error) = &read {
-                log::warn!(cause:% = error; "records of the members not read");
-            }
-            sender.send(MembershipEvent::Records(read.ok()));
+            let members = match core.store.fleet_records().await {
+                Ok(records) => {
+                    apply_stored_suspects(&core, &records.suspects);
+                    Some(records.members)
+                }
+                Err(error) => {
+                    log::warn!(cause:% = error; "records of the members not read");
+                    None
+                }
+            };
+            sender.send(MembershipEvent::Records(members));
         });
     }
 
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -1,4 +1,4 @@
-//! Port to the platform's store of configurations and member records.
+//! Port to the platform's store of configurations and of the daemons' own records.
 
 use std::fmt::Debug;
 use std::pin::Pin;
@@ -28,6 +28,20 @@
     pub era: Option<StoreEra>,
 }
 
+/// Place of a record about a request that crashes targets. There are few, so that the records stay
+/// small without anyone deleting them; a newer record takes the place of an older one.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+pub struct SuspectSlot(pub u8);
+
+/// Records that daemons keep in the store.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FleetRecords {
+    /// Records of the daemons.
+    pub members: Vec<Box<[u8]>>,
+    /// Records of requests that crash targets.
+    pub suspects: Vec<Box<[u8]>>,
+}
+
 /// Operations of the store that daemons need.
 pub trait StorePort: Debug + Send + Sync {
     /// Reads the newest configuration.
@@ -42,8 +56,11 @@
     /// Deletes the record of the daemon.
     fn drop_member(&self, id: DaemonId) -> StoreFuture<'_, ()>;
 
-    /// Returns the records of all daemons.
-    fn members(&self) -> StoreFuture<'_, Vec<Box<[u8]>>>;
+    /// Stores `record` about a request that crashes targets.
+    fn put_suspect(&self, slot: SuspectSlot, record: Box<[u8]>) -> StoreFuture<'_, ()>;
+
+    /// Returns the records of all daemons and those of requests that crash targets.
+    fn fleet_records(&self) -> StoreFuture<'_, FleetRecords>;
 }
 
 /// A store with shared ownership.
--- a/crates/proxy/tests/store_era.rs
+++ b/crates/proxy/tests/store_era.rs
@@ -13,7 +13,7 @@
 use quetzal_proxy::config_watch::watch_config;
 use quetzal_proxy::core::ProxyCore;
 use quetzal_proxy::membership::{MembershipLoop, MembershipSender, StopStages};
-use quetzal_proxy::store::{ConfigPage, StoreFuture, StorePort};
+use quetzal_proxy::store::{ConfigPage, FleetRecords, StoreFuture, StorePort, SuspectSlot};
 use support::core_over;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -131,8 +131,18 @@
         Box::pin(async { Ok(()) })
     }
 
-    fn members(&self) -> StoreFuture<'_, Vec<Box<[u8]>>> {
-        Box::pin(async { Ok(self.with(|state| state.members.clone())) })
+    fn put_suspect(&self, _: SuspectSlot, _: Box<[u8]>) -> StoreFuture<'_, ()> {
+        Box::pin(async { Ok(()) })
+    }
+
+    fn fleet_records(&self) -> StoreFuture<'_, FleetRecords> {
+        Box::pin(async {
+            let members = self.with(|state| state.members.clone());
+            Ok(FleetRecords {
+                members,
+                suspects: Vec::new(),
+            })
+        })
     }
 }
 
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -15,7 +15,9 @@
 use quetzal_proxy::core::ProxyCore;
 use quetzal_proxy::edge::{EdgeHeaders, EdgeProtocol};
 use quetzal_proxy::message::CallHead;
-use quetzal_proxy::store::{ConfigPage, SharedStore, StoreFuture, StorePort};
+use quetzal_proxy::store::{
+    ConfigPage, FleetRecords, SharedStore, StoreFuture, StorePort, SuspectSlot,
+};
 use wire::WireLimits;
 
 /// Timeout of operations that end without intervention.
@@ -153,7 +155,11 @@
         unavailable()
     }
 
-    fn members(&self) -> StoreFuture<'_, Vec<Box<[u8]>>> {
+    fn put_suspect(&self, _: SuspectSlot, _: Box<[u8]>) -> StoreFuture<'_, ()> {
+        unavailable()
+    }
+
+    fn fleet_records(&self) -> StoreFuture<'_, FleetRecords> {
         unavailable()
     }
 }
