Close listeners before waiting for the last connections

Cause: serve_http and serve_peers held the listener until their last connection had ended.

Change: they drop it first, also in the product's own interface, so that connecting is refused at once.

--- a/crates/daemon/src/accept.rs
+++ b/crates/daemon/src/accept.rs
@@ -118,6 +118,8 @@
             drop(permit);
         });
     }
+    // Clients that connect from now on are refused at once and go elsewhere.
+    drop(listener);
     connections.close();
     connections.wait().await;
 }
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -41,7 +41,8 @@
         .map_err(|error| KindError::new(ErrorKind::LocalFailed, format!("{address}: {error}")))
 }
 
-/// Answers requests until `token` is cancelled, then finishes the open ones.
+/// Answers requests until `token` is cancelled, then closes the listener and finishes the open
+/// requests.
 ///
 /// `bounds` is called for each new connection.
 pub async fn serve_http<A, F, B, L>(
@@ -73,6 +74,8 @@
             }
         }
     }
+    // Callers that connect from now on are refused at once and go elsewhere.
+    drop(listener);
     connections.close();
     connections.wait().await;
 }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -87,7 +87,8 @@
     }
 }
 
-/// Serves peers until `token` is cancelled, then waits for open exchanges to finish.
+/// Serves peers until `token` is cancelled, then closes the listener and waits for open exchanges
+/// to finish.
 ///
 /// `handle` runs in a separate task for each exchange. `on_error` is called for
 /// each connection that is refused, fails its handshake or is closed as idle,
@@ -147,6 +148,8 @@
             drop(permit);
         });
     }
+    // Peers that connect from now on are refused at once and go elsewhere.
+    drop(listener);
     tracker.close();
     tracker.wait().await;
 }
