--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -40,6 +40,8 @@
     pub kind: &'static str,
     /// Timeout and latency objective.
     pub times: (&'static str, &'static str),
+    /// Rank; 0 is the highest.
+    pub priority: u8,
 }
 
 /// A request with all that the requester and the servers saw of it.
@@ -131,9 +133,10 @@
             .iter()
             .map(|route| {
                 let (name, service, kind) = (route.name, route.service, route.kind);
+                let priority = route.priority;
                 let (timeout, objective) = route.times;
                 format!(
-                    r#""{name}":{{"host":"{HOST}","path_prefix":"/{name}/","service":"{service}","kind":"{kind}","timeout":"{timeout}","target_latency":"{objective}","max_attempts":2,"priority":1}}"#
+                    r#""{name}":{{"host":"{HOST}","path_prefix":"/{name}/","service":"{service}","kind":"{kind}","timeout":"{timeout}","target_latency":"{objective}","max_attempts":2,"priority":{priority}}}"#
                 )
             })
             .collect();
--- a/review/standins-2/src/scenarios.rs
+++ b/review/standins-2/src/scenarios.rs
@@ -4,6 +4,7 @@
 mod foreign_report;
 mod late_report;
 mod memory;
+mod new_route;
 mod stop;
 
 use std::thread;
@@ -27,6 +28,7 @@
         "stop" => stop::play(trouble, record),
         "late-report" => late_report::play(trouble, record),
         "endless" => endless::play(trouble, record),
+        "new-route" => new_route::play(trouble, record),
         "memory" => memory::play(trouble, record),
         "foreign-report" => foreign_report::play(trouble, record),
         other => Err(format!("unknown scenario {other}")),
--- a/review/standins-2/src/scenarios/endless.rs
+++ b/review/standins-2/src/scenarios/endless.rs
@@ -25,6 +25,7 @@
         service,
         kind: "safe",
         times: ("1500ms", "500ms"),
+        priority: 1,
     };
     fleet.publish(&[route("status", "printdesk"), route("album", "gallery")]);
     let start = |machine, name| {
--- a/review/standins-2/src/scenarios/foreign_report.rs
+++ b/review/standins-2/src/scenarios/foreign_report.rs
@@ -22,6 +22,7 @@
         service,
         kind: "safe",
         times: ("1500ms", "500ms"),
+        priority: 1,
     };
     let first_routes = [route("gallery", "gallery"), route("checkout", "checkout")];
     fleet.publish(&first_routes);
--- a/review/standins-2/src/scenarios/late_report.rs
+++ b/review/standins-2/src/scenarios/late_report.rs
@@ -23,6 +23,7 @@
         service: "checkout",
         kind: "safe",
         times: ("1500ms", "500ms"),
+        priority: 1,
     }]);
     let start = |machine, name| {
         fleet
--- a/review/standins-2/src/scenarios/memory.rs
+++ b/review/standins-2/src/scenarios/memory.rs
@@ -32,6 +32,7 @@
         service: "printdesk",
         kind,
         times: ("1500ms", "1000ms"),
+        priority: 1,
     };
     fleet.publish(&[route("status", "safe"), route("photos", "upload")]);
     let start = |machine, name| {
--- a/review/standins-2/src/scenarios/stop.rs
+++ b/review/standins-2/src/scenarios/stop.rs
@@ -27,6 +27,7 @@
         service: "deals",
         kind: "unsafe",
         times: ("8s", "2s"),
+        priority: 1,
     }]);
     let start = |machine, name| {
         fleet
