--- a/review/standins-2/src/scenarios.rs
+++ b/review/standins-2/src/scenarios.rs
@@ -2,6 +2,7 @@
 
 mod endless;
 mod foreign_report;
+mod freeze;
 mod late_report;
 mod memory;
 mod new_route;
@@ -29,6 +30,7 @@
         "late-report" => late_report::play(trouble, record),
         "endless" => endless::play(trouble, record),
         "new-route" => new_route::play(trouble, record),
+        "freeze" => freeze::play(trouble, record),
         "memory" => memory::play(trouble, record),
         "foreign-report" => foreign_report::play(trouble, record),
         other => Err(format!("unknown scenario {other}")),
