--- a/review/standins-2/src/caller.rs
+++ b/review/standins-2/src/caller.rs
@@ -1,4 +1,4 @@
-//! Requesters, with a new connection for each request or a kept one.
+//! Requesters: one request on a new connection.
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -50,32 +50,6 @@
     }
 }
 
-/// A connection that a requester keeps for several requests.
-#[derive(Debug)]
-pub struct KeptConnection(Connection);
-
-impl KeptConnection {
-    /// Connects to a daemon.
-    pub fn open(address: SocketAddr, wait: Duration) -> io::Result<Self> {
-        let socket = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)?;
-        socket.set_read_timeout(Some(wait))?;
-        Ok(Self(Connection::new(socket)))
-    }
-
-    /// Sends a request and reads its answer.
-    pub fn call(&mut self, method: &str, path: &str, headers: &[(&str, &str)]) -> Answer {
-        let mut sent = Instant::now();
-        let result = self
-            .0
-            .write(&request(method, path, headers, b""))
-            .and_then(|()| {
-                sent = Instant::now();
-                self.0.read()
-            });
-        Answer::new(result, sent)
-    }
-}
-
 /// Sends a request on a new connection and reads its answer within `wait`.
 pub fn call(
     address: SocketAddr,
--- a/review/standins-2/src/machine.rs
+++ b/review/standins-2/src/machine.rs
@@ -191,24 +191,6 @@
             .ok_or_else(|| "kill failed".to_owned())
     }
 
-    /// Returns the anonymous resident memory of the daemon in bytes; 0 if it does not run. Its
-    /// program text does not count.
-    pub fn memory(&self) -> u64 {
-        let child = self.child.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(id) = child.as_ref().map(Child::id) else {
-            return 0;
-        };
-        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("RssAnon:"));
-        let kilobytes = line.and_then(|line| line.split_whitespace().next());
-        kilobytes
-            .and_then(|text| text.parse::<u64>().ok())
-            .unwrap_or(0)
-            * 1024
-    }
-
     /// Returns whether the daemon has ended.
     pub fn has_ended(&self) -> bool {
         let mut child = self.child.lock().unwrap_or_else(PoisonError::into_inner);
