--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Plays the scenario `new-route` and records it in this folder; TROUBLE=0 leaves the disruption out.
+# Plays the scenario `freeze` and records it in this folder; TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/scenario
 [ -x "$program" ] && [ -x target/release/quetzald ] || exit 2
-exec "$program" new-route review/7/record.txt
+exec "$program" freeze review/7/record.txt
--- a/review/standins-2/src/scenarios.rs
+++ b/review/standins-2/src/scenarios.rs
@@ -1,10 +1,9 @@
 //! The scenarios, each with the check of one rule.
 
 mod endless;
-mod foreign_report;
 mod freeze;
 mod late_report;
-mod memory;
+mod limit;
 mod new_route;
 mod stop;
 
@@ -31,8 +30,7 @@
         "endless" => endless::play(trouble, record),
         "new-route" => new_route::play(trouble, record),
         "freeze" => freeze::play(trouble, record),
-        "memory" => memory::play(trouble, record),
-        "foreign-report" => foreign_report::play(trouble, record),
+        "limit" => limit::play(trouble, record),
         other => Err(format!("unknown scenario {other}")),
     }
 }
--- a/review/standins-2/src/scenarios/freeze.rs
+++ b/review/standins-2/src/scenarios/freeze.rs
@@ -15,7 +15,7 @@
 
 /// Plays the scenario.
 pub fn play(trouble: bool, record: &Record) -> Result<Verdict, String> {
-    let plans = [("zone-a", "printdesk"), ("zone-b", "gallery")];
+    let plans = [("zone-a", "checkout"), ("zone-b", "gallery")];
     let fleet = Fleet::new(&plans, SMALL_BOUNDS, record).map_err(|error| error.to_string())?;
     let route = |name, service, times| RoutePlan {
         name,
@@ -25,30 +25,30 @@
         priority: 1,
     };
     let albums = route("albums", "gallery", ("1200ms", "400ms"));
-    let orders = route("orders", "printdesk", ("1s", "400ms"));
+    let prices = route("prices", "checkout", ("400ms", "120ms"));
     fleet.publish(&[albums]);
     let start = |machine, name| {
         fleet
             .start_target(machine, name)
             .map_err(|error| error.to_string())
     };
-    let _printdesk = start(0, "i-printdesk-1")?;
+    let _checkout = start(0, "i-checkout-1")?;
     let _gallery = start(1, "i-gallery-1")?;
     fleet.start_daemons()?;
     std::thread::sleep(Duration::from_secs(3));
-    fleet.publish(&[albums, orders]);
+    fleet.publish(&[albums, prices]);
     std::thread::sleep(Duration::from_secs(3));
-    let stream = |machine, path, interval| Traffic {
+    let stream = |machine, path, deadline, interval| Traffic {
         machine,
         method: "GET",
         path,
-        deadline: Duration::from_secs(1),
+        deadline: Duration::from_millis(deadline),
         interval: Duration::from_millis(interval),
     };
     let streams = [
-        stream(0, "/albums/work-60/photo", 200),
-        stream(1, "/albums/work-60/photo", 200),
-        stream(1, "/orders/work-150/status", 17),
+        stream(0, "/albums/work-120/photo", 2500, 200),
+        stream(1, "/albums/work-120/photo", 2500, 200),
+        stream(1, "/prices/work-50/print", 400, 12),
     ];
     send_during(&fleet, &streams, Duration::from_secs(3) + FROZEN, || {
         std::thread::sleep(Duration::from_secs(3));
@@ -64,7 +64,7 @@
     let judged_from = Instant::now() + SETTLED;
     send_during(&fleet, &streams, SETTLED + JUDGED, || {});
     let calls = fleet.calls();
-    let is_later = |path: &str| path.starts_with("/orders/");
+    let is_later = |path: &str| path.starts_with("/prices/");
     let (served, later) = count_served(&calls, |call| {
         call.began >= judged_from && is_later(&call.path)
     });
--- a/review/standins-2/src/target.rs
+++ b/review/standins-2/src/target.rs
@@ -32,6 +32,8 @@
 pub struct Run {
     /// Id of the request.
     pub id: String,
+    /// When it began.
+    pub began: Instant,
     /// When the answer was sent; none while it runs or if the connection closed first.
     pub answered: Option<Instant>,
     /// When the server saw that the connection had closed during the run.
@@ -57,6 +59,9 @@
     beating: AtomicBool,
     ended: AtomicBool,
     in_trouble: AtomicBool,
+    unhealthy: AtomicBool,
+    /// Value of `Server-Limit` in all answers; 0 for none.
+    limit: AtomicU32,
     sockets: Mutex<Vec<TcpStream>>,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
@@ -98,6 +103,8 @@
             beating: AtomicBool::new(true),
             ended: AtomicBool::new(false),
             in_trouble: AtomicBool::new(false),
+            unhealthy: AtomicBool::new(false),
+            limit: AtomicU32::new(0),
             sockets: Mutex::default(),
             runs,
             record: record.clone(),
@@ -140,6 +147,24 @@
         self.state.in_trouble.store(in_trouble, Ordering::SeqCst);
     }
 
+    /// Sets whether the liveness check fails.
+    pub fn set_unhealthy(&self, unhealthy: bool) {
+        let name = &self.state.name;
+        self.state
+            .record
+            .line(&format!("server {name}: liveness check fails {unhealthy}"));
+        self.state.unhealthy.store(unhealthy, Ordering::SeqCst);
+    }
+
+    /// Sets the requests a second that all answers name as the limit.
+    pub fn set_limit(&self, limit: u32) {
+        let name = &self.state.name;
+        self.state
+            .record
+            .line(&format!("server {name}: names the limit {limit}"));
+        self.state.limit.store(limit, Ordering::SeqCst);
+    }
+
     /// Returns the next status report as sent on the wire, to be delivered later.
     pub fn next_report(&self) -> LateReport {
         let sequence = self.state.sequence.fetch_add(1, Ordering::SeqCst) + 1;
@@ -272,9 +297,16 @@
         running.min(SLOTS),
         running.saturating_sub(SLOTS)
     );
+    let limit = state.limit.load(Ordering::SeqCst).to_string();
     if request.target() == "/health" {
-        let headers = [("X-Instance-Id", &*state.name), ("X-Server-Load", &load)];
-        return Some(response(200, &headers, b""));
+        let status = if state.unhealthy.load(Ordering::SeqCst) {
+            503
+        } else {
+            200
+        };
+        let mut headers = vec![("X-Instance-Id", &*state.name), ("X-Server-Load", &load)];
+        headers.extend(limit_header(&limit));
+        return Some(response(status, &headers, b""));
     }
     let id = request.header("x-request-id").to_owned();
     let expected = request.header("x-expected-instance");
@@ -301,15 +333,21 @@
             state.name
         );
         let signature = format!("{}.{id}.{}", state.name, body.len());
-        let headers = [
+        let mut headers = vec![
             ("X-Request-Id", &*id),
             ("X-Response-Signature", &signature),
             ("X-Server-Load", &load),
         ];
+        headers.extend(limit_header(&limit));
         response(200, &headers, body.as_bytes())
     })
 }
 
+/// Returns the header in which a server in need names its limit; none for `0`.
+fn limit_header(limit: &str) -> Option<(&'static str, &str)> {
+    (limit != "0").then_some(("Server-Limit", limit))
+}
+
 /// Works for the time that the path names; returns false if the connection closed meanwhile.
 fn run(state: &State, request: &Message, id: &str, connection: &Connection) -> bool {
     let began = Instant::now();
@@ -317,6 +355,7 @@
         let mut runs = lock(&state.runs);
         runs.push(Run {
             id: id.to_owned(),
+            began,
             answered: None,
             dropped: None,
         });
