--- a/review/standins-2/src/scenarios/stop.rs
+++ b/review/standins-2/src/scenarios/stop.rs
@@ -52,7 +52,7 @@
             fleet.machines[0].signal("TERM")?;
         }
         std::thread::sleep(LONG_AFTER);
-        // A run of 5.2 s: the site lets work take 3,900 ms and servers be slower by up to 1 / 0.7.
+        // A run of 5.2 s: the site lets work take 3,900 ms, on servers of different speed.
         let long = fleet.send(0, "POST", "/deals/work-5200/long", b"order", DEADLINE);
         let left = GRACE.saturating_sub(stopped_at.elapsed());
         std::thread::sleep(left);
