Stop accepting every request 2.75 s after the start of a stop

Cause: the time in which all requests are accepted, whatever their deadline, was half of the time until connections close, 4.8 s with a grace period of 10 s. It has to last only until callers have moved away, which does not depend on the grace period.

Change: that time ends after 2.75 s at the latest. Later requests are accepted only if their callers stop waiting before the final answers are sent; the others are refused with 503 and have not run.

--- a/crates/mesh/src/stop.rs
+++ b/crates/mesh/src/stop.rs
@@ -33,6 +33,9 @@
 /// Fraction of the time until connections are closed in which all requests are accepted; they
 /// mostly end within the rest.
 const ACCEPT_ALL_FRACTION: f32 = 0.5;
+/// Maximum time in which all requests are accepted, however long the grace period is. Callers move
+/// away within 3 s of the signal, which may reach the daemon late.
+const ACCEPT_ALL_TIME: Duration = Duration::from_millis(2750);
 /// Time from the end of the process until the restarted daemon accepts requests.
 const RESTART_TIME: Duration = Duration::from_secs(1);
 
@@ -109,8 +112,8 @@
     pub fn admit(&self, now: Instant, deadline: Instant) -> Result<(), Duration> {
         let cutoff = self.cutoff();
         let span = cutoff.saturating_duration_since(self.started);
-        let early = now < self.started + span.mul_f32(ACCEPT_ALL_FRACTION);
-        if early || deadline <= self.answers_due() {
+        let accept_all = span.mul_f32(ACCEPT_ALL_FRACTION).min(ACCEPT_ALL_TIME);
+        if now < self.started + accept_all || deadline <= self.answers_due() {
             return Ok(());
         }
         Err(cutoff.saturating_duration_since(now) + RESTART_TIME)
--- a/crates/mesh/tests/stop.rs
+++ b/crates/mesh/tests/stop.rs
@@ -61,6 +61,23 @@
     }
 }
 
+// Guards against a request that a daemon with a long grace period accepts though callers have had
+// time to move away, and breaks off at the end while its target is at work.
+#[test]
+fn a_long_grace_period_does_not_extend_the_time_in_which_all_requests_are_accepted() {
+    let started = Instant::now();
+    for grace in [3, 6, 10, 30, 120].map(Duration::from_secs) {
+        let plan = StopPlan::new(started, grace);
+        let outliving = plan.answers_due() + ms(1);
+        let mut after = Duration::from_secs(3);
+        while after < grace {
+            let decision = plan.admit(started + after, outliving);
+            assert!(decision.is_err(), "after {after:?} of {grace:?}");
+            after += ms(50);
+        }
+    }
+}
+
 #[test]
 fn all_requests_are_accepted_while_callers_move_away() {
     let started = Instant::now();
