Do not count pauses of the process as run time of its target

Cause: the gate measured the runs in progress over the freeze, five runs of 50 ms brought its mean to 4 s, and it refuses requests that have less than half of that left. The target had answered long before; its daemon had not read it.

Change: PauseDetector (mesh::pause) finds pauses of 0.3 s or more by the gap between two observations. Each use of the gate observes, so a pause is known before the first run after it ends. The gate ignores runs over a pause, for run times, failures and slowdown. The check in the membership loop that only logged pauses is replaced by it; the log line stays.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -22,7 +22,8 @@
 //!
 //! Run times are learned per route and corrected by the runs in progress: if
 //! these have already taken longer than usual, the target has slowed down,
-//! which is noticed long before any of them ends.
+//! which is noticed long before any of them ends. Runs during which the process paused
+//! are not learned from.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -33,6 +34,7 @@
 
 use crate::config::{CallPriority, RouteKey};
 use crate::pacer::RequestPacer;
+use crate::pause::ProcessPause;
 
 /// Weight of the latest run in a route's average run time.
 const RUN_WEIGHT: f32 = 0.1;
@@ -160,6 +162,8 @@
     failure_rate: f32,
     /// Recently admitted work by route.
     admitted: HashMap<RouteKey, AdmittedWork>,
+    /// End of the latest pause of the process.
+    paused_until: Option<Instant>,
 }
 
 /// Average number of slots used by the admitted requests of one route.
@@ -210,9 +214,18 @@
             ended: 0,
             failure_rate: 0.0,
             admitted: HashMap::new(),
+            paused_until: None,
         }
     }
 
+    /// Records the latest pause of the process.
+    ///
+    /// Nothing is learned from the runs that were in progress, since their targets may have ended
+    /// them at any time during the pause.
+    pub fn record_pause(&mut self, pause: ProcessPause) {
+        self.paused_until = Some(pause.until);
+    }
+
     /// Starts, queues or refuses a request.
     pub fn admit(&mut self, request: &GateRequest) -> GateDecision {
         let now = self.clock.now();
@@ -444,14 +457,19 @@
     ///
     /// At normal speed, runs in progress have on average taken half of their run time.
     fn slowdown(&self, now: Instant) -> f32 {
-        if self.running.len() < MIN_RUNNING {
+        let (mut count, mut progress) = (0, 0.0);
+        for call in self.running.values() {
+            if self.has_paused_since(call.since) {
+                continue;
+            }
+            let age = now.saturating_duration_since(call.since);
+            count += 1;
+            progress += age.as_secs_f32() / self.run_s(call.route).max(f32::MIN_POSITIVE);
+        }
+        if count < MIN_RUNNING {
             return 1.0;
         }
-        let progress = self.running.values().map(|call| {
-            let age = now.saturating_duration_since(call.since);
-            age.as_secs_f32() / self.run_s(call.route).max(f32::MIN_POSITIVE)
-        });
-        (progress.sum::<f32>() / self.running.len() as f32).max(1.0)
+        (progress / count as f32).max(1.0)
     }
 
     fn run_time(&self, route: RouteKey) -> Duration {
@@ -462,8 +480,16 @@
         self.run_s.get(&route).copied().unwrap_or(self.mean_s)
     }
 
+    /// Returns whether the process has paused since `start`.
+    fn has_paused_since(&self, start: Instant) -> bool {
+        self.paused_until.is_some_and(|until| start < until)
+    }
+
     /// Updates the failure rate and the run time of a route after a run.
     fn learn(&mut self, run: RunningCall, failed: bool, now: Instant) {
+        if self.has_paused_since(run.since) {
+            return;
+        }
         let failure = if failed { 1.0 } else { 0.0 };
         self.failure_rate += (failure - self.failure_rate) * FAILURE_WEIGHT;
         self.learn_time(run, failed, now);
@@ -476,7 +502,8 @@
     /// are cancelled.
     fn learn_time(&mut self, run: RunningCall, incomplete: bool, now: Instant) {
         let took = now.saturating_duration_since(run.since).as_secs_f32();
-        if incomplete && took <= self.run_s(run.route) {
+        let cut_short = incomplete && took <= self.run_s(run.route);
+        if cut_short || self.has_paused_since(run.since) {
             return;
         }
         self.ended = self.ended.saturating_add(1);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`RunLineage`] tracks which requests were made by a running request.
 //! - [`PriorityGate`] is the admission control of one target: it starts, queues
 //!   or refuses each request.
+//! - [`PauseDetector`] detects pauses of the process, over which nothing can be measured.
 //! - [`RequestPacer`] keeps the requests sent to one target within the limit that the target
 //!   names.
 //! - [`LinkGate`] keeps large bodies from saturating a slow link.
@@ -42,6 +43,7 @@
 pub mod link;
 pub mod local_target;
 pub mod pacer;
+pub mod pause;
 pub mod response;
 pub mod round_robin;
 pub mod stop;
@@ -66,6 +68,7 @@
     LocalTarget, ReportEffect, ReportedState, TargetLeave, TargetNotice, TargetReport,
 };
 pub use pacer::RequestPacer;
+pub use pause::{PauseDetector, ProcessPause};
 pub use response::ResponseLimit;
 pub use round_robin::WeightedRoundRobin;
 pub use stop::{StopConditions, StopPlan};
--- a/crates/mesh/tests/gate.rs
+++ b/crates/mesh/tests/gate.rs
@@ -9,7 +9,9 @@
 use members::ExecutionTimeLevel;
 use model::{CallCount, ClockPort, ErrorKind, FakeClock};
 use quetzal_mesh::gate::StartedCall;
-use quetzal_mesh::{CallPriority, GateDecision, GateRequest, PriorityGate, RouteKey};
+use quetzal_mesh::{
+    CallPriority, GateDecision, GateRequest, PauseDetector, PriorityGate, RouteKey,
+};
 use route::CallId;
 use support::ms;
 
@@ -262,6 +264,35 @@
     assert!(after > before * 4, "{before:?} to {after:?}");
 }
 
+// Guards against a freeze of the daemon that is taken for run time of the target, so that the gate
+// refuses a route whose requests cannot wait that long.
+#[test]
+fn a_pause_of_the_process_does_not_count_as_run_time() {
+    let clock = FakeClock::new();
+    let detector = PauseDetector::new(clock.shared());
+    let mut gate = PriorityGate::new(CallCount(12), clock.shared());
+    let request = |number| request_at(&clock, number, ("prices", 1), (120, 400));
+    for number in 0..100 {
+        assert_eq!(gate.admit(&request(number)), GateDecision::Start);
+        clock.advance(ms(50));
+        gate.release(CallId(number), false);
+        detector.observe();
+    }
+    let before = gate.mean_run_time();
+    for number in 100..105 {
+        assert_eq!(gate.admit(&request(number)), GateDecision::Start);
+    }
+    clock.advance(ms(4000));
+    gate.record_pause(detector.observe().expect("a pause"));
+    assert_eq!(gate.mean_run_time(), before, "the runs seem slow");
+    for number in 100..105 {
+        gate.release(CallId(number), number % 2 == 0);
+    }
+    assert_eq!(gate.mean_run_time(), before);
+    assert_eq!(gate.load().failing, 0, "the target did not fail them");
+    assert_eq!(gate.admit(&request(200)), GateDecision::Start);
+}
+
 #[test]
 fn the_gate_of_a_hanging_target_queues_no_more_requests() {
     // A target becomes twelve times slower while all its slots are taken.
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -8,7 +8,7 @@
 
 use mesh::{
     ActiveConfig, EntryThrottle, EraTracker, FleetRetryBudget, LinkGate, LocalTarget, MeshTable,
-    RouteKey, RunLineage, StopPlan, StoreEra, WaitTracker, WeightedRoundRobin,
+    PauseDetector, RouteKey, RunLineage, StopPlan, StoreEra, WaitTracker, WeightedRoundRobin,
 };
 use model::{DaemonId, IncarnationNumber, SharedClock};
 use once::HolderId;
@@ -76,6 +76,8 @@
     pub pool: Arc<PeerPool>,
     /// Connections to the target beside the daemon.
     pub target_client: TargetClient,
+    /// Pauses of this process.
+    pub pauses: Arc<PauseDetector>,
     /// Admission control in front of the target beside the daemon.
     pub gate: GateDesk,
     /// Source of the configuration and the time at which the store last confirmed it.
@@ -129,6 +131,7 @@
         let rng = SmallRng::from_rng(&mut rand::rng());
         let silence = settings.report_interval * MAX_MISSED_REPORTS;
         let holder = HolderId::new(id, incarnation);
+        let pauses = Arc::new(PauseDetector::new(Arc::clone(&clock)));
         Ok(Self {
             config_source: ConfigSource::default(),
             metrics: ProxyMetrics::new()?,
@@ -136,7 +139,8 @@
             incarnation,
             pool: Arc::new(PeerPool::new(limits)),
             target_client: TargetClient::new(settings.target_address),
-            gate: GateDesk::new(Arc::clone(&clock)),
+            gate: GateDesk::new(Arc::clone(&clock), Arc::clone(&pauses)),
+            pauses,
             link: LinkGate::new(settings.link_bytes_per_s),
             tasks: TaskTracker::new(),
             target_changed: Notify::new(),
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use mesh::gate::StartList;
-use mesh::{CallPriority, GateDecision, GateRequest, PriorityGate, RouteKey};
+use mesh::{CallPriority, GateDecision, GateRequest, PauseDetector, PriorityGate, RouteKey};
 use model::{CallCount, CallRate, ErrorKind, SharedClock};
 use route::{CallId, TargetLoad};
 use tokio::sync::{Notify, oneshot};
@@ -53,6 +53,7 @@
 /// State of the desk, shared with the places at it.
 struct DeskShared {
     state: Mutex<DeskState>,
+    pauses: Arc<PauseDetector>,
     /// Wakes [`GateDesk::serve_waiting`] when [`PriorityGate::next_due`] may have changed.
     due_changed: Notify,
 }
@@ -73,7 +74,7 @@
 
 impl GateDesk {
     /// Creates a closed gate: no target is known yet, so nothing is admitted.
-    pub fn new(clock: SharedClock) -> Self {
+    pub fn new(clock: SharedClock, pauses: Arc<PauseDetector>) -> Self {
         let state = DeskState {
             gate: PriorityGate::new(CallCount(0), Arc::clone(&clock)),
             waiters: HashMap::new(),
@@ -81,6 +82,7 @@
         Self {
             shared: Arc::new(DeskShared {
                 state: Mutex::new(state),
+                pauses,
                 due_changed: Notify::new(),
             }),
             clock,
@@ -219,8 +221,13 @@
 }
 
 impl DeskShared {
+    /// Locks the state, with the gate told of the latest pause of the process.
     fn lock(&self) -> MutexGuard<'_, DeskState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pause) = self.pauses.observe() {
+            state.gate.record_pause(pause);
+        }
+        state
     }
 
     /// Wakes [`GateDesk::serve_waiting`] after a slot was released, if requests wait for the
--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -32,8 +32,6 @@
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of unacknowledged messages to one daemon.
 const MAX_IN_FLIGHT: usize = 4;
-/// Delay of a tick above which a pause is logged; requests are answered late by as much.
-const PAUSE_LOG_THRESHOLD: Duration = Duration::from_millis(300);
 /// Minimum interval between announcements of the run time, as each goes to the whole fleet.
 const RUN_TIME_INTERVAL: Duration = Duration::from_secs(2);
 /// Age assumed for a target whose start time is unknown, which counts as warmed up.
@@ -111,8 +109,6 @@
     /// Era of the store in which this daemon's record was last written.
     record_era: Option<EraTagged<()>>,
     read_at: Option<Instant>,
-    /// Time of the last tick.
-    last_tick: Instant,
     /// Run time of the local target as last announced.
     run_time: ExecutionTimeLevel,
     run_time_announced_at: Instant,
@@ -130,7 +126,6 @@
             view_changed: true,
             record_era: None,
             read_at: None,
-            last_tick: Instant::now(),
             run_time: ExecutionTimeLevel::default(),
             run_time_announced_at: Instant::now(),
         }
@@ -145,7 +140,6 @@
         loop {
             tokio::select! {
                 _ = ticks.tick() => {
-                    self.log_pause();
                     self.announce_run_time();
                     self.rewrite_lost_record();
                     let outputs = self.node.on_tick();
@@ -202,15 +196,6 @@
         }
     }
 
-    /// Logs a pause in which the process was not scheduled, which explains late answers.
-    fn log_pause(&mut self) {
-        let now = Instant::now();
-        let passed = now.saturating_duration_since(std::mem::replace(&mut self.last_tick, now));
-        if passed > TICK_INTERVAL + PAUSE_LOG_THRESHOLD {
-            log::warn!(paused_ms = passed.as_millis() as u64; "the daemon was held up");
-        }
-    }
-
     /// Announces the run time of the local target when it has changed.
     fn announce_run_time(&mut self) {
         let Some(run) = self.core.gate.mean_run_time() else {
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mesh::pause::OBSERVE_INTERVAL;
 use mesh::{CallerLimits, StopConditions, StopPlan};
 use model::SharedClock;
 use tokio::net::TcpListener;
@@ -132,6 +133,7 @@
     tracker.spawn(watch_target(Arc::clone(core), running.background.clone()));
     tracker.spawn(watch_suspects(Arc::clone(core), running.background.clone()));
     tracker.spawn(serve_waiting(Arc::clone(core), running.background.clone()));
+    tracker.spawn(watch_pauses(Arc::clone(core), running.background.clone()));
     let inbound = serve_inbound(
         Arc::clone(core),
         sender,
@@ -167,6 +169,26 @@
     }
 }
 
+/// Keeps the detector of pauses up to date and logs pauses, which explain late answers.
+async fn watch_pauses(core: Arc<ProxyCore>, token: CancellationToken) {
+    let watching = async {
+        let mut logged = None;
+        loop {
+            sleep(OBSERVE_INTERVAL).await;
+            let latest = core.pauses.observe();
+            if let Some(pause) = latest.filter(|_| latest != logged) {
+                let paused_ms = pause.length.as_millis() as u64;
+                log::warn!(paused_ms; "the daemon was held up");
+                logged = latest;
+            }
+        }
+    };
+    tokio::select! {
+        () = watching => {}
+        () = token.cancelled() => {}
+    }
+}
+
 fn caller_bounds(core: &ProxyCore) -> ConnectionBounds {
     let table = core.table();
     let limits = table.map_or_else(CallerLimits::default, |table| *table.limits());
