--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -35,20 +35,10 @@
 use crate::config::{CallPriority, RouteKey};
 use crate::pacer::RequestPacer;
 use crate::pause::ProcessPause;
+use crate::run_time::RunTimes;
 
-/// Weight of the latest run in a route's average run time.
-const RUN_WEIGHT: f32 = 0.1;
-/// Weight of the latest run in the mean run time that is published to the fleet. The time is
-/// published rounded to a level, and each change of the level is sent to all daemons. The weight
-/// is low because single runs differ by more than one level.
-const PUBLISHED_WEIGHT: f32 = 0.03;
-/// Factor between the short-term and the published mean from which the short-term mean is
-/// published instead.
-const PUBLISHED_FACTOR: f32 = 2.0;
 /// Weight of the latest run in the failure rate.
 const FAILURE_WEIGHT: f32 = 0.1;
-/// Run time assumed before any request has ended, in seconds.
-const INITIAL_RUN_S: f32 = 0.05;
 /// Fraction of the time between objective and deadline that a nested call may use; its
 /// response remains useful until the deadline.
 const NESTED_LATE_FRACTION: f32 = 0.8;
@@ -58,9 +48,6 @@
 const MIN_FREE_FRACTION: f32 = 0.05;
 /// Minimum number of runs in progress to detect a slowdown; a single long run is common.
 const MIN_RUNNING: usize = 3;
-/// Minimum number of completed runs before their mean run time is published; with fewer, the
-/// assumed run time weighs too much.
-const MIN_ENDED: u32 = 20;
 /// Maximum number of waiting requests per slot, which bounds memory.
 const WAITING_PER_SLOT: usize = 16;
 /// Maximum retry delay of a refused request, as a fraction of the time left until it must
@@ -150,14 +137,7 @@
     running: HashMap<CallId, RunningCall>,
     waiting: BTreeMap<QueueKey, WaitingCall>,
     arrivals: u64,
-    /// Mean run time by route, in seconds.
-    run_s: HashMap<RouteKey, f32>,
-    /// Mean run time of all routes, in seconds.
-    mean_s: f32,
-    /// The same averaged over more runs, for publication to the fleet.
-    published_s: f32,
-    /// Number of runs that the means were learned from.
-    ended: u32,
+    run_times: RunTimes,
     /// Moving average of the failure rate, from 0 to 1.
     failure_rate: f32,
     /// Recently admitted work by route.
@@ -208,10 +188,7 @@
             running: HashMap::new(),
             waiting: BTreeMap::new(),
             arrivals: 0,
-            run_s: HashMap::new(),
-            mean_s: INITIAL_RUN_S,
-            published_s: INITIAL_RUN_S,
-            ended: 0,
+            run_times: RunTimes::default(),
             failure_rate: 0.0,
             admitted: HashMap::new(),
             paused_until: None,
@@ -232,7 +209,7 @@
         if self.draining || self.slots == 0 {
             return Self::refusal(ErrorKind::Draining, Duration::ZERO);
         }
-        let run_time = self.run_time(request.route);
+        let run_time = Duration::from_secs_f32(self.run_times.mean_s(request.route));
         // The shortest runs are assumed to take half of the usual time.
         if now + run_time.mul_f32(0.5) >= request.deadline {
             return Self::refusal(ErrorKind::DeadlineExceeded, Duration::ZERO);
@@ -379,17 +356,9 @@
     /// Returns the mean run time of all routes to publish, corrected by the slowdown of the runs
     /// in progress, or `None` until enough runs have ended.
     pub fn mean_run_time(&self) -> Option<Duration> {
+        let mean_s = self.run_times.published_s()?;
         let slowdown = self.slowdown(self.clock.now());
-        // A change larger than single runs cause is published at once.
-        let ratio = self.mean_s / self.published_s;
-        let steady = (1.0 / PUBLISHED_FACTOR..PUBLISHED_FACTOR).contains(&ratio);
-        let mean = if steady {
-            self.published_s
-        } else {
-            self.mean_s
-        };
-        let known = self.ended >= MIN_ENDED;
-        known.then(|| Duration::from_secs_f32(mean * slowdown))
+        Some(Duration::from_secs_f32(mean_s * slowdown))
     }
 
     /// Returns the time after which the queue may be short enough.
@@ -397,7 +366,7 @@
         let queued: f32 = self
             .waiting
             .values()
-            .map(|call| self.run_s(call.route))
+            .map(|call| self.run_times.mean_s(call.route))
             .sum();
         let slot_wait = Duration::from_secs_f32(queued / self.slots.max(1) as f32);
         let now = self.clock.now();
@@ -423,11 +392,13 @@
     fn expected_wait(&self, key: QueueKey, own_route: RouteKey, now: Instant) -> Duration {
         let ahead = self.waiting.range(..key);
         let ahead_count = ahead.clone().count();
-        let queued: f32 = ahead.map(|(_, call)| self.run_s(call.route)).sum();
+        let queued: f32 = ahead
+            .map(|(_, call)| self.run_times.mean_s(call.route))
+            .sum();
         let running: f32 = self
             .running
             .values()
-            .map(|call| self.run_s(call.route))
+            .map(|call| self.run_times.mean_s(call.route))
             .sum();
         let slots = self.slots as f32;
         // If the runs started at random times, the first of them ends after the mean run
@@ -441,7 +412,8 @@
                 // Earlier requests of the same route no longer need the limit, and those that wait
                 // are among those ahead.
                 if *route != own_route {
-                    urgent_rate += slots_used / self.run_s(*route).max(f32::MIN_POSITIVE);
+                    urgent_rate +=
+                        slots_used / self.run_times.mean_s(*route).max(f32::MIN_POSITIVE);
                 }
             }
         }
@@ -464,7 +436,8 @@
             }
             let age = now.saturating_duration_since(call.since);
             count += 1;
-            progress += age.as_secs_f32() / self.run_s(call.route).max(f32::MIN_POSITIVE);
+            progress +=
+                age.as_secs_f32() / self.run_times.mean_s(call.route).max(f32::MIN_POSITIVE);
         }
         if count < MIN_RUNNING {
             return 1.0;
@@ -472,14 +445,6 @@
         (progress / count as f32).max(1.0)
     }
 
-    fn run_time(&self, route: RouteKey) -> Duration {
-        Duration::from_secs_f32(self.run_s(route))
-    }
-
-    fn run_s(&self, route: RouteKey) -> f32 {
-        self.run_s.get(&route).copied().unwrap_or(self.mean_s)
-    }
-
     /// Returns whether the process has paused since `start`.
     fn has_paused_since(&self, start: Instant) -> bool {
         self.paused_until.is_some_and(|until| start < until)
@@ -502,20 +467,15 @@
     /// are cancelled.
     fn learn_time(&mut self, run: RunningCall, incomplete: bool, now: Instant) {
         let took = now.saturating_duration_since(run.since).as_secs_f32();
-        let cut_short = incomplete && took <= self.run_s(run.route);
+        let cut_short = incomplete && took <= self.run_times.mean_s(run.route);
         if cut_short || self.has_paused_since(run.since) {
             return;
         }
-        self.ended = self.ended.saturating_add(1);
-        self.mean_s += (took - self.mean_s) * RUN_WEIGHT;
-        let weight = PUBLISHED_WEIGHT.max(1.0 / self.ended as f32);
-        self.published_s += (took - self.published_s) * weight;
-        let mean = self.run_s.entry(run.route).or_insert(took);
-        *mean += (took - *mean) * RUN_WEIGHT;
+        self.run_times.learn(run.route, took);
     }
 
     fn record_admitted(&mut self, route: RouteKey, urgency: CallUrgency, now: Instant) {
-        let run_s = self.run_s(route);
+        let run_s = self.run_times.mean_s(route);
         let work = self.admitted.entry(route).or_insert(AdmittedWork {
             urgency,
             slots: 0.0,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod pause;
 pub mod response;
 pub mod round_robin;
+pub mod run_time;
 pub mod stop;
 pub mod table;
 pub mod throttle;
--- /dev/null
+++ b/crates/mesh/src/run_time.rs
@@ -0,0 +1,75 @@
+//! Run times of the requests at one target, learned from the runs that ended.
+
+use std::collections::HashMap;
+
+use crate::config::RouteKey;
+
+/// Weight of the latest run in a route's mean run time.
+const RUN_WEIGHT: f32 = 0.1;
+/// Weight of the latest run in the mean run time that is published to the fleet. The time is
+/// published rounded to a level, and each change of the level is sent to all daemons. The weight
+/// is low because single runs differ by more than one level.
+const PUBLISHED_WEIGHT: f32 = 0.03;
+/// Factor between the short-term and the published mean from which the short-term mean is
+/// published instead.
+const PUBLISHED_FACTOR: f32 = 2.0;
+/// Run time assumed before any request has ended, in seconds.
+const INITIAL_RUN_S: f32 = 0.05;
+/// Minimum number of runs before their mean run time is published; with fewer, the assumed run
+/// time weighs too much.
+const MIN_ENDED: u32 = 20;
+
+/// Run times of the requests at one target.
+#[derive(Clone, Debug)]
+pub struct RunTimes {
+    /// Mean run time by route, in seconds.
+    routes: HashMap<RouteKey, f32>,
+    /// Mean run time of all routes, in seconds.
+    mean_s: f32,
+    /// The same averaged over more runs, for publication to the fleet.
+    published_s: f32,
+    /// Number of runs that the means were learned from.
+    ended: u32,
+}
+
+impl Default for RunTimes {
+    fn default() -> Self {
+        Self {
+            routes: HashMap::new(),
+            mean_s: INITIAL_RUN_S,
+            published_s: INITIAL_RUN_S,
+            ended: 0,
+        }
+    }
+}
+
+impl RunTimes {
+    /// Returns the mean run time of a route in seconds; that of all routes if it has none.
+    pub fn mean_s(&self, route: RouteKey) -> f32 {
+        self.routes.get(&route).copied().unwrap_or(self.mean_s)
+    }
+
+    /// Returns the mean run time of all routes to publish, in seconds; `None` until enough runs
+    /// have ended.
+    pub fn published_s(&self) -> Option<f32> {
+        // A change larger than single runs cause is published at once.
+        let ratio = self.mean_s / self.published_s;
+        let steady = (1.0 / PUBLISHED_FACTOR..PUBLISHED_FACTOR).contains(&ratio);
+        let mean = if steady {
+            self.published_s
+        } else {
+            self.mean_s
+        };
+        (self.ended >= MIN_ENDED).then_some(mean)
+    }
+
+    /// Records a run of `route` that took `took_s` seconds.
+    pub fn learn(&mut self, route: RouteKey, took_s: f32) {
+        self.ended = self.ended.saturating_add(1);
+        self.mean_s += (took_s - self.mean_s) * RUN_WEIGHT;
+        let weight = PUBLISHED_WEIGHT.max(1.0 / self.ended as f32);
+        self.published_s += (took_s - self.published_s) * weight;
+        let mean = self.routes.entry(route).or_insert(took_s);
+        *mean += (took_s - *mean) * RUN_WEIGHT;
+    }
+}
