Expect nothing of a route from the run times of other routes

Cause: a route without runs was given the mean run time of all routes, and requests with less than half of it left are refused. A refused request teaches nothing, so the route never got a run time of its own.

Change: the run time expected of a route without runs is at most half of the time in which the request is useful. It is then never refused for its run time, and may queue.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -42,6 +42,9 @@
 /// Fraction of the time between objective and deadline that a nested call may use; its
 /// response remains useful until the deadline.
 const NESTED_LATE_FRACTION: f32 = 0.8;
+/// Maximum fraction of the time in which it is useful that a request of a route without runs is
+/// expected to take.
+const UNKNOWN_RUN_FRACTION: f32 = 0.5;
 /// Time constant of the exponential average of admitted work.
 const WORK_WINDOW: Duration = Duration::from_millis(500);
 /// Minimum fraction of the slots assumed to be left over by more urgent requests.
@@ -209,7 +212,7 @@
         if self.draining || self.slots == 0 {
             return Self::refusal(ErrorKind::Draining, Duration::ZERO);
         }
-        let run_time = Duration::from_secs_f32(self.run_times.mean_s(request.route));
+        let run_time = self.expected_run_time(request, now);
         // The shortest runs are assumed to take half of the usual time.
         if now + run_time.mul_f32(0.5) >= request.deadline {
             return Self::refusal(ErrorKind::DeadlineExceeded, Duration::ZERO);
@@ -385,6 +388,19 @@
         }
     }
 
+    /// Returns the run time to expect of a request.
+    ///
+    /// Runs of other routes do not show that one of a route without runs cannot end in time, and
+    /// only running it would show that it can.
+    fn expected_run_time(&self, request: &GateRequest, now: Instant) -> Duration {
+        let mean = Duration::from_secs_f32(self.run_times.mean_s(request.route));
+        if self.run_times.has_runs(request.route) {
+            return mean;
+        }
+        let time_left = latest_end(request).saturating_duration_since(now);
+        mean.min(time_left.mul_f32(UNKNOWN_RUN_FRACTION))
+    }
+
     /// Estimates the time until a request of `own_route` with `key` would start.
     ///
     /// More urgent requests that arrive in the meantime also go ahead, so only the slots, and
--- a/crates/mesh/src/run_time.rs
+++ b/crates/mesh/src/run_time.rs
@@ -49,6 +49,11 @@
         self.routes.get(&route).copied().unwrap_or(self.mean_s)
     }
 
+    /// Returns whether runs of `route` have ended.
+    pub fn has_runs(&self, route: RouteKey) -> bool {
+        self.routes.contains_key(&route)
+    }
+
     /// Returns the mean run time of all routes to publish, in seconds; `None` until enough runs
     /// have ended.
     pub fn published_s(&self) -> Option<f32> {
--- a/crates/mesh/tests/gate.rs
+++ b/crates/mesh/tests/gate.rs
@@ -264,6 +264,25 @@
     assert!(after > before * 4, "{before:?} to {after:?}");
 }
 
+// Guards against a new route that is refused for good because the requests of other routes take long.
+#[test]
+fn the_run_times_of_other_routes_do_not_refuse_a_route_without_runs() {
+    let clock = FakeClock::new();
+    let mut gate = PriorityGate::new(CallCount(2), clock.shared());
+    let booking = |number| request_at(&clock, number, ("booking", 2), (2000, 8000));
+    let lookup = |number| request_at(&clock, number, ("lookup", 1), (60, 200));
+    for number in 0..50 {
+        assert_eq!(gate.admit(&booking(number)), GateDecision::Start);
+        clock.advance(ms(520));
+        gate.release(CallId(number), false);
+    }
+    for number in 100..110 {
+        assert_eq!(gate.admit(&lookup(number)), GateDecision::Start);
+        clock.advance(ms(15));
+        gate.release(CallId(number), false);
+    }
+}
+
 // Guards against a freeze of the daemon that is taken for run time of the target, so that the gate
 // refuses a route whose requests cannot wait that long.
 #[test]
