Let one request at a time show that a route's run time is wrong

What callers could see: after some long runs of a route, whatever had made them long (a target that hung, a caller that read slowly), requests with less than half of the mean left were refused for good, and those with less than the mean left got no place in the queue, though the target was fast again.

Change: if a route's run time leaves a request no time that it would have by its objective, and no such request was tried in the last half second, it is admitted as if its run took half of that. The first run that ends then counts for a half of the mean in place of a tenth.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -130,6 +130,14 @@
     since: Instant,
 }
 
+/// Run time to expect of a request.
+#[derive(Clone, Copy, Debug)]
+struct ExpectedRun {
+    time: Duration,
+    /// Whether the request is to show that the run time of its route is wrong.
+    is_trial: bool,
+}
+
 /// Admission control of one target.
 #[derive(Debug)]
 pub struct PriorityGate {
@@ -212,12 +220,12 @@
         if self.draining || self.slots == 0 {
             return Self::refusal(ErrorKind::Draining, Duration::ZERO);
         }
-        let run_time = self.expected_run_time(request, now);
+        let expected = self.expected_run(request, now);
         // The shortest runs are assumed to take half of the usual time.
-        if now + run_time.mul_f32(0.5) >= request.deadline {
+        if now + expected.time.mul_f32(0.5) >= request.deadline {
             return Self::refusal(ErrorKind::DeadlineExceeded, Duration::ZERO);
         }
-        let slowed_run_time = run_time.mul_f32(self.slowdown(now));
+        let slowed_run_time = expected.time.mul_f32(self.slowdown(now));
         let start_by = latest_end(request)
             .checked_sub(slowed_run_time)
             .unwrap_or(now);
@@ -227,7 +235,7 @@
             slack: start_by.saturating_duration_since(now),
         };
         if self.waiting.is_empty() && self.may_start(now) {
-            self.record_admitted(request.route, urgency, now);
+            self.record_admitted(request, expected, urgency, now);
             self.start(request.call, request.route, now);
             return GateDecision::Start;
         }
@@ -248,7 +256,7 @@
             };
             return Self::refusal(ErrorKind::QueueFull, excess.min(max_delay));
         }
-        self.record_admitted(request.route, urgency, now);
+        self.record_admitted(request, expected, urgency, now);
         let waiting = WaitingCall {
             call: request.call,
             route: request.route,
@@ -391,14 +399,20 @@
     /// Returns the run time to expect of a request.
     ///
     /// Runs of other routes do not show that one of a route without runs cannot end in time, and
-    /// only running it would show that it can.
-    fn expected_run_time(&self, request: &GateRequest, now: Instant) -> Duration {
+    /// only running it would show that it can. The same holds for a run time that leaves the
+    /// requests of a route no time, so one of them runs now and then in spite of it. Only a request
+    /// whose objective is still ahead can show that the run time is wrong.
+    fn expected_run(&self, request: &GateRequest, now: Instant) -> ExpectedRun {
         let mean = Duration::from_secs_f32(self.run_times.mean_s(request.route));
-        if self.run_times.has_runs(request.route) {
-            return mean;
-        }
         let time_left = latest_end(request).saturating_duration_since(now);
-        mean.min(time_left.mul_f32(UNKNOWN_RUN_FRACTION))
+        let assumed = mean.min(time_left.mul_f32(UNKNOWN_RUN_FRACTION));
+        let is_early = now < request.objective && request.objective <= request.deadline;
+        let is_trial = mean > time_left && is_early && self.run_times.may_try(request.route, now);
+        let is_known = self.run_times.has_runs(request.route);
+        ExpectedRun {
+            time: if is_known && !is_trial { mean } else { assumed },
+            is_trial,
+        }
     }
 
     /// Estimates the time until a request of `own_route` with `key` would start.
@@ -487,12 +501,22 @@
         if cut_short || self.has_paused_since(run.since) {
             return;
         }
-        self.run_times.learn(run.route, took);
-    }
-
-    fn record_admitted(&mut self, route: RouteKey, urgency: CallUrgency, now: Instant) {
-        let run_s = self.run_times.mean_s(route);
-        let work = self.admitted.entry(route).or_insert(AdmittedWork {
+        self.run_times.learn(run.route, took, now);
+    }
+
+    fn record_admitted(
+        &mut self,
+        request: &GateRequest,
+        expected: ExpectedRun,
+        urgency: CallUrgency,
+        now: Instant,
+    ) {
+        if expected.is_trial {
+            self.run_times
+                .begin_trial(request.route, latest_end(request));
+        }
+        let run_s = self.run_times.mean_s(request.route);
+        let work = self.admitted.entry(request.route).or_insert(AdmittedWork {
             urgency,
             slots: 0.0,
             updated_at: now,
--- a/crates/mesh/src/run_time.rs
+++ b/crates/mesh/src/run_time.rs
@@ -1,11 +1,22 @@
 //! Run times of the requests at one target, learned from the runs that ended.
+//!
+//! The gate refuses requests by these times, and a request that is refused teaches
+//! nothing. A run time that leaves a route's requests no time is therefore put to
+//! the test: now and then one request runs in spite of it, and its run counts
+//! for more than others.
 
 use std::collections::HashMap;
+use std::time::{Duration, Instant};
 
 use crate::config::RouteKey;
 
 /// Weight of the latest run in a route's mean run time.
 const RUN_WEIGHT: f32 = 0.1;
+/// Weight of the first run after a trial has begun, so that few of them correct a mean.
+const TRIAL_WEIGHT: f32 = 0.5;
+/// Minimum pause between two trials of a route; a trial takes a slot from requests that are likely
+/// to be served.
+const TRIAL_PAUSE: Duration = Duration::from_millis(500);
 /// Weight of the latest run in the mean run time that is published to the fleet. The time is
 /// published rounded to a level, and each change of the level is sent to all daemons. The weight
 /// is low because single runs differ by more than one level.
@@ -22,8 +33,7 @@
 /// Run times of the requests at one target.
 #[derive(Clone, Debug)]
 pub struct RunTimes {
-    /// Mean run time by route, in seconds.
-    routes: HashMap<RouteKey, f32>,
+    routes: HashMap<RouteKey, RouteTime>,
     /// Mean run time of all routes, in seconds.
     mean_s: f32,
     /// The same averaged over more runs, for publication to the fleet.
@@ -32,6 +42,17 @@
     ended: u32,
 }
 
+/// Run time of one route.
+#[derive(Clone, Copy, Debug)]
+struct RouteTime {
+    /// Mean in seconds.
+    mean_s: f32,
+    /// Whether a trial has begun and no run has ended since.
+    in_trial: bool,
+    /// Time before which no trial may begin.
+    next_trial: Instant,
+}
+
 impl Default for RunTimes {
     fn default() -> Self {
         Self {
@@ -46,7 +67,8 @@
 impl RunTimes {
     /// Returns the mean run time of a route in seconds; that of all routes if it has none.
     pub fn mean_s(&self, route: RouteKey) -> f32 {
-        self.routes.get(&route).copied().unwrap_or(self.mean_s)
+        let known = self.routes.get(&route);
+        known.map_or(self.mean_s, |time| time.mean_s)
     }
 
     /// Returns whether runs of `route` have ended.
@@ -68,13 +90,39 @@
         (self.ended >= MIN_ENDED).then_some(mean)
     }
 
-    /// Records a run of `route` that took `took_s` seconds.
-    pub fn learn(&mut self, route: RouteKey, took_s: f32) {
+    /// Returns whether a request of `route` may run though its run time leaves it no time.
+    pub fn may_try(&self, route: RouteKey, now: Instant) -> bool {
+        self.routes
+            .get(&route)
+            .is_some_and(|time| now >= time.next_trial)
+    }
+
+    /// Records that such a request was admitted, which ends by `until`.
+    pub fn begin_trial(&mut self, route: RouteKey, until: Instant) {
+        if let Some(time) = self.routes.get_mut(&route) {
+            time.in_trial = true;
+            time.next_trial = until + TRIAL_PAUSE;
+        }
+    }
+
+    /// Records a run of `route` that took `took_s` seconds and ended at `now`.
+    pub fn learn(&mut self, route: RouteKey, took_s: f32, now: Instant) {
         self.ended = self.ended.saturating_add(1);
         self.mean_s += (took_s - self.mean_s) * RUN_WEIGHT;
         let weight = PUBLISHED_WEIGHT.max(1.0 / self.ended as f32);
         self.published_s += (took_s - self.published_s) * weight;
-        let mean = self.routes.entry(route).or_insert(took_s);
-        *mean += (took_s - *mean) * RUN_WEIGHT;
+        let time = self.routes.entry(route).or_insert(RouteTime {
+            mean_s: took_s,
+            in_trial: false,
+            next_trial: now,
+        });
+        let weight = if time.in_trial {
+            TRIAL_WEIGHT
+        } else {
+            RUN_WEIGHT
+        };
+        time.mean_s += (took_s - time.mean_s) * weight;
+        time.in_trial = false;
+        time.next_trial = time.next_trial.min(now + TRIAL_PAUSE);
     }
 }
--- a/crates/mesh/tests/gate.rs
+++ b/crates/mesh/tests/gate.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use members::ExecutionTimeLevel;
 use model::{CallCount, ClockPort, ErrorKind, FakeClock};
@@ -283,6 +283,83 @@
     }
 }
 
+/// Learns of `count` runs of a route with its priority, each `run_time` long.
+fn run_alone(
+    gate: &mut PriorityGate,
+    clock: &FakeClock,
+    route: (&str, u8),
+    count: u64,
+    run_time: Duration,
+) {
+    for number in 0..count {
+        let request = request_at(clock, 1_000_000 + number, route, (60_000, 60_000));
+        assert_eq!(gate.admit(&request), GateDecision::Start);
+        clock.advance(run_time);
+        gate.release(request.call, false);
+    }
+}
+
+/// Sends a request every 10 ms for `length`, whose callers wait for 400 ms and whose runs take
+/// `run_time`; returns how many were sent, how many started and how many ended in time.
+fn count_runs(
+    gate: &mut PriorityGate,
+    clock: &FakeClock,
+    length: Duration,
+    run_time: Duration,
+) -> (usize, usize, usize) {
+    let started_at = clock.now();
+    let (mut sent, mut started, mut served) = (0, 0, 0);
+    let mut running: Vec<(Instant, CallId)> = Vec::new();
+    while clock.now() - started_at < length {
+        sent += 1;
+        let request = request_at(clock, sent, ("prices", 1), (120, 400));
+        if gate.admit(&request) == GateDecision::Start {
+            started += 1;
+            running.push((clock.now(), request.call));
+        }
+        clock.advance(ms(10));
+        running.retain(|(since, call)| {
+            let age = clock.now() - *since;
+            if age < run_time.min(ms(400)) {
+                return true;
+            }
+            if age < ms(400) {
+                served += 1;
+                gate.release(*call, false);
+            } else {
+                gate.cancel(*call);
+            }
+            false
+        });
+    }
+    (sent as usize, started, served)
+}
+
+// Guards against a route that is refused for good after some long runs, whatever made them long, since
+// a refused request cannot show that the target is fast again.
+#[test]
+fn a_route_is_served_again_after_its_runs_were_long() {
+    let clock = FakeClock::new();
+    let mut gate = PriorityGate::new(CallCount(12), clock.shared());
+    run_alone(&mut gate, &clock, ("prices", 1), 100, ms(50));
+    run_alone(&mut gate, &clock, ("prices", 1), 10, ms(4000));
+    count_runs(&mut gate, &clock, ms(4000), ms(50));
+    let (sent, _, served) = count_runs(&mut gate, &clock, ms(4000), ms(50));
+    // Those that are still running at the end are not counted.
+    assert!(served + 12 >= sent, "{served} of {sent}");
+}
+
+#[test]
+fn few_requests_run_at_a_target_that_is_too_slow_for_them() {
+    let clock = FakeClock::new();
+    let mut gate = PriorityGate::new(CallCount(12), clock.shared());
+    run_alone(&mut gate, &clock, ("prices", 1), 50, ms(1000));
+    let (sent, started, served) = count_runs(&mut gate, &clock, ms(10_000), ms(1000));
+    assert_eq!(served, 0);
+    // One slot is used for 0.4 s, and then stays free for more than that.
+    assert!(started * 40 <= sent, "{started} of {sent}");
+}
+
 // Guards against a freeze of the daemon that is taken for run time of the target, so that the gate
 // refuses a route whose requests cannot wait that long.
 #[test]
