Drop run times that no run has confirmed for ten seconds

What could be seen: a target whose mean run time had been long was published as slow, and other daemons, which choose by that, sent it no requests while others were free; without requests the mean stayed. Likewise a route whose callers never wait until its objective stayed refused, since none of its requests may be tried.

Change: the mean of a route, and the one published to the fleet, are no longer known 10 s after the last run. The next run sets them anew, with full weight.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -365,10 +365,11 @@
     }
 
     /// Returns the mean run time of all routes to publish, corrected by the slowdown of the runs
-    /// in progress, or `None` until enough runs have ended.
+    /// in progress, or `None` until enough runs have ended and when none has ended for long.
     pub fn mean_run_time(&self) -> Option<Duration> {
-        let mean_s = self.run_times.published_s()?;
-        let slowdown = self.slowdown(self.clock.now());
+        let now = self.clock.now();
+        let mean_s = self.run_times.published_s(now)?;
+        let slowdown = self.slowdown(now);
         Some(Duration::from_secs_f32(mean_s * slowdown))
     }
 
@@ -408,7 +409,7 @@
         let assumed = mean.min(time_left.mul_f32(UNKNOWN_RUN_FRACTION));
         let is_early = now < request.objective && request.objective <= request.deadline;
         let is_trial = mean > time_left && is_early && self.run_times.may_try(request.route, now);
-        let is_known = self.run_times.has_runs(request.route);
+        let is_known = self.run_times.is_known(request.route, now);
         ExpectedRun {
             time: if is_known && !is_trial { mean } else { assumed },
             is_trial,
--- a/crates/mesh/src/run_time.rs
+++ b/crates/mesh/src/run_time.rs
@@ -3,7 +3,7 @@
 //! The gate refuses requests by these times, and a request that is refused teaches
 //! nothing. A run time that leaves a route's requests no time is therefore put to
 //! the test: now and then one request runs in spite of it, and its run counts
-//! for more than others.
+//! for more than others. A run time that no run has confirmed for long is dropped.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -17,6 +17,8 @@
 /// Minimum pause between two trials of a route; a trial takes a slot from requests that are likely
 /// to be served.
 const TRIAL_PAUSE: Duration = Duration::from_millis(500);
+/// Time after which a run time that no run has confirmed is no longer relied on.
+const RUN_TIME_LIFETIME: Duration = Duration::from_secs(10);
 /// Weight of the latest run in the mean run time that is published to the fleet. The time is
 /// published rounded to a level, and each change of the level is sent to all daemons. The weight
 /// is low because single runs differ by more than one level.
@@ -38,8 +40,10 @@
     mean_s: f32,
     /// The same averaged over more runs, for publication to the fleet.
     published_s: f32,
-    /// Number of runs that the means were learned from.
+    /// Number of runs that the published mean was learned from.
     ended: u32,
+    /// End of the latest run.
+    learned_at: Option<Instant>,
 }
 
 /// Run time of one route.
@@ -47,6 +51,8 @@
 struct RouteTime {
     /// Mean in seconds.
     mean_s: f32,
+    /// End of the latest run.
+    learned_at: Instant,
     /// Whether a trial has begun and no run has ended since.
     in_trial: bool,
     /// Time before which no trial may begin.
@@ -60,6 +66,7 @@
             mean_s: INITIAL_RUN_S,
             published_s: INITIAL_RUN_S,
             ended: 0,
+            learned_at: None,
         }
     }
 }
@@ -71,14 +78,20 @@
         known.map_or(self.mean_s, |time| time.mean_s)
     }
 
-    /// Returns whether runs of `route` have ended.
-    pub fn has_runs(&self, route: RouteKey) -> bool {
-        self.routes.contains_key(&route)
+    /// Returns whether the mean run time of `route` can be relied on.
+    pub fn is_known(&self, route: RouteKey, now: Instant) -> bool {
+        let time = self.routes.get(&route);
+        time.is_some_and(|time| is_recent(time.learned_at, now))
     }
 
     /// Returns the mean run time of all routes to publish, in seconds; `None` until enough runs
-    /// have ended.
-    pub fn published_s(&self) -> Option<f32> {
+    /// have ended, and again when none has ended for long.
+    ///
+    /// Other daemons send few requests to a target that is thought slow, perhaps none.
+    pub fn published_s(&self, now: Instant) -> Option<f32> {
+        if !self.learned_at.is_some_and(|at| is_recent(at, now)) {
+            return None;
+        }
         // A change larger than single runs cause is published at once.
         let ratio = self.mean_s / self.published_s;
         let steady = (1.0 / PUBLISHED_FACTOR..PUBLISHED_FACTOR).contains(&ratio);
@@ -107,12 +120,19 @@
 
     /// Records a run of `route` that took `took_s` seconds and ended at `now`.
     pub fn learn(&mut self, route: RouteKey, took_s: f32, now: Instant) {
+        if !self.learned_at.is_some_and(|at| is_recent(at, now)) {
+            self.ended = 0;
+        }
+        self.learned_at = Some(now);
         self.ended = self.ended.saturating_add(1);
         self.mean_s += (took_s - self.mean_s) * RUN_WEIGHT;
         let weight = PUBLISHED_WEIGHT.max(1.0 / self.ended as f32);
         self.published_s += (took_s - self.published_s) * weight;
+        self.routes
+            .retain(|_, time| is_recent(time.learned_at, now));
         let time = self.routes.entry(route).or_insert(RouteTime {
             mean_s: took_s,
+            learned_at: now,
             in_trial: false,
             next_trial: now,
         });
@@ -122,7 +142,13 @@
             RUN_WEIGHT
         };
         time.mean_s += (took_s - time.mean_s) * weight;
+        time.learned_at = now;
         time.in_trial = false;
         time.next_trial = time.next_trial.min(now + TRIAL_PAUSE);
     }
 }
+
+/// Returns whether what was learned at `learned_at` can still be relied on.
+fn is_recent(learned_at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(learned_at) < RUN_TIME_LIFETIME
+}
--- a/crates/mesh/tests/gate.rs
+++ b/crates/mesh/tests/gate.rs
@@ -360,6 +360,24 @@
     assert!(started * 40 <= sent, "{started} of {sent}");
 }
 
+// Guards against requests that are refused for good because their callers never wait long enough for
+// the route's run time to be tried.
+#[test]
+fn a_run_time_that_nothing_has_confirmed_for_long_refuses_nothing() {
+    let clock = FakeClock::new();
+    let mut gate = PriorityGate::new(CallCount(12), clock.shared());
+    run_alone(&mut gate, &clock, ("prices", 1), 50, ms(1000));
+    assert!(gate.mean_run_time().is_some());
+    let impatient = |number| request_at(&clock, number, ("prices", 1), (120, 100));
+    assert!(matches!(
+        gate.admit(&impatient(1)),
+        GateDecision::Refuse { .. }
+    ));
+    clock.advance(ms(10_000));
+    assert_eq!(gate.mean_run_time(), None, "it is no longer published");
+    assert_eq!(gate.admit(&impatient(2)), GateDecision::Start);
+}
+
 // Guards against a freeze of the daemon that is taken for run time of the target, so that the gate
 // refuses a route whose requests cannot wait that long.
 #[test]
--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -196,12 +196,12 @@
         }
     }
 
-    /// Announces the run time of the local target when it has changed.
+    /// Announces the run time of the local target when it has changed or is no longer known.
     fn announce_run_time(&mut self) {
-        let Some(run) = self.core.gate.mean_run_time() else {
-            return;
-        };
-        let run_time = self.run_time.adjusted_to(run);
+        let mean = self.core.gate.mean_run_time();
+        let run_time = mean.map_or_else(ExecutionTimeLevel::default, |mean| {
+            self.run_time.adjusted_to(mean)
+        });
         if run_time != self.run_time && self.run_time_announced_at.elapsed() >= RUN_TIME_INTERVAL {
             self.run_time = run_time;
             self.run_time_announced_at = Instant::now();
