Learn nothing about targets from attempts over a pause of the process

What callers could see: after a freeze of the daemon where they enter, sound targets were ejected for 3 s or more, since every attempt in progress had passed its deadline; and what had been answered during the freeze counted as slow.

Change: an attempt during which the process paused counts for the choice of targets like one that its caller cancelled, unless the target refused it.

--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -116,7 +116,7 @@
         let outcome = CallOutcome {
             latency: now.saturating_duration_since(target.picked_at),
             waited: attempt.waited,
-            result: attempt.result,
+            result: observed_result(core, target.picked_at, attempt.result),
             load: attempt.load,
         };
         core.picker().finish(&target, &outcome);
@@ -509,6 +509,18 @@
     }
 }
 
+/// Returns what the selection of targets learns from the `result` of an attempt.
+///
+/// Over a pause of this process neither the time nor the lack of an answer says anything: the
+/// target may have answered in time.
+fn observed_result(core: &ProxyCore, picked_at: Instant, result: CallResult) -> CallResult {
+    match result {
+        CallResult::NotRun(_) => result,
+        _ if core.pauses.has_paused_since(picked_at) => CallResult::Cancelled,
+        _ => result,
+    }
+}
+
 /// Returns the result of an attempt that failed before the request could run.
 fn unsent(detail: Box<str>) -> AttemptResult {
     AttemptResult {
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -1,5 +1,5 @@
-//! Uploads to a daemon whose link is full: a large body must not be sent before the daemon
-//! beside the target has room for it.
+//! Requests to other daemons: a large body must not be sent before the daemon beside the target has
+//! room for it, and a pause of this daemon is no failure of the target.
 
 mod support;
 
@@ -21,6 +21,8 @@
 use tokio_util::sync::CancellationToken;
 use wire::{PeerStream, WireLimits};
 
+/// Duration of a pause, and twice the time for which its callers wait.
+const PAUSE: Duration = Duration::from_millis(800);
 /// Size of a typical upload.
 const UPLOAD_BYTES: usize = 280_000;
 
@@ -52,6 +54,36 @@
     assert_eq!(peer.received(), 300);
 }
 
+// Guards against a freeze of this daemon that counts as a failure of every target that it was waiting
+// for, so that sound targets get nothing for seconds.
+#[tokio::test]
+async fn targets_are_not_blamed_for_a_pause_of_the_process() {
+    let silent_peer = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = silent_peer.local_addr().expect("bound");
+    let core = Arc::new(proxy_core());
+    let (daemon, other) = (DaemonId(7), DaemonId(8));
+    core.set_peers([(daemon, address), (other, address)].into_iter().collect());
+    let service = upload_rule().destinations[0].service.clone();
+    let views = [target_view(daemon), target_view(other)];
+    core.picker().set_targets(&service, &views[..1]);
+    let calls: Vec<_> = (0..4)
+        .map(|_| {
+            let core = Arc::clone(&core);
+            let call = upload_call(300, PAUSE / 2);
+            tokio::spawn(async move { relay_call(&core, call).await })
+        })
+        .collect();
+    tokio::time::sleep(PAUSE / 10).await;
+    core.picker().set_targets(&service, &views);
+    core.pauses.observe();
+    std::thread::sleep(PAUSE);
+    for call in calls {
+        let ended = call.await.expect("no panic");
+        assert_ne!(ended.reply.status(), StatusCode::OK);
+    }
+    assert_eq!(core.picker().ejected(&service), []);
+}
+
 fn answered() -> CallAnswer {
     CallAnswer::Answered {
         status: 200,
@@ -176,31 +208,38 @@
     let daemon = DaemonId(7);
     core.set_peers([(daemon, peer.address)].into_iter().collect());
     let service = upload_rule().destinations[0].service.clone();
-    core.picker().set_targets(
-        &service,
-        &[TargetView {
-            target: "studio-1".parse().expect("a name"),
-            daemon,
-            domain: "domain-a".parse().expect("a name"),
-            slots: CallCount(8),
-            connections: CallCount(64),
-            state: TargetState::Ready,
-            load: None,
-            mean_run_time: None,
-            since: Instant::now(),
-        }],
-    );
+    core.picker().set_targets(&service, &[target_view(daemon)]);
+    let call = upload_call(size, TEST_TIMEOUT);
+    let ended = timeout(TEST_TIMEOUT, relay_call(&core, call)).await;
+    let status = ended.expect("answered in time").reply.status();
+    core.pool.close().await;
+    status
+}
+
+/// Builds an upload of `size` bytes whose caller waits for `remaining`.
+fn upload_call(size: usize, remaining: Duration) -> RelayCall {
     let rule = Arc::new(upload_rule());
     let since = Instant::now();
-    let call = RelayCall {
+    RelayCall {
         head: call_head(&rule, size),
         body: Bytes::from(vec![7; size]),
         rule,
         since,
-        deadline: since + TEST_TIMEOUT,
-    };
-    let ended = timeout(TEST_TIMEOUT, relay_call(&core, call)).await;
-    let status = ended.expect("answered in time").reply.status();
-    core.pool.close().await;
-    status
+        deadline: since + remaining,
+    }
+}
+
+/// Describes a ready target beside `daemon`.
+fn target_view(daemon: DaemonId) -> TargetView {
+    TargetView {
+        target: format!("studio-{daemon}").parse().expect("a name"),
+        daemon,
+        domain: "domain-a".parse().expect("a name"),
+        slots: CallCount(8),
+        connections: CallCount(64),
+        state: TargetState::Ready,
+        load: None,
+        mean_run_time: None,
+        since: Instant::now(),
+    }
 }
