Forget a draining refusal that no update confirms

What callers could see: a target that refused a request as draining, because it was being replaced or its daemon stopped, was not used again by the daemon that was refused until the target's state changed there. A daemon that missed the change to draining, frozen or cut off meanwhile, never saw one.

Change: such a refusal keeps calls away for 5 s. That a target leaves, told in an answer, still counts until it is started anew.

--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -36,6 +36,11 @@
 /// usually because its queue was full.
 const QUEUE_FULL_BACKOFF: Duration = Duration::from_millis(20);
 
+/// Time for which a target gets no calls after it refused one as draining. An update of the
+/// membership says by then whether it is; if none does, its daemon may have stopped and returned
+/// between two updates.
+const DRAINING_BACKOFF: Duration = Duration::from_secs(5);
+
 /// Utilization up to which a target counts as having spare capacity.
 const SPARE_CAPACITY_UTILIZATION: f32 = 0.8;
 
@@ -81,7 +86,9 @@
     slow_start: SlowStart,
     slow_start_from: Instant,
     queue_full_until: Option<Instant>,
-    refused_draining: bool,
+    draining_until: Option<Instant>,
+    /// Whether the target has said that it leaves.
+    leaving: bool,
     limit: Option<CallRate>,
 }
 
@@ -101,7 +108,8 @@
             slow_start,
             slow_start_from: view.since,
             queue_full_until: None,
-            refused_draining: false,
+            draining_until: None,
+            leaving: false,
             limit: view.load.and_then(|load| load.limit),
             view,
         }
@@ -113,14 +121,17 @@
         let restarted = view.state != self.view.state || started_later_by > START_TIME_TOLERANCE;
         if restarted && view.state == TargetState::Ready {
             self.slow_start_from = view.since;
-            self.refused_draining = false;
+            self.draining_until = None;
+            self.leaving = false;
         }
         self.view = view;
     }
 
     /// Returns whether the target can be sent calls.
     pub(crate) fn accepts_calls(&self, now: Instant) -> bool {
-        self.view.state == TargetState::Ready && !self.refused_draining && !self.is_queue_full(now)
+        let draining = self.draining_until.is_some_and(|until| now < until);
+        let leaves = self.leaving || draining;
+        self.view.state == TargetState::Ready && !leaves && !self.is_queue_full(now)
     }
 
     /// Returns whether the target refused a call within `QUEUE_FULL_BACKOFF` for any reason except
@@ -156,14 +167,16 @@
                     .on_failure(f32::from(reported.min(100)) / 100.0, now);
             }
             CallResult::Lost => self.health.on_lost(now),
-            CallResult::NotRun(model::ErrorKind::Draining) => self.refused_draining = true,
+            CallResult::NotRun(model::ErrorKind::Draining) => {
+                self.draining_until = Some(now + DRAINING_BACKOFF);
+            }
             CallResult::NotRun(_) => self.queue_full_until = Some(now + QUEUE_FULL_BACKOFF),
             CallResult::Cancelled => {}
         }
     }
 
     fn record_load(&mut self, load: TargetLoad, now: Instant) {
-        self.refused_draining |= load.leaving;
+        self.leaving |= load.leaving;
         self.limit = load.limit;
         let own = self.in_flight().saturating_sub(1);
         let remote_calls = load.outstanding().saturating_sub(own) as f32;
--- a/crates/route/tests/picker.rs
+++ b/crates/route/tests/picker.rs
@@ -276,6 +276,23 @@
     assert!((0..50).all(|_| proxy.pick().unwrap().view.daemon != draining));
 }
 
+// Guards against a target that one proxy never uses again, since it refused a request while it was
+// replaced or its daemon stopped, and the change back to ready reached the proxy without the change before.
+#[test]
+fn a_draining_refusal_that_no_update_confirms_is_forgotten() {
+    let mut proxy = Proxy::new(2, 1);
+    let picked = proxy.pick().unwrap();
+    let refusing = picked.view.daemon.0;
+    proxy.finish(&picked, CallResult::NotRun(ErrorKind::Draining), 1);
+    drop(picked);
+    proxy.clock.advance(Duration::from_secs(4));
+    assert_eq!(proxy.count(50, refusing, done), 0);
+    proxy.clock.advance(Duration::from_secs(6));
+    proxy.update_targets();
+    let used = proxy.count(50, refusing, done);
+    assert!(used > 0, "the target is not used again");
+}
+
 #[test]
 fn missing_targets_are_reported_with_a_reason() {
     let mut proxy = Proxy::new(1, 1);
