Do not let a late report replace a target that has answered

Cause: a target found by asking has no run, so any report with another name counted as one of a later run; the live target was then recorded as ended with all of its runs, and its reports and answers were stale.

Change: a run that started before the known target last answered does not replace it. If it keeps reporting, three in order, while the known one is known by an answer only or is not available, it does; and the daemon asks the target as soon as it is in doubt. Runs that seemed to be replaced may return with an answer, runs that have left never do.

--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -11,6 +11,12 @@
 //! may be a delayed one from before the target announced its leave. Such a
 //! report does not make the target available: the target must also answer a
 //! request, or keep reporting.
+//!
+//! Reports may arrive seconds late, answers do not. A run that started before the
+//! known target last answered has therefore ended, whatever it reports, unless
+//! that target turns out to be gone. A run that keeps reporting while the known
+//! target does not answer replaces it, so that no late message can lock the
+//! present run out.
 
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
@@ -92,17 +98,45 @@
     down: bool,
     /// Number of reports missing until the target counts as confirmed.
     unconfirmed: u8,
+    /// Wall time in milliseconds of the last answer; 0 before the first.
+    answered_at: IncarnationNumber,
     /// What the last answer said.
     notice: TargetNotice,
 }
 
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RunEnd {
+    /// It said that it leaves.
+    Left,
+    /// Another run was found in its place, which may be a mistake.
+    Replaced,
+}
+
+/// Runs of a target up to the latest one that ended.
+#[derive(Clone, Debug)]
+struct EndedRuns {
+    target: TargetName,
+    last: IncarnationNumber,
+    end: RunEnd,
+}
+
+/// A run that reports though another one is known.
+#[derive(Clone, Debug)]
+struct ChallengingRun {
+    report: TargetReport,
+    /// Number of reports in order so far.
+    reports: u8,
+}
+
 /// State of the target beside the daemon.
 #[derive(Debug)]
 pub struct LocalTarget {
     clock: SharedClock,
     max_silence: Duration,
     known: Option<KnownTarget>,
-    ended: SmallVec<[(TargetName, IncarnationNumber); MAX_ENDED_RUNS]>,
+    challenger: Option<ChallengingRun>,
+    ended: SmallVec<[EndedRuns; MAX_ENDED_RUNS]>,
 }
 
 impl LocalTarget {
@@ -114,6 +148,7 @@
             clock,
             max_silence,
             known: None,
+            challenger: None,
             ended: SmallVec::new(),
         }
     }
@@ -121,12 +156,16 @@
     /// Applies a report of a target.
     pub fn on_report(&mut self, report: TargetReport) -> ReportEffect {
         let now = self.clock.now();
-        if self.is_ahead(report.run) || self.has_ended(&report.target, report.run) {
+        let end = self.end_of(&report.target, report.run);
+        if self.is_ahead(report.run) || end == Some(RunEnd::Left) {
             return ReportEffect::Stale;
         }
+        let is_available = self.available().is_some();
         let Some(known) = &mut self.known else {
             let mut known = KnownTarget::new(report, now);
-            if self.ended.is_empty() && known.report.sequence > 1 {
+            // Late reports are not excluded after a restart of the daemon, nor for such a run.
+            let is_late = self.ended.is_empty() && known.report.sequence > 1;
+            if is_late || end.is_some() {
                 known.unconfirmed = CONFIRMING_REPORTS;
             }
             self.known = Some(known);
@@ -136,13 +175,69 @@
         let same_run = known.report.target == report.target
             && (known.report.run == report.run || known.report.run.0 == 0);
         if same_run {
+            self.challenger = None;
             return known.renew(report, now);
         }
-        if report.run < known.report.run {
+        let found_by_asking = known.report.run.0 == 0;
+        let is_later = if found_by_asking {
+            report.run > known.answered_at
+        } else {
+            report.run >= known.report.run
+        };
+        if end.is_none() && is_later {
+            self.replace_known(KnownTarget::new(report, now));
+            return ReportEffect::Changed;
+        }
+        let is_present = is_available || known.leaving && !known.down;
+        if is_present && !(found_by_asking && end.is_none()) {
+            return ReportEffect::Stale;
+        }
+        self.challenge(report)
+    }
+
+    /// Counts a report of a run that seems to have ended. Replaces the known run if it is one of a
+    /// series in order.
+    fn challenge(&mut self, report: TargetReport) -> ReportEffect {
+        let mut reports = 1;
+        if let Some(challenger) = &self.challenger
+            && challenger.report.target == report.target
+            && challenger.report.run == report.run
+        {
+            if report.sequence <= challenger.report.sequence {
+                return ReportEffect::Stale;
+            }
+            reports = challenger.reports + 1;
+        }
+        if reports <= CONFIRMING_REPORTS {
+            self.challenger = Some(ChallengingRun { report, reports });
             return ReportEffect::Stale;
         }
-        let previous = std::mem::replace(known, KnownTarget::new(report, now));
-        self.record_ended(previous.report.target, previous.report.run);
+        self.forget_replaced(&report.target);
+        let now = self.clock.now();
+        self.replace_known(KnownTarget::new(report, now));
+        ReportEffect::Changed
+    }
+
+    /// Records that a target answered and told its name, with `report` describing it.
+    ///
+    /// An answer shows that the target runs, also if another one seemed to have replaced it. It
+    /// changes nothing if the target has said that it leaves.
+    pub fn on_found(&mut self, report: TargetReport) -> ReportEffect {
+        if self
+            .report()
+            .is_some_and(|known| known.target == report.target)
+        {
+            self.on_answer();
+            return ReportEffect::Renewed;
+        }
+        if self.end_of(&report.target, report.run) == Some(RunEnd::Left) {
+            self.on_replaced();
+            return ReportEffect::Stale;
+        }
+        self.forget_replaced(&report.target);
+        let mut found = KnownTarget::new(report, self.clock.now());
+        found.answered_at = self.wall_ms();
+        self.replace_known(found);
         ReportEffect::Changed
     }
 
@@ -157,7 +252,7 @@
         }
         let known = self.known.as_mut();
         let Some(known) = known.filter(|known| known.report.target == leave.target) else {
-            self.record_ended(leave.target, leave.run);
+            self.record_ended(leave.target, leave.run, RunEnd::Left);
             return false;
         };
         let last = known.report.run;
@@ -170,7 +265,7 @@
             known.report.run = leave.run;
             known.report.sequence = 0;
             if last.0 != 0 {
-                self.record_ended(leave.target, last);
+                self.record_ended(leave.target, last, RunEnd::Left);
             }
         }
         !was_leaving
@@ -178,9 +273,11 @@
 
     /// Records that the target answered a request.
     pub fn on_answer(&mut self) {
-        let now = self.clock.now();
+        let (now, answered_at) = (self.clock.now(), self.wall_ms());
+        self.challenger = None;
         if let Some(known) = &mut self.known {
             known.last_seen = now;
+            known.answered_at = answered_at;
             known.down = false;
             known.unconfirmed = 0;
         }
@@ -210,7 +307,8 @@
     /// Records that another run answers at the target's address, so the known run has ended.
     pub fn on_replaced(&mut self) {
         if let Some(known) = self.known.take() {
-            self.record_ended(known.report.target, known.report.run);
+            let end = known.end();
+            self.record_ended(known.report.target, known.report.run, end);
         }
     }
 
@@ -235,9 +333,12 @@
         self.known.as_ref().is_some_and(KnownTarget::is_unconfirmed)
     }
 
-    /// Returns whether the last connection to the target was refused.
-    pub fn is_down(&self) -> bool {
-        self.known.as_ref().is_some_and(|known| known.down)
+    /// Returns whether an answer of the target would tell which one runs: none is known, the known
+    /// one is not available though it has not said that it leaves, or another one reports.
+    pub fn is_in_doubt(&self) -> bool {
+        let is_missing = self.available().is_none() && !self.is_leaving();
+        let is_down = self.known.as_ref().is_some_and(|known| known.down);
+        is_missing || is_down || self.is_unconfirmed() || self.challenger.is_some()
     }
 
     /// Returns the latest report of the target if it accepts requests.
@@ -258,16 +359,47 @@
         Duration::from_millis(run.0) > latest
     }
 
-    fn has_ended(&self, target: &TargetName, run: IncarnationNumber) -> bool {
-        let mut ended = self.ended.iter();
-        ended.any(|(name, last)| name == target && (run <= *last || last.0 == 0))
+    /// Returns how the run has ended, if it has.
+    fn end_of(&self, target: &TargetName, run: IncarnationNumber) -> Option<RunEnd> {
+        let ended = self.ended.iter();
+        let mut ends = ended
+            .filter(|ended| ended.target == *target && run <= ended.last)
+            .map(|ended| ended.end);
+        // Its own word counts for more than what was concluded.
+        ends.clone()
+            .find(|end| *end == RunEnd::Left)
+            .or(ends.next())
     }
 
-    fn record_ended(&mut self, target: TargetName, run: IncarnationNumber) {
+    /// Records the end of a run and of all earlier ones of its name; of those that have started by
+    /// now if the run is unknown.
+    fn record_ended(&mut self, target: TargetName, run: IncarnationNumber, end: RunEnd) {
         if self.ended.len() == MAX_ENDED_RUNS {
             self.ended.remove(0);
         }
-        self.ended.push((target, run));
+        let last = if run.0 == 0 { self.wall_ms() } else { run };
+        self.ended.push(EndedRuns { target, last, end });
+    }
+
+    /// Forgets that `target` seemed to have been replaced.
+    fn forget_replaced(&mut self, target: &TargetName) {
+        self.ended
+            .retain(|ended| ended.target != *target || ended.end == RunEnd::Left);
+    }
+
+    /// Makes `next` the known target; the one before has ended.
+    fn replace_known(&mut self, next: KnownTarget) {
+        self.challenger = None;
+        if let Some(previous) = self.known.replace(next) {
+            let end = previous.end();
+            self.record_ended(previous.report.target, previous.report.run, end);
+        }
+    }
+
+    /// Returns the wall time in milliseconds, to compare with the starts of runs.
+    fn wall_ms(&self) -> IncarnationNumber {
+        let wall = self.clock.wall().duration_since(UNIX_EPOCH);
+        IncarnationNumber(wall.map_or(0, |wall| wall.as_millis() as u64))
     }
 }
 
@@ -278,6 +410,7 @@
             last_seen: now,
             down: false,
             unconfirmed: 0,
+            answered_at: IncarnationNumber(0),
             notice: TargetNotice::default(),
             report,
         }
@@ -287,6 +420,15 @@
         self.unconfirmed > 0
     }
 
+    /// Returns how this run ends if another one is found in its place now.
+    fn end(&self) -> RunEnd {
+        if self.leaving {
+            RunEnd::Left
+        } else {
+            RunEnd::Replaced
+        }
+    }
+
     fn renew(&mut self, report: TargetReport, now: Instant) -> ReportEffect {
         let is_first = self.report.run.0 == 0;
         if !is_first && report.sequence <= self.report.sequence {
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -68,20 +68,15 @@
 
 /// Applies a target report; its changes are in force when this returns.
 fn apply_report(core: &ProxyCore, report: TargetReport) {
-    if record_report(core, report) == ReportEffect::Changed {
-        apply_target(core);
-    }
-}
-
-/// Records a target report without opening or closing the gate.
-pub fn record_report(core: &ProxyCore, report: TargetReport) -> ReportEffect {
     let target = report.target.clone();
     let (run, sequence) = (report.run, report.sequence);
     let effect = core.local_target().on_report(report);
     if effect != ReportEffect::Renewed {
         log::info!(target_name:% = target, run:% = run, sequence, effect:? = effect; "target report");
     }
-    effect
+    if effect == ReportEffect::Changed {
+        apply_target(core);
+    }
 }
 
 fn apply_leave(core: &ProxyCore, leave: TargetLeave) {
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -9,12 +9,12 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use mesh::{ReportedState, TargetNotice, TargetReport};
+use mesh::{ReportEffect, ReportedState, TargetNotice, TargetReport};
 use model::{CallCount, ErrorKind, IncarnationNumber, KindError, ServiceName, TargetName};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::control::{apply_notice, apply_target, record_report};
+use crate::control::{apply_notice, apply_target};
 use crate::core::ProxyCore;
 use crate::target_client::SendFailure;
 
@@ -27,7 +27,7 @@
 /// Maximum size of the body of an answer; the daemon uses only the head.
 const MAX_BODY_BYTES: usize = 64 << 10;
 
-/// Probes the target whenever it is unknown, unconfirmed or down, until `token` is cancelled.
+/// Probes the target whenever it is in doubt which one runs, until `token` is cancelled.
 pub async fn watch_target(core: Arc<ProxyCore>, token: CancellationToken) {
     let watching = async {
         let mut was_available = false;
@@ -36,20 +36,16 @@
                 () = sleep(CHECK_INTERVAL) => {}
                 () = core.routing_changed.notified() => {}
             }
-            let (known, uncertain, is_available) = {
+            let (is_in_doubt, is_available) = {
                 let target = core.local_target();
-                (
-                    target.report().is_some(),
-                    target.is_down() || target.is_unconfirmed(),
-                    target.available().is_some(),
-                )
+                (target.is_in_doubt(), target.available().is_some())
             };
             // Missing reports of a target are noticed only here.
             if std::mem::replace(&mut was_available, is_available) != is_available {
                 apply_target(&core);
             }
             // The health path is part of the configuration.
-            if (known && !uncertain) || core.table().is_none() {
+            if !is_in_doubt || core.table().is_none() {
                 continue;
             }
             if let Err(error) = probe(&core).await {
@@ -122,25 +118,22 @@
     let target =
         text(&names.target_name).ok_or_else(|| probe_failed("the answer names no target"))?;
     let target: TargetName = target.parse()?;
-    let known = core.local_target().report().cloned();
-    if known.is_some_and(|known| known.target == target) {
-        core.local_target().on_answer();
-    } else {
-        let slots = text(&names.target_load).and_then(core.edge.parse_slots);
-        let report = TargetReport {
-            target: target.clone(),
-            run: IncarnationNumber(0),
-            sequence: 0,
-            service,
-            slots: slots.unwrap_or(CallCount(1)),
-            state: if notice.leaving {
-                ReportedState::Draining
-            } else {
-                ReportedState::Ready
-            },
-        };
-        core.local_target().on_replaced();
-        record_report(core, report);
+    let slots = text(&names.target_load).and_then(core.edge.parse_slots);
+    let report = TargetReport {
+        target: target.clone(),
+        run: IncarnationNumber(0),
+        sequence: 0,
+        service,
+        slots: slots.unwrap_or(CallCount(1)),
+        state: if notice.leaving {
+            ReportedState::Draining
+        } else {
+            ReportedState::Ready
+        },
+    };
+    let effect = core.local_target().on_found(report);
+    if effect != ReportEffect::Renewed {
+        log::info!(target_name:% = target, effect:? = effect; "target found by asking");
     }
     // Before the gate opens, so that no request precedes the limit.
     apply_notice(core, &target, notice);
