Bound what a server may send before its final head

Cause: hyper skips interim responses one by one in one turn of the connection's task; neither their number nor their bytes have a bound.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod core;
 pub mod desk;
 pub mod edge;
+pub mod head_limit;
 pub mod inbound;
 pub mod listener;
 pub mod membership;
--- a/crates/proxy/src/target_client.rs
+++ b/crates/proxy/src/target_client.rs
@@ -19,6 +19,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::head_limit::{HeadAllowance, HeadLimitedSocket};
+
 /// Body of a request to the target.
 pub type TargetBody = Full<Bytes>;
 
@@ -59,6 +61,7 @@
 #[derive(Debug)]
 struct TargetConnection {
     sender: SendRequest<TargetBody>,
+    allowance: HeadAllowance,
     task: AbortHandle,
 }
 
@@ -104,6 +107,7 @@
     ) -> Result<TargetExchange, SendFailure> {
         let mut request = request;
         while let Some(mut conn) = self.take_idle(at_most_once) {
+            conn.allowance.expect_head();
             match conn.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.exchange(response, conn)),
                 Err(mut error) => match error.take_message() {
@@ -114,6 +118,7 @@
             }
         }
         let mut conn = self.connect().await?;
+        conn.allowance.expect_head();
         match conn.sender.try_send_request(request).await {
             Ok(response) => Ok(self.exchange(response, conn)),
             Err(mut error) => match error.take_message() {
@@ -160,6 +165,7 @@
         socket
             .set_nodelay(true)
             .map_err(|error| unsent(error.to_string()))?;
+        let (socket, allowance) = HeadLimitedSocket::new(socket);
         let (sender, driver) = http1::handshake(TokioIo::new(socket))
             .await
             .map_err(|error| unsent(error.to_string()))?;
@@ -169,11 +175,13 @@
         });
         Ok(TargetConnection {
             sender,
+            allowance,
             task: task.abort_handle(),
         })
     }
 
     fn exchange(&self, response: Response<Incoming>, conn: TargetConnection) -> TargetExchange {
+        conn.allowance.head_received();
         TargetExchange {
             keep_alive: keep_alive_time(response.headers()),
             response,
--- a/crates/proxy/tests/target_client.rs
+++ b/crates/proxy/tests/target_client.rs
@@ -121,10 +121,12 @@
 
 #[tokio::test]
 async fn an_endless_head_fails_the_request_and_closes_the_connection() {
-    let cases: [(&[u8], &[u8]); 3] = [
+    let cases: [(&[u8], &[u8]); 4] = [
         (b"", b"no answer at all, and more of it\n"),
         (b"HTTP/1.1 200 OK\r\nx-long: ", &[b'x'; 1024]),
         (b"HTTP/1.1 200 OK\r\n", b"x-many: 1\r\n"),
+        // Guards against interim responses, which are skipped one by one without end.
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
     ];
     for (begin, piece) in cases {
         let reading = read_endless_head(begin, piece);
@@ -134,6 +136,35 @@
     }
 }
 
+#[tokio::test]
+async fn an_answer_after_some_interim_responses_is_read() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let client = TargetClient::new(listener.local_addr().expect("bound"));
+    let answering = tokio::spawn(async move {
+        let mut socket = accept_request(&listener).await;
+        let body = vec![b'x'; 1 << 20];
+        for _ in 0..2 {
+            for _ in 0..20 {
+                let interim = socket.write_all(b"HTTP/1.1 102 Processing\r\n\r\n");
+                interim.await.expect("sent");
+            }
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            socket.write_all(head.as_bytes()).await.expect("sent");
+            socket.write_all(&body).await.expect("sent");
+            // The second request, or the end of the connection.
+            let mut buffer = [0; 4096];
+            let _size = socket.read(&mut buffer).await.expect("open");
+        }
+    });
+    exchange(&client, true).await;
+    exchange(&client, true).await;
+    drop(client);
+    timeout(TEST_TIMEOUT, answering)
+        .await
+        .expect("bounded")
+        .expect("no panic");
+}
+
 // Guards against an answer whose head ends early being taken for a short but complete one.
 #[tokio::test]
 async fn an_answer_that_ends_within_its_head_is_none() {
