Refuse reports that no target sends

A report of a service that is named nowhere replaced the target.

Cause: the decoder looked only for the fields that it uses, and no one looked at the service.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -32,7 +32,8 @@
     if request.uri().path() == METRICS_PATH {
         return metrics_reply(&core);
     }
-    match read_call(&core, request).await {
+    let call = read_call(&core, request).await;
+    match call.and_then(|call| check_service(&core, call)) {
         Ok(call) => handle_call(&core, call),
         Err(error) => {
             log::warn!(kind:% = error.kind, cause = &*error.detail; "report refused");
@@ -51,6 +52,21 @@
     (core.edge.parse_control)(&parts.method, parts.uri.path(), &body.to_bytes())
 }
 
+/// Refuses a report of a service that neither the settings nor the configuration names: it comes
+/// from another writer.
+fn check_service(core: &ProxyCore, call: ControlCall) -> model::Result<ControlCall> {
+    if let ControlCall::Report(report) = &call {
+        let service = &report.service;
+        let table = core.table();
+        let is_named = table.is_some_and(|table| table.service(service).is_some());
+        if !is_named && *service != core.settings.service {
+            let detail = format!("a report of the unknown service {service}");
+            return Err(KindError::new(ErrorKind::RequestInvalid, detail));
+        }
+    }
+    Ok(call)
+}
+
 fn handle_call(core: &ProxyCore, call: ControlCall) -> CallerReply {
     match call {
         ControlCall::Ready if core.is_ready() => reply(StatusCode::OK, ""),
