Read a body into one buffer

Cause: the pieces of a body were collected and then copied into one buffer, so that the body was held twice.

Change: pieces go into one buffer, of the announced size if there is one.

--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -33,6 +33,9 @@
 /// unused meanwhile.
 const BODY_END_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum size of a buffer that is allocated because of an announced size alone.
+const MAX_BUFFER_AT_ONCE: u64 = 64 << 20;
+
 /// Serves other daemons until `token` is cancelled.
 pub async fn serve_inbound(
     core: Arc<ProxyCore>,
@@ -273,7 +276,7 @@
     mut reservation: LinkReservation,
     size: ByteCount,
 ) -> Result<Bytes> {
-    let mut body = BytesMut::new();
+    let mut body = BytesMut::with_capacity(size.0.min(MAX_BUFFER_AT_ONCE) as usize);
     while (body.len() as u64) < size.0 {
         let Some(piece) = receiver.next().await else {
             break;
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use mesh::link::{LinkReservation, SMALL_BODY};
 use mesh::wait_tracker::CallerRequest;
@@ -343,26 +343,38 @@
     if http_body::Body::is_end_stream(&body) {
         return Ok(Bytes::new());
     }
-    let tracked_body = body.map_frame(|frame| {
-        if let (Some(reservation), Some(piece)) = (&mut reservation, frame.data_ref()) {
-            reservation.release(piece.len());
-        }
-        frame
-    });
-    let limited = Limited::new(tracked_body, max_bytes);
-    let collected = timeout(time_left, limited.collect())
-        .await
-        .map_err(|_elapsed| {
-            KindError::new(ErrorKind::IdleTimeout, "the body did not arrive in time")
-        })?;
-    match collected {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(KindError::new(
-            ErrorKind::BodyTooLarge,
-            format!("the body is larger than {max_bytes} bytes"),
-        )),
-        Err(error) => Err(KindError::new(ErrorKind::RequestInvalid, error.to_string())),
+    let too_large = || {
+        let detail = format!("the body is larger than {max_bytes} bytes");
+        KindError::new(ErrorKind::BodyTooLarge, detail)
+    };
+    let announced = http_body::Body::size_hint(&body).lower();
+    if announced > max_bytes as u64 {
+        return Err(too_large());
     }
+    // One buffer of the right size: pieces that are joined at the end would need it twice.
+    let mut buffer = BytesMut::with_capacity(announced as usize);
+    let reading = async {
+        let mut body = body;
+        while let Some(frame) = body.frame().await {
+            let frame = frame
+                .map_err(|error| KindError::new(ErrorKind::RequestInvalid, error.to_string()))?;
+            let Ok(piece) = frame.into_data() else {
+                continue;
+            };
+            if buffer.len() + piece.len() > max_bytes {
+                return Err(too_large());
+            }
+            if let Some(reservation) = &mut reservation {
+                reservation.release(piece.len());
+            }
+            buffer.extend_from_slice(&piece);
+        }
+        Ok(buffer.freeze())
+    };
+    let read = timeout(time_left, reading).await;
+    read.map_err(|_elapsed| {
+        KindError::new(ErrorKind::IdleTimeout, "the body did not arrive in time")
+    })?
 }
 
 fn header_text(value: Option<&HeaderValue>) -> Option<&str> {
