Bound the memory of all request bodies together

A body without room is refused with 503 and the time to return, before it is sent where its size is known; one in chunks counts as what it holds. The room is given back with the last reference to the bytes. Small bodies need none. A body from another daemon has to arrive by the request's deadline.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`PauseDetector`] detects pauses of the process, over which nothing can be measured.
 //! - [`RequestPacer`] keeps the requests sent to one target within the limit that the target
 //!   names.
+//! - [`BodyBudget`] bounds the memory for request bodies.
 //! - [`LinkGate`] keeps large bodies from saturating a slow link.
 //! - [`ResponseLimit`] bounds the duration and size of a response.
 //! - [`StopPlan`] schedules the stages of a graceful stop.
@@ -33,6 +34,7 @@
 
 pub mod active_config;
 pub mod attempt;
+pub mod body_budget;
 pub mod budget;
 pub mod config;
 pub mod config_tree;
@@ -54,6 +56,7 @@
 
 pub use active_config::ActiveConfig;
 pub use attempt::{AttemptOutcome, AttemptPlan, NextStep};
+pub use body_budget::{BodyBudget, BodyRoom};
 pub use budget::{BudgetLimits, FleetRetryBudget};
 pub use config::{
     CallPriority, CallSafety, CallerLimits, Destination, MeshConfig, MeshVersion, RouteKey,
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -7,8 +7,9 @@
 use std::time::{Duration, Instant};
 
 use mesh::{
-    ActiveConfig, EntryThrottle, EraTracker, FleetRetryBudget, LinkGate, LocalTarget, MeshTable,
-    PauseDetector, RouteKey, RunLineage, StopPlan, StoreEra, WaitTracker, WeightedRoundRobin,
+    ActiveConfig, BodyBudget, EntryThrottle, EraTracker, FleetRetryBudget, LinkGate, LocalTarget,
+    MeshTable, PauseDetector, RouteKey, RunLineage, StopPlan, StoreEra, WaitTracker,
+    WeightedRoundRobin,
 };
 use model::{DaemonId, IncarnationNumber, SharedClock};
 use once::HolderId;
@@ -86,6 +87,8 @@
     pub metrics: ProxyMetrics,
     /// Admission of large bodies that arrive over the VM's link.
     pub link: LinkGate,
+    /// Memory for request bodies.
+    pub bodies: BodyBudget,
     /// Background tasks that end without being cancelled.
     pub tasks: TaskTracker,
     /// Wakes the membership loop after a change of the target beside the daemon.
@@ -142,6 +145,7 @@
             gate: GateDesk::new(Arc::clone(&clock), Arc::clone(&pauses)),
             pauses,
             link: LinkGate::new(settings.link_bytes_per_s),
+            bodies: BodyBudget::new(settings.memory),
             tasks: TaskTracker::new(),
             target_changed: Notify::new(),
             routing_changed: Notify::new(),
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use mesh::CallSafety;
+use mesh::body_budget::BODY_RETRY_AFTER;
 use mesh::link::LinkReservation;
 use model::{ByteCount, ErrorKind, KindError};
 use tokio::net::TcpListener;
@@ -14,6 +15,7 @@
 use wire::{BodyReceiver, BodySender, PeerResponder, PeerStream, WireLimits};
 
 use crate::answer_body::AnswerBody;
+use crate::body_buffer::BodyBuffer;
 use crate::core::ProxyCore;
 use crate::membership::MembershipSender;
 use crate::message::{
@@ -33,9 +35,6 @@
 /// unused meanwhile.
 const BODY_END_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Maximum size of a buffer that is allocated because of an announced size alone.
-const MAX_BUFFER_AT_ONCE: u64 = 64 << 20;
-
 /// Serves other daemons until `token` is cancelled.
 pub async fn serve_inbound(
     core: Arc<ProxyCore>,
@@ -110,12 +109,20 @@
         Ok(reservation) => reservation,
         Err(retry_after) => return refuse_body(core, retry_after, responder).await,
     };
+    let Ok(buffer) = BodyBuffer::new(&core.bodies, head.body_size) else {
+        return refuse_body(core, BODY_RETRY_AFTER, responder).await;
+    };
     let mut responder = if head.expects_proceed() {
         CallResponder::Started(responder.respond(&CallAnswer::Proceed).await?)
     } else {
         CallResponder::Fresh(responder)
     };
-    let body = read_body(&mut receiver, reservation, head.body_size).await?;
+    let reading = read_body(&mut receiver, reservation, buffer, head.body_size);
+    let body = timeout(head.remaining, reading)
+        .await
+        .map_err(|_elapsed| {
+            KindError::new(ErrorKind::IdleTimeout, "the body did not arrive in time")
+        })??;
     let call = TargetCall { head, body, since };
     let end = match call.head.safety {
         CallSafety::Idempotent => {
@@ -270,25 +277,25 @@
     responder.respond_head(&answer).await
 }
 
-/// Reads a body of the announced `size`, without waiting for the end of the stream.
+/// Reads a body of the announced `size` into `buffer`, without waiting for the end of the stream.
 async fn read_body(
     receiver: &mut BodyReceiver,
     mut reservation: LinkReservation,
+    mut buffer: BodyBuffer,
     size: ByteCount,
 ) -> Result<Bytes> {
-    let mut body = BytesMut::with_capacity(size.0.min(MAX_BUFFER_AT_ONCE) as usize);
-    while (body.len() as u64) < size.0 {
+    while (buffer.len() as u64) < size.0 {
         let Some(piece) = receiver.next().await else {
             break;
         };
         let piece = piece?;
         reservation.release(piece.len());
-        body.extend_from_slice(&piece);
+        buffer.push(&piece)?;
     }
-    if body.len() as u64 != size.0 {
-        return Err(size_mismatch(size, body.len()));
+    if buffer.len() as u64 != size.0 {
+        return Err(size_mismatch(size, buffer.len()));
     }
-    Ok(body.freeze())
+    Ok(buffer.finish())
 }
 
 /// Waits for the end of the stream after the whole body was read.
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderValue, Request, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use mesh::body_budget::BODY_RETRY_AFTER;
 use mesh::link::{LinkReservation, SMALL_BODY};
 use mesh::wait_tracker::CallerRequest;
 use mesh::{EntryOutcome, RouteRule};
@@ -15,6 +16,7 @@
 use rand::Rng;
 use tokio::time::{sleep, timeout};
 
+use crate::body_buffer::BodyBuffer;
 use crate::core::ProxyCore;
 use crate::message::{CallHead, pack_headers};
 use crate::relay::{RelayCall, relay_call};
@@ -22,8 +24,8 @@
 
 /// Result of accepting a request.
 ///
-/// Errors are of kind `RequestInvalid`, `RouteUnknown`, `ConfigAbsent`, `BodyTooLarge`
-/// or `IdleTimeout`.
+/// Errors are of kind `RequestInvalid`, `RouteUnknown`, `ConfigAbsent`, `BodyTooLarge`,
+/// `IdleTimeout` or `Overloaded`.
 type Result<T> = model::Result<T>;
 
 /// Time for which a caller waits if its request names none.
@@ -66,12 +68,22 @@
 fn reject(core: &ProxyCore, error: &KindError) -> CallerReply {
     core.metrics.count_error(error.kind);
     log::info!(kind:% = error.kind, cause = &*error.detail; "request refused");
-    let absent = error.kind == ErrorKind::ConfigAbsent;
-    error_reply(
-        &core.edge,
-        error.kind,
-        absent.then(|| core.time_to_join().max(CONFIG_RETRY_AFTER)),
-    )
+    let retry_after = match error.kind {
+        ErrorKind::ConfigAbsent => Some(core.time_to_join().max(CONFIG_RETRY_AFTER)),
+        ErrorKind::Overloaded => Some(BODY_RETRY_AFTER),
+        _ => None,
+    };
+    let mut reply = error_reply(&core.edge, error.kind, retry_after);
+    if error.kind == ErrorKind::Overloaded {
+        // The rest of its body is not read.
+        close_after(&mut reply);
+    }
+    reply
+}
+
+fn close_after(reply: &mut CallerReply) {
+    let close = HeaderValue::from_static("close");
+    reply.headers_mut().insert(header::CONNECTION, close);
 }
 
 /// Serves a request; one that is still in progress at the end of a planned stop gets an answer that
@@ -175,7 +187,7 @@
     };
     let call = match read_call(core, entry, Some(reservation)).await {
         Ok(call) => call,
-        Err(error) => return (reject(core, &error), false),
+        Err(error) => return (reject(core, &error), error.kind == ErrorKind::Overloaded),
     };
     let service = call.head.service.clone();
     let ended = relay_call(core, call).await;
@@ -203,14 +215,18 @@
         drop(read_call(core, entry, None).await);
         return reply;
     }
-    let close = HeaderValue::from_static("close");
-    reply.headers_mut().insert(header::CONNECTION, close);
-    // Closing a connection with unread bytes resets it, and the caller would lose the answer.
+    close_after(&mut reply);
+    leave_unread(core, entry.body);
+    reply
+}
+
+/// Keeps the connection of a body that is not read to its end. Closing it with unread bytes would
+/// reset it, and the caller would lose the answer.
+fn leave_unread(core: &ProxyCore, body: Incoming) {
     core.tasks.spawn(async move {
-        let _unread = entry.body;
+        let _unread = body;
         sleep(LINGER_TIME).await;
     });
-    reply
 }
 
 /// A request whose body has not been read yet.
@@ -316,7 +332,7 @@
         ..
     } = entry;
     let time_left = deadline.saturating_duration_since(core.clock.now());
-    let body = read_body(max_body_bytes, body, reservation, time_left).await?;
+    let body = read_body(core, max_body_bytes, body, reservation, time_left).await?;
     head.body_size = ByteCount(body.len() as u64);
     Ok(RelayCall {
         head,
@@ -335,8 +351,9 @@
 }
 
 async fn read_body(
+    core: &ProxyCore,
     max_bytes: usize,
-    body: Incoming,
+    mut body: Incoming,
     mut reservation: Option<LinkReservation>,
     time_left: Duration,
 ) -> Result<Bytes> {
@@ -351,10 +368,8 @@
     if announced > max_bytes as u64 {
         return Err(too_large());
     }
-    // One buffer of the right size: pieces that are joined at the end would need it twice.
-    let mut buffer = BytesMut::with_capacity(announced as usize);
     let reading = async {
-        let mut body = body;
+        let mut buffer = BodyBuffer::new(&core.bodies, ByteCount(announced))?;
         while let Some(frame) = body.frame().await {
             let frame = frame
                 .map_err(|error| KindError::new(ErrorKind::RequestInvalid, error.to_string()))?;
@@ -367,14 +382,22 @@
             if let Some(reservation) = &mut reservation {
                 reservation.release(piece.len());
             }
-            buffer.extend_from_slice(&piece);
+            buffer.push(&piece)?;
         }
-        Ok(buffer.freeze())
+        Ok(buffer.finish())
     };
-    let read = timeout(time_left, reading).await;
-    read.map_err(|_elapsed| {
-        KindError::new(ErrorKind::IdleTimeout, "the body did not arrive in time")
-    })?
+    let read = timeout(time_left, reading)
+        .await
+        .unwrap_or_else(|_elapsed| {
+            let detail = "the body did not arrive in time";
+            Err(KindError::new(ErrorKind::IdleTimeout, detail))
+        });
+    if let Err(error) = &read
+        && error.kind == ErrorKind::Overloaded
+    {
+        leave_unread(core, body);
+    }
+    read
 }
 
 fn header_text(value: Option<&HeaderValue>) -> Option<&str> {
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use mesh::BudgetLimits;
-use model::{DaemonName, DomainName, RegionName, ServiceName};
+use model::{ByteCount, DaemonName, DomainName, RegionName, ServiceName};
 
 /// Settings of one daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -39,6 +39,8 @@
     pub store_address: SocketAddr,
     /// Capacity of the VM's network link in bytes per second.
     pub link_bytes_per_s: f64,
+    /// Memory that the process may use.
+    pub memory: ByteCount,
     /// Interval between reports of a target.
     pub report_interval: Duration,
     /// Retry budget of the fleet for each service.
