--- a/crates/plans/src/state.rs
+++ b/crates/plans/src/state.rs
@@ -16,13 +16,13 @@
 use model::{ChangeId, ConfigVersion, ErrorKind, KindError, LogOffset, ensure};
 use serde::{Deserialize, Serialize};
 
-use crate::change::{ChangeMeta, ChangeRecord, RebaseRecord, StreamRecord};
+use crate::change::{ChangeMeta, ChangeRecord, RULES_VERSION, RebaseRecord, StreamRecord};
 use crate::entry::EntryEdit;
 use crate::head::{ConfigRecord, StateHash, StateHead};
 use crate::history::{AcceptedChange, ChangeHistory, version_number};
 use crate::lists::ConfigLists;
 use crate::verdict::ChangeVerdict;
-use decide::RecordDecision;
+use decide::{RecordDecision, highest_rebase_version};
 
 /// Result of operations on a state.
 ///
@@ -229,7 +229,9 @@
     /// `ChangeRefused` unless the rebase directly follows its base: otherwise
     /// a record in between, unknown to this reader, might have caused its
     /// refusal. Fails likewise if the rebase sets no version above the one of
-    /// its offset, and with `ListInvalid` if its lists are invalid.
+    /// its offset or one above the highest that is allowed, or if this release
+    /// does not implement its rules, and with `ListInvalid` if its lists are
+    /// invalid.
     pub fn from_rebase(record: &ConfigRecord) -> Result<Self> {
         let StreamRecord::Rebase(rebase) = StreamRecord::decode(&record.body)? else {
             let detail = "the record is not a rebase";
@@ -243,6 +245,12 @@
             ErrorKind::ChangeRefused,
             detail,
         )?;
+        let in_range = rebase.version <= highest_rebase_version();
+        let detail = "the version of the rebase is too high";
+        ensure(in_range, ErrorKind::ChangeRefused, detail)?;
+        let known_rules = (1..=RULES_VERSION).contains(&rebase.rules);
+        let detail = "this release does not implement the rules of the rebase";
+        ensure(known_rules, ErrorKind::ChangeRefused, detail)?;
         rebase.lists.validate()?;
         let mut state = Self::new();
         let id = rebase.id;
--- a/crates/plans/src/state/decide.rs
+++ b/crates/plans/src/state/decide.rs
@@ -18,6 +18,11 @@
 /// records.
 const MAX_REBASE_OFFSET: LogOffset = LogOffset(1 << 53);
 
+/// Returns the highest version that a rebase can set.
+pub(super) fn highest_rebase_version() -> ConfigVersion {
+    ConfigVersion::at(MAX_REBASE_OFFSET)
+}
+
 /// Decision on a record.
 pub(super) enum RecordDecision {
     /// Accepts a change; holds the lists with its edits applied.
@@ -114,7 +119,7 @@
     }
 
     fn decide_rebase(&self, rebase: RebaseRecord) -> RecordDecision {
-        let highest = ConfigVersion::at(MAX_REBASE_OFFSET);
+        let highest = highest_rebase_version();
         if rebase.version < self.next_version() || rebase.version > highest {
             let (version, folded) = (rebase.version, self.head.folded);
             let reason = format!("version {version} must lie after {folded}, up to {highest}");
--- a/crates/plans/tests/lost_log.rs
+++ b/crates/plans/tests/lost_log.rs
@@ -4,8 +4,8 @@
 
 use model::{ConfigVersion, ErrorKind, LogOffset};
 use quetzal_plans::{
-    ChangeFingerprint, ChangeVerdict, ConfigReplica, LogRecovery, RebaseRecord, StateHead,
-    StreamRecord, UpdateOutcome,
+    ChangeFingerprint, ChangeVerdict, ConfigRecord, ConfigReplica, ConfigState, LogRecovery,
+    RebaseRecord, StateHead, StreamRecord, UpdateOutcome,
 };
 use support::{change, meta, set_rate, template_lists, template_log};
 
@@ -128,3 +128,35 @@
     );
     assert_eq!(ahead.state(), &recovered);
 }
+
+// Guards against a state that a reader without a snapshot takes over from a rebase and that every other
+// reader refuses.
+#[test]
+fn a_rebase_that_the_fold_refuses_is_not_a_start() {
+    let start = |edit: fn(&mut RebaseRecord)| {
+        let mut rebase = RebaseRecord::new(
+            version(1),
+            version(5000),
+            template_lists(),
+            meta(90, "hala", "lost once before"),
+        );
+        edit(&mut rebase);
+        let record = ConfigRecord {
+            offset: LogOffset(1),
+            at: std::time::SystemTime::UNIX_EPOCH,
+            body: StreamRecord::Rebase(rebase).encode().unwrap().into(),
+        };
+        ConfigState::from_rebase(&record).map(|state| state.version())
+    };
+    assert_eq!(start(|_| ()).unwrap(), version(5000));
+    let edits: [fn(&mut RebaseRecord); 4] = [
+        |rebase| rebase.rules = 9,
+        |rebase| rebase.rules = 0,
+        |rebase| rebase.version = version(1 << 60),
+        |rebase| rebase.version = version(1),
+    ];
+    for (index, edit) in edits.into_iter().enumerate() {
+        let error = start(edit).expect_err("refused");
+        assert_eq!(error.kind, ErrorKind::ChangeRefused, "edit {index}");
+    }
+}
