Run few requests at a target before its first answer

Cause: two faults. The gate opened with all slots before the target had said anything of itself; and when it opened further, it started waiting requests before it set the limit.

Change: until a target's first answer at most two requests run, and the daemon asks it at once; the gate sets the limit before it opens.

--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -30,6 +30,10 @@
 /// answer. Delayed reports arrive singly, so a series in order is a current one.
 const CONFIRMING_REPORTS: u8 = 2;
 
+/// Number of requests that run at the same time at a target before its first answer, which may name
+/// a limit.
+const UNHEARD_SLOTS: CallCount = CallCount(2);
+
 /// Longest time by which the start of a run may seem to lie ahead, since clocks differ.
 const MAX_CLOCK_LEAD: Duration = Duration::from_secs(60);
 
@@ -100,8 +104,8 @@
     unconfirmed: u8,
     /// Wall time in milliseconds of the last answer; 0 before the first.
     answered_at: IncarnationNumber,
-    /// What the last answer said.
-    notice: TargetNotice,
+    /// What the last answer said; none before the first.
+    notice: Option<TargetNotice>,
 }
 
 /// How a run ended.
@@ -292,7 +296,7 @@
             return None;
         }
         known.leaving |= notice.leaving;
-        let previous = std::mem::replace(&mut known.notice, notice);
+        let previous = known.notice.replace(notice).unwrap_or_default();
         (previous != notice).then_some(previous)
     }
 
@@ -320,7 +324,25 @@
     /// Returns what the target said of itself in its last answer.
     pub fn notice(&self) -> TargetNotice {
         let known = self.known.as_ref();
-        known.map_or_else(TargetNotice::default, |known| known.notice)
+        known.and_then(|known| known.notice).unwrap_or_default()
+    }
+
+    /// Returns whether the known target has said of itself what it says in every answer.
+    pub fn is_heard(&self) -> bool {
+        self.known
+            .as_ref()
+            .is_some_and(|known| known.notice.is_some())
+    }
+
+    /// Returns the number of requests that may run at the target at the same time; none if it
+    /// accepts no requests.
+    pub fn usable_slots(&self) -> Option<CallCount> {
+        let slots = self.available()?.slots;
+        Some(if self.is_heard() {
+            slots
+        } else {
+            slots.min(UNHEARD_SLOTS)
+        })
     }
 
     /// Returns whether the target has said that it is leaving.
@@ -334,11 +356,14 @@
     }
 
     /// Returns whether an answer of the target would tell which one runs: none is known, the known
-    /// one is not available though it has not said that it leaves, or another one reports.
+    /// one is not available though it has not said that it leaves, or has not answered yet, or another
+    /// one reports.
     pub fn is_in_doubt(&self) -> bool {
         let is_missing = self.available().is_none() && !self.is_leaving();
         let is_down = self.known.as_ref().is_some_and(|known| known.down);
-        is_missing || is_down || self.is_unconfirmed() || self.challenger.is_some()
+        let is_unheard = !self.is_heard() && !self.is_leaving();
+        let is_challenged = self.challenger.is_some();
+        is_missing || is_down || self.is_unconfirmed() || is_challenged || is_unheard
     }
 
     /// Returns the latest report of the target if it accepts requests.
@@ -411,7 +436,7 @@
             down: false,
             unconfirmed: 0,
             answered_at: IncarnationNumber(0),
-            notice: TargetNotice::default(),
+            notice: None,
             report,
         }
     }
--- a/crates/mesh/tests/target_runs.rs
+++ b/crates/mesh/tests/target_runs.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, UNIX_EPOCH};
 
 use model::{CallCount, ClockPort, FakeClock, IncarnationNumber, TargetName};
-use quetzal_mesh::{LocalTarget, ReportedState, TargetLeave, TargetReport};
+use quetzal_mesh::{LocalTarget, ReportedState, TargetLeave, TargetNotice, TargetReport};
 use support::{ms, service};
 
 /// Number of events in a row.
@@ -133,6 +133,7 @@
                 let unknown = IncarnationNumber(0);
                 let found = report(present.as_str(), unknown, 0, ReportedState::Ready);
                 self.target.on_found(found);
+                self.target.on_notice(&present, TargetNotice::default());
                 self.is_present_known = true;
             }
             Event::Answer => {
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -106,7 +106,16 @@
 
 /// Applies what `target` said of itself in an answer.
 pub fn apply_notice(core: &ProxyCore, target: &TargetName, notice: TargetNotice) {
-    let Some(previous) = core.local_target().on_notice(target, notice) else {
+    let (previous, is_first) = {
+        let mut known = core.local_target();
+        let was_heard = known.is_heard();
+        let previous = known.on_notice(target, notice);
+        (previous, !was_heard && known.is_heard())
+    };
+    if is_first {
+        apply_target(core);
+    }
+    let Some(previous) = previous else {
         return;
     };
     let per_second = |limit: Option<CallRate>| limit.map(|rate| rate.0);
@@ -125,15 +134,19 @@
 /// Opens or closes the gate depending on whether the target takes requests, and wakes the
 /// membership loop to announce it.
 pub fn apply_target(core: &ProxyCore) {
-    let (slots, limit) = {
+    let (slots, limit, is_heard) = {
         let target = core.local_target();
-        let slots = target.available().map(|report| report.slots);
-        (slots, target.notice().limit)
+        (
+            target.usable_slots(),
+            target.notice().limit,
+            target.is_heard(),
+        )
     };
     match slots {
         Some(slots) if !core.is_stopping() => {
+            let ahead = if is_heard { REQUESTS_AHEAD } else { 0 };
             core.gate
-                .open(CallCount(slots.0.saturating_add(REQUESTS_AHEAD)), limit);
+                .open(CallCount(slots.0.saturating_add(ahead)), limit);
         }
         Some(_) | None => core.gate.close(),
     }
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -165,12 +165,14 @@
 
     /// Admits up to `slots` concurrent requests, at no higher rate than `limit`.
     pub fn open(&self, slots: CallCount, limit: Option<CallRate>) {
+        // Before there are more slots, so that no waiting request precedes the limit.
+        self.set_limit(limit);
         let mut state = self.lock();
         state.gate.reopen();
         let started = state.gate.resize(slots);
         state.wake_started(started);
         drop(state);
-        self.set_limit(limit);
+        self.shared.due_changed.notify_one();
     }
 
     /// Sets the limit that the target names.
