Do not take a refusal for its own deadline for a lack of capacity

Cause: every refusal by a gate counted as one for lack of capacity in the entry throttle and for the run that made the request.

Change: a request whose gates refused it only for its own deadline, or because it crashes targets, counts as one that is refused at any load, like one that a target itself refuses.

--- a/crates/mesh/src/throttle.rs
+++ b/crates/mesh/src/throttle.rs
@@ -58,7 +58,8 @@
 pub enum EntryOutcome {
     /// Refused by a gate for lack of capacity, at no cost to any target.
     Refused,
-    /// Refused by the targets themselves, regardless of load.
+    /// Refused regardless of load: by the targets themselves, for the request's own deadline, or
+    /// because the request crashes targets.
     Shed,
     /// Ran, successfully or not.
     Ran,
@@ -67,7 +68,8 @@
 }
 
 impl EntryOutcome {
-    /// Returns the outcome of a request that did not run; `shed` if a target itself refused it.
+    /// Returns the outcome of a request that did not run; `shed` if it was refused regardless of
+    /// load.
     pub fn from_refusal(shed: bool) -> Self {
         if shed { Self::Shed } else { Self::Refused }
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -82,6 +82,29 @@
     calls: NestedCallOutcome,
     /// Whether any target itself refused the request.
     refused_by_target: bool,
+    /// Whether any gate refused the request for lack of capacity.
+    lacked_capacity: bool,
+    /// Whether any gate refused it for a reason that concerns no other request.
+    was_unsuited: bool,
+}
+
+impl LastAnswer {
+    /// Records why an attempt was refused.
+    fn record_refusal(&mut self, kind: ErrorKind, reached_target: bool) {
+        if reached_target {
+            self.refused_by_target = true;
+        } else if concerns_request_only(kind) {
+            self.was_unsuited = true;
+        } else {
+            self.lacked_capacity = true;
+        }
+    }
+
+    /// Returns whether a request that is refused with `kind` would be refused at any load.
+    fn is_refused_at_any_load(&self, kind: ErrorKind) -> bool {
+        let was_unsuited = self.was_unsuited || concerns_request_only(kind);
+        self.refused_by_target || was_unsuited && !self.lacked_capacity
+    }
 }
 
 /// Sends `call` until it is answered or may not be retried. Dropping the future cancels the
@@ -133,13 +156,14 @@
         if is_poison_refusal(attempt.outcome) && daemon != core.id {
             core.tasks.spawn(ask_suspects(Arc::clone(core), daemon));
         }
-        last.refused_by_target |= matches!(
-            attempt.outcome,
-            AttemptOutcome::Refused {
-                reached_target: true,
-                ..
-            }
-        );
+        if let AttemptOutcome::Refused {
+            kind,
+            reached_target,
+            ..
+        } = attempt.outcome
+        {
+            last.record_refusal(kind, reached_target);
+        }
         if attempt.outcome != AttemptOutcome::Answered {
             log_attempt(&call, daemon, &attempt, step);
         }
@@ -261,6 +285,10 @@
 }
 
 fn conclude(core: &ProxyCore, call: &RelayCall, step: NextStep, last: LastAnswer) -> RelayOutcome {
+    let shed = match step {
+        NextStep::Refuse { kind, .. } => last.is_refused_at_any_load(kind),
+        NextStep::Deliver | NextStep::TryAnother | NextStep::Fail(_) => false,
+    };
     let called = last.called;
     let (kind, retry_after) = match (step, last.reply) {
         (NextStep::Deliver, Some(reply)) => {
@@ -297,7 +325,7 @@
     RelayOutcome {
         reply: error_reply(&core.edge, kind, retry_after),
         outcome: if retry_after.is_some() {
-            EntryOutcome::from_refusal(last.refused_by_target)
+            EntryOutcome::from_refusal(shed)
         } else {
             EntryOutcome::Ran
         },
@@ -305,6 +333,11 @@
     }
 }
 
+/// Returns whether a refusal of this kind says nothing about other requests.
+fn concerns_request_only(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::DeadlineExceeded | ErrorKind::PoisonRequest)
+}
+
 /// Logs how a request ended.
 fn log_end(core: &ProxyCore, call: &RelayCall, end: &str, retry_after: Option<Duration>) {
     let now = core.clock.now();
