Bound what a message between daemons may claim while it is decoded

What callers could see: a daemon that gets a damaged message, or one of a build with another form, aborts with all requests in progress: a text of 2^60 bytes is claimed, and the allocation fails.

Cause: wire::decode_message decoded without a limit.

Change: at most 16 MiB.

--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -10,6 +10,10 @@
 /// Size of the length prefix in bytes.
 pub const LENGTH_PREFIX_BYTES: usize = 4;
 
+/// Maximum memory that a message claims while it is decoded. Lengths inside a message are not bounded by
+/// the bytes that follow, so a damaged one could ask for more memory than there is.
+const MAX_DECODED_BYTES: usize = 16 << 20;
+
 /// Encodes a message as bincode, without a length prefix.
 ///
 /// Kinds: `FrameInvalid`.
@@ -22,9 +26,9 @@
 ///
 /// Kinds: `FrameInvalid`.
 pub fn decode_message<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
-    let (message, decoded_length) =
-        bincode::serde::decode_from_slice(bytes, bincode::config::standard())
-            .map_err(|error| KindError::new(ErrorKind::FrameInvalid, error.to_string()))?;
+    let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    let (message, decoded_length) = bincode::serde::decode_from_slice(bytes, config)
+        .map_err(|error| KindError::new(ErrorKind::FrameInvalid, error.to_string()))?;
     model::ensure(
         decoded_length == bytes.len(),
         ErrorKind::FrameInvalid,
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -231,6 +231,18 @@
     server.stop().await;
 }
 
+// Guards against a damaged message, or one of another build, that claims a length far beyond its bytes: the
+// memory asked for ended the process.
+#[test]
+fn a_message_that_claims_more_memory_than_allowed_is_refused() {
+    let mut claiming = vec![253];
+    claiming.extend_from_slice(&(1_u64 << 60).to_le_bytes());
+    let error = quetzal_wire::decode_message::<String>(&claiming).expect_err("refused");
+    assert_eq!(error.kind, ErrorKind::FrameInvalid);
+    let error = quetzal_wire::decode_message::<Vec<String>>(&claiming).expect_err("refused");
+    assert_eq!(error.kind, ErrorKind::FrameInvalid);
+}
+
 quickcheck! {
     fn frames_decode_after_any_split(text: String, cut: usize) -> bool {
         let frame = encode_frame(&text, 1 << 20).unwrap();
