End long answers that their callers do not read

Cause: the time limit of an answer was looked at only when its next piece was read, and the HTTP server reads no piece while the caller takes none; the daemon beside the target waited without a limit for the other daemon.

Change: a task reads long answers and gives up at the caller's deadline (proxy::answer_pump); sending to another daemon ends then too. The reader's time is not run time and no failure of the target. The window of a connection between daemons is 4 MiB.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -277,6 +277,13 @@
         self.start_next(now)
     }
 
+    /// Takes `time` out of a run, in which its target was not at work.
+    pub fn discount(&mut self, call: CallId, time: Duration) {
+        if let Some(running) = self.running.get_mut(&call) {
+            running.since += time;
+        }
+    }
+
     /// Removes a request that its caller cancelled; returns the requests that start now.
     pub fn cancel(&mut self, call: CallId) -> StartList {
         let now = self.clock.now();
--- a/crates/mesh/tests/gate.rs
+++ b/crates/mesh/tests/gate.rs
@@ -378,6 +378,21 @@
     assert_eq!(gate.admit(&impatient(2)), GateDecision::Start);
 }
 
+// Guards against a caller that takes its answer slowly and makes the target look slow.
+#[test]
+fn time_spent_by_the_reader_of_an_answer_is_not_run_time() {
+    let clock = FakeClock::new();
+    let mut gate = PriorityGate::new(CallCount(4), clock.shared());
+    run_alone(&mut gate, &clock, ("prices", 1), 50, ms(50));
+    let before = gate.mean_run_time();
+    let request = request_at(&clock, 1, ("prices", 1), (120, 8000));
+    assert_eq!(gate.admit(&request), GateDecision::Start);
+    clock.advance(ms(5050));
+    gate.discount(request.call, ms(5000));
+    gate.release(request.call, false);
+    assert_eq!(gate.mean_run_time(), before);
+}
+
 // Guards against a freeze of the daemon that is taken for run time of the target, so that the gate
 // refuses a route whose requests cannot wait that long.
 #[test]
--- a/crates/proxy/src/answer_body.rs
+++ b/crates/proxy/src/answer_body.rs
@@ -6,6 +6,8 @@
 //! a body is cut off at a maximum size and when its caller stops waiting; its
 //! connection is closed then.
 
+use std::time::Instant;
+
 use bytes::{Bytes, BytesMut};
 use http::Response;
 use http_body_util::BodyExt;
@@ -39,6 +41,8 @@
     slot: Option<DeskPlace>,
     limit: ResponseLimit,
     clock: SharedClock,
+    /// When the last piece was handed over, until the next one is asked for.
+    handed_at: Option<Instant>,
 }
 
 /// Result of reading a body into the buffer.
@@ -85,11 +89,24 @@
             first: Some(first),
             exchange: Some(exchange),
             slot: Some(slot),
+            handed_at: None,
         }
     }
 
+    /// Returns the time at which the caller stops waiting.
+    pub fn deadline(&self) -> Instant {
+        self.limit.deadline()
+    }
+
     /// Returns the next bytes, or `None` after the end of the body.
     pub async fn next(&mut self) -> Option<std::result::Result<Bytes, Box<str>>> {
+        self.discount_reader();
+        let piece = self.read_piece().await;
+        self.handed_at = Some(self.clock.now());
+        piece
+    }
+
+    async fn read_piece(&mut self) -> Option<std::result::Result<Bytes, Box<str>>> {
         if let Some(first) = self.first.take() {
             return Some(self.check_limit(first));
         }
@@ -120,6 +137,22 @@
         }
     }
 
+    /// Ends an answer whose pieces are not taken: closes the connection and gives the slot back, without
+    /// blaming the target.
+    pub fn give_up(&mut self) {
+        self.discount_reader();
+        self.exchange = None;
+        self.slot = None;
+        log::warn!(bytes = self.limit.forwarded().0; "answer not taken in time");
+    }
+
+    /// Takes the time since the last piece was handed over out of the target's run time.
+    fn discount_reader(&mut self) {
+        if let (Some(handed_at), Some(slot)) = (self.handed_at.take(), &self.slot) {
+            slot.discount(self.clock.now().saturating_duration_since(handed_at));
+        }
+    }
+
     fn check_limit(&mut self, data: Bytes) -> std::result::Result<Bytes, Box<str>> {
         let length = ByteCount(data.len() as u64);
         match self.limit.record(length, self.clock.now()) {
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -265,6 +265,11 @@
 }
 
 impl DeskPlace {
+    /// Takes `time` out of the run, in which the target was not at work.
+    pub fn discount(&self, time: Duration) {
+        self.shared.lock().gate.discount(self.call, time);
+    }
+
     /// Releases the slot after a run; `failed` if the target failed the request.
     pub fn finish(mut self, failed: bool) {
         self.released = true;
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -10,7 +10,7 @@
 use mesh::link::LinkReservation;
 use model::{ByteCount, ErrorKind, KindError};
 use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 use wire::{BodyReceiver, BodySender, PeerResponder, PeerStream, WireLimits};
 
@@ -180,7 +180,13 @@
                         // Dropping the sender resets the stream: the peer sees an incomplete body.
                         let piece = piece
                             .map_err(|detail| KindError::new(ErrorKind::TargetFailed, detail))?;
-                        sender.send(piece).await?;
+                        let sending = sender.send(piece);
+                        let Ok(sent) = timeout_at(stream.deadline().into(), sending).await else {
+                            stream.give_up();
+                            let detail = "the answer was not taken in time";
+                            return Err(KindError::new(ErrorKind::IdleTimeout, detail));
+                        };
+                        sent?;
                     }
                 }
             }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 //! [`run`] starts and stops everything.
 
 pub mod answer_body;
+pub mod answer_pump;
 pub mod body_buffer;
 pub mod config_watch;
 pub mod control;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -15,6 +15,7 @@
 use wire::BodyReceiver;
 
 use crate::answer_body::{AnswerBody, MAX_BUFFERED_BYTES};
+use crate::answer_pump::{AnswerPieces, AnswerSource};
 use crate::core::ProxyCore;
 use crate::message::{CallAnswer, CallHead};
 use crate::metrics::RequestOutcome;
@@ -394,19 +395,26 @@
             since: now,
         };
         let end = run_call(core, local_call).await;
-        return local_result(core, end);
+        return local_result(core, end, call.deadline);
     }
     let Some(address) = core.peers().get(&target.view.daemon).copied() else {
         return unsent("the daemon left the membership".into());
     };
     match call_peer(core, address, &head, call.body.clone()).await {
-        PeerOutcome::Answered(answer, receiver) => peer_result(answer, receiver).await,
+        PeerOutcome::Answered(answer, receiver) => {
+            peer_result(core, answer, receiver, call.deadline).await
+        }
         PeerOutcome::NotRun(detail) => unsent(detail),
         PeerOutcome::Lost(detail) => broken(detail, CallResult::Lost, None),
     }
 }
 
-async fn peer_result(answer: CallAnswer, receiver: BodyReceiver) -> AttemptResult {
+async fn peer_result(
+    core: &ProxyCore,
+    answer: CallAnswer,
+    receiver: BodyReceiver,
+    deadline: Instant,
+) -> AttemptResult {
     match answer {
         CallAnswer::Answered {
             status,
@@ -415,7 +423,7 @@
             calls,
             waited,
             load,
-        } => match read_reply(receiver).await {
+        } => match read_reply(core, receiver, deadline).await {
             Ok(body) => {
                 let reply = target_reply(status, &headers, body);
                 answered(status, reply, (called, calls), waited, load)
@@ -437,14 +445,17 @@
     }
 }
 
-fn local_result(core: &ProxyCore, end: TargetRunOutcome) -> AttemptResult {
+fn local_result(core: &ProxyCore, end: TargetRunOutcome, deadline: Instant) -> AttemptResult {
     let load = core.target_load();
     match end {
         TargetRunOutcome::Answered(answer) => {
             let status = answer.status.as_u16();
             let body = match answer.body {
                 AnswerBody::Whole(bytes) => ReplyBody::Whole(Some(bytes)),
-                AnswerBody::Stream(stream) => ReplyBody::own(stream),
+                AnswerBody::Stream(stream) => {
+                    let source = AnswerSource::Own(stream);
+                    ReplyBody::Pieces(AnswerPieces::pump(source, deadline, &core.tasks))
+                }
             };
             let reply = target_reply(status, &answer.headers, body);
             answered(
@@ -466,12 +477,18 @@
 }
 
 /// Buffers an answer, or only its beginning if it is long.
-async fn read_reply(mut receiver: BodyReceiver) -> model::Result<ReplyBody> {
+async fn read_reply(
+    core: &ProxyCore,
+    mut receiver: BodyReceiver,
+    deadline: Instant,
+) -> model::Result<ReplyBody> {
     let mut buffered = BytesMut::new();
     while let Some(piece) = receiver.next().await {
         buffered.extend_from_slice(&piece?);
         if buffered.len() > MAX_BUFFERED_BYTES {
-            return Ok(ReplyBody::Peer(Some(buffered.freeze()), receiver));
+            let source = AnswerSource::Peer(Some(buffered.freeze()), receiver);
+            let pieces = AnswerPieces::pump(source, deadline, &core.tasks);
+            return Ok(ReplyBody::Pieces(pieces));
         }
     }
     Ok(ReplyBody::Whole(Some(buffered.freeze())))
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -8,9 +8,8 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use model::{ErrorKind, KindError};
-use wire::BodyReceiver;
 
-use crate::answer_body::BodyStream;
+use crate::answer_pump::AnswerPieces;
 use crate::edge::EdgeProtocol;
 use crate::message::{HeaderList, unpack_headers};
 
@@ -22,46 +21,8 @@
 pub enum ReplyBody {
     /// The complete body, if it has one.
     Whole(Option<Bytes>),
-    /// The beginning of a long body and the peer connection that carries the rest.
-    Peer(Option<Bytes>, BodyReceiver),
-    /// A long body from the target beside this daemon.
-    Own(Pin<Box<OwnStream>>),
-}
-
-type NextPiece =
-    Pin<Box<dyn Future<Output = (Box<BodyStream>, Option<Result<Bytes, Box<str>>>)> + Send>>;
-
-/// Body stream from the target beside this daemon.
-pub struct OwnStream {
-    next: Option<NextPiece>,
-}
-
-impl OwnStream {
-    fn new(stream: Box<BodyStream>) -> Self {
-        Self {
-            next: Some(next_piece(stream)),
-        }
-    }
-}
-
-impl std::fmt::Debug for OwnStream {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("OwnStream").finish_non_exhaustive()
-    }
-}
-
-fn next_piece(mut stream: Box<BodyStream>) -> NextPiece {
-    Box::pin(async move {
-        let piece = stream.next().await;
-        (stream, piece)
-    })
-}
-
-impl ReplyBody {
-    /// Creates a body that streams from the target beside this daemon.
-    pub fn own(stream: Box<BodyStream>) -> Self {
-        Self::Own(Box::pin(OwnStream::new(stream)))
-    }
+    /// A long body, read piece by piece.
+    Pieces(AnswerPieces),
 }
 
 impl Body for ReplyBody {
@@ -74,14 +35,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, KindError>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Peer(first, receiver) => {
-                if let Some(first) = first.take() {
-                    return Poll::Ready(Some(Ok(Frame::data(first))));
-                }
-                let polled = receiver.poll_next(cx);
+            Self::Pieces(pieces) => {
+                let polled = Pin::new(pieces).poll_next(cx);
                 polled.map(|piece| piece.map(|piece| piece.map(Frame::data)))
             }
-            Self::Own(stream) => poll_own_stream(stream.as_mut(), cx),
         }
     }
 
@@ -94,30 +51,11 @@
             Self::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Peer(..) | Self::Own(_) => SizeHint::default(),
+            Self::Pieces(_) => SizeHint::default(),
         }
     }
 }
 
-fn poll_own_stream(
-    mut stream: Pin<&mut OwnStream>,
-    cx: &mut Context<'_>,
-) -> Poll<Option<Result<Frame<Bytes>, KindError>>> {
-    let Some(next) = &mut stream.next else {
-        return Poll::Ready(None);
-    };
-    let (rest, piece) = std::task::ready!(next.as_mut().poll(cx));
-    stream.next = None;
-    Poll::Ready(match piece {
-        None => None,
-        Some(Ok(bytes)) => {
-            stream.next = Some(next_piece(rest));
-            Some(Ok(Frame::data(bytes)))
-        }
-        Some(Err(detail)) => Some(Err(KindError::new(ErrorKind::TargetFailed, detail))),
-    })
-}
-
 /// Builds the reply that forwards a target's answer.
 pub fn target_reply(status: u16, headers: &HeaderList, body: ReplyBody) -> CallerReply {
     let mut response = Response::new(body);
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -54,7 +54,8 @@
     // Holds any body that is sent without `CallAnswer::Proceed`; larger ones wait until the
     // daemon beside the target has room on its link.
     stream_window_bytes: 32 << 10,
-    connection_window_bytes: 256 << 10,
+    // Streams whose bytes nobody takes must not stop the others before their deadlines.
+    connection_window_bytes: 4 << 20,
     connect_timeout: Duration::from_millis(250),
     idle_timeout: Duration::from_secs(60),
     ping_interval: Duration::from_millis(400),
