Split the results of attempts from the relay

No change of behaviour but one: a call of a running request that is refused for the memory of its body counts for the run as refused for lack of capacity, as refusals by a planned stop do. That was found by reading and has no test of its own. The tests of proxy pass.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod answer_body;
 pub mod answer_pump;
+mod attempt_result;
 pub mod body_buffer;
 pub mod config_watch;
 pub mod control;
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -151,7 +151,14 @@
     core.record_caller_request();
     let call = match read_call(core, entry, None).await {
         Ok(call) => call,
-        Err(error) => return reject(core, &error),
+        Err(error) => {
+            if error.kind == ErrorKind::Overloaded {
+                let outcome = EntryOutcome::from_refusal(false);
+                core.lineage()
+                    .record_outcome(&request_id, outcome.as_nested_call());
+            }
+            return reject(core, &error);
+        }
     };
     let ended = relay_call(core, call).await;
     core.lineage()
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -9,13 +9,14 @@
     AttemptOutcome, AttemptPlan, CallSafety, EntryOutcome, NestedCallOutcome, NextStep, RouteRule,
 };
 use model::{DaemonId, ErrorKind};
-use route::{CallOutcome, CallResult, PickedTarget, TargetLoad};
+use route::{CallOutcome, CallResult, PickedTarget};
 use smallvec::SmallVec;
 use tokio::time::timeout;
 use wire::BodyReceiver;
 
 use crate::answer_body::{AnswerBody, MAX_BUFFERED_BYTES};
 use crate::answer_pump::{AnswerPieces, AnswerSource};
+use crate::attempt_result::{AttemptResult, answered, broken, deadline_passed, refused, unsent};
 use crate::core::ProxyCore;
 use crate::message::{CallAnswer, CallHead};
 use crate::metrics::RequestOutcome;
@@ -57,24 +58,6 @@
     pub called: CalledServices,
 }
 
-/// Result of one attempt, with the reply if there is one.
-struct AttemptResult {
-    /// Outcome on which the next step depends.
-    outcome: AttemptOutcome,
-    /// Services that the run called.
-    called: CalledServices,
-    /// Worst outcome of these calls.
-    calls: NestedCallOutcome,
-    reply: Option<CallerReply>,
-    /// Result that the target selection learns from.
-    result: CallResult,
-    /// Time for which the request was queued for a slot.
-    waited: Duration,
-    load: Option<TargetLoad>,
-    /// Cause of a failure, for the log.
-    detail: Box<str>,
-}
-
 /// Last answer of a target among all attempts.
 #[derive(Default)]
 struct LastAnswer {
@@ -494,71 +477,6 @@
     Ok(ReplyBody::Whole(Some(buffered.freeze())))
 }
 
-fn answered(
-    status: u16,
-    reply: CallerReply,
-    (called, calls): (CalledServices, NestedCallOutcome),
-    waited: Duration,
-    load: TargetLoad,
-) -> AttemptResult {
-    let failed = status >= 500;
-    AttemptResult {
-        called,
-        calls,
-        outcome: match (failed, calls) {
-            (true, NestedCallOutcome::Ran) => AttemptOutcome::ServerFailed,
-            (true, NestedCallOutcome::Shed | NestedCallOutcome::NoRoom) => {
-                AttemptOutcome::NestedCallRefused
-            }
-            (false, _) => AttemptOutcome::Answered,
-        },
-        reply: Some(reply),
-        result: if failed {
-            CallResult::Failed
-        } else {
-            CallResult::Done
-        },
-        waited,
-        load: Some(load),
-        detail: Box::default(),
-    }
-}
-
-fn refused(
-    kind: ErrorKind,
-    reached_target: bool,
-    retry_after: Option<Duration>,
-    load: TargetLoad,
-) -> AttemptResult {
-    AttemptResult {
-        called: CalledServices::new(),
-        calls: NestedCallOutcome::Ran,
-        outcome: AttemptOutcome::Refused {
-            kind,
-            reached_target,
-            retry_after,
-        },
-        reply: None,
-        result: refusal_result(kind),
-        waited: Duration::ZERO,
-        load: Some(load),
-        detail: Box::default(),
-    }
-}
-
-/// Returns what a refusal means for the selection of targets.
-///
-/// A gate that is full for one request may admit a more urgent one, so such a
-/// refusal only updates the load that came with it.
-fn refusal_result(kind: ErrorKind) -> CallResult {
-    match kind {
-        ErrorKind::QueueFull | ErrorKind::DeadlineExceeded | ErrorKind::PoisonRequest => {
-            CallResult::Cancelled
-        }
-        kind => CallResult::NotRun(kind),
-    }
-}
-
 /// Returns what the selection of targets learns from the `result` of an attempt.
 ///
 /// Over a pause of this process neither the time nor the lack of an answer says anything: the
@@ -570,43 +488,3 @@
         _ => result,
     }
 }
-
-/// Returns the result of an attempt that failed before the request could run.
-fn unsent(detail: Box<str>) -> AttemptResult {
-    AttemptResult {
-        called: CalledServices::new(),
-        calls: NestedCallOutcome::Ran,
-        outcome: AttemptOutcome::Refused {
-            kind: ErrorKind::PeerUnavailable,
-            reached_target: false,
-            retry_after: None,
-        },
-        reply: None,
-        result: CallResult::Lost,
-        waited: Duration::ZERO,
-        load: None,
-        detail,
-    }
-}
-
-/// Returns the result of an attempt without an answer before the deadline.
-fn deadline_passed() -> AttemptResult {
-    broken(
-        "no answer before the deadline".into(),
-        CallResult::Failed,
-        None,
-    )
-}
-
-fn broken(detail: Box<str>, result: CallResult, load: Option<TargetLoad>) -> AttemptResult {
-    AttemptResult {
-        called: CalledServices::new(),
-        calls: NestedCallOutcome::Ran,
-        outcome: AttemptOutcome::Broken,
-        reply: None,
-        result,
-        waited: Duration::ZERO,
-        load,
-        detail,
-    }
-}
