Log the organisations of a configuration in force, and whether it requires keys

The log told which version was in force, not what it says of keys, so a version that never came into force, a key admitted by old knowledge and a version that is taken for one without keys looked alike.

--- a/crates/proxy/src/config_watch.rs
+++ b/crates/proxy/src/config_watch.rs
@@ -358,7 +358,9 @@
         match applied {
             Ok(Some(table)) => {
                 log::info!(
-                    version:% = version, source, routes = table.config().routes.len();
+                    version:% = version, source, routes = table.config().routes.len(),
+                    organisations = table.config().organisations.len(),
+                    keys_required = table.keys().is_some();
                     "configuration in force"
                 );
                 // Drops the admission state of idle routes, among them those that no longer exist.
