An empty table of organisations leaves no key valid

Cause: whether requests bear keys was derived from the list of organisations being empty. Decoder, delta and table could not tell an empty table from a missing one.

Change: MeshConfig::organisations is an Option, and so is its part of a delta; the index of keys exists if and only if the table does. So "keys are required and none is valid" is a state of its own all the way from the decoder to the admission, and no emptiness decides any more. check-mesh had the same confusion: it now tells when no key is valid, and warns of a version that leaves the table out. Messages between daemons have a new form.

--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -143,19 +143,25 @@
     pub services: Vec<ServiceRule>,
     /// Limits on requests of callers.
     pub limits: CallerLimits,
-    /// All organisations, sorted by name; if there are none, requests bear no keys.
-    pub organisations: Vec<Arc<OrganisationRule>>,
+    /// All organisations, sorted by name; `None` if requests bear no keys. An empty list leaves no
+    /// key that is valid.
+    pub organisations: Option<Vec<Arc<OrganisationRule>>>,
 }
 
 impl MeshConfig {
+    /// Returns all organisations; none as well if requests bear no keys.
+    pub fn organisation_rules(&self) -> &[Arc<OrganisationRule>] {
+        self.organisations.as_deref().unwrap_or_default()
+    }
+
     /// Shares the allocations of all routes and organisations that are the same in `other`.
     pub fn share_rules(&mut self, other: &Self) {
         let others: HashMap<&OrganisationName, &Arc<OrganisationRule>> = other
-            .organisations
+            .organisation_rules()
             .iter()
             .map(|rule| (&rule.name, rule))
             .collect();
-        for rule in &mut self.organisations {
+        for rule in self.organisations.iter_mut().flatten() {
             let same = others.get(&rule.name).filter(|known| **known == rule);
             if let Some(same) = same {
                 *rule = Arc::clone(same);
--- a/crates/mesh/src/config_check.rs
+++ b/crates/mesh/src/config_check.rs
@@ -71,7 +71,8 @@
     check_routes(config, &mut findings);
     check_services(config, &mut findings);
     check_limits(config, &mut findings);
-    check_organisations(&config.organisations, &mut findings);
+    check_organisations(config.organisation_rules(), &mut findings);
+    check_keys(config, &mut findings);
     findings.sorted()
 }
 
@@ -85,6 +86,12 @@
             format!("{own} is not above {newest}, which is in force, and would be ignored"),
         );
     }
+    if in_force.organisations.is_some() && config.organisations.is_none() {
+        findings.warning(
+            "organisations",
+            "requests need no key any more; to remove all organisations, publish an empty table",
+        );
+    }
     findings.sorted()
 }
 
@@ -130,8 +137,8 @@
                 format!("never matches: route {first} has the same host and prefix"),
             );
         }
-        if rule.public && config.organisations.is_empty() {
-            findings.warning(&entry, "public has no effect: no organisation has keys");
+        if rule.public && config.organisations.is_none() {
+            findings.warning(&entry, "public has no effect: requests need no key");
         }
     }
 }
@@ -276,6 +283,18 @@
     }
 }
 
+/// Checks whether any request can be admitted by its key.
+fn check_keys(config: &MeshConfig, findings: &mut Findings) {
+    let needs_key = config.routes.iter().any(|rule| !rule.public);
+    let has_no_key = |rules: &Vec<Arc<OrganisationRule>>| rules.iter().all(|r| r.keys.is_empty());
+    if needs_key && config.organisations.as_ref().is_some_and(has_no_key) {
+        findings.error(
+            "organisations",
+            "no key is valid, so every request on a route that is not public is refused",
+        );
+    }
+}
+
 /// Returns the entries in which `after` differs from `before`, by kind and name.
 pub fn compare_configs(before: &MeshConfig, after: &MeshConfig) -> Vec<ConfigChange> {
     let mut changes = Vec::new();
@@ -297,26 +316,29 @@
     changes.extend(compare_entries(
         "organisation",
         before
-            .organisations
+            .organisation_rules()
             .iter()
             .map(|rule| (rule.name.as_str(), &**rule)),
         after
-            .organisations
+            .organisation_rules()
             .iter()
             .map(|rule| (rule.name.as_str(), &**rule)),
         compare_organisations,
     ));
-    let fields = compare_limits(before, after);
-    if !fields.0.is_empty() {
-        changes.push(ConfigChange {
-            kind: ChangeKind::Changed,
-            entry: "limits".into(),
-            fields: fields.0,
-        });
-    }
+    changes.extend(changed_part("keys", compare_key_rule(before, after)));
+    changes.extend(changed_part("limits", compare_limits(before, after)));
     changes
 }
 
+/// Returns the change of a part that every configuration has, if any field differs.
+fn changed_part(entry: &str, fields: FieldChanges) -> Option<ConfigChange> {
+    (!fields.0.is_empty()).then(|| ConfigChange {
+        kind: ChangeKind::Changed,
+        entry: entry.into(),
+        fields: fields.0,
+    })
+}
+
 fn compare_entries<'a, T: PartialEq + 'a>(
     kind: &str,
     before: impl Iterator<Item = (&'a str, &'a T)>,
@@ -414,6 +436,16 @@
     changes
 }
 
+fn compare_key_rule(before: &MeshConfig, after: &MeshConfig) -> FieldChanges {
+    let rule = |config: &MeshConfig| match config.organisations {
+        Some(_) => "required",
+        None => "not required",
+    };
+    let mut changes = FieldChanges::default();
+    changes.compare("rule", &rule(before), &rule(after));
+    changes
+}
+
 fn compare_limits(before: &MeshConfig, after: &MeshConfig) -> FieldChanges {
     let (before, after) = (&before.limits, &after.limits);
     let mut changes = FieldChanges::default();
--- a/crates/mesh/src/delta.rs
+++ b/crates/mesh/src/delta.rs
@@ -41,10 +41,17 @@
     pub services: Vec<ServiceRule>,
     /// Limits on requests of callers.
     pub limits: CallerLimits,
+    /// Changes of the organisations; `None` if requests bear no keys any more.
+    pub organisations: Option<OrganisationDelta>,
+}
+
+/// Changes from the organisations of one configuration to those of a newer one.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct OrganisationDelta {
     /// Organisations that were removed.
-    pub dropped_organisations: Vec<OrganisationName>,
+    pub dropped: Vec<OrganisationName>,
     /// Organisations that were added or changed.
-    pub changed_organisations: Vec<Arc<OrganisationRule>>,
+    pub changed: Vec<Arc<OrganisationRule>>,
 }
 
 impl ConfigUpdate {
@@ -67,13 +74,7 @@
             .iter()
             .filter(|rule| !unchanged.contains(&***rule));
         let base_keys = base.routes.iter().map(|rule| rule.key);
-        let known = by_name(base);
-        let names = by_name(newer);
-        let changed_organisations = newer
-            .organisations
-            .iter()
-            .filter(|rule| known.get(&rule.name) != Some(rule));
-        let base_names = base.organisations.iter().map(|rule| &rule.name);
+        let organisations = newer.organisations.as_deref();
         Self {
             base: base.version,
             version: newer.version,
@@ -81,11 +82,8 @@
             changed: changed.cloned().collect(),
             services: newer.services.clone(),
             limits: newer.limits,
-            dropped_organisations: base_names
-                .filter(|name| !names.contains_key(name))
-                .cloned()
-                .collect(),
-            changed_organisations: changed_organisations.cloned().collect(),
+            organisations: organisations
+                .map(|newer| OrganisationDelta::between(base.organisation_rules(), newer)),
         }
     }
 
@@ -108,27 +106,47 @@
             .filter(|rule| !replaced.contains(&rule.key));
         let mut routes: Vec<Arc<RouteRule>> = kept.chain(&self.changed).cloned().collect();
         routes.sort_unstable_by(|left, right| left.name.cmp(&right.name));
-        let changed = self.changed_organisations.iter().map(|rule| &rule.name);
-        let replaced: HashSet<&OrganisationName> =
-            changed.chain(&self.dropped_organisations).collect();
-        let kept = base
-            .organisations
-            .iter()
-            .filter(|rule| !replaced.contains(&rule.name));
-        let mut organisations: Vec<Arc<OrganisationRule>> =
-            kept.chain(&self.changed_organisations).cloned().collect();
-        organisations.sort_unstable_by(|left, right| left.name.cmp(&right.name));
         Ok(MeshConfig {
             version: self.version,
             routes,
             services: self.services.clone(),
             limits: self.limits,
-            organisations,
+            organisations: self
+                .organisations
+                .as_ref()
+                .map(|delta| delta.apply(base.organisation_rules())),
         })
     }
 }
 
-fn by_name(config: &MeshConfig) -> HashMap<&OrganisationName, &Arc<OrganisationRule>> {
-    let organisations = config.organisations.iter();
-    organisations.map(|rule| (&rule.name, rule)).collect()
+impl OrganisationDelta {
+    fn between(base: &[Arc<OrganisationRule>], newer: &[Arc<OrganisationRule>]) -> Self {
+        let known = by_name(base);
+        let names = by_name(newer);
+        let changed = newer
+            .iter()
+            .filter(|rule| known.get(&rule.name) != Some(rule));
+        let base_names = base.iter().map(|rule| &rule.name);
+        Self {
+            dropped: base_names
+                .filter(|name| !names.contains_key(name))
+                .cloned()
+                .collect(),
+            changed: changed.cloned().collect(),
+        }
+    }
+
+    /// Applies the changes to `base`; the result is sorted by name.
+    fn apply(&self, base: &[Arc<OrganisationRule>]) -> Vec<Arc<OrganisationRule>> {
+        let changed = self.changed.iter().map(|rule| &rule.name);
+        let replaced: HashSet<&OrganisationName> = changed.chain(&self.dropped).collect();
+        let kept = base.iter().filter(|rule| !replaced.contains(&rule.name));
+        let mut rules: Vec<Arc<OrganisationRule>> = kept.chain(&self.changed).cloned().collect();
+        rules.sort_unstable_by(|left, right| left.name.cmp(&right.name));
+        rules
+    }
+}
+
+fn by_name(rules: &[Arc<OrganisationRule>]) -> HashMap<&OrganisationName, &Arc<OrganisationRule>> {
+    rules.iter().map(|rule| (&rule.name, rule)).collect()
 }
--- a/crates/mesh/src/table.rs
+++ b/crates/mesh/src/table.rs
@@ -18,7 +18,8 @@
     /// Routes by host, longest path prefix first.
     hosts: HashMap<Box<str>, Vec<Arc<RouteRule>>>,
     services: HashMap<ServiceName, ServiceRule>,
-    keys: Arc<KeyIndex>,
+    /// Organisations by key; none if requests bear no keys.
+    keys: Option<Arc<KeyIndex>>,
 }
 
 impl MeshTable {
@@ -49,8 +50,11 @@
         }
         let same = previous.filter(|table| table.config.organisations == config.organisations);
         let keys = match same {
-            Some(table) => Arc::clone(&table.keys),
-            None => Arc::new(KeyIndex::build(&config.organisations)),
+            Some(table) => table.keys.clone(),
+            None => config
+                .organisations
+                .as_deref()
+                .map(|rules| Arc::new(KeyIndex::build(rules))),
         };
         Ok(Self {
             config,
@@ -85,7 +89,7 @@
 
     /// Returns the organisations by key; `None` if requests bear no keys.
     pub fn keys(&self) -> Option<&KeyIndex> {
-        (!self.config.organisations.is_empty()).then_some(&*self.keys)
+        self.keys.as_deref()
     }
 
     /// Returns the service called `name`.
--- a/crates/mesh/tests/config_check.rs
+++ b/crates/mesh/tests/config_check.rs
@@ -50,10 +50,10 @@
 #[test]
 fn a_sound_configuration_has_no_findings() {
     let sound = MeshConfig {
-        organisations: vec![
+        organisations: Some(vec![
             organisation("north", &["a", "b"], 5.0),
             organisation("south", &["c"], 5.0),
-        ],
+        ]),
         ..config(1, vec![route("browse", |_| {}), route("order", |_| {})])
     };
     assert_eq!(texts(&check_config(&sound)), Vec::<String>::new());
@@ -111,7 +111,7 @@
             },
         ),
         (
-            "warning: route browse: public has no effect: no organisation has keys",
+            "warning: route browse: public has no effect: requests need no key",
             |route| route.public = true,
         ),
     ];
@@ -133,11 +133,11 @@
 #[test]
 fn keys_and_quotas_without_effect_are_found() {
     let keyed = MeshConfig {
-        organisations: vec![
+        organisations: Some(vec![
             organisation("east", &[], 5.0),
             organisation("north", &["a"], 5.0),
             organisation("south", &["b", "a"], 0.5),
-        ],
+        ]),
         ..config(1, vec![route("browse", |_| {})])
     };
     let expected = [
@@ -152,11 +152,11 @@
 #[test]
 fn differences_from_the_version_in_force_are_shown() {
     let before = MeshConfig {
-        organisations: vec![organisation("north", &["a"], 5.0)],
+        organisations: Some(vec![organisation("north", &["a"], 5.0)]),
         ..config(7, vec![route("browse", |_| {}), route("order", |_| {})])
     };
     let mut after = MeshConfig {
-        organisations: vec![organisation("north", &["secret"], 9.0)],
+        organisations: Some(vec![organisation("north", &["secret"], 9.0)]),
         ..config(
             7,
             vec![
@@ -197,3 +197,42 @@
     );
     assert!(compare_configs(&before, &before).is_empty());
 }
+
+// Guards against a version that takes away the last key, or the need for one, without a word.
+#[test]
+fn a_change_of_whether_requests_need_keys_is_shown() {
+    let with = |organisations| MeshConfig {
+        organisations,
+        ..config(1, vec![route("browse", |_| {})])
+    };
+    let keyed = with(Some(vec![organisation("north", &["a"], 5.0)]));
+    let emptied = with(Some(Vec::new()));
+    let open = with(None);
+    let refused = "error: organisations: no key is valid, so every request on a route that is not public is refused";
+    assert_eq!(texts(&check_config(&emptied)), [refused]);
+    assert!(check_config(&open).is_empty());
+    let dropped = "warning: organisations: requests need no key any more; to remove all organisations, publish an empty table";
+    let version_note = "error: version: 1 is not above 1, which is in force, and would be ignored";
+    assert_eq!(
+        texts(&check_successor(&open, &keyed)),
+        [version_note, dropped]
+    );
+    assert_eq!(texts(&check_successor(&emptied, &keyed)), [version_note]);
+    let texts_of = |before, after| {
+        let changes = compare_configs(before, after);
+        let text = |change: &ConfigChange| {
+            format!(
+                "{} {} {}",
+                change.kind,
+                change.entry,
+                change.fields.join(";")
+            )
+        };
+        changes.iter().map(text).collect::<Vec<_>>()
+    };
+    let removed = "removed organisation north ";
+    assert_eq!(texts_of(&keyed, &emptied), [removed]);
+    let loosened = "changed keys rule required -> not required";
+    assert_eq!(texts_of(&keyed, &open), [removed, loosened]);
+    assert_eq!(texts_of(&emptied, &open), [loosened]);
+}
--- a/crates/mesh/tests/organisation.rs
+++ b/crates/mesh/tests/organisation.rs
@@ -28,9 +28,12 @@
     })
 }
 
-fn keyed_config(version: u64, organisations: Vec<Arc<OrganisationRule>>) -> MeshConfig {
+fn keyed_config(
+    version: u64,
+    organisations: impl Into<Option<Vec<Arc<OrganisationRule>>>>,
+) -> MeshConfig {
     MeshConfig {
-        organisations,
+        organisations: organisations.into(),
         ..config(version, vec![rule("browse", "catalog", 1)])
     }
 }
@@ -105,7 +108,8 @@
         ],
     );
     let delta = ConfigDelta::between(&base, &newer);
-    assert_eq!(delta.changed_organisations.len(), 2);
+    let changes = delta.organisations.as_ref().expect("organisations");
+    assert_eq!(changes.changed.len(), 2);
     assert_eq!(delta.apply(&base).expect("the right base"), newer);
 
     let mut active = ActiveConfig::default();
@@ -117,6 +121,26 @@
     assert!(!found("b") && !found("c"));
 }
 
+// Guards against a delta after which requests need no key though the newer version requires them, or
+// the other way round.
+#[test]
+fn a_delta_carries_whether_requests_need_keys() {
+    let north = || vec![organisation("north", &["a"], 5.0)];
+    let states = [None, Some(Vec::new()), Some(north())];
+    for before in &states {
+        for after in &states {
+            let base = keyed_config(1, before.clone());
+            let newer = keyed_config(2, after.clone());
+            let delta = ConfigDelta::between(&base, &newer);
+            assert_eq!(delta.apply(&base).expect("the right base"), newer);
+            let mut active = ActiveConfig::default();
+            active.apply_config(base).expect("valid");
+            let table = active.apply_config(newer).expect("valid").expect("newer");
+            assert_eq!(table.keys().is_some(), after.is_some());
+        }
+    }
+}
+
 #[test]
 fn the_priority_of_an_organisation_goes_before_that_of_the_route() {
     let rank = |organisation, route| CallPriority(route).within(CallPriority(organisation));
--- a/crates/mesh/tests/support/mod.rs
+++ b/crates/mesh/tests/support/mod.rs
@@ -65,6 +65,6 @@
             })
             .collect(),
         limits: CallerLimits::default(),
-        organisations: Vec::new(),
+        organisations: None,
     }
 }
--- a/crates/proxy/src/config_watch.rs
+++ b/crates/proxy/src/config_watch.rs
@@ -359,7 +359,7 @@
             Ok(Some(table)) => {
                 log::info!(
                     version:% = version, source, routes = table.config().routes.len(),
-                    organisations = table.config().organisations.len(),
+                    organisations = table.config().organisation_rules().len(),
                     keys_required = table.keys().is_some();
                     "configuration in force"
                 );
--- a/crates/proxy/src/quota_exchange.rs
+++ b/crates/proxy/src/quota_exchange.rs
@@ -109,7 +109,11 @@
         return;
     };
     let now = core.clock.since_boot();
-    let organisations = table.config().organisations.iter().map(AsRef::as_ref);
+    let organisations = table
+        .config()
+        .organisation_rules()
+        .iter()
+        .map(AsRef::as_ref);
     let ended = ledger.tick(now, organisations);
     let readers = ledger.other_readers().to_vec();
     let report = if readers.is_empty() {
--- a/crates/proxy/tests/store_era.rs
+++ b/crates/proxy/tests/store_era.rs
@@ -90,7 +90,7 @@
 fn config(version: MeshVersion) -> MeshConfig {
     MeshConfig {
         version,
-        organisations: Vec::new(),
+        organisations: None,
         routes: Vec::new(),
         services: Vec::new(),
         limits: CallerLimits::default(),
