Log the status of the answer that ended an attempt

The line "attempt ended" told end=failed and next=deliver, not which status, so a daemon's own refusal after a run, a target's refusal that is passed on, and a target's failure that is passed on looked alike.

--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -212,9 +212,14 @@
         } => (kind.properties().name, arrived),
         _ => ("", true),
     };
+    // 0 without an answer of the target.
+    let status = attempt
+        .reply
+        .as_ref()
+        .map_or(0, |reply| reply.status().as_u16());
     log::info!(
         request = &*call.head.request_id, route = &*call.rule.name, daemon:% = daemon,
-        end = attempt_label(attempt.outcome), kind, arrived, next = step_label(step),
+        end = attempt_label(attempt.outcome), status, kind, arrived, next = step_label(step),
         cause = &*attempt.detail, running = load.in_flight.0, queued = load.queued.0;
         "attempt ended"
     );
