Withhold a target's answer that denies a run which may happen once only

The daemon passed the 503 on, which promises callers that the request has not run, so they sent it again and it ran twice.

Cause: what a status promises to callers was asked nowhere; any answer of a target that does not carry the proof of a refusal was passed on with its status.

Change: at the one place where an answer of a target leaves for a caller, an answer to a request that may run once only is withheld if its status denies the run, and the caller gets 502 target-failed, without the target's signature. The port to the platform says which statuses do. What is learned from the attempt stays. Requests that may be repeated get the target's answer unchanged.

--- a/crates/proxy/src/edge.rs
+++ b/crates/proxy/src/edge.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use mesh::{KeyDigest, TargetLeave, TargetNotice, TargetReport};
 use model::CallCount;
 pub use route::TargetPace;
@@ -69,6 +69,8 @@
     /// Reads what a target says of itself in the headers of an answer. A limit that is not a rate
     /// counts as none.
     pub read_notice: fn(&HeaderMap) -> TargetNotice,
+    /// Returns whether a status tells callers that their request has not run and never will.
+    pub promises_not_run: fn(StatusCode) -> bool,
     /// Reads the key that a request bears; `None` if there is none or it cannot be read.
     pub read_key: fn(&HeaderMap) -> Option<KeyDigest>,
     /// Formats the time after which a caller may retry.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -311,6 +311,13 @@
         NextStep::Refuse { kind, .. } => last.is_refused_at_any_load(kind),
         NextStep::Deliver | NextStep::TryAnother | NextStep::Fail(_) => false,
     };
+    let step = match &last.reply {
+        Some(reply) if step == NextStep::Deliver && is_false_promise(core, call, reply) => {
+            log_withheld(call, reply);
+            NextStep::Fail(ErrorKind::TargetFailed)
+        }
+        _ => step,
+    };
     let called = last.called;
     let (kind, retry_after) = match (step, last.reply) {
         (NextStep::Deliver, Some(reply)) => {
@@ -338,9 +345,10 @@
         (NextStep::Deliver | NextStep::TryAnother, _) => (ErrorKind::OutcomeUnknown, None),
     };
     log_end(core, call, kind.properties().name, retry_after);
-    let outcome = match retry_after {
-        Some(_) => RequestOutcome::Refused,
-        None => RequestOutcome::Unknown,
+    let outcome = match (retry_after, kind) {
+        (Some(_), _) => RequestOutcome::Refused,
+        (None, ErrorKind::TargetFailed) => RequestOutcome::Failed,
+        (None, _) => RequestOutcome::Unknown,
     };
     count_request(core, call, outcome);
     core.metrics.count_error(kind);
@@ -349,12 +357,26 @@
         outcome: if retry_after.is_some() {
             EntryOutcome::from_refusal(shed)
         } else {
-            EntryOutcome::Ran
+            EntryOutcome::from_run(true, last.calls)
         },
         called,
     }
 }
 
+/// Returns whether the answer of a target tells the caller of a request that has run at most once
+/// that it has not run. The caller would send it again, and it would run twice.
+fn is_false_promise(core: &ProxyCore, call: &RelayCall, reply: &CallerReply) -> bool {
+    call.rule.safety == CallSafety::AtMostOnce && (core.edge.promises_not_run)(reply.status())
+}
+
+fn log_withheld(call: &RelayCall, reply: &CallerReply) {
+    log::info!(
+        request = &*call.head.request_id, route = &*call.rule.name,
+        status = reply.status().as_u16();
+        "answer withheld: its status says that the request has not run"
+    );
+}
+
 /// Returns whether a refusal of this kind says nothing about other requests.
 fn concerns_request_only(kind: ErrorKind) -> bool {
     matches!(kind, ErrorKind::DeadlineExceeded | ErrorKind::PoisonRequest)
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -132,6 +132,7 @@
             organisation: name("organisation"),
             key: name("key"),
         },
+        promises_not_run: |status| status == http::StatusCode::SERVICE_UNAVAILABLE,
         parse_control: |_, _, _| Ok(quetzal_proxy::edge::ControlCall::Ready),
         acknowledgement: "",
         parse_load: |_| None,
